Limits: fleet trial on virtual time with an independent oracle

Cause: the division of rates and bursts over instances had no measurement.

The first run hung: a waiter past its time while answers were outstanding was woken at the same instant for ever. Waiters past their time are now refused at once.

--- a/src/decisions/process/share_ledger.cpp
+++ b/src/decisions/process/share_ledger.cpp
@@ -171,11 +171,10 @@
                             instant Now, action_list &Actions) {
   admitWaiting(Team, Now, Actions);
   closeExpiredRound(Team, Now);
-  if (!Team.Round.Open) {
-    refuseHopeless(Team, Now, Actions);
-    admitWaiting(Team, Now, Actions);
+  refuseHopeless(Team, Now, Actions);
+  admitWaiting(Team, Now, Actions);
+  if (!Team.Round.Open)
     returnSurplus(Name, Team, Now, Actions);
-  }
   if (Team.Waiting.empty())
     return;
   const double Missing = waitingTokens(Team.Waiting) - Team.Part.available(Now);
@@ -203,7 +202,10 @@
   double Ahead = 0;
   std::deque<waiter> Kept;
   for (const waiter &Waiter : Team.Waiting) {
-    const span_ns Wait = timeUntil(Team, Ahead + Waiter.Tokens, Now);
+    // Answers that are still to come may bring all that is missing.
+    const span_ns Wait = Team.Round.Open
+                             ? span_ns(0)
+                             : timeUntil(Team, Ahead + Waiter.Tokens, Now);
     if (Now + Wait < Waiter.Until) {
       Ahead += Waiter.Tokens;
       Kept.push_back(Waiter);
--- /dev/null
+++ b/src/load/limit_oracle.h
@@ -0,0 +1,52 @@
+/// \file
+/// Judges admissions against the teams' limits, independently of how they were
+/// made.
+#ifndef EBONYVALE_LOAD_LIMIT_ORACLE_H
+#define EBONYVALE_LOAD_LIMIT_ORACLE_H
+
+#include "common/instant.h"
+#include "decisions/process/token_part.h"
+
+namespace ebonyvale {
+
+/// Watches one team.
+class limit_oracle {
+public:
+  explicit limit_oracle(part_limits Limits)
+      : Limits(Limits), Level(Limits.Burst), Central(Limits, 0, instant{}) {}
+
+  /// Takes other limits from now on.
+  void setLimits(part_limits Next, instant Now);
+
+  /// Records that \p Used tokens were spent now, \p Reserved being held until
+  /// the request ends.
+  reservation onAdmitted(double Reserved, double Used, instant Now);
+
+  /// The request ended; what it did not use returns to the central bucket.
+  void onSettled(const reservation &Reserved, double Used, instant Now);
+
+  /// Whether a central bucket would admit \p Tokens now.
+  bool centralAdmits(double Tokens, instant Now);
+
+  /// Tokens in the central bucket.
+  double centralLevel(instant Now) { return Central.available(Now); }
+
+  /// Largest excess over rate x T + burst so far, over all T.
+  double worstOverspend() const { return Worst; }
+
+private:
+  void advance(instant Now);
+
+  part_limits Limits;
+  // A bucket that is charged with every admission and never refuses; how far
+  // it falls below zero is the excess over the worst interval.
+  double Level;
+  instant Updated;
+  double Worst = 0;
+  // What a single ledger for the whole fleet would hold.
+  token_part Central;
+};
+
+} // namespace ebonyvale
+
+#endif
