Limits: let refundable tokens shrink instead of stopping accrual

Cause: tokens reserved by running requests were counted against the part's bound until they were settled, so a small part stopped accruing for seconds although most of a reservation is used in the end.

Change: where accrual meets the bound, what is refundable shrinks in proportion. Safe by the same invariant (level + refundable + held <= burst part).

--- a/src/decisions/process/token_part.cpp
+++ b/src/decisions/process/token_part.cpp
@@ -1,6 +1,7 @@
 #include "decisions/process/token_part.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace ebonyvale {
 
@@ -8,6 +9,7 @@
   advance(Now);
   Limits = NewLimits;
   Level = std::min(Level, ceiling());
+  shrinkRefundable(ceiling() - Level);
 }
 
 double token_part::available(instant Now) {
@@ -31,16 +33,18 @@
   std::erase_if(Grants, [](const grant &Grant) { return Grant.Tokens <= 0; });
   Level -= Rest;
   Refundable += Rest;
-  return {Tokens, Rest};
+  return {Tokens, Rest, Shrinkage};
 }
 
 void token_part::settle(const reservation &Reserved, double Used, instant Now) {
   advance(Now);
-  Refundable = std::max(0.0, Refundable - Reserved.FromLevel);
+  const double Left =
+      Reserved.FromLevel * std::exp(Reserved.Shrinkage - Shrinkage);
+  Refundable = std::max(0.0, Refundable - Left);
   const double Unused = Reserved.Tokens - Used;
   // Lent tokens that were not used are lost: their lender may have accrued
   // others in their place.
-  Level += std::min(Unused, Reserved.FromLevel);
+  Level += std::min(Unused, Left);
   Level = std::min(Level, ceiling());
 }
 
@@ -112,14 +116,26 @@
     return;
   const double Gained = Limits.Rate * toSeconds(Until - Updated);
   Level = std::max(Level, std::min(Level + Gained, ceiling()));
+  shrinkRefundable(ceiling() - Level);
   Updated = Until;
 }
 
+void token_part::shrinkRefundable(double Bound) {
+  if (Refundable <= std::max(0.0, Bound))
+    return;
+  // A factor of zero would have no logarithm; this one leaves nothing either.
+  constexpr double LeastFactor = 1e-12;
+  const double Factor =
+      std::max(LeastFactor, std::max(0.0, Bound) / Refundable);
+  Refundable *= Factor;
+  Shrinkage -= std::log(Factor);
+}
+
 double token_part::ceiling() const {
   double Held = 0;
   for (const hold &Hold : Holds)
     Held += Hold.Tokens;
-  return Limits.Burst - Held - Refundable;
+  return Limits.Burst - Held;
 }
 
 double token_part::granted() const {
--- a/src/decisions/process/token_part.h
+++ b/src/decisions/process/token_part.h
@@ -1,7 +1,9 @@
 /// \file
 /// One instance's part of one team's rate and burst.
 ///
-/// Invariant: level + refundable + tokens held for grants <= burst part. Each
+/// Invariant: level + refundable + tokens held for grants <= burst part. Where
+/// accrual meets the bound, what is refundable shrinks: tokens now are worth
+/// more than tokens that may come back later. Each
 /// token that can still be spent somewhere is counted in exactly one part, so
 /// the sum over all instances never exceeds the team's burst, whatever messages
 /// are lost, and it grows by no more than the team's rate.
@@ -26,6 +28,7 @@
 struct reservation {
   double Tokens = 0;    ///< reserved in all
   double FromLevel = 0; ///< of these, from this instance's own level
+  double Shrinkage = 0; ///< the part's shrinkage at that time
 };
 
 /// The part itself: a token bucket that can lend tokens and spend lent ones.
@@ -93,11 +96,15 @@
   void advance(instant Now);
   void accrue(instant Until);
   double ceiling() const;
+  void shrinkRefundable(double Bound);
   double granted() const;
 
   part_limits Limits;
   double Level;
   double Refundable = 0; ///< reserved from the level and not yet settled
+  /// Sum of the negative logarithms of the factors by which `Refundable` has
+  /// shrunk; a reservation's refund shrinks with it.
+  double Shrinkage = 0;
   instant Updated;
   std::vector<hold> Holds;   ///< by end, earliest first
   std::vector<grant> Grants; ///< by end, earliest first
--- a/src/load/limit_trial.cpp
+++ b/src/load/limit_trial.cpp
@@ -449,8 +449,8 @@
     const double Level = Bucket.available(Loop.now());
     const double Drawn =
         std::min(Level, std::max(Request.Tokens - Held, OneSecondPart));
-    Bucket.spend(Drawn, Loop.now());
-    Bucket.settle({Drawn, Drawn}, Drawn, Loop.now());
+    const reservation Taken = Bucket.spend(Drawn, Loop.now());
+    Bucket.settle(Taken, Drawn, Loop.now());
     Held += Drawn;
     if (Held < Request.Tokens) {
       refuse(Index, Request);
