Limits: tell lenders at once when a grant has been spent

Cause: a lender kept its part lowered for the whole hold term (1.1 s) although the taker mostly spends a grant on arrival; a full part thus lost a second of accrual with each loan.

Change: the taker's return message also closes a grant, and the hold ends then. Safe because the taker keeps nothing of a closed grant.

--- a/src/decisions/process/share_ledger.cpp
+++ b/src/decisions/process/share_ledger.cpp
@@ -136,7 +136,8 @@
                             instant Now) {
   const auto Found = Teams.find(Return.Team);
   if (Found != Teams.end())
-    Found->second.Part.takeBack(holdId(Peer, Return.AskId), Return.Tokens, Now);
+    Found->second.Part.takeBack(holdId(Peer, Return.AskId), Return.Tokens,
+                                Return.Closed, Now);
 }
 
 void share_ledger::settle(std::string_view Team, const reservation &Reserved,
@@ -174,7 +175,7 @@
   refuseHopeless(Team, Now, Actions);
   admitWaiting(Team, Now, Actions);
   if (!Team.Round.Open)
-    returnSurplus(Name, Team, Now, Actions);
+    endGrants(Name, Team, Now, Actions);
   if (Team.Waiting.empty())
     return;
   const double Missing = waitingTokens(Team.Waiting) - Team.Part.available(Now);
@@ -268,12 +269,12 @@
   return Chosen;
 }
 
-void share_ledger::returnSurplus(const std::string &Name, team_state &Team,
-                                 instant Now, action_list &Actions) {
+void share_ledger::endGrants(const std::string &Name, team_state &Team,
+                             instant Now, action_list &Actions) {
   const double Needed = waitingTokens(Team.Waiting);
-  for (token_part::surplus &Surplus : Team.Part.dropSurplus(Needed, Now))
-    Actions.push_back(share_send_return{std::move(Surplus.Lender),
-                                        {Surplus.AskId, Name, Surplus.Tokens}});
+  for (token_part::grant_end &End : Team.Part.endGrants(Needed, Now))
+    Actions.push_back(share_send_return{
+        std::move(End.Lender), {End.AskId, Name, End.Unspent, End.Closed}});
 }
 
 void share_ledger::planWake(team_state &Team, instant Now) const {
--- a/src/decisions/process/share_ledger.h
+++ b/src/decisions/process/share_ledger.h
@@ -63,11 +63,12 @@
   double Rate = 0;  ///< at which the lender's part grows
 };
 
-/// Gives back lent tokens that were not needed.
+/// Gives back lent tokens that were not needed, or tells that they are spent.
 struct share_return {
   std::uint64_t AskId = 0;
   std::string Team;
-  double Tokens = 0;
+  double Tokens = 0;   ///< unspent
+  bool Closed = false; ///< nothing of the grant can be spent any more
 };
 
 /// The request may run; settle the reservation when it has ended.
@@ -194,8 +195,8 @@
                   instant Now, action_list &Actions);
   std::vector<std::string> choosePeers(const team_state &Team, double Missing,
                                        instant Now) const;
-  static void returnSurplus(const std::string &Name, team_state &Team,
-                            instant Now, action_list &Actions);
+  static void endGrants(const std::string &Name, team_state &Team, instant Now,
+                        action_list &Actions);
   void planWake(team_state &Team, instant Now) const;
   span_ns timeUntil(team_state &Team, double Tokens, instant Now) const;
   limit_figures figures(team_state &Team, double Asked, instant Now) const;
--- a/src/decisions/process/token_part.cpp
+++ b/src/decisions/process/token_part.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace ebonyvale {
 
@@ -29,6 +30,8 @@
     const double Taken = std::min(Rest, Grant.Tokens);
     Grant.Tokens -= Taken;
     Rest -= Taken;
+    if (Grant.Tokens <= 0)
+      Spent.push_back({Grant.Lender, Grant.AskId, 0, true});
   }
   std::erase_if(Grants, [](const grant &Grant) { return Grant.Tokens <= 0; });
   Level -= Rest;
@@ -61,7 +64,8 @@
   return Lent;
 }
 
-void token_part::takeBack(std::uint64_t HoldId, double Tokens, instant Now) {
+void token_part::takeBack(std::uint64_t HoldId, double Tokens, bool Closed,
+                          instant Now) {
   advance(Now);
   const auto Found = std::ranges::find(Holds, HoldId, &hold::Id);
   // After the hold has lapsed its tokens have been accrued anew.
@@ -70,7 +74,7 @@
   const double Returned = std::clamp(Tokens, 0.0, Found->Tokens);
   Level += Returned;
   Found->Tokens -= Returned;
-  if (Found->Tokens <= 0)
+  if (Closed || Found->Tokens <= 0)
     Holds.erase(Found);
 }
 
@@ -83,21 +87,22 @@
   Grants.insert(Place, {Lender, AskId, Tokens, Until});
 }
 
-std::vector<token_part::surplus> token_part::dropSurplus(double Needed,
+std::vector<token_part::grant_end> token_part::endGrants(double Needed,
                                                          instant Now) {
   advance(Now);
-  std::vector<surplus> Dropped;
+  std::vector<grant_end> Ended = std::exchange(Spent, {});
   double Excess = granted() - std::max(0.0, Needed);
   while (Excess > 0 && !Grants.empty()) {
     grant &Last = Grants.back();
     const double Tokens = std::min(Excess, Last.Tokens);
-    Dropped.push_back({Last.Lender, Last.AskId, Tokens});
     Excess -= Tokens;
     Last.Tokens -= Tokens;
-    if (Last.Tokens <= 0)
+    const bool Closed = Last.Tokens <= 0;
+    Ended.push_back({Last.Lender, Last.AskId, Tokens, Closed});
+    if (Closed)
       Grants.pop_back();
   }
-  return Dropped;
+  return Ended;
 }
 
 void token_part::advance(instant Now) {
--- a/src/decisions/process/token_part.h
+++ b/src/decisions/process/token_part.h
@@ -63,22 +63,25 @@
   double lend(std::uint64_t HoldId, double Wanted, instant HeldUntil,
               instant Now);
 
-  /// Takes back tokens that the taker of \p HoldId did not need.
-  void takeBack(std::uint64_t HoldId, double Tokens, instant Now);
+  /// Takes back tokens that the taker of \p HoldId did not need. When the
+  /// grant is \p Closed, nothing of it can be spent any more and the hold ends.
+  void takeBack(std::uint64_t HoldId, double Tokens, bool Closed, instant Now);
 
   /// Adds tokens lent by a peer, spendable before \p Until.
   void addGrant(const std::string &Lender, std::uint64_t AskId, double Tokens,
                 instant Until, instant Now);
 
-  /// A grant that is given back unspent.
-  struct surplus {
+  /// What becomes of a grant.
+  struct grant_end {
     std::string Lender;
     std::uint64_t AskId;
-    double Tokens;
+    double Unspent; ///< tokens that go back to the lender
+    bool Closed;    ///< nothing of the grant is left here
   };
 
-  /// Removes live grants beyond what \p Needed takes of them and returns them.
-  std::vector<surplus> dropSurplus(double Needed, instant Now);
+  /// Removes live grants beyond what \p Needed takes of them. Returns these and
+  /// the grants that have been spent since the last call.
+  std::vector<grant_end> endGrants(double Needed, instant Now);
 
 private:
   struct hold {
@@ -108,6 +111,7 @@
   instant Updated;
   std::vector<hold> Holds;   ///< by end, earliest first
   std::vector<grant> Grants; ///< by end, earliest first
+  std::vector<grant_end> Spent;
 };
 
 } // namespace ebonyvale
