Limits: return unused lent tokens to the part that spent them

Cause: what a request did not use of lent tokens was lost, because the lender may accrue others in their place; long prompts are paid mostly by loans.

Change: the refundable part of a reservation covers lent tokens too, bounded by the spender's own part, so level + refundable + held <= burst part still holds.

--- a/src/decisions/process/token_part.cpp
+++ b/src/decisions/process/token_part.cpp
@@ -35,18 +35,19 @@
   }
   std::erase_if(Grants, [](const grant &Grant) { return Grant.Tokens <= 0; });
   Level -= Rest;
-  Refundable += Rest;
-  return {Tokens, Rest, Shrinkage};
+  // Lent tokens come back here and not at their lender, whose hold ends.
+  Refundable += Tokens;
+  const reservation Reserved{Tokens, Tokens, Shrinkage};
+  shrinkRefundable(ceiling() - Level);
+  return Reserved;
 }
 
 void token_part::settle(const reservation &Reserved, double Used, instant Now) {
   advance(Now);
   const double Left =
-      Reserved.FromLevel * std::exp(Reserved.Shrinkage - Shrinkage);
+      Reserved.Refundable * std::exp(Reserved.Shrinkage - Shrinkage);
   Refundable = std::max(0.0, Refundable - Left);
   const double Unused = Reserved.Tokens - Used;
-  // Lent tokens that were not used are lost: their lender may have accrued
-  // others in their place.
   Level += std::min(Unused, Left);
   Level = std::min(Level, ceiling());
 }
--- a/src/decisions/process/token_part.h
+++ b/src/decisions/process/token_part.h
@@ -26,9 +26,9 @@
 
 /// What an admission took and may give back.
 struct reservation {
-  double Tokens = 0;    ///< reserved in all
-  double FromLevel = 0; ///< of these, from this instance's own level
-  double Shrinkage = 0; ///< the part's shrinkage at that time
+  double Tokens = 0;     ///< reserved in all
+  double Refundable = 0; ///< of these, what may come back
+  double Shrinkage = 0;  ///< the part's shrinkage at that time
 };
 
 /// The part itself: a token bucket that can lend tokens and spend lent ones.
@@ -104,7 +104,7 @@
 
   part_limits Limits;
   double Level;
-  double Refundable = 0; ///< reserved from the level and not yet settled
+  double Refundable = 0; ///< of reservations that are not yet settled
   /// Sum of the negative logarithms of the factors by which `Refundable` has
   /// shrunk; a reservation's refund shrinks with it.
   double Shrinkage = 0;
