Limits: only the answer's part of a reservation is refundable

Cause: the prompt's tokens are certain to be used, yet they took room in the part as refundable and displaced refunds that do come.

Change: an admission names the certain tokens; only the rest may return.

--- a/src/daemon/connection/caller_listener.cpp
+++ b/src/daemon/connection/caller_listener.cpp
@@ -165,7 +165,7 @@
     return refuse(Request, {error_kind::RequestQuarantined, ""}, Grant.team());
   const auto Session = std::make_shared<model_session>(
       Core, Request, Config, Grant, Model->second, std::move(*Chat));
-  Session->begin(Session->reservedTokens());
+  Session->begin(Session->cost());
 }
 
 void caller_listener::startPlainSession(evhttp_request *Request,
@@ -174,7 +174,8 @@
                                         const route &Route) {
   const auto Session =
       std::make_shared<plain_session>(Core, Request, Config, Grant, Route);
-  Session->begin(static_cast<double>(Route.Tokens));
+  const auto Tokens = static_cast<double>(Route.Tokens);
+  Session->begin({Tokens, Tokens});
 }
 
 void caller_listener::refuse(evhttp_request *Request, const failure &Reason,
--- a/src/daemon/process/router_core.cpp
+++ b/src/daemon/process/router_core.cpp
@@ -86,9 +86,9 @@
 }
 
 void router_core::requestTokens(std::uint64_t Number, std::string_view Team,
-                                double Tokens) {
+                                const token_cost &Cost) {
   const instant Now = readClock().Now;
-  carryOut(Shares.request(Number, Team, Tokens, Now));
+  carryOut(Shares.request(Number, Team, Cost, Now));
   armShareTimer(Now);
 }
 
--- a/src/daemon/process/router_core.h
+++ b/src/daemon/process/router_core.h
@@ -78,7 +78,7 @@
 
   /// Asks for tokens; the party hears of the outcome, maybe at once.
   void requestTokens(std::uint64_t Number, std::string_view Team,
-                     double Tokens);
+                     const token_cost &Cost);
   void withdrawTokens(std::uint64_t Number, std::string_view Team);
 
   /// Asks for an upstream; the party hears of the outcome, maybe at once.
--- a/src/daemon/request/caller_session.cpp
+++ b/src/daemon/request/caller_session.cpp
@@ -32,7 +32,7 @@
       Flow("", flow_rules{}),
       DeadlineTimer(Core.base(), [this] { onDeadline(); }) {}
 
-void caller_session::begin(double Tokens) {
+void caller_session::begin(const token_cost &Cost) {
   Self = shared_from_this();
   const auto Guard = Self;
   Number = Core.enter(weak_from_this());
@@ -48,13 +48,13 @@
     return;
   }
   const auto Burst = static_cast<double>(Limits->second.Burst);
-  if (Tokens > Burst) {
+  if (Cost.Tokens > Burst) {
     refuse(error_kind::RequestExceedsBurst,
-           fmt::format("asks for {} tokens, burst {}", Tokens, Burst),
-           span_ns(0), {Tokens, Burst, Burst});
+           fmt::format("asks for {} tokens, burst {}", Cost.Tokens, Burst),
+           span_ns(0), {Cost.Tokens, Burst, Burst});
     return;
   }
-  Core.requestTokens(Number, Team, Tokens);
+  Core.requestTokens(Number, Team, Cost);
 }
 
 void caller_session::startFlow() {
--- a/src/daemon/request/caller_session.h
+++ b/src/daemon/request/caller_session.h
@@ -28,9 +28,9 @@
                  configuration_ptr Config, const caller_grant &Grant,
                  std::string Route, span_ns Deadline);
 
-  /// Takes the request into the core and asks for \p Tokens, or goes on at
+  /// Takes the request into the core and asks for its tokens, or goes on at
   /// once when the route is open to all.
-  void begin(double Tokens);
+  void begin(const token_cost &Cost);
 
   // request_party
   void onAdmitted(const reservation &Reserved) override;
--- a/src/daemon/request/model_session.cpp
+++ b/src/daemon/request/model_session.cpp
@@ -37,12 +37,13 @@
   setFingerprint(fingerprintOf(Core.settings().FleetSecret, team(), Body));
 }
 
-double model_session::reservedTokens() const {
+token_cost model_session::cost() const {
   const auto PromptBytes = static_cast<std::int64_t>(Chat.Prompt.size());
   const std::int64_t PromptTokens =
       (PromptBytes + Model.TokenBytes - 1) / Model.TokenBytes;
-  return static_cast<double>(PromptTokens +
-                             Chat.MaxTokens.value_or(Model.MaxTokens));
+  const std::int64_t AnswerTokens = Chat.MaxTokens.value_or(Model.MaxTokens);
+  return {static_cast<double>(PromptTokens + AnswerTokens),
+          static_cast<double>(PromptTokens)};
 }
 
 dispatch_request model_session::makeSubmission() {
@@ -50,7 +51,7 @@
   Request.Number = number();
   Request.Team = team();
   Request.Weight = config().Teams.find(team())->second.Weight;
-  Request.Tokens = reservedTokens();
+  Request.Tokens = cost().Tokens;
   Request.Class = Class;
   Request.Chain = Chain;
   Request.PieceMs = static_cast<double>(Model.PieceMs);
@@ -225,7 +226,7 @@
   if (Usage)
     return Usage->PromptTokens + Usage->AnswerTokens;
   // Without a report whatever may have run counts as used.
-  return attemptStart().Number == 0 ? 0 : reservedTokens();
+  return attemptStart().Number == 0 ? 0 : cost().Tokens;
 }
 
 flow_rules model_session::rules() const {
--- a/src/daemon/request/model_session.h
+++ b/src/daemon/request/model_session.h
@@ -21,7 +21,7 @@
                 const model &Model, chat_request Chat);
 
   /// Tokens to reserve before the request runs.
-  double reservedTokens() const;
+  token_cost cost() const;
 
   void onHead(const answer_head &Head) override;
   void onBody(std::string_view Bytes) override;
--- a/src/decisions/process/share_ledger.cpp
+++ b/src/decisions/process/share_ledger.cpp
@@ -16,7 +16,7 @@
 double waitingTokens(const auto &Waiting) {
   double Sum = 0;
   for (const auto &Waiter : Waiting)
-    Sum += Waiter.Tokens;
+    Sum += Waiter.Cost.Tokens;
   return Sum;
 }
 
@@ -70,16 +70,18 @@
 
 std::vector<share_action> share_ledger::request(request_number Request,
                                                 std::string_view Team,
-                                                double Tokens, instant Now) {
+                                                const token_cost &Cost,
+                                                instant Now) {
   action_list Actions;
   const auto Found = Teams.find(Team);
   if (Found == Teams.end()) {
-    Actions.push_back(share_refuse{Request, MaxRetryAfter, {Tokens, 0, 0}});
+    Actions.push_back(
+        share_refuse{Request, MaxRetryAfter, {Cost.Tokens, 0, 0}});
     return Actions;
   }
   // Before accrual starts requests are held rather than refused.
   const instant From = std::max(Now, Found->second.AccrueFrom);
-  Found->second.Waiting.push_back({Request, Tokens, From + Rules.WaitMax});
+  Found->second.Waiting.push_back({Request, Cost, From + Rules.WaitMax});
   progress(Found->first, Found->second, Now, Actions);
   return Actions;
 }
@@ -181,7 +183,7 @@
   const double Missing = waitingTokens(Team.Waiting) - Team.Part.available(Now);
   const bool MayAsk = !Team.Round.Open && Now >= Team.RoundAllowed;
   if (MayAsk && Missing > 0 && !Peers.empty() &&
-      timeUntil(Team, Team.Waiting.front().Tokens, Now).count() == 0)
+      timeUntil(Team, Team.Waiting.front().Cost.Tokens, Now).count() == 0)
     startRound(Name, Team, Missing, Now, Actions);
   planWake(Team, Now);
 }
@@ -190,11 +192,11 @@
                                 action_list &Actions) {
   while (!Team.Waiting.empty()) {
     const waiter Front = Team.Waiting.front();
-    if (Team.Part.available(Now) < Front.Tokens)
+    if (Team.Part.available(Now) < Front.Cost.Tokens)
       return;
     Team.Waiting.pop_front();
     Actions.push_back(
-        share_admit{Front.Request, Team.Part.spend(Front.Tokens, Now)});
+        share_admit{Front.Request, Team.Part.spend(Front.Cost, Now)});
   }
 }
 
@@ -206,14 +208,14 @@
     // Answers that are still to come may bring all that is missing.
     const span_ns Wait = Team.Round.Open
                              ? span_ns(0)
-                             : timeUntil(Team, Ahead + Waiter.Tokens, Now);
+                             : timeUntil(Team, Ahead + Waiter.Cost.Tokens, Now);
     if (Now + Wait < Waiter.Until) {
-      Ahead += Waiter.Tokens;
+      Ahead += Waiter.Cost.Tokens;
       Kept.push_back(Waiter);
       continue;
     }
-    Actions.push_back(
-        share_refuse{Waiter.Request, Wait, figures(Team, Waiter.Tokens, Now)});
+    Actions.push_back(share_refuse{Waiter.Request, Wait,
+                                   figures(Team, Waiter.Cost.Tokens, Now)});
   }
   Team.Waiting = std::move(Kept);
 }
@@ -284,7 +286,7 @@
   if (Team.Round.Open) {
     Wake = std::min(Wake, Team.Round.AskedAt + Rules.AskTimeout);
   } else {
-    const span_ns Wait = timeUntil(Team, Team.Waiting.front().Tokens, Now);
+    const span_ns Wait = timeUntil(Team, Team.Waiting.front().Cost.Tokens, Now);
     Wake = std::min(Wake, std::max(Now + Wait, Team.RoundAllowed));
   }
   Team.WakeAt = Wake;
--- a/src/decisions/process/share_ledger.h
+++ b/src/decisions/process/share_ledger.h
@@ -124,11 +124,11 @@
   /// Peers that can be asked, nearest first.
   void setPeers(std::vector<std::string> Names);
 
-  /// A request wants \p Tokens. It is admitted or refused now, or later by
+  /// A request wants tokens. It is admitted or refused now, or later by
   /// `onReply` or `onTick`, never after `WaitMax`.
   std::vector<share_action> request(request_number Request,
-                                    std::string_view Team, double Tokens,
-                                    instant Now);
+                                    std::string_view Team,
+                                    const token_cost &Cost, instant Now);
 
   /// The caller of a waiting request has gone.
   void withdraw(std::string_view Team, request_number Request);
@@ -159,7 +159,7 @@
 private:
   struct waiter {
     request_number Request;
-    double Tokens;
+    token_cost Cost;
     instant Until;
   };
   struct peer_level {
--- a/src/decisions/process/token_part.cpp
+++ b/src/decisions/process/token_part.cpp
@@ -23,9 +23,9 @@
   return Level;
 }
 
-reservation token_part::spend(double Tokens, instant Now) {
+reservation token_part::spend(const token_cost &Cost, instant Now) {
   advance(Now);
-  double Rest = Tokens;
+  double Rest = Cost.Tokens;
   for (grant &Grant : Grants) {
     const double Taken = std::min(Rest, Grant.Tokens);
     Grant.Tokens -= Taken;
@@ -36,8 +36,9 @@
   std::erase_if(Grants, [](const grant &Grant) { return Grant.Tokens <= 0; });
   Level -= Rest;
   // Lent tokens come back here and not at their lender, whose hold ends.
-  Refundable += Tokens;
-  const reservation Reserved{Tokens, Tokens, Shrinkage};
+  const double MayReturn = std::max(0.0, Cost.Tokens - Cost.Certain);
+  Refundable += MayReturn;
+  const reservation Reserved{Cost.Tokens, MayReturn, Shrinkage};
   shrinkRefundable(ceiling() - Level);
   return Reserved;
 }
--- a/src/decisions/process/token_part.h
+++ b/src/decisions/process/token_part.h
@@ -24,6 +24,12 @@
   double Burst = 0; ///< tokens
 };
 
+/// What a request costs.
+struct token_cost {
+  double Tokens = 0;  ///< reserved, an upper bound
+  double Certain = 0; ///< of these, used in any case: the prompt
+};
+
 /// What an admission took and may give back.
 struct reservation {
   double Tokens = 0;     ///< reserved in all
@@ -50,9 +56,9 @@
   /// Tokens of this part's own level.
   double ownLevel(instant Now);
 
-  /// Spends \p Tokens; granted ones first, since they lapse. Only valid when
-  /// `available` covers them.
-  reservation spend(double Tokens, instant Now);
+  /// Spends \p Cost; granted tokens first, since they lapse. Only valid when
+  /// `available` covers it.
+  reservation spend(const token_cost &Cost, instant Now);
 
   /// Settles a reservation by what was used in the end. What was not used
   /// returns, what was used beyond it becomes debt.
--- a/src/load/limit_oracle.cpp
+++ b/src/load/limit_oracle.cpp
@@ -11,12 +11,12 @@
   Central.setLimits(Next, Now);
 }
 
-reservation limit_oracle::onAdmitted(double Reserved, double Used,
+reservation limit_oracle::onAdmitted(const token_cost &Cost, double Used,
                                      instant Now) {
   advance(Now);
   Level -= Used;
   Worst = std::max(Worst, -Level);
-  return Central.spend(Reserved, Now);
+  return Central.spend(Cost, Now);
 }
 
 void limit_oracle::onSettled(const reservation &Reserved, double Used,
--- a/src/load/limit_oracle.h
+++ b/src/load/limit_oracle.h
@@ -18,9 +18,9 @@
   /// Takes other limits from now on.
   void setLimits(part_limits Next, instant Now);
 
-  /// Records that \p Used tokens were spent now, \p Reserved being held until
-  /// the request ends.
-  reservation onAdmitted(double Reserved, double Used, instant Now);
+  /// Records that \p Used tokens were spent now, all of \p Cost being held
+  /// until the request ends.
+  reservation onAdmitted(const token_cost &Cost, double Used, instant Now);
 
   /// The request ended; what it did not use returns to the central bucket.
   void onSettled(const reservation &Reserved, double Used, instant Now);
--- a/src/load/limit_trial.cpp
+++ b/src/load/limit_trial.cpp
@@ -36,6 +36,8 @@
 
 constexpr double LongPromptPart = 0.1;
 constexpr double LongPromptBurstPart = 0.5;
+/// Part of a request's tokens that its prompt takes.
+constexpr double CertainPart = 0.6;
 constexpr double LeastTokens = 300;
 constexpr double MostTokens = 3000;
 
@@ -71,7 +73,7 @@
 
 struct trial_request {
   std::size_t Team;
-  double Tokens;
+  token_cost Cost;
   double Used;
   span_ns Duration;
   bool Counted;
@@ -202,11 +204,12 @@
     trial_request Request;
     Request.Team = Team;
     const bool IsLong = uniform(0, 1) < LongPromptPart;
-    Request.Tokens = IsLong
-                         ? uniform(LeastTokens, TrialTeams[Team].Limits.Burst *
-                                                    LongPromptBurstPart)
-                         : uniform(LeastTokens, MostTokens);
-    Request.Used = Request.Tokens * uniform(0.6, 1);
+    Request.Cost.Tokens =
+        IsLong ? uniform(LeastTokens,
+                         TrialTeams[Team].Limits.Burst * LongPromptBurstPart)
+               : uniform(LeastTokens, MostTokens);
+    Request.Cost.Certain = Request.Cost.Tokens * CertainPart;
+    Request.Used = Request.Cost.Tokens * uniform(CertainPart, 1);
     Request.Duration = fromSeconds(uniform(0.5, 3));
     Request.Counted = elapsed() >= WarmUp;
     const std::size_t Index = chooseInstance();
@@ -262,7 +265,7 @@
     const request_number Number = ++LastNumber;
     State.Waiting.emplace(Number, Request);
     carryOut(Index, State.Ledger->request(Number, TrialTeams[Request.Team].Name,
-                                          Request.Tokens, Loop.now()));
+                                          Request.Cost, Loop.now()));
   }
 
   void carryOut(std::size_t Index, const std::vector<share_action> &Actions) {
@@ -298,7 +301,7 @@
     State.Waiting.erase(Admit.Request);
     limit_oracle &Oracle = Oracles[Request.Team];
     const reservation Central =
-        Oracle.onAdmitted(Request.Tokens, Request.Used, Loop.now());
+        Oracle.onAdmitted(Request.Cost, Request.Used, Loop.now());
     chargeSide(Index, Request);
     const std::uint64_t Life = State.Life;
     Loop.callAfter(Request.Duration, [this, Index, Life, Request, Central,
@@ -322,11 +325,11 @@
     if (!Request.Counted)
       return;
     ++Outcome.Refused;
-    if (!Oracles[Request.Team].centralAdmits(Request.Tokens, Loop.now()))
+    if (!Oracles[Request.Team].centralAdmits(Request.Cost.Tokens, Loop.now()))
       return;
     ++Outcome.Wrongful;
     const bool Cut = Cell.DomainCut.holds(elapsed());
-    if (Cut && !sideBucket(Index, Request.Team).admits(Request.Tokens))
+    if (Cut && !sideBucket(Index, Request.Team).admits(Request.Cost.Tokens))
       ++Outcome.Unavoidable;
     else if (Request.Team != 0)
       ++Outcome.OthersWrongful;
@@ -364,7 +367,8 @@
     if (!Cell.DomainCut.holds(elapsed()))
       return;
     token_part &Part = sideBucket(Index, Request.Team).Part;
-    const reservation Charged = Part.spend(Request.Used, Loop.now());
+    const reservation Charged =
+        Part.spend({Request.Used, Request.Used}, Loop.now());
     Part.settle(Charged, Request.Used, Loop.now());
   }
 
@@ -420,8 +424,8 @@
   /// short, and refuses when the store has none.
   void submitToChunks(std::size_t Index, const trial_request &Request) {
     double &Held = Fleet[Index].Chunks[Request.Team];
-    if (Held >= Request.Tokens) {
-      Held -= Request.Tokens;
+    if (Held >= Request.Cost.Tokens) {
+      Held -= Request.Cost.Tokens;
       admitFromChunk(Request);
       return;
     }
@@ -448,22 +452,22 @@
         TrialTeams[Request.Team].Limits.Rate / Instances;
     const double Level = Bucket.available(Loop.now());
     const double Drawn =
-        std::min(Level, std::max(Request.Tokens - Held, OneSecondPart));
-    const reservation Taken = Bucket.spend(Drawn, Loop.now());
+        std::min(Level, std::max(Request.Cost.Tokens - Held, OneSecondPart));
+    const reservation Taken = Bucket.spend({Drawn, Drawn}, Loop.now());
     Bucket.settle(Taken, Drawn, Loop.now());
     Held += Drawn;
-    if (Held < Request.Tokens) {
+    if (Held < Request.Cost.Tokens) {
       refuse(Index, Request);
       return;
     }
-    Held -= Request.Tokens;
+    Held -= Request.Cost.Tokens;
     admitFromChunk(Request);
   }
 
   void admitFromChunk(const trial_request &Request) {
     limit_oracle &Oracle = Oracles[Request.Team];
     const reservation Central =
-        Oracle.onAdmitted(Request.Tokens, Request.Used, Loop.now());
+        Oracle.onAdmitted(Request.Cost, Request.Used, Loop.now());
     Loop.callAfter(Request.Duration, [this, Request, Central] {
       Oracles[Request.Team].onSettled(Central, Request.Used, Loop.now());
     });
