Limits: level parts out before they run short, ask all peers on need

Cause: idle parts were full and lost accrual while busy ones were empty; and a peer's level was taken as a bound although lent tokens may return to it, so requests were refused with the tokens in reach. With rounds to a few peers at a time the admission wait ran out first, most of all when some were cut off.

Change: a part below nine tenths asks its two fullest peers every 500 ms and is filled to the same degree; replies count what may return; on need up to 16 peers are asked at once and nobody is refused while answers are outstanding.

--- a/src/daemon/process/router_core.cpp
+++ b/src/daemon/process/router_core.cpp
@@ -205,7 +205,7 @@
 }
 
 void router_core::armShareTimer(instant Now) {
-  if (const auto Next = Shares.nextTick())
+  if (const auto Next = Shares.nextTick(Now))
     ShareTimer.startOnce(*Next - Now);
 }
 
--- a/src/decisions/process/share_ledger.cpp
+++ b/src/decisions/process/share_ledger.cpp
@@ -2,14 +2,11 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 
 namespace ebonyvale {
 namespace {
 
-/// Peers are asked until their known levels cover this many times the need,
-/// since levels may have fallen since they were heard of.
-constexpr double AskedCover = 2.0;
-
 /// Longest advice to a refused caller.
 constexpr span_ns MaxRetryAfter = std::chrono::hours(1);
 
@@ -20,6 +17,14 @@
   return Sum;
 }
 
+/// Tokens that leave lender and asker filled to the same degree.
+double levelingOffer(double Spare, double Burst, const share_ask &Ask) {
+  if (Burst <= 0 || Ask.Burst <= 0)
+    return 0;
+  const double Difference = Spare / Burst - Ask.Level / Ask.Burst;
+  return Difference / (1 / Burst + 1 / Ask.Burst);
+}
+
 std::uint64_t holdId(std::string_view Peer, std::uint64_t AskId) {
   return std::hash<std::string_view>{}(Peer) ^ AskId;
 }
@@ -39,6 +44,9 @@
                              {},
                              {},
                              {},
+                             {},
+                             From,
+                             From,
                              Now,
                              Now});
     return;
@@ -79,6 +87,7 @@
         share_refuse{Request, MaxRetryAfter, {Cost.Tokens, 0, 0}});
     return Actions;
   }
+  Found->second.LastRequest = Now;
   // Before accrual starts requests are held rather than refused.
   const instant From = std::max(Now, Found->second.AccrueFrom);
   Found->second.Waiting.push_back({Request, Cost, From + Rules.WaitMax});
@@ -98,14 +107,19 @@
                                 instant Now) {
   const auto Found = Teams.find(Ask.Team);
   if (Found == Teams.end())
-    return {Ask.AskId, Ask.Team, 0, 0, 0};
+    return {Ask.AskId, Ask.Team, 0, 0, 0, 0};
   team_state &Team = Found->second;
   const double Promised = waitingTokens(Team.Waiting);
   const double Spare = std::max(0.0, Team.Part.ownLevel(Now) - Promised);
+  const double Offer = Ask.Purpose == ask_purpose::Level
+                           ? levelingOffer(Spare, Team.Limits.Part.Burst, Ask)
+                           : Spare;
+  const double LentBefore = Team.Part.lentTokens();
   const double Lent =
-      Team.Part.lend(holdId(Peer, Ask.AskId), std::min(Ask.Tokens, Spare),
+      Team.Part.lend(holdId(Peer, Ask.AskId), std::min(Ask.Tokens, Offer),
                      Now + Rules.HoldTerm, Now);
-  return {Ask.AskId, Ask.Team, Lent, Spare - Lent, Team.Limits.Part.Rate};
+  return {Ask.AskId, Ask.Team, Lent, Spare - Lent, Team.Limits.Part.Rate,
+          LentBefore};
 }
 
 std::vector<share_action> share_ledger::onReply(const std::string &Peer,
@@ -116,20 +130,24 @@
   if (Found == Teams.end())
     return Actions;
   team_state &Team = Found->second;
-  auto &Unanswered = Team.Round.Unanswered;
+  const bool IsLeveling = Reply.AskId == Team.Leveling.AskId;
+  ask_round &Round = IsLeveling ? Team.Leveling : Team.Round;
+  auto &Unanswered = Round.Unanswered;
   const auto Asked = std::ranges::find(Unanswered, Peer);
-  const bool Expected =
-      Reply.AskId == Team.Round.AskId && Asked != Unanswered.end();
+  const bool Expected = Reply.AskId == Round.AskId && Asked != Unanswered.end();
   if (!Expected) {
     // A reply to an older round or a repeated one; nothing of it is used.
     return Actions;
   }
   Unanswered.erase(Asked);
-  Team.Known[Peer] = {Reply.Level, Reply.Rate, Now};
-  Team.Part.addGrant(Peer, Reply.AskId, Reply.Lent,
-                     Team.Round.AskedAt + Rules.GrantTerm, Now);
+  Team.Known[Peer] = {Reply.Level + Reply.MayReturn, Reply.Rate, Now};
+  const instant SpendBefore = Round.AskedAt + Rules.GrantTerm;
+  if (!IsLeveling)
+    Team.Part.addGrant(Peer, Reply.AskId, Reply.Lent, SpendBefore, Now);
+  else if (Now < SpendBefore)
+    takeLeveled(Peer, Reply, Team, Now, Actions);
   if (Unanswered.empty())
-    Team.Round.Open = false;
+    Round.Open = false;
   progress(Found->first, Team, Now, Actions);
   return Actions;
 }
@@ -151,17 +169,27 @@
 
 std::vector<share_action> share_ledger::onTick(instant Now) {
   action_list Actions;
-  for (auto &[Name, Team] : Teams)
+  for (auto &[Name, Team] : Teams) {
     if (!Team.Waiting.empty() && Team.WakeAt <= Now)
       progress(Name, Team, Now, Actions);
+    if (wantsLeveling(Team, Now) && Team.LevelAt <= Now)
+      levelOut(Name, Team, Now, Actions);
+  }
   return Actions;
 }
 
-std::optional<instant> share_ledger::nextTick() const {
+std::optional<instant> share_ledger::nextTick(instant Now) const {
   std::optional<instant> Next;
-  for (const auto &[Name, Team] : Teams)
-    if (!Team.Waiting.empty() && (!Next || Team.WakeAt < *Next))
-      Next = Team.WakeAt;
+  const auto Consider = [&Next](instant At) {
+    if (!Next || At < *Next)
+      Next = At;
+  };
+  for (const auto &[Name, Team] : Teams) {
+    if (!Team.Waiting.empty())
+      Consider(Team.WakeAt);
+    if (wantsLeveling(Team, Now))
+      Consider(Team.LevelAt);
+  }
   return Next;
 }
 
@@ -205,11 +233,12 @@
   double Ahead = 0;
   std::deque<waiter> Kept;
   for (const waiter &Waiter : Team.Waiting) {
-    // Answers that are still to come may bring all that is missing.
+    // Answers that are still to come may bring all that is missing, so
+    // nobody is refused before they are in.
     const span_ns Wait = Team.Round.Open
                              ? span_ns(0)
                              : timeUntil(Team, Ahead + Waiter.Cost.Tokens, Now);
-    if (Now + Wait < Waiter.Until) {
+    if (Team.Round.Open || Now + Wait < Waiter.Until) {
       Ahead += Waiter.Cost.Tokens;
       Kept.push_back(Waiter);
       continue;
@@ -232,45 +261,69 @@
 void share_ledger::startRound(const std::string &Name, team_state &Team,
                               double Missing, instant Now,
                               action_list &Actions) {
-  Team.Round = {++LastAskId, Now, choosePeers(Team, Missing, Now), true};
+  Team.Round = {++LastAskId, Now, choosePeers(Team, Rules.MaxAsked, Now), true};
   Team.RoundAllowed = Now + Rules.RoundInterval;
   for (const std::string &Peer : Team.Round.Unanswered)
-    Actions.push_back(share_send_ask{Peer, {Team.Round.AskId, Name, Missing}});
+    Actions.push_back(share_send_ask{
+        Peer, {Team.Round.AskId, Name, Missing, ask_purpose::Need, 0, 0}});
 }
 
 std::vector<std::string> share_ledger::choosePeers(const team_state &Team,
-                                                   double Missing,
+                                                   std::size_t AtMost,
                                                    instant Now) const {
   struct candidate {
     double Level;
-    std::size_t Distance;
+    const std::string *Name;
   };
   std::vector<candidate> Candidates;
-  std::vector<std::string> Chosen;
-  for (std::size_t Index = 0; Index < Peers.size(); ++Index) {
-    const auto Known = Team.Known.find(Peers[Index]);
-    if (Known == Team.Known.end()) {
-      Chosen.push_back(Peers[Index]);
-      continue;
-    }
-    const peer_level &Heard = Known->second;
-    Candidates.push_back(
-        {Heard.Level + Heard.Rate * toSeconds(Now - Heard.At), Index});
+  for (const std::string &Peer : Peers) {
+    const auto Known = Team.Known.find(Peer);
+    double Level = std::numeric_limits<double>::infinity();
+    if (Known != Team.Known.end())
+      Level = Known->second.Level +
+              Known->second.Rate * toSeconds(Now - Known->second.At);
+    Candidates.push_back({Level, &Peer});
   }
+  // Peers of which nothing is known come first, then the fullest.
   std::ranges::stable_sort(Candidates, std::ranges::greater{},
                            &candidate::Level);
-  double Covered = 0;
-  for (const candidate &Candidate : Candidates) {
-    if (Covered >= AskedCover * Missing)
-      break;
-    Covered += Candidate.Level;
-    Chosen.push_back(Peers[Candidate.Distance]);
-  }
-  if (Chosen.size() > Rules.MaxAsked)
-    Chosen.resize(Rules.MaxAsked);
+  std::vector<std::string> Chosen;
+  for (const candidate &Candidate : Candidates)
+    if (Chosen.size() < AtMost)
+      Chosen.push_back(*Candidate.Name);
   return Chosen;
 }
 
+bool share_ledger::wantsLeveling(const team_state &Team, instant Now) const {
+  return !Peers.empty() && Now - Team.LastRequest < Rules.LevelIdle;
+}
+
+void share_ledger::levelOut(const std::string &Name, team_state &Team,
+                            instant Now, action_list &Actions) {
+  Team.LevelAt = Now + Rules.LevelInterval;
+  const double Burst = Team.Limits.Part.Burst;
+  const double Level = Team.Part.ownLevel(Now) - waitingTokens(Team.Waiting);
+  if (Level >= Burst * Rules.LevelBelow)
+    return;
+  const double Room = Burst - Level;
+  Team.Leveling = {++LastAskId, Now, choosePeers(Team, Rules.LevelPeers, Now),
+                   true};
+  for (const std::string &Peer : Team.Leveling.Unanswered)
+    Actions.push_back(share_send_ask{
+        Peer,
+        {Team.Leveling.AskId, Name, Room, ask_purpose::Level, Level, Burst}});
+}
+
+void share_ledger::takeLeveled(const std::string &Peer,
+                               const share_reply &Reply, team_state &Team,
+                               instant Now, action_list &Actions) {
+  if (Reply.Lent <= 0)
+    return;
+  const double Unspent = Team.Part.absorb(Reply.Lent, Now);
+  Actions.push_back(
+      share_send_return{Peer, {Reply.AskId, Reply.Team, Unspent, true}});
+}
+
 void share_ledger::endGrants(const std::string &Name, team_state &Team,
                              instant Now, action_list &Actions) {
   const double Needed = waitingTokens(Team.Waiting);
@@ -280,16 +333,14 @@
 }
 
 void share_ledger::planWake(team_state &Team, instant Now) const {
-  instant Wake = Team.Waiting.front().Until;
-  for (const waiter &Waiter : Team.Waiting)
-    Wake = std::min(Wake, Waiter.Until);
   if (Team.Round.Open) {
-    Wake = std::min(Wake, Team.Round.AskedAt + Rules.AskTimeout);
-  } else {
-    const span_ns Wait = timeUntil(Team, Team.Waiting.front().Cost.Tokens, Now);
-    Wake = std::min(Wake, std::max(Now + Wait, Team.RoundAllowed));
+    Team.WakeAt = Team.Round.AskedAt + Rules.AskTimeout;
+    return;
   }
-  Team.WakeAt = Wake;
+  const span_ns Wait = timeUntil(Team, Team.Waiting.front().Cost.Tokens, Now);
+  Team.WakeAt = std::max(Now + Wait, Team.RoundAllowed);
+  for (const waiter &Waiter : Team.Waiting)
+    Team.WakeAt = std::min(Team.WakeAt, Waiter.Until);
 }
 
 span_ns share_ledger::timeUntil(team_state &Team, double Tokens,
--- a/src/decisions/process/share_ledger.h
+++ b/src/decisions/process/share_ledger.h
@@ -36,10 +36,18 @@
   /// How long an answer of a peer is waited for.
   span_ns AskTimeout = std::chrono::milliseconds(100);
   /// Least time between two rounds of asks for one team.
-  span_ns RoundInterval = std::chrono::milliseconds(10);
+  span_ns RoundInterval = std::chrono::milliseconds(20);
   /// Part of the burst that a new process may spend at once; above zero only
   /// where no predecessor can have spent it.
   double StartFraction = 0;
+  /// Time between two attempts to level out a part with its peers.
+  span_ns LevelInterval = std::chrono::milliseconds(500);
+  /// Parts that are filled above it ask for nothing.
+  double LevelBelow = 0.9;
+  /// Peers asked at once to level out.
+  std::size_t LevelPeers = 2;
+  /// A team without requests for this long is left alone.
+  span_ns LevelIdle = std::chrono::seconds(5);
   /// Peers asked at once.
   std::size_t MaxAsked = 16;
 };
@@ -47,11 +55,20 @@
 /// Names a waiting request to the ledger's owner.
 using request_number = std::uint64_t;
 
+/// Why a peer is asked.
+enum class ask_purpose {
+  Need,  ///< requests wait for the tokens
+  Level, ///< the asker's part is emptier than others may be
+};
+
 /// Asks a peer for tokens.
 struct share_ask {
   std::uint64_t AskId = 0; ///< unique at the asker
   std::string Team;
-  double Tokens = 0;
+  double Tokens = 0; ///< wanted at most
+  ask_purpose Purpose = ask_purpose::Need;
+  double Level = 0; ///< of the asker's part
+  double Burst = 0; ///< of the asker's part
 };
 
 /// A peer's answer.
@@ -59,8 +76,9 @@
   std::uint64_t AskId = 0;
   std::string Team;
   double Lent = 0;
-  double Level = 0; ///< left at the lender
-  double Rate = 0;  ///< at which the lender's part grows
+  double Level = 0;     ///< left at the lender
+  double Rate = 0;      ///< at which the lender's part grows
+  double MayReturn = 0; ///< lent to others and not yet known to be spent
 };
 
 /// Gives back lent tokens that were not needed, or tells that they are spent.
@@ -151,7 +169,7 @@
   std::vector<share_action> onTick(instant Now);
 
   /// When `onTick` has to be called, if anything waits.
-  std::optional<instant> nextTick() const;
+  std::optional<instant> nextTick(instant Now) const;
 
   /// Tokens that this instance could spend for a team.
   double available(std::string_view Team, instant Now);
@@ -163,7 +181,7 @@
     instant Until;
   };
   struct peer_level {
-    double Level;
+    double Level; ///< what may have come back included
     double Rate;
     instant At;
   };
@@ -179,7 +197,10 @@
     instant AccrueFrom;
     std::deque<waiter> Waiting;
     std::map<std::string, peer_level, std::less<>> Known;
-    ask_round Round;
+    ask_round Round;    ///< for requests that wait
+    ask_round Leveling; ///< to level out the parts
+    instant LevelAt;    ///< when to level out next
+    instant LastRequest;
     instant RoundAllowed; ///< no round of asks starts before it
     instant WakeAt;       ///< when `onTick` has something to do
   };
@@ -193,8 +214,13 @@
   void closeExpiredRound(team_state &Team, instant Now) const;
   void startRound(const std::string &Name, team_state &Team, double Missing,
                   instant Now, action_list &Actions);
-  std::vector<std::string> choosePeers(const team_state &Team, double Missing,
-                                       instant Now) const;
+  std::vector<std::string> choosePeers(const team_state &Team,
+                                       std::size_t AtMost, instant Now) const;
+  void levelOut(const std::string &Name, team_state &Team, instant Now,
+                action_list &Actions);
+  static void takeLeveled(const std::string &Peer, const share_reply &Reply,
+                          team_state &Team, instant Now, action_list &Actions);
+  bool wantsLeveling(const team_state &Team, instant Now) const;
   static void endGrants(const std::string &Name, team_state &Team, instant Now,
                         action_list &Actions);
   void planWake(team_state &Team, instant Now) const;
--- a/src/decisions/process/token_part.cpp
+++ b/src/decisions/process/token_part.cpp
@@ -89,6 +89,14 @@
   Grants.insert(Place, {Lender, AskId, Tokens, Until});
 }
 
+double token_part::absorb(double Tokens, instant Now) {
+  advance(Now);
+  const double Taken = std::clamp(ceiling() - Level, 0.0, Tokens);
+  Level += Taken;
+  shrinkRefundable(ceiling() - Level);
+  return Tokens - Taken;
+}
+
 std::vector<token_part::grant_end> token_part::endGrants(double Needed,
                                                          instant Now) {
   advance(Now);
@@ -138,13 +146,15 @@
   Shrinkage -= std::log(Factor);
 }
 
-double token_part::ceiling() const {
+double token_part::lentTokens() const {
   double Held = 0;
   for (const hold &Hold : Holds)
     Held += Hold.Tokens;
-  return Limits.Burst - Held;
+  return Held;
 }
 
+double token_part::ceiling() const { return Limits.Burst - lentTokens(); }
+
 double token_part::granted() const {
   double Sum = 0;
   for (const grant &Grant : Grants)
--- a/src/decisions/process/token_part.h
+++ b/src/decisions/process/token_part.h
@@ -56,6 +56,9 @@
   /// Tokens of this part's own level.
   double ownLevel(instant Now);
 
+  /// Tokens that are lent at present and may come back unspent.
+  double lentTokens() const;
+
   /// Spends \p Cost; granted tokens first, since they lapse. Only valid when
   /// `available` covers it.
   reservation spend(const token_cost &Cost, instant Now);
@@ -77,6 +80,10 @@
   void addGrant(const std::string &Lender, std::uint64_t AskId, double Tokens,
                 instant Until, instant Now);
 
+  /// Adds tokens lent to level out the parts. Returns those that this part
+  /// has no room for.
+  double absorb(double Tokens, instant Now);
+
   /// What becomes of a grant.
   struct grant_end {
     std::string Lender;
--- a/src/load/limit_trial.cpp
+++ b/src/load/limit_trial.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <optional>
 #include <random>
 #include <unordered_map>
 
@@ -116,6 +117,7 @@
     std::unique_ptr<share_ledger> Ledger;
     std::uint64_t Life = 0;
     bool Up = true;
+    std::optional<instant> TickAt;
     std::unordered_map<request_number, trial_request> Waiting;
     std::array<double, 5> Chunks{}; ///< drawn from the store and unspent
   };
@@ -130,6 +132,7 @@
     instance_state &State = Fleet[Index];
     ++State.Life;
     State.Up = true;
+    State.TickAt.reset();
     share_rules Rules;
     const bool IsRestart = State.Life > 1;
     // A fleet that starts together has no predecessors.
@@ -282,15 +285,20 @@
     armTick(Index);
   }
 
+  /// Arms one tick; an earlier one than the armed one replaces it.
   void armTick(std::size_t Index) {
-    const auto Next = Fleet[Index].Ledger->nextTick();
-    if (!Next)
+    instance_state &State = Fleet[Index];
+    const auto Next = State.Ledger->nextTick(Loop.now());
+    if (!Next || (State.TickAt && *State.TickAt <= *Next))
       return;
-    const std::uint64_t Life = Fleet[Index].Life;
-    Loop.callAt(*Next, [this, Index, Life] {
-      deliver(Index, [this, Index, Life] {
-        if (Fleet[Index].Life == Life)
-          carryOut(Index, Fleet[Index].Ledger->onTick(Loop.now()));
+    State.TickAt = *Next;
+    Loop.callAt(*Next, [this, Index, Life = State.Life, At = *Next] {
+      deliver(Index, [this, Index, Life, At] {
+        instance_state &Ticked = Fleet[Index];
+        if (Ticked.Life != Life || Ticked.TickAt != At)
+          return;
+        Ticked.TickAt.reset();
+        carryOut(Index, Ticked.Ledger->onTick(Loop.now()));
       });
     });
   }
