Configuration: log of notes in the platform's store

Cause: the configuration came from a file and died with its process.

Weighed: one key with compare-and-swap over the whole configuration (a value over 1 MB at several thousand keys, and every change rewrites it) against a log (one small write a change); the log was taken.

--- a/src/daemon/process/daemon_task.cpp
+++ b/src/daemon/process/daemon_task.cpp
@@ -1,7 +1,9 @@
 #include "daemon/process/daemon_task.h"
 
+#include "daemon/process/etcd_store.h"
 #include "daemon/process/local_configuration.h"
 #include "daemon/process/logging.h"
+#include "daemon/process/platform_configuration.h"
 
 #include <csignal>
 #include <random>
@@ -47,6 +49,15 @@
 }
 
 std::optional<failure> daemon_task::startConfiguration() {
+  if (!Settings.PlatformAddress.empty()) {
+    Store = std::make_unique<etcd_store>(
+        Core.connections(),
+        endpoint{Settings.PlatformAddress,
+                 static_cast<std::uint16_t>(Settings.PlatformPort)});
+    Source = std::make_unique<platform_configuration>(Core, *Store);
+    Source->start();
+    return std::nullopt;
+  }
   auto Local = std::make_unique<local_configuration>(Core);
   if (!Settings.ConfigurationFile.empty())
     if (auto Problem = Local->load(Settings.ConfigurationFile))
--- a/src/daemon/process/daemon_task.h
+++ b/src/daemon/process/daemon_task.h
@@ -6,6 +6,7 @@
 #include "daemon/connection/admin_listener.h"
 #include "daemon/connection/caller_listener.h"
 #include "daemon/process/configuration_source.h"
+#include "daemon/process/platform_store.h"
 #include "daemon/process/router_core.h"
 #include "net/event_handles.h"
 #include "net/timer.h"
@@ -38,6 +39,7 @@
   const daemon_settings &Settings;
   event_base_ptr Base;
   router_core Core;
+  std::unique_ptr<platform_store> Store;
   std::unique_ptr<configuration_source> Source;
   std::unique_ptr<caller_listener> Callers;
   std::unique_ptr<admin_listener> Admin;
--- a/src/decisions/version/configuration.h
+++ b/src/decisions/version/configuration.h
@@ -35,6 +35,7 @@
   entity_map<model> Models;
   entity_map<upstream> Upstreams;
   entity_map<failure_domain> Domains;
+  entity_map<applied_note> AppliedNotes; ///< the newest ones
 
   /// Rebuilds the look-up structures after the maps above have changed.
   void compile();
--- a/src/decisions/version/entities.cpp
+++ b/src/decisions/version/entities.cpp
@@ -195,8 +195,21 @@
                           &failure_domain::Slots},
 };
 
+const std::array AppliedNoteFields{
+    field<applied_note>{{.Name = "id", .Description = "Id of the note."},
+                        &applied_note::Id},
+    field<applied_note>{
+        {.Name = "version", .Description = "Version that it made."},
+        &applied_note::Version},
+    field<applied_note>{{.Name = "digest", .Description = "Of its text."},
+                        &applied_note::Digest},
+};
+
 } // namespace
 
+std::span<const field<applied_note>> entity_traits<applied_note>::fields() {
+  return AppliedNoteFields;
+}
 std::span<const field<team>> entity_traits<team>::fields() {
   return TeamFields;
 }
--- a/src/decisions/version/entities.h
+++ b/src/decisions/version/entities.h
@@ -76,6 +76,14 @@
   std::int64_t Slots = 1;  ///< instances that share the domain's part
 };
 
+/// A note that has been accepted; kept so that the same note is not accepted
+/// twice. Written by the router only.
+struct applied_note {
+  std::string Id;
+  std::int64_t Version = 0;
+  std::string Digest; ///< hex of the note's text
+};
+
 /// How a sort of entity appears in notes: `Section` names the tables, `Key`
 /// the field that identifies an entity.
 template <typename Entity> struct entity_traits;
@@ -98,6 +106,8 @@
 EBONYVALE_ENTITY(upstream, "upstream", "name", Name);
 EBONYVALE_ENTITY(failure_domain, "failure_domain", "name", Name);
 
+EBONYVALE_ENTITY(applied_note, "applied_note", "id", Id);
+
 #undef EBONYVALE_ENTITY
 
 } // namespace ebonyvale
--- a/src/decisions/version/release_note.cpp
+++ b/src/decisions/version/release_note.cpp
@@ -13,6 +13,9 @@
 /// Format number of snapshots; readers refuse every other one.
 constexpr std::int64_t SnapshotFormat = 1;
 
+/// Notes in the history that guards against accepting one twice.
+constexpr std::int64_t RememberedNotes = 1000;
+
 /// Longest id of a note.
 constexpr std::size_t NoteIdMaxBytes = 128;
 
@@ -31,9 +34,14 @@
   return {error_kind::NoteInvalid, describe(Problems)};
 }
 
-/// Calls \p Apply with each entity map of \p Config.
+/// Who wrote a note: what the router writes itself includes its history.
+enum class note_author { Operator, Router };
+
+/// Calls \p Apply with each entity map that \p Author may write.
 template <typename Config, typename Function>
-void forEachSort(Config &Value, Function Apply) {
+void forEachSort(Config &Value, note_author Author, Function Apply) {
+  if (Author == note_author::Router)
+    Apply(Value.AppliedNotes);
   Apply(Value.Domains);
   Apply(Value.Teams);
   Apply(Value.Keys);
@@ -50,8 +58,8 @@
 /// Applies one note to one configuration.
 class note_reader {
 public:
-  note_reader(configuration &Target, problem_list &Problems)
-      : Target(Target), Problems(Problems) {}
+  note_reader(configuration &Target, note_author Author, problem_list &Problems)
+      : Target(Target), Author(Author), Problems(Problems) {}
 
   void read(const toml::table &Note) {
     checkTopLevel(Note);
@@ -93,7 +101,7 @@
       return;
     }
     std::vector<std::string_view> Known;
-    forEachSort(Target, [&]<typename Entity>(entity_map<Entity> &Map) {
+    forEachSort(Target, Author, [&]<typename Entity>(entity_map<Entity> &Map) {
       Known.push_back(entity_traits<Entity>::Section);
       readSection(*Sections, Part, Map);
     });
@@ -201,6 +209,7 @@
   }
 
   configuration &Target;
+  note_author Author;
   problem_list &Problems;
 };
 
@@ -275,14 +284,14 @@
 
 /// Applies a parsed note; the version and digest stay as they were.
 result<configuration> applyTable(const configuration &Base,
-                                 const toml::table &Note) {
+                                 const toml::table &Note, note_author Author) {
   result<std::string> Id = noteId(Note);
   if (!Id)
     return Id.error();
   configuration Next = Base;
   Next.NoteId = *Id;
   problem_list Problems;
-  note_reader(Next, Problems).read(Note);
+  note_reader(Next, Author, Problems).read(Note);
   if (Problems.empty())
     checkReferences(Next, Problems);
   if (!Problems.empty())
@@ -291,6 +300,16 @@
   return Next;
 }
 
+/// Adds the note that made \p Value to its history and drops the oldest.
+void rememberNote(configuration &Value, std::string_view NoteText) {
+  const auto Version = static_cast<std::int64_t>(Value.Version);
+  Value.AppliedNotes[Value.NoteId] = {Value.NoteId, Version,
+                                      toHex(hashText(NoteText))};
+  std::erase_if(Value.AppliedNotes, [Version](const auto &Entry) {
+    return Entry.second.Version + RememberedNotes <= Version;
+  });
+}
+
 } // namespace
 
 result<std::string> readNoteId(std::string_view NoteText) {
@@ -300,6 +319,18 @@
   return noteId(*Note);
 }
 
+std::optional<std::uint64_t> findApplied(const configuration &Value,
+                                         std::string_view NoteText) {
+  const result<std::string> Id = readNoteId(NoteText);
+  if (!Id)
+    return std::nullopt;
+  const auto Known = Value.AppliedNotes.find(*Id);
+  if (Known == Value.AppliedNotes.end() ||
+      Known->second.Digest != toHex(hashText(NoteText)))
+    return std::nullopt;
+  return static_cast<std::uint64_t>(Known->second.Version);
+}
+
 result<configuration> applyNote(const configuration &Base,
                                 std::string_view NoteText) {
   const result<toml::table> Note = parseNote(NoteText);
@@ -316,11 +347,17 @@
         fmt::format("the note was written for version {}; version {} is in "
                     "force, made by note '{}'",
                     Expected->get(), Base.Version, Base.NoteId)};
-  result<configuration> Next = applyTable(Base, *Note);
+  result<configuration> Next = applyTable(Base, *Note, note_author::Operator);
   if (!Next)
     return Next;
+  const auto Known = Base.AppliedNotes.find(Next->NoteId);
+  if (Known != Base.AppliedNotes.end())
+    return failure{error_kind::NoteConflict,
+                   fmt::format("note '{}' has made version {} already",
+                               Next->NoteId, Known->second.Version)};
   Next->Version = Base.Version + 1;
   Next->Digest = chainDigest(Base.Digest, NoteText);
+  rememberNote(*Next, NoteText);
   return Next;
 }
 
@@ -329,13 +366,15 @@
       "format = {}\nid = \"{}\"\nversion = {}\ndigest = \"{}\"\n",
       SnapshotFormat, Value.NoteId, Value.Version, toHex(Value.Digest));
   configuration Copy = Value;
-  forEachSort(Copy, [&Out]<typename Entity>(entity_map<Entity> &Map) {
-    for (auto &[Key, Entry] : Map)
-      Out += fmt::format(
-          "\n[[added.{}]]\n{}", entity_traits<Entity>::Section,
-          writeFields(bindFields(entity_traits<Entity>::fields(), Entry),
-                      /*WithSecrets=*/true));
-  });
+  forEachSort(
+      Copy, note_author::Router,
+      [&Out]<typename Entity>(entity_map<Entity> &Map) {
+        for (auto &[Key, Entry] : Map)
+          Out += fmt::format(
+              "\n[[added.{}]]\n{}", entity_traits<Entity>::Section,
+              writeFields(bindFields(entity_traits<Entity>::fields(), Entry),
+                          /*WithSecrets=*/true));
+      });
   return Out;
 }
 
@@ -356,7 +395,8 @@
   if (!Version || *Version < 0 || !Digest)
     return failure{error_kind::FormatUnsupported,
                    "snapshot lacks its version or digest"};
-  result<configuration> Value = applyTable(configuration{}, Note);
+  result<configuration> Value =
+      applyTable(configuration{}, Note, note_author::Router);
   if (!Value)
     return Value;
   Value->Version = static_cast<std::uint64_t>(*Version);
--- a/src/decisions/version/release_note.h
+++ b/src/decisions/version/release_note.h
@@ -7,6 +7,7 @@
 #include "common/result.h"
 #include "decisions/version/configuration.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,11 @@
 result<configuration> applyNote(const configuration &Base,
                                 std::string_view NoteText);
 
+/// Whether \p Value was made by this very note, or a version before it was.
+/// Returns that version.
+std::optional<std::uint64_t> findApplied(const configuration &Value,
+                                         std::string_view NoteText);
+
 /// The note's `id`, or `NoteInvalid`.
 result<std::string> readNoteId(std::string_view NoteText);
 
--- a/src/fakes/fake_set.cpp
+++ b/src/fakes/fake_set.cpp
@@ -15,6 +15,8 @@
         Base, fmt::format("engine-{}", Index), Settings.Version, Speed));
   for (std::int64_t Index = 1; Index <= Settings.Applications; ++Index)
     Applications.push_back(std::make_unique<application_server>(Base));
+  if (Settings.Store)
+    Store = std::make_unique<key_value_server>(Base);
 }
 
 std::optional<failure> fake_set::listen() {
@@ -24,6 +26,8 @@
   for (const auto &Application : Applications)
     if (auto Problem = Application->listen(Address, 0))
       return Problem;
+  if (Store)
+    return Store->listen(Address, 0);
   return std::nullopt;
 }
 
@@ -33,6 +37,8 @@
   for (std::size_t Index = 0; Index < Applications.size(); ++Index)
     Out << fmt::format("application-{} {}\n", Index + 1,
                        Applications[Index]->port());
+  if (Store)
+    Out << fmt::format("store {}\n", Store->port());
 }
 
 } // namespace ebonyvale
--- a/src/fakes/fake_set.h
+++ b/src/fakes/fake_set.h
@@ -6,6 +6,7 @@
 #include "fakes/application_server.h"
 #include "fakes/engine_server.h"
 #include "fakes/fakes_settings.h"
+#include "fakes/key_value_server.h"
 
 #include <memory>
 #include <optional>
@@ -29,6 +30,7 @@
   std::string Address;
   std::vector<std::unique_ptr<engine_server>> Engines;
   std::vector<std::unique_ptr<application_server>> Applications;
+  std::unique_ptr<key_value_server> Store;
 };
 
 } // namespace ebonyvale
--- /dev/null
+++ b/src/net/base64.h
@@ -0,0 +1,19 @@
+/// \file
+/// Base64 with padding (RFC 4648, section 4).
+#ifndef EBONYVALE_NET_BASE64_H
+#define EBONYVALE_NET_BASE64_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace ebonyvale {
+
+std::string toBase64(std::string_view Bytes);
+
+/// Nothing for text that is not base64.
+std::optional<std::string> fromBase64(std::string_view Text);
+
+} // namespace ebonyvale
+
+#endif
