Peers: tokens, versions and refusals between instances over HTTP/2

Cause: an instance knew only itself; parts could not lend, a version needed the store at every instance, and a refusal died with its process.

Links: all of the own domain, three to each near domain and other region, chosen by rendezvous. Two members of a domain watch the store, the others hear of versions from peers and look every 10 s. Refusals are also archived in the store in batches. Weighed: a copy of every refusal to all peers (9 times the bytes) against one keeper in another domain of the region; one keeper was taken.

Result: 6 new tests over real sockets: a version reaches an instance that does not watch, a fresh instance is served by peers while the store is out, a request of 2500 tokens is admitted at a part of 750, 500 refusals outlive their instance, an outage delays the archive, strangers and malformed messages get a status.

--- a/src/daemon/connection/admin_listener.cpp
+++ b/src/daemon/connection/admin_listener.cpp
@@ -5,7 +5,9 @@
 #include "decisions/request/refusal_body.h"
 #include "decisions/version/release_note.h"
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <memory>
 
 #include <event2/keyvalq_struct.h>
@@ -63,6 +65,15 @@
   return "other_region";
 }
 
+/// In the order of instants, each reference once.
+std::vector<refusal> withoutRepeats(std::vector<refusal> Refusals) {
+  std::ranges::stable_sort(Refusals, {}, &refusal::Reference);
+  const auto Repeats = std::ranges::unique(Refusals, {}, &refusal::Reference);
+  Refusals.erase(Repeats.begin(), Repeats.end());
+  std::ranges::stable_sort(Refusals, {}, &refusal::At);
+  return Refusals;
+}
+
 nlohmann::json acceptedJson(const accepted_note &Accepted) {
   return {{"version", Accepted.Version},
           {"note", Accepted.NoteId},
@@ -172,28 +183,77 @@
   sendJson(Request, 200, {{"upstreams", List}});
 }
 
+void admin_listener::setRefusalSources(const peer_hub *Hub,
+                                       refusal_archive *Store) {
+  Peers = Hub;
+  Archive = Store;
+}
+
+std::vector<refusal>
+admin_listener::refusalsHere(const refusal_query &Query) const {
+  std::vector<refusal> Found = Core.refusals().select(Query);
+  if (Peers)
+    std::ranges::move(Peers->copiesMatching(Query).Refusals,
+                      std::back_inserter(Found));
+  return Found;
+}
+
+void admin_listener::withRefusals(const refusal_query &Query,
+                                  refusal_callback Done) {
+  if (!Archive) {
+    Done(withoutRepeats(refusalsHere(Query)), "none");
+    return;
+  }
+  Archive->query(Query, [this, Query, Done = std::move(Done)](
+                            const result<refusal_copies> &Stored) {
+    std::vector<refusal> Found = refusalsHere(Query);
+    if (Stored)
+      Found.insert(Found.end(), Stored->Refusals.begin(),
+                   Stored->Refusals.end());
+    Done(withoutRepeats(std::move(Found)), Stored ? "reached" : "not reached");
+  });
+}
+
 void admin_listener::answerRefusals(evhttp_request *Request) {
   const query_parameters Parameters(Request);
   const refusal_query Query{Parameters.text("team"),
                             Parameters.time("from", wall_ms::min()),
                             Parameters.time("to", wall_ms::max())};
-  nlohmann::json Records = nlohmann::json::array();
-  for (const refusal &Refusal : Core.refusals().select(Query))
-    Records.push_back(refusalJson(Refusal));
-  nlohmann::json Counts = nlohmann::json::array();
-  for (const refusal_count &Count : Core.refusals().count(Query))
-    Counts.push_back(refusalCountJson(Count));
-  sendJson(Request, 200, {{"refusals", Records}, {"counts", Counts}});
+  const auto Waiting = std::make_shared<detached_reply>(Request);
+  withRefusals(Query, [this, Query, Waiting](const std::vector<refusal> &Found,
+                                             std::string_view Store) {
+    evhttp_request *Asked = Waiting->take();
+    if (!Asked)
+      return;
+    nlohmann::json Records = nlohmann::json::array();
+    for (const refusal &Refusal : Found)
+      Records.push_back(refusalJson(Refusal));
+    nlohmann::json Counts = nlohmann::json::array();
+    for (const refusal_count &Count : Core.refusals().count(Query))
+      Counts.push_back(refusalCountJson(Count));
+    sendJson(Asked, 200,
+             {{"refusals", Records}, {"counts", Counts}, {"store", Store}});
+  });
 }
 
 void admin_listener::answerExplain(evhttp_request *Request) {
   const query_parameters Parameters(Request);
-  const refusal *Found = Core.refusals().find(Parameters.text("reference"));
-  if (!Found)
-    return sendFailure(Request, {error_kind::ReferenceUnknown, ""});
-  nlohmann::json Body = refusalJson(*Found);
-  Body["message"] = errorRow(Found->Kind).Message;
-  sendJson(Request, 200, Body);
+  const auto Waiting = std::make_shared<detached_reply>(Request);
+  withRefusals({"", wall_ms::min(), wall_ms::max()},
+               [Waiting, Reference = Parameters.text("reference")](
+                   const std::vector<refusal> &All, std::string_view Store) {
+                 evhttp_request *Asked = Waiting->take();
+                 if (!Asked)
+                   return;
+                 const auto Found =
+                     std::ranges::find(All, Reference, &refusal::Reference);
+                 if (Found == All.end())
+                   return sendFailure(Asked, {error_kind::ReferenceUnknown,
+                                              "store " + std::string(Store)});
+                 nlohmann::json Body = refusalJson(*Found);
+                 Body["message"] = errorRow(Found->Kind).Message;
+                 sendJson(Asked, 200, Body);
+               });
 }
 
 void admin_listener::checkNote(evhttp_request *Request) {
--- a/src/daemon/connection/admin_listener.h
+++ b/src/daemon/connection/admin_listener.h
@@ -3,7 +3,9 @@
 #ifndef EBONYVALE_DAEMON_CONNECTION_ADMIN_LISTENER_H
 #define EBONYVALE_DAEMON_CONNECTION_ADMIN_LISTENER_H
 
+#include "daemon/connection/peer_hub.h"
 #include "daemon/process/configuration_source.h"
+#include "daemon/process/refusal_archive.h"
 #include "daemon/process/router_core.h"
 #include "net/http_server.h"
 
@@ -14,6 +16,9 @@
 public:
   admin_listener(router_core &Core, configuration_source &Source);
 
+  /// Where refusals of other instances are found; null for nowhere.
+  void setRefusalSources(const peer_hub *Peers, refusal_archive *Archive);
+
   std::optional<failure> listen();
   std::uint16_t port() const { return Server.port(); }
 
@@ -23,6 +28,11 @@
   bool authorised(evhttp_request *Request) const;
   void answerStatus(evhttp_request *Request);
   void answerUpstreams(evhttp_request *Request);
+  using refusal_callback =
+      std::function<void(const std::vector<refusal> &, std::string_view Store)>;
+
+  std::vector<refusal> refusalsHere(const refusal_query &Query) const;
+  void withRefusals(const refusal_query &Query, refusal_callback Done);
   void answerRefusals(evhttp_request *Request);
   void answerExplain(evhttp_request *Request);
   void checkNote(evhttp_request *Request);
@@ -31,6 +41,8 @@
 
   router_core &Core;
   configuration_source &Source;
+  const peer_hub *Peers = nullptr;
+  refusal_archive *Archive = nullptr;
   http_server Server;
 };
 
--- /dev/null
+++ b/src/daemon/connection/peer_message.cpp
@@ -0,0 +1,216 @@
+#include "daemon/connection/peer_message.h"
+
+#include <cmath>
+#include <tuple>
+
+#include <msgpack.hpp>
+
+namespace ebonyvale {
+namespace {
+
+/// Deepest nesting and longest containers that a message may have.
+constexpr std::size_t MaxElements = 100'000;
+constexpr std::size_t MaxDepth = 8;
+constexpr std::size_t MaxTextBytes = 16 * 1024 * 1024;
+
+using heartbeat_wire =
+    std::tuple<std::uint32_t, std::string, std::uint64_t, std::uint64_t, bool>;
+using ask_wire = std::tuple<std::uint32_t, std::string, std::uint64_t,
+                            std::string, double, bool, double, double>;
+using reply_wire = std::tuple<std::uint32_t, std::uint64_t, std::string, double,
+                              double, double, double>;
+using return_wire = std::tuple<std::uint32_t, std::string, std::uint64_t,
+                               std::string, double, bool>;
+using refusal_wire =
+    std::tuple<std::string, std::int32_t, std::string, std::string, std::string,
+               std::int64_t, std::uint64_t, double, double, double,
+               std::string>;
+using refusals_wire = std::tuple<std::uint32_t, std::vector<refusal_wire>>;
+using note_wire = std::tuple<std::uint64_t, std::string>;
+using versions_wire =
+    std::tuple<std::uint32_t, std::vector<note_wire>, std::string>;
+using number_wire = std::tuple<std::uint32_t, std::uint64_t>;
+
+template <typename Wire> std::string pack(const Wire &Value) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Value);
+  return {Buffer.data(), Buffer.size()};
+}
+
+failure invalid(const char *Why) {
+  return {error_kind::PeerMessageInvalid, Why};
+}
+
+/// The library reports malformed input by exceptions; they end here.
+template <typename Wire> result<Wire> unpack(std::string_view Bytes) {
+  try {
+    const msgpack::unpack_limit Limit(MaxElements, MaxElements, MaxTextBytes,
+                                      MaxTextBytes, MaxTextBytes, MaxDepth);
+    const msgpack::object_handle Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
+    const msgpack::object &Object = Handle.get();
+    if (Object.type != msgpack::type::ARRAY || Object.via.array.size == 0)
+      return invalid("not an array");
+    if (Object.via.array.ptr[0].as<std::uint32_t>() != PeerProtocol)
+      return failure{error_kind::FormatUnsupported,
+                     "the peer speaks another protocol number"};
+    if (Object.via.array.size != std::tuple_size_v<Wire>)
+      return invalid("wrong number of members");
+    return Object.as<Wire>();
+  } catch (const std::exception &) {
+    return invalid("malformed");
+  }
+}
+
+bool isAmount(double Value) { return std::isfinite(Value) && Value >= 0; }
+
+refusal_wire toWire(const refusal &Refusal) {
+  return {Refusal.Reference,
+          static_cast<std::int32_t>(Refusal.Kind),
+          Refusal.Team,
+          Refusal.Route,
+          Refusal.Instance,
+          Refusal.At.time_since_epoch().count(),
+          Refusal.ConfigurationVersion,
+          Refusal.Figures.Asked,
+          Refusal.Figures.Level,
+          Refusal.Figures.Part,
+          Refusal.Detail};
+}
+
+std::optional<refusal> fromWire(const refusal_wire &Wire) {
+  const std::int32_t Kind = std::get<1>(Wire);
+  if (Kind < 1 || Kind > static_cast<std::int32_t>(ErrorKindCount))
+    return std::nullopt;
+  refusal Refusal;
+  Refusal.Reference = std::get<0>(Wire);
+  Refusal.Kind = static_cast<error_kind>(Kind);
+  Refusal.Team = std::get<2>(Wire);
+  Refusal.Route = std::get<3>(Wire);
+  Refusal.Instance = std::get<4>(Wire);
+  Refusal.At = wall_ms(std::chrono::milliseconds(std::get<5>(Wire)));
+  Refusal.ConfigurationVersion = std::get<6>(Wire);
+  Refusal.Figures = {std::get<7>(Wire), std::get<8>(Wire), std::get<9>(Wire)};
+  Refusal.Detail = std::get<10>(Wire);
+  return Refusal;
+}
+
+} // namespace
+
+std::string encode(const version_bundle &Message) {
+  std::vector<note_wire> Notes;
+  for (const version_bundle::note &Note : Message.Notes)
+    Notes.emplace_back(Note.Version, Note.Text);
+  return pack(versions_wire(PeerProtocol, std::move(Notes), Message.Snapshot));
+}
+
+std::string encode(const heartbeat &Message) {
+  return pack(heartbeat_wire(PeerProtocol, Message.Instance, Message.Boot,
+                             Message.ConfigurationVersion, Message.Leaving));
+}
+
+std::string encode(const from_instance<share_ask> &Message) {
+  const share_ask &Ask = Message.Content;
+  return pack(ask_wire(PeerProtocol, Message.Instance, Ask.AskId, Ask.Team,
+                       Ask.Tokens, Ask.Purpose == ask_purpose::Level, Ask.Level,
+                       Ask.Burst));
+}
+
+std::string encode(const share_reply &Reply) {
+  return pack(reply_wire(PeerProtocol, Reply.AskId, Reply.Team, Reply.Lent,
+                         Reply.Level, Reply.Rate, Reply.MayReturn));
+}
+
+std::string encode(const from_instance<share_return> &Message) {
+  const share_return &Return = Message.Content;
+  return pack(return_wire(PeerProtocol, Message.Instance, Return.AskId,
+                          Return.Team, Return.Tokens, Return.Closed));
+}
+
+std::string encode(const refusal_copies &Message) {
+  std::vector<refusal_wire> Refusals;
+  for (const refusal &Refusal : Message.Refusals)
+    Refusals.push_back(toWire(Refusal));
+  return pack(refusals_wire(PeerProtocol, std::move(Refusals)));
+}
+
+std::string encodeNumber(std::uint64_t Number) {
+  return pack(number_wire(PeerProtocol, Number));
+}
+
+result<version_bundle> decodeVersions(std::string_view Bytes) {
+  const auto Wire = unpack<versions_wire>(Bytes);
+  if (!Wire)
+    return Wire.error();
+  version_bundle Bundle;
+  for (const auto &[Version, Text] : std::get<1>(*Wire))
+    Bundle.Notes.push_back({Version, Text});
+  Bundle.Snapshot = std::get<2>(*Wire);
+  return Bundle;
+}
+
+result<heartbeat> decodeHeartbeat(std::string_view Bytes) {
+  const auto Wire = unpack<heartbeat_wire>(Bytes);
+  if (!Wire)
+    return Wire.error();
+  const auto &[Protocol, Instance, Boot, Version, Leaving] = *Wire;
+  return heartbeat{Instance, Boot, Version, Leaving};
+}
+
+result<from_instance<share_ask>> decodeShareAsk(std::string_view Bytes) {
+  const auto Wire = unpack<ask_wire>(Bytes);
+  if (!Wire)
+    return Wire.error();
+  const auto &[Protocol, Instance, Id, Team, Tokens, Leveling, Level, Burst] =
+      *Wire;
+  if (!isAmount(Tokens) || !std::isfinite(Level) || !isAmount(Burst))
+    return invalid("not an amount of tokens");
+  return from_instance<share_ask>{
+      Instance,
+      {Id, Team, Tokens, Leveling ? ask_purpose::Level : ask_purpose::Need,
+       Level, Burst}};
+}
+
+result<share_reply> decodeShareReply(std::string_view Bytes) {
+  const auto Wire = unpack<reply_wire>(Bytes);
+  if (!Wire)
+    return Wire.error();
+  const auto &[Protocol, Id, Team, Lent, Level, Rate, MayReturn] = *Wire;
+  if (!isAmount(Lent) || !isAmount(Level) || !isAmount(Rate) ||
+      !isAmount(MayReturn))
+    return invalid("not an amount of tokens");
+  return share_reply{Id, Team, Lent, Level, Rate, MayReturn};
+}
+
+result<from_instance<share_return>> decodeShareReturn(std::string_view Bytes) {
+  const auto Wire = unpack<return_wire>(Bytes);
+  if (!Wire)
+    return Wire.error();
+  const auto &[Protocol, Instance, Id, Team, Tokens, Closed] = *Wire;
+  if (!isAmount(Tokens))
+    return invalid("not an amount of tokens");
+  return from_instance<share_return>{Instance, {Id, Team, Tokens, Closed}};
+}
+
+result<refusal_copies> decodeRefusals(std::string_view Bytes) {
+  const auto Wire = unpack<refusals_wire>(Bytes);
+  if (!Wire)
+    return Wire.error();
+  refusal_copies Copies;
+  for (const refusal_wire &Entry : std::get<1>(*Wire)) {
+    auto Refusal = fromWire(Entry);
+    if (!Refusal)
+      return invalid("unknown error kind");
+    Copies.Refusals.push_back(std::move(*Refusal));
+  }
+  return Copies;
+}
+
+result<std::uint64_t> decodeNumber(std::string_view Bytes) {
+  const auto Wire = unpack<number_wire>(Bytes);
+  if (!Wire)
+    return Wire.error();
+  return std::get<1>(*Wire);
+}
+
+} // namespace ebonyvale
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -8,6 +8,8 @@
 #include <sys/resource.h>
 
 #include <csignal>
+#include <cstdio>
+#include <fstream>
 #include <iostream>
 
 namespace {
@@ -28,7 +30,7 @@
   setrlimit(RLIMIT_NOFILE, &Limit);
 }
 
-int runDaemon(const daemon_settings &Settings) {
+int runDaemon(const daemon_settings &Settings, const std::string &PortsFile) {
   startLogging(Settings.LogFormat, Settings.LogLevel);
   std::signal(SIGPIPE, SIG_IGN);
   raiseDescriptorLimit();
@@ -37,6 +39,12 @@
     std::cerr << "ebonyvaled: " << Problem->Detail << "\n";
     return ExitFailure;
   }
+  if (!PortsFile.empty()) {
+    std::ofstream File(PortsFile + ".part");
+    Daemon.writePorts(File);
+    File.close();
+    std::rename((PortsFile + ".part").c_str(), PortsFile.c_str());
+  }
   Daemon.run();
   return 0;
 }
@@ -54,6 +62,8 @@
       "TOML file with the settings")(
       "set", options::value<std::vector<std::string>>()->default_value({}, ""),
       "name=value, goes before the file; may be repeated")(
+      "ports", options::value<std::string>()->default_value(""),
+      "file to which 'name port' lines are written once all listen")(
       "check-settings", "check the settings and stop")(
       "print-settings", "print the settings in force and stop");
   options::variables_map Values;
@@ -82,5 +92,5 @@
     std::cout << "settings are valid\n";
   if (Values.count("print-settings") + Values.count("check-settings") != 0)
     return 0;
-  return runDaemon(*Settings);
+  return runDaemon(*Settings, Values["ports"].as<std::string>());
 }
--- a/src/daemon/process/daemon_settings.cpp
+++ b/src/daemon/process/daemon_settings.cpp
@@ -58,6 +58,14 @@
     setting{
         {.Name = "platform.port", .Description = "Its port.", .Max = MaxPort},
         &daemon_settings::PlatformPort},
+    setting{{.Name = "platform.list_address",
+             .Description =
+                 "IP address of the platform's instance list; empty for none."},
+            &daemon_settings::ListAddress},
+    setting{{.Name = "platform.list_port",
+             .Description = "Its port.",
+             .Max = MaxPort},
+            &daemon_settings::ListPort},
     setting{{.Name = "platform.prefix",
              .Description = "Prefix of this fleet's keys there."},
             &daemon_settings::PlatformPrefix},
--- a/src/daemon/process/daemon_settings.h
+++ b/src/daemon/process/daemon_settings.h
@@ -29,6 +29,8 @@
 
   std::string PlatformAddress;
   std::int64_t PlatformPort = 0;
+  std::string ListAddress;
+  std::int64_t ListPort = 0;
   std::string PlatformPrefix = "/ebonyvale/";
   std::string ConfigurationFile;
 
--- a/src/daemon/process/daemon_task.cpp
+++ b/src/daemon/process/daemon_task.cpp
@@ -26,19 +26,23 @@
 
 daemon_task::daemon_task(const daemon_settings &Settings)
     : Settings(Settings), Base(event_base_new()),
-      Core(Base.get(), Settings, makeBoot()),
-      DrainTimer(Base.get(), [this] { onDrainTick(); }) {}
+      Core(Base.get(), Settings, makeBoot()), History(Core),
+      Peers(Core, History), DrainTimer(Base.get(), [this] { onDrainTick(); }) {}
 
-daemon_task::~daemon_task() = default;
+daemon_task::~daemon_task() { Core.setObserver(nullptr); }
 
 std::optional<failure> daemon_task::start() {
   watchSignals();
+  Core.setObserver(this);
+  if (auto Problem = startPeers())
+    return Problem;
   if (auto Problem = startConfiguration())
     return Problem;
   Callers = std::make_unique<caller_listener>(Core);
   if (auto Problem = Callers->listen())
     return Problem;
   Admin = std::make_unique<admin_listener>(Core, *Source);
+  Admin->setRefusalSources(&Peers, Archive.get());
   if (auto Problem = Admin->listen())
     return Problem;
   logFor(log_category::Process)
@@ -54,11 +58,16 @@
         Core.connections(),
         endpoint{Settings.PlatformAddress,
                  static_cast<std::uint16_t>(Settings.PlatformPort)});
-    Source = std::make_unique<platform_configuration>(Core, *Store);
+    Archive = std::make_unique<refusal_archive>(Core, *Store);
+    Archive->start();
+    auto Created =
+        std::make_unique<platform_configuration>(Core, *Store, History);
+    Platform = Created.get();
+    Source = std::move(Created);
     Source->start();
     return std::nullopt;
   }
-  auto Local = std::make_unique<local_configuration>(Core);
+  auto Local = std::make_unique<local_configuration>(Core, History);
   if (!Settings.ConfigurationFile.empty())
     if (auto Problem = Local->load(Settings.ConfigurationFile))
       return Problem;
@@ -67,6 +76,40 @@
   return std::nullopt;
 }
 
+std::optional<failure> daemon_task::startPeers() {
+  if (auto Problem = Peers.listen())
+    return Problem;
+  if (Settings.ListAddress.empty())
+    return std::nullopt;
+  List = std::make_unique<instance_list>(
+      Core.connections(),
+      endpoint{Settings.ListAddress,
+               static_cast<std::uint16_t>(Settings.ListPort)},
+      [this](const std::vector<member> &Members) { onMembers(Members); });
+  List->start();
+  return std::nullopt;
+}
+
+void daemon_task::onMembers(const std::vector<member> &Members) {
+  logFor(log_category::Peer).info("{} instances on the list", Members.size());
+  Peers.setMembers(Members);
+  if (Platform)
+    Platform->setWatching(watchesStore(Peers.self(), Members, {}));
+}
+
+void daemon_task::onVersion() { Peers.announce(); }
+
+void daemon_task::onRefusal(const refusal &Refusal) {
+  Peers.copyRefusal(Refusal);
+  if (Archive)
+    Archive->add(Refusal);
+}
+
+void daemon_task::writePorts(std::ostream &Out) const {
+  Out << "caller " << Callers->port() << "\nadmin " << Admin->port()
+      << "\npeer " << Peers.port() << "\n";
+}
+
 void daemon_task::run() { event_base_dispatch(Base.get()); }
 
 void daemon_task::stop() {
@@ -90,7 +133,10 @@
   Callers->stopListening();
   const bool Expired =
       Elapsed >= std::chrono::milliseconds(Settings.DrainMaxMs);
-  if (Core.openRequests() > 0 && !Expired)
+  if (Archive)
+    Archive->flush();
+  const bool Busy = Core.openRequests() > 0 || (Archive && !Archive->clean());
+  if (Busy && !Expired)
     return;
   logFor(log_category::Process)
       .info("stopped, {} requests cut", Core.openRequests());
--- a/src/daemon/process/daemon_task.h
+++ b/src/daemon/process/daemon_task.h
@@ -5,22 +5,27 @@
 
 #include "daemon/connection/admin_listener.h"
 #include "daemon/connection/caller_listener.h"
+#include "daemon/connection/peer_hub.h"
 #include "daemon/process/configuration_source.h"
+#include "daemon/process/instance_list.h"
+#include "daemon/process/platform_configuration.h"
 #include "daemon/process/platform_store.h"
+#include "daemon/process/refusal_archive.h"
 #include "daemon/process/router_core.h"
 #include "net/event_handles.h"
 #include "net/timer.h"
 
 #include <memory>
 #include <optional>
+#include <ostream>
 
 namespace ebonyvale {
 
 /// Runs one daemon on one event loop.
-class daemon_task {
+class daemon_task final : public core_observer {
 public:
   explicit daemon_task(const daemon_settings &Settings);
-  ~daemon_task();
+  ~daemon_task() override;
 
   /// Opens the listeners and starts to look for a configuration.
   std::optional<failure> start();
@@ -28,19 +33,33 @@
   /// Serves until it has been stopped.
   void run();
 
+  /// Writes "name port" lines for the listeners.
+  void writePorts(std::ostream &Out) const;
+
+  // core_observer
+  void onVersion() override;
+  void onRefusal(const refusal &Refusal) override;
+
   /// Begins a graceful shutdown; a second call ends it at once.
   void stop();
 
 private:
   std::optional<failure> startConfiguration();
+  std::optional<failure> startPeers();
+  void onMembers(const std::vector<member> &Members);
   void watchSignals();
   void onDrainTick();
 
   const daemon_settings &Settings;
   event_base_ptr Base;
   router_core Core;
+  version_history History;
+  peer_hub Peers;
   std::unique_ptr<platform_store> Store;
+  std::unique_ptr<refusal_archive> Archive;
   std::unique_ptr<configuration_source> Source;
+  platform_configuration *Platform = nullptr; ///< `Source`, if it is one
+  std::unique_ptr<instance_list> List;
   std::unique_ptr<caller_listener> Callers;
   std::unique_ptr<admin_listener> Admin;
   event_ptr TermSignal;
--- /dev/null
+++ b/src/daemon/process/instance_list.cpp
@@ -0,0 +1,118 @@
+#include "daemon/process/instance_list.h"
+
+#include "daemon/process/logging.h"
+
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace ebonyvale {
+namespace {
+
+using nlohmann::json;
+
+constexpr span_ns PollInterval = std::chrono::seconds(1);
+constexpr int StatusOk = 200;
+
+failure invalid(const char *Why) {
+  return {error_kind::PeerMessageInvalid, Why};
+}
+
+bool readTarget(const std::string &Target, member &Entry) {
+  const std::size_t Colon = Target.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  Entry.Address = Target.substr(0, Colon);
+  const std::string_view Port = std::string_view(Target).substr(Colon + 1);
+  const auto [End, Error] =
+      std::from_chars(Port.data(), Port.data() + Port.size(), Entry.Port);
+  return Error == std::errc() && End == Port.data() + Port.size();
+}
+
+std::string label(const json &Group, const char *Name) {
+  const auto Labels = Group.find("labels");
+  if (Labels == Group.end() || !Labels->is_object())
+    return "";
+  const auto Value = Labels->find(Name);
+  return Value != Labels->end() && Value->is_string()
+             ? Value->get<std::string>()
+             : "";
+}
+
+} // namespace
+
+result<std::vector<member>> parseInstanceList(std::string_view Text) {
+  const json Groups = json::parse(Text, nullptr, false);
+  if (!Groups.is_array())
+    return invalid("the list is not an array");
+  std::vector<member> Members;
+  for (const json &Group : Groups) {
+    const auto Targets =
+        Group.is_object() ? Group.find("targets") : Group.end();
+    if (!Group.is_object() || Targets == Group.end() || !Targets->is_array())
+      return invalid("a group has no targets");
+    for (const json &Target : *Targets) {
+      member Entry;
+      Entry.Name = label(Group, "instance");
+      Entry.Domain = label(Group, "domain");
+      Entry.Region = label(Group, "region");
+      Entry.Leaving = label(Group, "state") == "leaving";
+      if (!Target.is_string() || Entry.Name.empty() ||
+          !readTarget(Target.get<std::string>(), Entry))
+        return invalid("a target is malformed");
+      Members.push_back(std::move(Entry));
+    }
+  }
+  return Members;
+}
+
+instance_list::instance_list(connection_pool &Pool, endpoint Server,
+                             list_callback OnList)
+    : Pool(Pool), Server(std::move(Server)), OnList(std::move(OnList)),
+      PollTimer(Pool.base(), [this] { poll(); }) {}
+
+instance_list::~instance_list() {
+  if (Exchange)
+    Exchange->cancel();
+}
+
+void instance_list::start() { poll(); }
+
+void instance_list::poll() {
+  Body.clear();
+  Status = 0;
+  outgoing_request Request;
+  Request.Server = Server;
+  Request.Method = "GET";
+  Request.Target = "/instances";
+  Request.ReadTimeout = PollInterval;
+  Exchange = upstream_exchange::start(Pool, Request, *this);
+}
+
+void instance_list::onHead(const answer_head &Head) { Status = Head.status(); }
+
+void instance_list::onBody(std::string_view Bytes) { Body += Bytes; }
+
+void instance_list::onComplete() {
+  Exchange.reset();
+  PollTimer.startOnce(PollInterval);
+  if (Status != StatusOk)
+    return;
+  auto Members = parseInstanceList(Body);
+  if (!Members) {
+    logFor(log_category::Peer)
+        .warn("the instance list was refused: {}", Members.error().Detail);
+    return;
+  }
+  if (*Members == Last)
+    return;
+  Last = std::move(*Members);
+  OnList(Last);
+}
+
+void instance_list::onLost(exchange_stage) {
+  Exchange.reset();
+  PollTimer.startOnce(PollInterval);
+}
+
+} // namespace ebonyvale
--- a/src/daemon/process/local_configuration.cpp
+++ b/src/daemon/process/local_configuration.cpp
@@ -22,16 +22,20 @@
 
 void local_configuration::apply(std::string_view NoteText, note_callback Done) {
   const configuration_ptr Base = Core.inForce();
-  result<configuration> Next =
-      applyNote(Base ? *Base : configuration{}, NoteText);
+  const configuration Empty;
+  const configuration &Head = Base ? *Base : Empty;
+  const result<std::string> Id = readNoteId(NoteText);
+  if (const auto Version = findApplied(Head, NoteText)) {
+    Done(accepted_note{*Version, *Id, true});
+    return;
+  }
+  const result<configuration> Next = applyNote(Head, NoteText);
   if (!Next) {
     Done(Next.error());
     return;
   }
-  const accepted_note Accepted{Next->Version, Next->NoteId, false};
-  Core.setConfiguration(std::make_shared<configuration>(std::move(*Next)),
-                        readClock());
-  Done(Accepted);
+  History.absorb(Next->Version, NoteText);
+  Done(accepted_note{Next->Version, Next->NoteId, false});
 }
 
 } // namespace ebonyvale
--- a/src/daemon/process/local_configuration.h
+++ b/src/daemon/process/local_configuration.h
@@ -5,13 +5,15 @@
 
 #include "daemon/process/configuration_source.h"
 #include "daemon/process/router_core.h"
+#include "daemon/process/version_history.h"
 
 namespace ebonyvale {
 
 /// Reads the first note from a file and keeps later ones in memory only.
 class local_configuration final : public configuration_source {
 public:
-  explicit local_configuration(router_core &Core) : Core(Core) {}
+  local_configuration(router_core &Core, version_history &History)
+      : Core(Core), History(History) {}
 
   /// Applies the note in \p Path; fails as `applyNote` does.
   std::optional<failure> load(const std::string &Path);
@@ -21,6 +23,7 @@
 
 private:
   router_core &Core;
+  version_history &History;
 };
 
 } // namespace ebonyvale
--- a/src/daemon/process/platform_configuration.cpp
+++ b/src/daemon/process/platform_configuration.cpp
@@ -8,6 +8,9 @@
 namespace ebonyvale {
 namespace {
 
+/// Time between two looks into the log by an instance that does not watch it.
+constexpr span_ns CatchUpInterval = std::chrono::seconds(10);
+
 /// Times that a note is tried anew after another one took its slot.
 constexpr unsigned MaxRaces = 20;
 /// Times that a slot is read after a lost reply.
@@ -35,9 +38,11 @@
 };
 
 platform_configuration::platform_configuration(router_core &Core,
-                                               platform_store &Store)
-    : Core(Core), Store(Store), Keys(Core.settings().PlatformPrefix),
-      Random(Core.boot()), RetryTimer(Core.base(), [this] { start(); }) {}
+                                               platform_store &Store,
+                                               version_history &History)
+    : Core(Core), Store(Store), History(History),
+      Keys(Core.settings().PlatformPrefix), Random(Core.boot()),
+      RetryTimer(Core.base(), [this] { start(); }) {}
 
 void platform_configuration::start() {
   catchUp([this](bool Reached) {
@@ -54,26 +59,12 @@
   if (Watching == Wanted)
     return;
   Watching = Wanted;
-  if (Wanted)
+  if (Wanted) {
     start();
-  else
+  } else {
     Watch.reset();
-}
-
-void platform_configuration::onPeerVersion(std::uint64_t Version) {
-  if (Version > version())
-    catchUp([](bool) {});
-}
-
-void platform_configuration::onPeerSnapshot(std::string_view Text) {
-  result<configuration> Offered = readSnapshot(Text);
-  if (!Offered) {
-    logFor(log_category::Configuration)
-        .warn("a peer's snapshot was refused: {}", Offered.error().Detail);
-    return;
+    RetryTimer.startOnce(CatchUpInterval);
   }
-  Core.setConfiguration(std::make_shared<configuration>(std::move(*Offered)),
-                        readClock());
 }
 
 void platform_configuration::catchUp(std::function<void(bool)> Done) {
@@ -98,16 +89,14 @@
                  return;
                }
                if (*Newest)
-                 Core.setConfiguration(
-                     std::make_shared<configuration>(std::move(**Newest)),
-                     readClock());
+                 History.adopt(std::move(**Newest));
                readLog(/*MayReadSnapshots=*/false, Done);
              });
 }
 
 void platform_configuration::readLog(bool MayReadSnapshots,
                                      std::function<void(bool)> Done) {
-  Store.list(Keys.logPrefix(), Keys.slot(version() + 1),
+  Store.list(Keys.logPrefix(), Keys.slot(History.version() + 1),
              [this, MayReadSnapshots,
               Done = std::move(Done)](const result<store_range> &Range) {
                if (!Range) {
@@ -116,17 +105,17 @@
                }
                for (const store_entry &Entry : Range->Entries) {
                  const auto Version = Keys.slotVersion(Entry.Key);
-                 if (!Version || *Version <= version())
+                 if (!Version || *Version <= History.version())
                    continue;
                  // Slots behind a snapshot are trimmed; start from it then.
-                 if (*Version > version() + 1) {
+                 if (*Version > History.version() + 1) {
                    if (MayReadSnapshots)
                      readSnapshots(Done);
                    else
                      Done(false);
                    return;
                  }
-                 if (!absorb(*Version, Entry.Value))
+                 if (!History.absorb(*Version, Entry.Value))
                    break;
                }
                NextRevision = Range->Revision + 1;
@@ -134,33 +123,19 @@
              });
 }
 
-bool platform_configuration::absorb(std::uint64_t Version,
-                                    std::string_view NoteText) {
-  const configuration_ptr Base = Core.inForce();
-  result<configuration> Next =
-      applyNote(Base ? *Base : configuration{}, NoteText);
-  if (!Next) {
-    logFor(log_category::Configuration)
-        .error("the note in slot {} cannot be applied: {}", Version,
-               Next.error().Detail);
-    return false;
-  }
-  Core.setConfiguration(std::make_shared<configuration>(std::move(*Next)),
-                        readClock());
-  return true;
-}
-
 void platform_configuration::openWatch() {
   if (Watching)
     Watch = Store.watch(Keys.logPrefix(), NextRevision, *this);
+  else
+    RetryTimer.startOnce(CatchUpInterval);
 }
 
 void platform_configuration::onStoreChange(const store_entry &Entry) {
   const auto Version = Keys.slotVersion(Entry.Key);
-  if (!Version || *Version <= version())
+  if (!Version || *Version <= History.version())
     return;
-  if (*Version == version() + 1)
-    absorb(*Version, Entry.Value);
+  if (*Version == History.version() + 1)
+    History.absorb(*Version, Entry.Value);
   else
     catchUp([](bool) {});
 }
@@ -222,7 +197,7 @@
                    return;
                  }
                  if (*Created) {
-                   absorb(Version, Application->NoteText);
+                   History.absorb(Version, Application->NoteText);
                    accept(Application, Version, false);
                    writeSnapshotIfDue();
                    return;
@@ -259,8 +234,8 @@
                  tryApply(Application);
                  return;
                }
-               if (version() < Version)
-                 absorb(Version, Application->NoteText);
+               if (History.version() < Version)
+                 History.absorb(Version, Application->NoteText);
                accept(Application, Version, false);
              });
 }
@@ -303,8 +278,4 @@
               [](const result<bool> &) {});
 }
 
-std::uint64_t platform_configuration::version() const {
-  return Core.inForce() ? Core.inForce()->Version : 0;
-}
-
 } // namespace ebonyvale
--- a/src/daemon/process/platform_configuration.h
+++ b/src/daemon/process/platform_configuration.h
@@ -9,6 +9,7 @@
 #include "daemon/process/configuration_source.h"
 #include "daemon/process/platform_store.h"
 #include "daemon/process/router_core.h"
+#include "daemon/process/version_history.h"
 #include "decisions/version/note_log.h"
 
 #include <memory>
@@ -21,7 +22,8 @@
 class platform_configuration final : public configuration_source,
                                      public store_watch_observer {
 public:
-  platform_configuration(router_core &Core, platform_store &Store);
+  platform_configuration(router_core &Core, platform_store &Store,
+                         version_history &History);
 
   void start() override;
   void apply(std::string_view NoteText, note_callback Done) override;
@@ -30,12 +32,6 @@
   /// hears of versions from its peers and reads the store only to catch up.
   void setWatching(bool Wanted);
 
-  /// A peer has \p Version in force.
-  void onPeerVersion(std::uint64_t Version);
-
-  /// A peer hands over a whole version. Ignored unless it is newer.
-  void onPeerSnapshot(std::string_view Text);
-
   // store_watch_observer
   void onStoreChange(const store_entry &Entry) override;
   void onWatchLost() override;
@@ -47,7 +43,6 @@
   void catchUp(std::function<void(bool)> Done);
   void readSnapshots(std::function<void(bool)> Done);
   void readLog(bool MayReadSnapshots, std::function<void(bool)> Done);
-  bool absorb(std::uint64_t Version, std::string_view NoteText);
   void openWatch();
   void scheduleRetry();
 
@@ -59,10 +54,9 @@
   void writeSnapshotIfDue();
   void trim(std::uint64_t Version);
 
-  std::uint64_t version() const;
-
   router_core &Core;
   platform_store &Store;
+  version_history &History;
   note_log_keys Keys;
   std::unique_ptr<store_watch> Watch;
   bool Watching = true;
--- a/src/daemon/process/router_core.cpp
+++ b/src/daemon/process/router_core.cpp
@@ -58,6 +58,8 @@
   for (const auto &[Number, Party] : Present)
     if (const auto Alive = Party.lock())
       Alive->onConfiguration(*Config);
+  if (Observer)
+    Observer->onVersion();
 }
 
 void router_core::applyLimits(instant Now) {
@@ -138,6 +140,8 @@
       .info("refused {}: {} team '{}' route '{}' {}", Recorded.Reference,
             errorRow(Recorded.Kind).Name, Recorded.Team, Recorded.Route,
             Recorded.Detail);
+  if (Observer)
+    Observer->onRefusal(Recorded);
   return Recorded;
 }
 
--- a/src/daemon/process/router_core.h
+++ b/src/daemon/process/router_core.h
@@ -45,6 +45,14 @@
   virtual void sendQuarantine(request_fingerprint Request) = 0;
 };
 
+/// Hears of what other instances have to be told.
+class core_observer {
+public:
+  virtual ~core_observer() = default;
+  virtual void onVersion() = 0;
+  virtual void onRefusal(const refusal &Refusal) = 0;
+};
+
 /// Owned by the daemon's task; all of its members are used from one loop.
 class router_core {
 public:
@@ -68,9 +76,11 @@
   /// Brings a version into force. Older versions are ignored.
   void setConfiguration(configuration_ptr Next, const present &At);
 
-  /// Peers that can be asked for tokens, nearest first.
+  /// Carries messages to the peers' ledgers; null while there is none.
   void setMessenger(share_messenger *Target) { Messenger = Target; }
 
+  void setObserver(core_observer *Target) { Observer = Target; }
+
   /// Registers a request under a new number.
   std::uint64_t enter(const std::weak_ptr<request_party> &Party);
   void leave(std::uint64_t Number);
@@ -134,6 +144,7 @@
   std::unordered_map<std::uint64_t, std::weak_ptr<request_party>> Parties;
   std::uint64_t LastNumber = 0;
   share_messenger *Messenger = nullptr;
+  core_observer *Observer = nullptr;
   timer ShareTimer;
   connection_pool Connections;
   bool Leaving = false;
--- a/src/decisions/process/refusal_ledger.cpp
+++ b/src/decisions/process/refusal_ledger.cpp
@@ -11,13 +11,13 @@
   return std::chrono::floor<std::chrono::minutes>(Time);
 }
 
-bool matches(const refusal_query &Query, std::string_view Team, wall_ms At) {
-  return At >= Query.From && At <= Query.To &&
-         (Query.Team.empty() || Query.Team == Team);
-}
-
 } // namespace
 
+bool matches(const refusal_query &Query, const refusal &Refusal) {
+  return Refusal.At >= Query.From && Refusal.At <= Query.To &&
+         (Query.Team.empty() || Query.Team == Refusal.Team);
+}
+
 refusal_ledger::refusal_ledger(std::string_view Instance, std::uint64_t Boot,
                                refusal_bounds Bounds)
     : ReferencePrefix(fmt::format("{}-{:x}-", Instance, Boot)),
@@ -58,7 +58,7 @@
 std::vector<refusal> refusal_ledger::select(const refusal_query &Query) const {
   std::vector<refusal> Found;
   for (const refusal &Refusal : Ring)
-    if (matches(Query, Refusal.Team, Refusal.At))
+    if (matches(Query, Refusal))
       Found.push_back(Refusal);
   return Found;
 }
--- a/src/decisions/process/refusal_ledger.h
+++ b/src/decisions/process/refusal_ledger.h
@@ -54,6 +54,9 @@
   wall_ms To{};
 };
 
+/// Whether \p Refusal is asked for.
+bool matches(const refusal_query &Query, const refusal &Refusal);
+
 /// What the ledger keeps.
 struct refusal_bounds {
   std::size_t Records = 20000;             ///< details in the ring
--- a/src/fakes/fake_set.cpp
+++ b/src/fakes/fake_set.cpp
@@ -15,8 +15,10 @@
         Base, fmt::format("engine-{}", Index), Settings.Version, Speed));
   for (std::int64_t Index = 1; Index <= Settings.Applications; ++Index)
     Applications.push_back(std::make_unique<application_server>(Base));
-  if (Settings.Store)
-    Store = std::make_unique<key_value_server>(Base);
+  if (!Settings.Store)
+    return;
+  Store = std::make_unique<key_value_server>(Base);
+  List = std::make_unique<instance_list_server>(Base);
 }
 
 std::optional<failure> fake_set::listen() {
@@ -26,9 +28,11 @@
   for (const auto &Application : Applications)
     if (auto Problem = Application->listen(Address, 0))
       return Problem;
-  if (Store)
-    return Store->listen(Address, 0);
-  return std::nullopt;
+  if (!Store)
+    return std::nullopt;
+  if (auto Problem = Store->listen(Address, 0))
+    return Problem;
+  return List->listen(Address, 0);
 }
 
 void fake_set::writePorts(std::ostream &Out) const {
@@ -38,7 +42,7 @@
     Out << fmt::format("application-{} {}\n", Index + 1,
                        Applications[Index]->port());
   if (Store)
-    Out << fmt::format("store {}\n", Store->port());
+    Out << fmt::format("store {}\nlist {}\n", Store->port(), List->port());
 }
 
 } // namespace ebonyvale
--- a/src/fakes/fake_set.h
+++ b/src/fakes/fake_set.h
@@ -6,6 +6,7 @@
 #include "fakes/application_server.h"
 #include "fakes/engine_server.h"
 #include "fakes/fakes_settings.h"
+#include "fakes/instance_list_server.h"
 #include "fakes/key_value_server.h"
 
 #include <memory>
@@ -31,6 +32,7 @@
   std::vector<std::unique_ptr<engine_server>> Engines;
   std::vector<std::unique_ptr<application_server>> Applications;
   std::unique_ptr<key_value_server> Store;
+  std::unique_ptr<instance_list_server> List;
 };
 
 } // namespace ebonyvale
--- a/src/fakes/fakes_settings.cpp
+++ b/src/fakes/fakes_settings.cpp
@@ -46,7 +46,8 @@
              .Description = "Plain services.",
              .Max = MaxFakes},
             &fakes_settings::Applications},
-    setting{{.Name = "store", .Description = "Run the key-value service."},
+    setting{{.Name = "store",
+             .Description = "Run the platform's key-value service and list."},
             &fakes_settings::Store},
 };
 
--- /dev/null
+++ b/src/net/h2_connection.h
@@ -0,0 +1,122 @@
+/// \file
+/// Requests and answers between our own processes over one HTTP/2 connection.
+#ifndef EBONYVALE_NET_H2_CONNECTION_H
+#define EBONYVALE_NET_H2_CONNECTION_H
+
+#include "net/event_handles.h"
+#include "net/upstream_exchange.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <event2/bufferevent.h>
+#include <nghttp2/nghttp2.h>
+
+namespace ebonyvale {
+
+/// A request as the server side gets it.
+struct h2_request {
+  std::string Path;
+  std::string Authorization;
+  std::string Body;
+};
+
+/// An answer.
+struct h2_answer {
+  int Status = 0;
+  std::string Body;
+};
+
+/// One end of a connection. It lives until both its owner has let go of it and
+/// it has been closed.
+class h2_connection : public std::enable_shared_from_this<h2_connection> {
+public:
+  /// Called with the answer, or with nothing when the connection was lost.
+  using answer_callback = std::function<void(std::optional<h2_answer>)>;
+  /// Answers a request at once.
+  using request_handler = std::function<h2_answer(const h2_request &)>;
+  using close_callback = std::function<void()>;
+
+  /// Longest body of a request or an answer, in bytes.
+  static constexpr std::size_t MaxBodyBytes = 16 * 1024 * 1024;
+
+  /// Connects to \p Server.
+  static std::shared_ptr<h2_connection>
+  connect(event_base *Base, const endpoint &Server, close_callback OnClose);
+
+  /// Serves an accepted socket.
+  static std::shared_ptr<h2_connection> serve(event_base *Base,
+                                              evutil_socket_t Socket,
+                                              request_handler Handler,
+                                              close_callback OnClose);
+
+  ~h2_connection();
+  h2_connection(const h2_connection &) = delete;
+  h2_connection &operator=(const h2_connection &) = delete;
+
+  /// Sends a request.
+  void request(const std::string &Path, const std::string &Authorization,
+               std::string Body, answer_callback Done);
+
+  /// Closes the connection; outstanding requests are told.
+  void close();
+
+  /// Bytes written and read so far.
+  std::uint64_t bytesOut() const { return BytesOut; }
+  std::uint64_t bytesIn() const { return BytesIn; }
+
+private:
+  struct stream {
+    h2_request Request;
+    h2_answer Answer;
+    std::string Outgoing;
+    std::size_t Sent = 0;
+    answer_callback Done;
+  };
+
+  explicit h2_connection(event_base *Base) : Base(Base) {}
+
+  void start(bool IsServer);
+  void flush();
+  void finishStream(std::int32_t Id);
+  void answerStream(std::int32_t Id);
+  std::string &incomingBody(stream &Stream);
+
+  static void onReadable(bufferevent *, void *Self);
+  static void onEvent(bufferevent *, short What, void *Self);
+  static ssize_t onSend(nghttp2_session *, const std::uint8_t *Data,
+                        std::size_t Length, int, void *Self);
+  static int onHeader(nghttp2_session *, const nghttp2_frame *Frame,
+                      const std::uint8_t *Name, std::size_t NameLength,
+                      const std::uint8_t *Value, std::size_t ValueLength,
+                      std::uint8_t, void *Self);
+  static int onData(nghttp2_session *, std::uint8_t, std::int32_t Id,
+                    const std::uint8_t *Data, std::size_t Length, void *Self);
+  static int onFrame(nghttp2_session *, const nghttp2_frame *Frame, void *Self);
+  static int onStreamClose(nghttp2_session *, std::int32_t Id, std::uint32_t,
+                           void *Self);
+  static ssize_t readBody(nghttp2_session *, std::int32_t Id,
+                          std::uint8_t *Buffer, std::size_t Length,
+                          std::uint32_t *Flags, nghttp2_data_source *,
+                          void *Self);
+
+  event_base *Base;
+  bool IsServer = false;
+  request_handler Handler;
+  close_callback OnClose;
+  std::unique_ptr<bufferevent, releaser<bufferevent_free>> Socket;
+  std::unique_ptr<nghttp2_session, releaser<nghttp2_session_del>> Session;
+  std::map<std::int32_t, stream> Streams;
+  std::uint64_t BytesOut = 0;
+  std::uint64_t BytesIn = 0;
+  std::shared_ptr<h2_connection> Self; ///< held until closed
+};
+
+} // namespace ebonyvale
+
+#endif
--- /dev/null
+++ b/tests/daemon/connection/peer_hub_test.cpp
@@ -0,0 +1,148 @@
+#include "daemon/fleet_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace ebonyvale;
+
+namespace {
+
+/// Remembers what the core decided about its tokens.
+class token_party final : public request_party {
+public:
+  void onAdmitted(const reservation &) override { Admitted = true; }
+  void onLimited(const share_refuse &) override { Limited = true; }
+  void onStarted(const dispatch_start &) override {}
+  void onNotStarted(const dispatch_refuse &) override {}
+  void onConfiguration(const configuration &) override {}
+
+  bool Admitted = false;
+  bool Limited = false;
+};
+
+const std::string Domains =
+    "[[added.failure_domain]]\nname = \"a\"\nregion = \"region\"\nslots = 2\n"
+    "[[added.failure_domain]]\nname = \"b\"\nregion = \"region\"\n";
+
+bool allLinked(const fleet_fixture &Fleet) {
+  for (const auto &Instance : Fleet.Instances)
+    if (Instance->Peers.livePeers().size() + 1 != Fleet.Instances.size())
+      return false;
+  return true;
+}
+
+} // namespace
+
+Test(peer_hub, versions_reach_an_instance_cut_off_from_the_store) {
+  fleet_fixture Fleet({"a", "a", "b"});
+  cr_assert(Fleet.runUntil([&Fleet] { return allLinked(Fleet); }));
+  // The third instance hears of versions only from its peers.
+  Fleet.Instances[2]->Source.setWatching(false);
+  cr_assert(static_cast<bool>(Fleet.apply(0, teamNote(1))));
+  cr_assert(Fleet.allAt(1));
+}
+
+Test(peer_hub, fresh_instance_is_served_by_peers_while_the_store_is_out) {
+  fleet_fixture Fleet({"a", "a", "b"});
+  cr_assert(static_cast<bool>(Fleet.apply(0, teamNote(1))));
+  cr_assert(Fleet.allAt(1));
+  Fleet.Server.faults().Out = true;
+  Fleet.Instances[1].reset();
+  Fleet.Instances[1] = std::make_unique<fleet_instance>(
+      Fleet.Base.get(), "i1", "a", Fleet.Server.port(), 99);
+  cr_assert(Fleet.Instances[1]->version() == 0);
+  Fleet.publishMembers();
+  cr_assert(Fleet.allAt(1));
+}
+
+Test(peer_hub, request_beyond_one_part_borrows_from_peers) {
+  fleet_fixture Fleet({"a", "a", "b"});
+  cr_assert(
+      static_cast<bool>(Fleet.apply(0, teamNote(1, Domains, 8000, 3000))));
+  cr_assert(Fleet.allAt(1));
+  cr_assert(Fleet.runUntil([&Fleet] { return allLinked(Fleet); }));
+  // Parts are 750, 750 and 1500 tokens; all are full after the first terms.
+  cr_assert(Fleet.runUntil([&Fleet] {
+    const instant Now = readClock().Now;
+    double Sum = 0;
+    for (const auto &Instance : Fleet.Instances)
+      Sum += Instance->Core.shares().available("team-1", Now);
+    return Sum > 2990;
+  }));
+  const auto Party = std::make_shared<token_party>();
+  router_core &Core = Fleet.Instances[0]->Core;
+  const std::uint64_t Number = Core.enter(Party);
+  Core.requestTokens(Number, "team-1", {2500, 2500});
+  cr_assert(!Party->Admitted);
+  cr_assert(
+      Fleet.runUntil([&Party] { return Party->Admitted || Party->Limited; }));
+  cr_assert(Party->Admitted);
+}
+
+Test(peer_hub, refusals_outlive_their_instance) {
+  fleet_fixture Fleet({"a", "a", "b"});
+  cr_assert(Fleet.runUntil([&Fleet] { return allLinked(Fleet); }));
+  constexpr std::size_t Count = 500;
+  const wall_ms At = readClock().Wall;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    refusal Refusal;
+    Refusal.Kind = error_kind::RateExceeded;
+    Refusal.Team = "team-1";
+    Refusal.At = At;
+    Fleet.Instances[0]->Core.recordRefusal(Refusal);
+  }
+  const refusal_query Query{"team-1", At, At};
+  // The keeper stands in the other domain.
+  cr_assert(Fleet.runUntil([&] {
+    return Fleet.Instances[2]->Peers.copiesMatching(Query).Refusals.size() ==
+           Count;
+  }));
+  Fleet.Instances[0].reset();
+  cr_assert(Fleet.Instances[2]->Peers.copiesMatching(Query).Refusals.size() ==
+            Count);
+}
+
+Test(peer_hub, refusals_are_archived_after_an_outage) {
+  fleet_fixture Fleet({"a"});
+  refusal Refusal;
+  Refusal.Kind = error_kind::KeyMissing;
+  Refusal.At = readClock().Wall;
+  Fleet.Server.faults().Out = true;
+  refusal_archive &Archive = Fleet.Instances[0]->Archive;
+  Fleet.Instances[0]->Core.recordRefusal(Refusal);
+  Archive.flush();
+  Fleet.runFor(std::chrono::milliseconds(100));
+  cr_assert(!Archive.clean());
+  Fleet.Server.faults().Out = false;
+  cr_assert(Fleet.runUntil([&Archive] {
+    Archive.flush();
+    return Archive.clean();
+  }));
+  std::size_t Found = 0;
+  Archive.query({"", Refusal.At, Refusal.At},
+                [&Found](const result<refusal_copies> &Stored) {
+                  cr_assert(static_cast<bool>(Stored));
+                  Found = Stored->Refusals.size();
+                });
+  cr_assert(Fleet.runUntil([&Found] { return Found != 0; }));
+  cr_assert(Found == 1);
+}
+
+Test(peer_hub, stranger_and_malformed_messages_are_refused) {
+  fleet_fixture Fleet({"a"});
+  const auto Connection = h2_connection::connect(
+      Fleet.Base.get(), {"127.0.0.1", Fleet.Instances[0]->Peers.port()}, [] {});
+  std::vector<int> Statuses;
+  const auto Collect = [&Statuses](const std::optional<h2_answer> &Answer) {
+    Statuses.push_back(Answer ? Answer->Status : 0);
+  };
+  const std::string Proof = "Bearer " + toHex(hashKey("fleet-secret", "peer"));
+  Connection->request(std::string(HeartbeatPath), "Bearer wrong",
+                      encode(heartbeat{}), Collect);
+  Connection->request(std::string(ShareAskPath), Proof, "garbage", Collect);
+  Connection->request("/peer/unknown", Proof, "", Collect);
+  cr_assert(Fleet.runUntil([&Statuses] { return Statuses.size() == 3; }));
+  cr_assert(Statuses[0] == 403);
+  cr_assert(Statuses[1] == 400);
+  cr_assert(Statuses[2] == 400);
+  Connection->close();
+}
--- a/tests/daemon/router_fixture.cpp
+++ b/tests/daemon/router_fixture.cpp
@@ -74,7 +74,8 @@
     Applications.back()->listen(Loopback, 0);
   }
   Core = std::make_unique<router_core>(Base.get(), Settings, 1);
-  Source = std::make_unique<local_configuration>(*Core);
+  History = std::make_unique<version_history>(*Core);
+  Source = std::make_unique<local_configuration>(*Core, *History);
   Callers = std::make_unique<caller_listener>(*Core);
   Admin = std::make_unique<admin_listener>(*Core, *Source);
   Callers->listen();
--- a/tests/daemon/router_fixture.h
+++ b/tests/daemon/router_fixture.h
@@ -103,6 +103,7 @@
   std::vector<std::unique_ptr<engine_server>> Engines;
   std::vector<std::unique_ptr<application_server>> Applications;
   std::unique_ptr<router_core> Core;
+  std::unique_ptr<version_history> History;
   std::unique_ptr<local_configuration> Source;
   std::unique_ptr<caller_listener> Callers;
   std::unique_ptr<admin_listener> Admin;
