--- a/src/common/error_kind.cpp
+++ b/src/common/error_kind.cpp
@@ -85,8 +85,6 @@
      "The peer's message could not be understood."},
     {ReferenceUnknown, "reference_unknown", 404, RanNo, Never,
      "No refusal with this reference is known here."},
-    {Internal, "internal", 500, RanUnknown, Never,
-     "The router failed; the request may have run."},
 }};
 
 constexpr bool tableIsOrdered() {
--- a/src/common/error_kind.h
+++ b/src/common/error_kind.h
@@ -50,12 +50,11 @@
   FormatUnsupported,
   PeerMessageInvalid,
   ReferenceUnknown,
-  Internal,
 };
 
 /// Number of kinds; the last enumerator's value, since they start at one.
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(error_kind::Internal);
+    static_cast<std::size_t>(error_kind::ReferenceUnknown);
 
 /// Whether the refused request ran on an upstream.
 enum class ran_state { No, Yes, Unknown };
--- a/src/daemon/connection/caller_listener.cpp
+++ b/src/daemon/connection/caller_listener.cpp
@@ -3,6 +3,7 @@
 #include "daemon/connection/refusal_reply.h"
 #include "daemon/request/model_session.h"
 #include "daemon/request/plain_session.h"
+#include "decisions/request/refusal_body.h"
 
 #include <event2/keyvalq_struct.h>
 #include <nlohmann/json.hpp>
@@ -64,7 +65,22 @@
 caller_listener::caller_listener(router_core &Core)
     : Core(Core),
       Server(Core.base(), serverBounds(Core.settings()),
-             [this](evhttp_request *Request) { onRequest(Request); }) {}
+             [this](evhttp_request *Request) { onRequest(Request); }) {
+  Server.limitArrival(
+      std::chrono::milliseconds(Core.settings().HeaderTimeoutMs),
+      [this] { return slowRequestAnswer(); });
+}
+
+std::string caller_listener::slowRequestAnswer() {
+  refusal Refusal;
+  Refusal.Kind = error_kind::HeaderTimeout;
+  Refusal.At = readClock().Wall;
+  const std::string Body = refusalBody(Core.recordRefusal(std::move(Refusal)));
+  const int Status = errorRow(error_kind::HeaderTimeout).Status;
+  return fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
+                     "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+                     Status, reasonPhrase(Status), Body.size(), Body);
+}
 
 std::optional<failure> caller_listener::listen() {
   return Server.listen(Core.settings().CallerAddress,
--- a/src/daemon/process/daemon_settings.cpp
+++ b/src/daemon/process/daemon_settings.cpp
@@ -101,6 +101,12 @@
              .Min = 1024,
              .Max = MaxBodyBytes},
             &daemon_settings::BodyBytes},
+    setting{{.Name = "bounds.answer_bytes",
+             .Description = "Longest answer that is not a stream.",
+             .Unit = "bytes",
+             .Min = 1024,
+             .Max = MaxBodyBytes},
+            &daemon_settings::AnswerBytes},
     setting{
         {.Name = "bounds.stream_buffer_bytes",
          .Description =
--- a/src/daemon/process/daemon_settings.h
+++ b/src/daemon/process/daemon_settings.h
@@ -40,6 +40,7 @@
 
   std::int64_t HeaderBytes = 16 * 1024;
   std::int64_t BodyBytes = 4 * 1024 * 1024;
+  std::int64_t AnswerBytes = 16 * 1024 * 1024;
   std::int64_t StreamBufferBytes = 64 * 1024;
   std::int64_t HeaderTimeoutMs = 10000;
 
--- a/src/daemon/process/router_core.h
+++ b/src/daemon/process/router_core.h
@@ -106,6 +106,12 @@
     Dispatcher.onUsage(Start, Cached);
   }
 
+  /// Tells the peers that a request is quarantined.
+  void tellQuarantine(request_fingerprint Request) {
+    if (Messenger)
+      Messenger->sendQuarantine(Request);
+  }
+
   /// Whether the budgets of the team allow another attempt; takes it.
   bool tryRetry(const std::string &Team);
   void countAttempt(const std::string &Team);
--- a/src/daemon/request/caller_session.cpp
+++ b/src/daemon/request/caller_session.cpp
@@ -96,10 +96,7 @@
 }
 
 void caller_session::onNotStarted(const dispatch_refuse &Refusal) {
-  refuse(Flow.attempts() > 0 && Refusal.Kind == error_kind::NoUpstream
-             ? error_kind::RetryBudgetSpent
-             : Refusal.Kind,
-         {}, Refusal.RetryAfter);
+  refuse(Flow.onNoUpstream(Refusal.Kind).Kind, {}, Refusal.RetryAfter);
 }
 
 void caller_session::onConfiguration(const configuration &Newer) {
@@ -124,17 +121,25 @@
 void caller_session::onLost(exchange_stage Stage) {
   const auto Guard = shared_from_this();
   Exchange.reset();
-  blameUpstream();
-  // The suspicion counts only where the upstream may have run the request.
-  if (Fingerprint && Stage != exchange_stage::NotSent) {
-    const suspicion Held =
-        Core.crashes().onLost(*Fingerprint, Start.Engine, readClock().Now);
-    if (Held == suspicion::Quarantined) {
-      endAttempt();
-      refuse(error_kind::RequestSuspected);
-      return;
-    }
+  // A broken connection may be the request's own doing, where the upstream may
+  // have run it; a bad answer is not.
+  const bool MayHaveRun = Stage != exchange_stage::NotSent;
+  if (Fingerprint && MayHaveRun &&
+      Core.crashes().onLost(*Fingerprint, Start.Engine, readClock().Now) ==
+          suspicion::Quarantined) {
+    blameUpstream();
+    Core.tellQuarantine(*Fingerprint);
+    endAttempt();
+    refuse(error_kind::RequestSuspected);
+    return;
   }
+  loseAttempt(Stage);
+}
+
+void caller_session::loseAttempt(exchange_stage Stage) {
+  const auto Guard = shared_from_this();
+  dropExchange();
+  blameUpstream();
   const flow_step Step =
       Flow.onLost(toAttemptStage(Stage), retryAllowed(), readClock().Now);
   endAttempt();
@@ -154,7 +159,7 @@
 }
 
 void caller_session::blameUpstream() {
-  Failed.push_back(Start.Engine);
+  avoidUpstream();
   Core.reportFailure(Start.Engine);
 }
 
@@ -173,6 +178,14 @@
     Exchange->pauseReading();
 }
 
+void caller_session::collect(std::string_view Bytes, std::string &Whole) {
+  Whole += Bytes;
+  if (Whole.size() <= static_cast<std::size_t>(Core.settings().AnswerBytes))
+    return;
+  dropExchange();
+  refuse(error_kind::UpstreamBadAnswer, "the answer is over the bound");
+}
+
 void caller_session::succeed() {
   const auto Guard = shared_from_this();
   Core.counters().Answered.Increment();
--- a/src/daemon/request/caller_session.h
+++ b/src/daemon/request/caller_session.h
@@ -62,6 +62,10 @@
   /// Passes bytes on to the caller and slows the upstream if need be.
   void deliver(std::string_view Bytes);
 
+  /// Adds bytes to an answer that is held until it is whole; refuses when it
+  /// is over the bound.
+  void collect(std::string_view Bytes, std::string &Whole);
+
   /// The answer is whole and has been handed to the caller.
   void succeed();
 
@@ -72,10 +76,16 @@
   /// Carries out what the flow decided after a lost attempt.
   void follow(const flow_step &Step);
 
+  /// Gives the present attempt up and carries out what follows.
+  void loseAttempt(exchange_stage Stage);
+
   /// Ends the present attempt's work at its upstream.
   void endAttempt();
 
-  /// Whether the present attempt's upstream is to be distrusted.
+  /// Prefers other upstreams for further attempts.
+  void avoidUpstream() { Failed.push_back(Start.Engine); }
+
+  /// Takes the present attempt's upstream for lost.
   void blameUpstream();
 
   answer_flow &flow() { return Flow; }
--- a/src/daemon/request/engine_protocol.cpp
+++ b/src/daemon/request/engine_protocol.cpp
@@ -44,7 +44,7 @@
   Out.Server = {Engine.Address, Engine.Port};
   Out.Target = Route == chat_route::ChatCompletions ? "/v1/chat/completions"
                                                     : "/v1/completions";
-  Out.ReadTimeout = Attempt.TimeLeft;
+  Out.ReadTimeout = Attempt.TimeLeft + DeadlineMargin;
   Out.Headers = {
       {"Content-Type", "application/json"},
       {"X-Request-Id", std::string(Attempt.AttemptId)},
--- a/src/daemon/request/model_session.cpp
+++ b/src/daemon/request/model_session.cpp
@@ -8,9 +8,6 @@
 namespace ebonyvale {
 namespace {
 
-/// Longest answer that is not a stream.
-constexpr std::size_t MaxWholeAnswerBytes = 16 * 1024 * 1024;
-
 constexpr int FirstServerError = 500;
 constexpr int StatusOk = 200;
 
@@ -101,6 +98,8 @@
   const bool Stale = Head.OtherIncarnation;
   if (Stale)
     core().engines().onStaleIncarnation(attemptStart().Engine);
+  else
+    avoidUpstream();
   const bool MayRetry = Stale || retryAllowed();
   dropExchange();
   const flow_step Step = flow().onNotRun(MayRetry, readClock().Now);
@@ -108,21 +107,12 @@
   follow(Step);
 }
 
-void model_session::loseAttempt(exchange_stage Stage) {
-  dropExchange();
-  onLost(Stage);
-}
-
 void model_session::onBody(std::string_view Bytes) {
   if (Chat.Stream && Head.Status == StatusOk) {
     onStreamBytes(Bytes);
     return;
   }
-  Whole += Bytes;
-  if (Whole.size() <= MaxWholeAnswerBytes)
-    return;
-  dropExchange();
-  refuse(error_kind::UpstreamBadAnswer, "the answer is over the bound");
+  collect(Bytes, Whole);
 }
 
 void model_session::onStreamBytes(std::string_view Bytes) {
@@ -189,7 +179,7 @@
 void model_session::onComplete() {
   if (Chat.Stream && Head.Status == StatusOk) {
     if (!SawEnd) {
-      onLost(exchange_stage::Answering);
+      loseAttempt(exchange_stage::Answering);
       return;
     }
     const auto Guard = shared_from_this();
--- a/src/daemon/request/model_session.h
+++ b/src/daemon/request/model_session.h
@@ -39,7 +39,6 @@
   bool takeEvent(const sse_event &Event, std::string &Out);
   void takeUsage(std::string_view Json);
   void answerWhole();
-  void loseAttempt(exchange_stage Stage);
   void refuseByEngine();
   void noteFirstToken();
 
--- a/src/daemon/request/plain_session.cpp
+++ b/src/daemon/request/plain_session.cpp
@@ -7,9 +7,6 @@
 namespace ebonyvale {
 namespace {
 
-/// Longest answer that is held until it is whole.
-constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
-
 /// Request headers that an upstream gets; every other one may hold a
 /// credential.
 constexpr std::array<const char *, 8> ForwardedRequestHeaders{
@@ -84,15 +81,14 @@
   // then nobody can tell whether it still read the request.
   Request.Use =
       Route.Repeatable ? connection_use::Pooled : connection_use::Fresh;
-  Request.ReadTimeout = timeLeft();
+  Request.ReadTimeout = timeLeft() + DeadlineMargin;
   return Request;
 }
 
 void plain_session::onHead(const answer_head &Head) {
   if (!flow().onHead(Head.header("X-Request-Id"))) {
     core().counters().PiecesCrossed.Increment();
-    dropExchange();
-    onLost(exchange_stage::Answering);
+    loseAttempt(exchange_stage::Answering);
     return;
   }
   Status = Head.status();
@@ -107,13 +103,7 @@
   core().engines().onAnswer(attemptStart().Engine, "", {}, readClock().Now);
 }
 
-void plain_session::onBody(std::string_view Bytes) {
-  Answer += Bytes;
-  if (Answer.size() <= MaxAnswerBytes)
-    return;
-  dropExchange();
-  refuse(error_kind::UpstreamBadAnswer, "the answer is over the bound");
-}
+void plain_session::onBody(std::string_view Bytes) { collect(Bytes, Answer); }
 
 void plain_session::onComplete() {
   const auto Guard = shared_from_this();
--- a/src/decisions/process/refusal_ledger.h
+++ b/src/decisions/process/refusal_ledger.h
@@ -28,7 +28,7 @@
 /// One refusal.
 struct refusal {
   std::string Reference; ///< also given to the caller
-  error_kind Kind = error_kind::Internal;
+  error_kind Kind{};
   std::string Team;  ///< empty where the caller was not known
   std::string Route; ///< model or route name, or the path asked for
   std::string Instance;
@@ -42,7 +42,7 @@
 struct refusal_count {
   wall_ms Minute{};
   std::string Team;
-  error_kind Kind = error_kind::Internal;
+  error_kind Kind{};
   std::uint64_t Total = 0; ///< all refusals
   std::uint64_t Kept = 0;  ///< those whose detail is still in the ring
 };
--- a/src/decisions/request/answer_flow.cpp
+++ b/src/decisions/request/answer_flow.cpp
@@ -19,7 +19,6 @@
   if (!EchoedId.empty() && EchoedId != AttemptId)
     return false;
   Stage = attempt_stage::Answering;
-  EverSent = true;
   return true;
 }
 
@@ -73,6 +72,16 @@
   return retryOr(Kind, MayRetry, Now);
 }
 
+flow_step answer_flow::onNoUpstream(error_kind Reason) const {
+  using action = flow_step::action;
+  if (Delivered > 0)
+    return {action::Interrupt, error_kind::StreamInterrupted};
+  if (EverSent)
+    return {action::Refuse, error_kind::RetryBudgetSpent};
+  return {action::Refuse,
+          Attempts > 0 ? error_kind::UpstreamUnreachable : Reason};
+}
+
 flow_step answer_flow::retryOr(error_kind Kind, bool MayRetry,
                                instant Now) const {
   using action = flow_step::action;
--- a/src/decisions/request/answer_flow.h
+++ b/src/decisions/request/answer_flow.h
@@ -41,7 +41,7 @@
 struct flow_step {
   enum class action { Retry, Refuse, Interrupt };
   action Action = action::Refuse;
-  error_kind Kind = error_kind::Internal; ///< for Refuse and Interrupt
+  error_kind Kind{}; ///< for Refuse and Interrupt
 };
 
 /// Decides about one answer.
@@ -80,6 +80,9 @@
   /// The upstream proved that it did not run the attempt.
   flow_step onNotRun(bool MayRetry, instant Now);
 
+  /// No upstream is left for another attempt.
+  flow_step onNoUpstream(error_kind Reason) const;
+
 private:
   flow_step retryOr(error_kind Kind, bool MayRetry, instant Now) const;
 
--- a/src/fakes/engine_server.cpp
+++ b/src/fakes/engine_server.cpp
@@ -57,14 +57,17 @@
       return;
     }
     sendToken(Token);
-    if (!Token.Last || Owner.Faults.EndEarly) {
-      if (Token.Last)
-        Reply.endStream();
-      return;
+    if (Token.Last)
+      end(Token.Sequence);
+  }
+
+  /// Ends a stream behind the token \p Sequence.
+  void end(std::int64_t Sequence) {
+    if (!Owner.Faults.EndEarly) {
+      if (Chat.IncludeUsage)
+        sendEvent(Sequence + 1, usageEvent());
+      Reply.sendPart("data: [DONE]\n\n");
     }
-    if (Chat.IncludeUsage)
-      sendEvent(Token.Sequence + 1, usageEvent());
-    Reply.sendPart("data: [DONE]\n\n");
     Reply.endStream();
   }
 
@@ -268,6 +271,11 @@
   auto Answer =
       std::make_unique<answer>(*this, Request, Route, std::move(*Chat));
   Job.Number = Answer->number();
+  if (Job.ResumeAfter >= Job.Tokens) {
+    Answer->start();
+    Answer->end(Job.Tokens);
+    return;
+  }
   const std::size_t Cached = Model.submit(Job, readClock().Now);
   CachedPieces += Cached;
   PromptPieces += Job.Chain.size();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 http_server::http_server(event_base *Base, http_bounds Bounds, handler Handler)
-    : Handler(std::move(Handler)), Server(evhttp_new(Base)) {
+    : Base(Base), Handler(std::move(Handler)), Server(evhttp_new(Base)) {
   evhttp_set_gencb(Server.get(), &http_server::onRequest, this);
   evhttp_set_max_headers_size(Server.get(),
                               static_cast<ev_ssize_t>(Bounds.HeaderBytes));
@@ -69,8 +69,17 @@
   Socket = nullptr;
 }
 
+void http_server::limitArrival(span_ns Limit,
+                               arrival_deadline::answer_maker MakeAnswer) {
+  Arrivals = std::make_unique<arrival_deadline>(Base, Server.get(), Limit,
+                                                std::move(MakeAnswer));
+}
+
 void http_server::onRequest(evhttp_request *Request, void *Self) {
-  static_cast<http_server *>(Self)->Handler(Request);
+  auto *Owner = static_cast<http_server *>(Self);
+  if (Owner->Arrivals)
+    Owner->Arrivals->onArrived(evhttp_request_get_connection(Request));
+  Owner->Handler(Request);
 }
 
 std::string_view inputHeader(evhttp_request *Request, const char *Name) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -5,6 +5,7 @@
 
 #include "common/instant.h"
 #include "common/result.h"
+#include "net/arrival_deadline.h"
 #include "net/event_handles.h"
 
 #include <cstdint>
@@ -34,6 +35,10 @@
   /// when the address cannot be bound.
   std::optional<failure> listen(const std::string &Address, std::uint16_t Port);
 
+  /// Answers requests that take longer than \p Limit to arrive with what
+  /// \p MakeAnswer returns, a raw HTTP message, and closes their connections.
+  void limitArrival(span_ns Limit, arrival_deadline::answer_maker MakeAnswer);
+
   /// Takes no further connections; those that are open go on.
   void stopListening();
 
@@ -43,7 +48,9 @@
 private:
   static void onRequest(evhttp_request *Request, void *Self);
 
+  event_base *Base;
   handler Handler;
+  std::unique_ptr<arrival_deadline> Arrivals; ///< outlives the server
   evhttp_ptr Server;
   evhttp_bound_socket *Socket = nullptr;
   std::uint16_t BoundPort = 0;
--- a/src/net/upstream_exchange.h
+++ b/src/net/upstream_exchange.h
@@ -27,6 +27,10 @@
   auto operator<=>(const endpoint &) const = default;
 };
 
+/// Added to read timeouts, so that the caller's deadline is always what ends
+/// a request first.
+inline constexpr span_ns DeadlineMargin = std::chrono::seconds(1);
+
 /// Which connection an exchange may use.
 enum class connection_use {
   Pooled, ///< an idle one if there is one
--- a/tests/daemon/router_fixture.cpp
+++ b/tests/daemon/router_fixture.cpp
@@ -4,7 +4,11 @@
 #include "decisions/request/sse_events.h"
 #include "decisions/version/release_note.h"
 
+#include <array>
+
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <event2/bufferevent.h>
 #include <nlohmann/json.hpp>
 #include <spdlog/fmt/fmt.h>
 
@@ -141,6 +145,40 @@
   runUntil([&Elapsed] { return Elapsed; });
 }
 
+std::string router_fixture::sendRaw(const std::string &Bytes) {
+  struct raw_client {
+    std::string Received;
+    bool Closed = false;
+  } Client;
+  const std::unique_ptr<bufferevent, releaser<bufferevent_free>> Socket(
+      bufferevent_socket_new(Base.get(), -1, BEV_OPT_CLOSE_ON_FREE));
+  bufferevent_setcb(
+      Socket.get(),
+      [](bufferevent *Readable, void *Argument) {
+        std::array<char, 4096> Buffer{};
+        const std::size_t Length =
+            bufferevent_read(Readable, Buffer.data(), Buffer.size());
+        static_cast<raw_client *>(Argument)->Received.append(Buffer.data(),
+                                                             Length);
+      },
+      nullptr,
+      [](bufferevent *, short What, void *Argument) {
+        if ((What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+          static_cast<raw_client *>(Argument)->Closed = true;
+      },
+      &Client);
+  bufferevent_enable(Socket.get(), EV_READ | EV_WRITE);
+  bufferevent_write(Socket.get(), Bytes.data(), Bytes.size());
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Callers->port());
+  inet_pton(AF_INET, Loopback, &Address.sin_addr);
+  bufferevent_socket_connect(
+      Socket.get(), reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+  cr_assert(runUntil([&Client] { return Client.Closed; }));
+  return Client.Received;
+}
+
 std::unique_ptr<client_exchange>
 router_fixture::start(const client_call &Call) {
   return std::make_unique<client_exchange>(*ClientPool, Callers->port(), Call);
--- a/tests/daemon/router_fixture.h
+++ b/tests/daemon/router_fixture.h
@@ -95,6 +95,10 @@
   /// Applies a note; fails the test when it is refused.
   void applyNote(const std::string &Text);
 
+  /// Sends raw bytes to the callers' port and returns what came back until the
+  /// connection was closed.
+  std::string sendRaw(const std::string &Bytes);
+
   /// Calls the loop back after \p Delay.
   void runFor(span_ns Delay);
 
