--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -23,20 +23,6 @@
 
 constexpr int FirstErrorStatus = 400;
 
-std::optional<endpoint> parseEndpoint(const std::string &Text) {
-  const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string::npos)
-    return std::nullopt;
-  endpoint Server;
-  Server.Address = Text.substr(0, Colon);
-  const std::string_view Port = std::string_view(Text).substr(Colon + 1);
-  const auto [End, Error] =
-      std::from_chars(Port.data(), Port.data() + Port.size(), Server.Port);
-  if (Error != std::errc() || End != Port.data() + Port.size())
-    return std::nullopt;
-  return Server;
-}
-
 /// What one instance said.
 struct instance_answer {
   std::string Admin;
@@ -360,8 +346,9 @@
     if (Words.size() != Name.size() + Wanted ||
         !std::ranges::equal(Name, std::span(Words).first(Name.size())))
       continue;
-    return Command.Run(Options, {Words.begin() + Name.size(), Words.end()}, Out,
-                       Err);
+    return Command.Run(
+        Options, {std::next(Words.begin(), std::ssize(Name)), Words.end()}, Out,
+        Err);
   }
   Err << "unknown command; see ebonyvalectl --help\n";
   return exit_code::Usage;
--- a/src/daemon/connection/admin_listener.cpp
+++ b/src/daemon/connection/admin_listener.cpp
@@ -68,8 +68,12 @@
 /// In the order of instants, each reference once.
 std::vector<refusal> withoutRepeats(std::vector<refusal> Refusals) {
   std::ranges::stable_sort(Refusals, {}, &refusal::Reference);
-  const auto Repeats = std::ranges::unique(Refusals, {}, &refusal::Reference);
-  Refusals.erase(Repeats.begin(), Repeats.end());
+  const auto Repeats =
+      std::unique(Refusals.begin(), Refusals.end(),
+                  [](const refusal &Left, const refusal &Right) {
+                    return Left.Reference == Right.Reference;
+                  });
+  Refusals.erase(Repeats, Refusals.end());
   std::ranges::stable_sort(Refusals, {}, &refusal::At);
   return Refusals;
 }
--- a/src/daemon/connection/caller_listener.cpp
+++ b/src/daemon/connection/caller_listener.cpp
@@ -107,7 +107,7 @@
     return refuse(Request, Grant.error());
   const std::string_view Key = presentedKey(Claim);
   if (containsKey(inputBody(Request), Key) || containsKey(Claim.Path, Key))
-    return refuse(Request, {error_kind::CredentialInBody, ""}, Grant->team());
+    return refuse(Request, {error_kind::CredentialInBody, ""});
   if (const auto *const *Route = std::get_if<const route *>(&Grant->Target))
     startPlainSession(Request, Config, *Grant, **Route);
   else
@@ -170,15 +170,15 @@
   result<chat_request> Chat =
       parseChatRequest(std::get<chat_route>(Grant.Target), inputBody(Request));
   if (!Chat)
-    return refuse(Request, Chat.error(), Grant.team());
+    return refuse(Request, Chat.error());
   const auto Model = Config->Models.find(Chat->Model);
   if (Model == Config->Models.end())
-    return refuse(Request, {error_kind::ModelUnknown, ""}, Grant.team());
+    return refuse(Request, {error_kind::ModelUnknown, ""});
   const auto Fingerprint = fingerprintOf(Core.settings().FleetSecret,
                                          Grant.team(), inputBody(Request));
   if (Core.crashes().check(Fingerprint, readClock().Now) ==
       suspicion::Quarantined)
-    return refuse(Request, {error_kind::RequestQuarantined, ""}, Grant.team());
+    return refuse(Request, {error_kind::RequestQuarantined, ""});
   const auto Session = std::make_shared<model_session>(
       Core, Request, Config, Grant, Model->second, std::move(*Chat));
   Session->begin(Session->cost());
@@ -194,11 +194,12 @@
   Session->begin({Tokens, Tokens});
 }
 
-void caller_listener::refuse(evhttp_request *Request, const failure &Reason,
-                             std::string_view Team) {
+void caller_listener::refuse(evhttp_request *Request, const failure &Reason) {
   refusal Refusal;
   Refusal.Kind = Reason.kind();
-  Refusal.Team = Team;
+  if (const configuration_ptr &Config = Core.inForce())
+    Refusal.Team = teamOfKey(*Config, Core.settings().KeySecret,
+                             presentedKey(claimOf(Request)));
   Refusal.Route = loggedPath(Request);
   Refusal.At = readClock().Wall;
   Refusal.Detail = Reason.Detail;
--- a/src/daemon/connection/caller_listener.h
+++ b/src/daemon/connection/caller_listener.h
@@ -30,8 +30,7 @@
   void startPlainSession(evhttp_request *Request,
                          const configuration_ptr &Config,
                          const caller_grant &Grant, const route &Route);
-  void refuse(evhttp_request *Request, const failure &Reason,
-              std::string_view Team = {});
+  void refuse(evhttp_request *Request, const failure &Reason);
 
   router_core &Core;
   http_server Server;
--- a/src/daemon/process/etcd_store.cpp
+++ b/src/daemon/process/etcd_store.cpp
@@ -120,7 +120,7 @@
     const json Message = json::parse(Line, nullptr, false);
     if (!Message.is_object() || !Message.contains("result"))
       return;
-    const json Result = Message["result"];
+    const json &Result = Message["result"];
     for (const json &Event : Result.value("events", json::array())) {
       if (Event.value("type", "PUT") != "PUT")
         continue;
--- a/src/daemon/process/instance_list.cpp
+++ b/src/daemon/process/instance_list.cpp
@@ -2,8 +2,6 @@
 
 #include "daemon/process/logging.h"
 
-#include <charconv>
-
 #include <nlohmann/json.hpp>
 
 namespace ebonyvale {
@@ -18,17 +16,6 @@
   return {error_kind::PeerMessageInvalid, Why};
 }
 
-bool readTarget(const std::string &Target, member &Entry) {
-  const std::size_t Colon = Target.rfind(':');
-  if (Colon == std::string::npos)
-    return false;
-  Entry.Address = Target.substr(0, Colon);
-  const std::string_view Port = std::string_view(Target).substr(Colon + 1);
-  const auto [End, Error] =
-      std::from_chars(Port.data(), Port.data() + Port.size(), Entry.Port);
-  return Error == std::errc() && End == Port.data() + Port.size();
-}
-
 std::string label(const json &Group, const char *Name) {
   const auto Labels = Group.find("labels");
   if (Labels == Group.end() || !Labels->is_object())
@@ -57,9 +44,13 @@
       Entry.Domain = label(Group, "domain");
       Entry.Region = label(Group, "region");
       Entry.Leaving = label(Group, "state") == "leaving";
-      if (!Target.is_string() || Entry.Name.empty() ||
-          !readTarget(Target.get<std::string>(), Entry))
+      const auto Where = Target.is_string()
+                             ? parseEndpoint(Target.get<std::string>())
+                             : std::nullopt;
+      if (!Where || Entry.Name.empty())
         return invalid("a target is malformed");
+      Entry.Address = Where->Address;
+      Entry.Port = Where->Port;
       Members.push_back(std::move(Entry));
     }
   }
--- a/src/daemon/process/platform_configuration.cpp
+++ b/src/daemon/process/platform_configuration.cpp
@@ -253,7 +253,7 @@
   const std::vector<log_record> Records = Keys.snapshotRecords(*Value);
   // The mark that completes a snapshot is written after all of its pieces.
   auto Left = std::make_shared<std::size_t>(Records.size() - 1);
-  const log_record Mark = Records.back();
+  const log_record &Mark = Records.back();
   const auto OnPiece = [this, Left, Mark,
                         Version = Value->Version](const result<bool> &Done) {
     if (!Done || --*Left > 0)
--- a/src/daemon/process/refusal_archive.cpp
+++ b/src/daemon/process/refusal_archive.cpp
@@ -52,7 +52,8 @@
   if (Writing || Unwritten.empty())
     return;
   Writing = true;
-  const std::size_t Count = std::min(MaxBatch, Unwritten.size());
+  const auto Count =
+      static_cast<std::ptrdiff_t>(std::min(MaxBatch, Unwritten.size()));
   refusal_copies Batch;
   Batch.Refusals.assign(Unwritten.begin(), Unwritten.begin() + Count);
   // A repeated write goes to the same key, so nothing is kept twice.
--- a/src/decisions/request/caller_check.cpp
+++ b/src/decisions/request/caller_check.cpp
@@ -70,6 +70,13 @@
   return Entry;
 }
 
+std::string_view teamOfKey(const configuration &Config,
+                           std::string_view KeySecret, std::string_view Key) {
+  const key_entry *Entry =
+      Key.empty() ? nullptr : Config.findKey(hashKey(KeySecret, Key));
+  return Entry ? std::string_view(Entry->Team) : std::string_view();
+}
+
 result<caller_grant> checkCaller(const configuration &Config,
                                  std::string_view KeySecret,
                                  const caller_claim &Claim) {
--- a/src/decisions/request/caller_check.h
+++ b/src/decisions/request/caller_check.h
@@ -44,6 +44,11 @@
                                    std::string_view KeySecret,
                                    std::string_view Key);
 
+/// The team behind a key, withdrawn ones included, for the record of a
+/// refusal; empty for a key that is not known.
+std::string_view teamOfKey(const configuration &Config,
+                           std::string_view KeySecret, std::string_view Key);
+
 /// Finds the route and checks method and key.
 result<caller_grant> checkCaller(const configuration &Config,
                                  std::string_view KeySecret,
--- a/src/fakes/engine_server.cpp
+++ b/src/fakes/engine_server.cpp
@@ -161,7 +161,8 @@
                              std::string Version, engine_speed Speed)
     : Base(Base), Name(std::move(Name)), Version(std::move(Version)),
       Speed(Speed), Model(Speed), StepTimer(Base, [this] { onStep(); }),
-      ReturnTimer(Base, [this] { open(); }) {}
+      ReturnTimer(Base, [this] { open(); }),
+      CrashTimer(Base, [this] { crash(CrashPause); }) {}
 
 engine_server::~engine_server() { Server.reset(); }
 
@@ -312,8 +313,11 @@
   Faults.ServerError = Body.value("server_error", Faults.ServerError);
   PoisonText = Body.value("poison_text", PoisonText);
   sendAnswer(Request, 200, "application/json", "{}");
-  if (Body.contains("crash_ms"))
-    crash(std::chrono::milliseconds(Body.value("crash_ms", 0)));
+  if (!Body.contains("crash_ms"))
+    return;
+  // The answer to this call leaves first.
+  CrashPause = std::chrono::milliseconds(Body.value("crash_ms", 0));
+  CrashTimer.startOnce(std::chrono::milliseconds(10));
 }
 
 void engine_server::describe(evhttp_request *Request) {
--- a/src/fakes/engine_server.h
+++ b/src/fakes/engine_server.h
@@ -83,6 +83,8 @@
   std::uint64_t PromptPieces = 0;
   timer StepTimer;
   timer ReturnTimer;
+  span_ns CrashPause{0};
+  timer CrashTimer;
 };
 
 } // namespace ebonyvale
--- a/src/fakes/key_value_server.cpp
+++ b/src/fakes/key_value_server.cpp
@@ -128,14 +128,10 @@
   if (Faults.SlowMs == 0)
     return serve(Request);
   const auto Waiting = std::make_shared<detached_reply>(Request);
-  auto Delay = std::make_shared<std::unique_ptr<timer>>();
-  *Delay = std::make_unique<timer>(Base, [this, Waiting, Delay] {
-    const auto Keep = Delay;
+  callAfter(Base, std::chrono::milliseconds(Faults.SlowMs), [this, Waiting] {
     if (evhttp_request *Late = Waiting->take())
       serve(Late);
-    callLater(Base, [Keep] { Keep->reset(); });
   });
-  (*Delay)->startOnce(std::chrono::milliseconds(Faults.SlowMs));
 }
 
 void key_value_server::serve(evhttp_request *Request) {
@@ -204,7 +200,9 @@
   json Entries = json::array();
   for (const key_value &Entry : Found)
     Entries.push_back(entryJson(Entry));
-  return {{"kvs", Entries}, {"count", text(Entries.size())}, {"more", More}};
+  return {{"kvs", Entries},
+          {"count", text(static_cast<std::int64_t>(Found.size()))},
+          {"more", More}};
 }
 
 json key_value_server::runOperation(const json &Operation) {
--- a/src/load/limit_trial.cpp
+++ b/src/load/limit_trial.cpp
@@ -176,6 +176,7 @@
 
   static std::vector<std::string> peersOf(std::size_t Index) {
     std::vector<std::size_t> Others;
+    Others.reserve(Instances);
     for (std::size_t Other = 0; Other < Instances; ++Other)
       if (Other != Index)
         Others.push_back(Other);
@@ -183,6 +184,7 @@
       return delayBetween(Index, Other);
     });
     std::vector<std::string> Names;
+    Names.reserve(Instances);
     for (const std::size_t Other : Others)
       Names.push_back(nameOf(Other));
     return Names;
--- a/src/net/h2_connection.cpp
+++ b/src/net/h2_connection.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstring>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -270,7 +269,7 @@
   stream &Stream = Connection->Streams[Id];
   const std::size_t Count =
       std::min(Length, Stream.Outgoing.size() - Stream.Sent);
-  std::memcpy(Buffer, Stream.Outgoing.data() + Stream.Sent, Count);
+  Stream.Outgoing.copy(reinterpret_cast<char *>(Buffer), Count, Stream.Sent);
   Stream.Sent += Count;
   if (Stream.Sent == Stream.Outgoing.size())
     *Flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -60,12 +60,16 @@
   event_add(Event.get(), &Value);
 }
 
-void callLater(event_base *Base, std::function<void()> Callback) {
+void callAfter(event_base *Base, span_ns Delay,
+               std::function<void()> Callback) {
   auto Owned = std::make_unique<std::function<void()>>(std::move(Callback));
-  constexpr timeval Immediately{0, 0};
-  if (event_base_once(Base, -1, EV_TIMEOUT, &runOnce, Owned.get(),
-                      &Immediately) == 0)
+  const timeval Value = toTimeval(Delay);
+  if (event_base_once(Base, -1, EV_TIMEOUT, &runOnce, Owned.get(), &Value) == 0)
     Owned.release(); // NOLINT: runOnce owns it now
 }
 
+void callLater(event_base *Base, std::function<void()> Callback) {
+  callAfter(Base, span_ns(0), std::move(Callback));
+}
+
 } // namespace ebonyvale
--- a/src/net/timer.h
+++ b/src/net/timer.h
@@ -39,6 +39,9 @@
   event_ptr Event;
 };
 
+/// Calls \p Callback from the loop once after \p Delay.
+void callAfter(event_base *Base, span_ns Delay, std::function<void()> Callback);
+
 /// Calls \p Callback from the loop after the present event has been handled.
 void callLater(event_base *Base, std::function<void()> Callback);
 
--- a/src/net/upstream_exchange.h
+++ b/src/net/upstream_exchange.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,6 +28,9 @@
   auto operator<=>(const endpoint &) const = default;
 };
 
+/// Reads "address:port"; nothing for any other text.
+std::optional<endpoint> parseEndpoint(std::string_view Text);
+
 /// Added to read timeouts, so that the caller's deadline is always what ends
 /// a request first.
 inline constexpr span_ns DeadlineMargin = std::chrono::seconds(1);
--- a/tests/daemon/request/model_session_test.cpp
+++ b/tests/daemon/request/model_session_test.cpp
@@ -71,3 +71,22 @@
            Router.Core->engines().at(0).InFlight == 0;
   }));
 }
+
+Test(model_session, refusal_of_a_withdrawn_key_names_its_team) {
+  router_fixture Router;
+  Router.applyNote("id = \"second\"\n[[withdrawn.key]]\nid = \"alpha-1\"\n");
+  const client_answer Answer = Router.call(streamCall("hello"));
+  cr_assert(refusalKind(Answer.Body) == "key_withdrawn");
+  const refusal *Recorded =
+      Router.Core->refusals().find(Answer.Headers.at("X-Refusal-Reference"));
+  cr_assert(Recorded && Recorded->Team == "alpha");
+}
+
+Test(model_session, key_withdrawn_under_a_kept_alive_connection_stops) {
+  router_fixture Router;
+  cr_assert(Router.call(streamCall("hello")).Whole);
+  // The client's pool sends the next call over the same connection.
+  Router.applyNote("id = \"second\"\n[[withdrawn.key]]\nid = \"alpha-1\"\n");
+  cr_assert(refusalKind(Router.call(streamCall("hello")).Body) ==
+            "key_withdrawn");
+}
--- /dev/null
+++ b/tests/decisions/request/parsers_test.cpp
@@ -0,0 +1,127 @@
+#include "decisions/request/caller_check.h"
+#include "decisions/request/chat_request.h"
+#include "decisions/request/prompt_pieces.h"
+#include "decisions/request/sse_events.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <array>
+
+using namespace ebonyvale;
+
+namespace {
+
+struct body_row {
+  std::array<char, 160> Body;
+  bool Good;
+};
+
+struct query_row {
+  std::array<char, 80> Query;
+  std::array<char, 80> Kept;
+};
+
+std::string_view view(const auto &Text) { return Text.data(); }
+
+} // namespace
+
+ParameterizedTestParameters(chat_request, bodies) {
+  static body_row Rows[] = {
+      {{R"({"model":"m","messages":[{"role":"user","content":"hi"}]})"}, true},
+      {{R"({"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}]})"},
+       true},
+      {{R"({"model":"m","messages":[{"role":"a","content":null}]})"}, true},
+      {{R"({"model":"m","messages":[]})"}, false},
+      {{R"({"model":"m","messages":[{"content":"hi"}]})"}, false},
+      {{R"({"model":"","messages":[{"role":"user","content":"hi"}]})"}, false},
+      {{R"({"messages":[{"role":"user","content":"hi"}]})"}, false},
+      {{R"({"model":"m","stream":1,"messages":[{"role":"u","content":"h"}]})"},
+       false},
+      {{R"({"model":"m","max_tokens":-1,"messages":[{"role":"u"}]})"}, false},
+      {{"[1]"}, false},
+      {{"{"}, false},
+      {{""}, false},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(body_row *Row, chat_request, bodies) {
+  const auto Read =
+      parseChatRequest(chat_route::ChatCompletions, view(Row->Body));
+  cr_assert(static_cast<bool>(Read) == Row->Good, "%s", Row->Body.data());
+  if (!Read)
+    cr_assert(Read.error().kind() == error_kind::BodyMalformed);
+}
+
+Test(chat_request, reads_prompt_in_order) {
+  const auto Read = parseChatRequest(
+      chat_route::ChatCompletions,
+      R"({"model":"m","max_tokens":5,"stream":true,"messages":[)"
+      R"({"role":"system","content":"a"},{"role":"user","content":"b"}]})");
+  cr_assert(Read->Prompt == "system\na\nuser\nb\n");
+  cr_assert(Read->Stream && *Read->MaxTokens == 5);
+  cr_assert(!usageOption(*Read).empty());
+}
+
+Test(prompt_pieces, chains_share_exactly_their_common_prefix) {
+  const std::string Common(4 * 2048, 'c');
+  const auto Left = chainPieces(7, Common + std::string(4096, 'l'), 2048);
+  const auto Right = chainPieces(7, Common + std::string(4000, 'r'), 2048);
+  cr_assert(Left.size() == 6 && Right.size() == 5);
+  for (std::size_t Index = 0; Index < 5; ++Index)
+    cr_assert((Left[Index] == Right[Index]) == (Index < 4));
+}
+
+Test(prompt_pieces, owners_never_share_a_piece) {
+  const std::string Prompt(2048, 'p');
+  const chain_owner Base{"s", "team", "model", "v1"};
+  const auto First = chainPieces(chainSeed(Base), Prompt, 2048);
+  const chain_owner Others[] = {{"s", "team2", "model", "v1"},
+                                {"s", "team", "model2", "v1"},
+                                {"s", "team", "model", "v2"},
+                                {"s2", "team", "model", "v1"},
+                                {"s", "teamm", "odel", "v1"}};
+  for (const chain_owner &Other : Others)
+    cr_assert(chainPieces(chainSeed(Other), Prompt, 2048) != First);
+}
+
+Test(sse_splitter, finds_events_however_the_stream_is_cut) {
+  const std::string Stream =
+      "id: a:1\ndata: one\n\n: comment\n\ndata: two\r\n\r\ndata: last\n\n";
+  for (std::size_t Cut = 0; Cut <= Stream.size(); ++Cut) {
+    sse_splitter Splitter;
+    std::string Seen;
+    for (const std::string_view Part :
+         {std::string_view(Stream).substr(0, Cut),
+          std::string_view(Stream).substr(Cut)})
+      for (const sse_event &Event : Splitter.feed(Part))
+        Seen += std::string(Event.Id) + "=" + std::string(Event.Data) + ";";
+    cr_assert(Seen == "a:1=one;=two;=last;", "cut at %zu: %s", Cut,
+              Seen.c_str());
+  }
+}
+
+Test(sse_splitter, bounds_an_event) {
+  sse_splitter Splitter;
+  cr_assert(
+      Splitter.feed(std::string(sse_splitter::MaxEventBytes + 1, 'x'))
+          .empty());
+  cr_assert(Splitter.overflowed());
+  cr_assert(Splitter.feed("\n\n").empty());
+}
+
+ParameterizedTestParameters(caller_check, credentials_leave_the_query) {
+  static query_row Rows[] = {
+      {{"day=1&api_key=x&b=2"}, {"day=1&b=2"}},
+      {{"Key=x"}, {""}},
+      {{"a=secret-key-1"}, {""}},
+      {{"a=1&&b"}, {"a=1&&b"}},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(query_row *Row, caller_check, credentials_leave_the_query) {
+  cr_assert(stripCredentials(view(Row->Query), "secret-key-1") ==
+            view(Row->Kept));
+}
