Placement: weigh recomputation four times its own time

Cause: each request minimised its own time to the first token. With every queue a little long, leaving the engine that has the prefix looked cheap; the extra prefill lengthened all queues and evicted others' pieces, and the fleet stayed in that state (hit rate equal to least loaded's).

Hit rate is still below consistent hash: the instances do not know of each other's placements.

--- a/src/decisions/process/placement.cpp
+++ b/src/decisions/process/placement.cpp
@@ -16,6 +16,10 @@
 constexpr double FirstRankPrior = 0.5;
 constexpr double SecondRankPrior = 0.25;
 
+/// What a recomputed piece costs in relation to waiting as long: the request
+/// waits for it, and so do those behind it, and it evicts pieces of others.
+constexpr double RecomputeWeight = 4;
+
 /// Time that a request loses to each one that is answered beside it.
 constexpr double RunningMs = 0.5;
 
@@ -109,7 +113,7 @@
       Prior = SecondRankPrior;
     const double Held =
         std::max(static_cast<double>(Choice.ExpectedPieces), Prior * Pieces);
-    return (Pieces - Held) * Query.PieceMs;
+    return (Pieces - Held) * Query.PieceMs * RecomputeWeight;
   }
 };
 
