Placement: tell peers of the domain where a new prefix was placed

Cause: three instances each found a home of their own for the same prefix once the rendezvous place had evicted it, so hot prefixes stood on several engines and displaced others.

Change: an instance that places a prefix which nobody is known to hold tells the first piece's hash and the engine to the peers of its domain (about 20 bytes); an engine with the first piece counts as the prefix's home. The rendezvous order counts for prefixes never seen only.

--- a/src/daemon/connection/peer_hub.cpp
+++ b/src/daemon/connection/peer_hub.cpp
@@ -14,6 +14,8 @@
 constexpr span_ns BeatInterval = std::chrono::seconds(1);
 /// Refusals that are recorded within it travel together.
 constexpr span_ns CopyDelay = std::chrono::milliseconds(50);
+/// Placements that are made within it travel together.
+constexpr span_ns HintDelay = std::chrono::milliseconds(10);
 /// Copies kept for other instances.
 constexpr std::size_t MaxCopies = 50'000;
 
@@ -27,7 +29,8 @@
 peer_hub::peer_hub(router_core &Core, version_exchange &Versions)
     : Core(Core), Versions(Versions),
       BeatTimer(Core.base(), [this] { beat(); }),
-      CopyTimer(Core.base(), [this] { flushRefusals(); }) {
+      CopyTimer(Core.base(), [this] { flushRefusals(); }),
+      HintTimer(Core.base(), [this] { flushHints(); }) {
   Core.setMessenger(this);
 }
 
@@ -186,6 +189,19 @@
     send(Link, QuarantinePath, encodeNumber(Request), [](std::string_view) {});
 }
 
+void peer_hub::sendHint(piece_hash Front, const std::string &Engine) {
+  Hints.Hints.push_back({Front, Engine});
+  if (Hints.Hints.size() == 1)
+    HintTimer.startOnce(HintDelay);
+}
+
+void peer_hub::flushHints() {
+  const std::string Message = encode(std::exchange(Hints, {}));
+  for (auto &[Name, Link] : Links)
+    if (Link.Alive && Link.Peer.Domain == Core.settings().Domain)
+      send(Link, HintsPath, Message, [](std::string_view) {});
+}
+
 void peer_hub::copyRefusal(const refusal &Refusal) {
   if (Uncopied.size() >= MaxCopies)
     return;
@@ -314,6 +330,14 @@
     Core.crashes().onPeerQuarantine(*Fingerprint, readClock().Now);
     return std::string();
   }
+  if (Request.Path == HintsPath) {
+    const auto Given = decodeHints(Request.Body);
+    if (!Given)
+      return Given.error();
+    for (const placement_hints::hint &Hint : Given->Hints)
+      Core.onPlacementHint(Hint.Front, Hint.Engine);
+    return std::string();
+  }
   if (Request.Path == RefusalsPath) {
     auto Given = decodeRefusals(Request.Body);
     if (!Given)
--- a/src/daemon/connection/peer_hub.h
+++ b/src/daemon/connection/peer_hub.h
@@ -63,6 +63,7 @@
   void sendAsk(const std::string &Peer, const share_ask &Ask) override;
   void sendReturn(const std::string &Peer, const share_return &Return) override;
   void sendQuarantine(request_fingerprint Request) override;
+  void sendHint(piece_hash Front, const std::string &Engine) override;
 
 private:
   struct link {
@@ -79,6 +80,7 @@
   void pullVersions(const std::string &Peer);
   void updateSharePeers();
   void flushRefusals();
+  void flushHints();
   link *copyKeeper();
   void send(link &Link, std::string_view Path, std::string Body,
             answer_handler OnAnswer);
@@ -100,8 +102,10 @@
   bool Pulling = false;
   std::vector<refusal> Uncopied;
   std::deque<refusal> Copies;
+  placement_hints Hints; ///< not sent yet
   timer BeatTimer;
   timer CopyTimer;
+  timer HintTimer;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/src/daemon/connection/peer_message.cpp
+++ b/src/daemon/connection/peer_message.cpp
@@ -26,6 +26,8 @@
                std::int64_t, std::uint64_t, double, double, double,
                std::string>;
 using refusals_wire = std::tuple<std::uint32_t, std::vector<refusal_wire>>;
+using hint_wire = std::tuple<std::uint64_t, std::string>;
+using hints_wire = std::tuple<std::uint32_t, std::vector<hint_wire>>;
 using note_wire = std::tuple<std::uint64_t, std::string>;
 using versions_wire =
     std::tuple<std::uint32_t, std::vector<note_wire>, std::string>;
@@ -134,6 +136,13 @@
   return pack(refusals_wire(PeerProtocol, std::move(Refusals)));
 }
 
+std::string encode(const placement_hints &Message) {
+  std::vector<hint_wire> Hints;
+  for (const placement_hints::hint &Hint : Message.Hints)
+    Hints.emplace_back(Hint.Front, Hint.Engine);
+  return pack(hints_wire(PeerProtocol, std::move(Hints)));
+}
+
 std::string encodeNumber(std::uint64_t Number) {
   return pack(number_wire(PeerProtocol, Number));
 }
@@ -192,6 +201,16 @@
   return from_instance<share_return>{Instance, {Id, Team, Tokens, Closed}};
 }
 
+result<placement_hints> decodeHints(std::string_view Bytes) {
+  const auto Wire = unpack<hints_wire>(Bytes);
+  if (!Wire)
+    return Wire.error();
+  placement_hints Read;
+  for (const auto &[Front, Engine] : std::get<1>(*Wire))
+    Read.Hints.push_back({Front, Engine});
+  return Read;
+}
+
 result<refusal_copies> decodeRefusals(std::string_view Bytes) {
   const auto Wire = unpack<refusals_wire>(Bytes);
   if (!Wire)
--- a/src/daemon/connection/peer_message.h
+++ b/src/daemon/connection/peer_message.h
@@ -25,6 +25,7 @@
 inline constexpr std::string_view SnapshotPath = "/peer/snapshot";
 inline constexpr std::string_view QuarantinePath = "/peer/quarantine";
 inline constexpr std::string_view RefusalsPath = "/peer/refusals";
+inline constexpr std::string_view HintsPath = "/peer/hints";
 
 /// What an instance tells its peers about itself.
 struct heartbeat {
@@ -40,6 +41,15 @@
   Message Content;
 };
 
+/// Prefixes that an instance has placed where nobody was known to have them.
+struct placement_hints {
+  struct hint {
+    std::uint64_t Front = 0; ///< hash of the first piece
+    std::string Engine;
+  };
+  std::vector<hint> Hints;
+};
+
 /// Refusals that a peer keeps for their instance.
 struct refusal_copies {
   std::vector<refusal> Refusals;
@@ -62,6 +72,7 @@
 std::string encode(const share_reply &Message);
 std::string encode(const from_instance<share_return> &Message);
 std::string encode(const refusal_copies &Message);
+std::string encode(const placement_hints &Message);
 /// A version or a fingerprint alone.
 std::string encodeNumber(std::uint64_t Number);
 
@@ -72,6 +83,7 @@
 result<from_instance<share_ask>> decodeShareAsk(std::string_view Bytes);
 result<share_reply> decodeShareReply(std::string_view Bytes);
 result<from_instance<share_return>> decodeShareReturn(std::string_view Bytes);
+result<placement_hints> decodeHints(std::string_view Bytes);
 result<refusal_copies> decodeRefusals(std::string_view Bytes);
 result<std::uint64_t> decodeNumber(std::string_view Bytes);
 
--- a/src/daemon/process/router_core.cpp
+++ b/src/daemon/process/router_core.cpp
@@ -145,6 +145,11 @@
   return Recorded;
 }
 
+void router_core::onPlacementHint(piece_hash Front, std::string_view Engine) {
+  if (const auto Id = Engines.findId(Engine))
+    Dispatcher.onPeerHint(Front, *Id, readClock().Now);
+}
+
 share_reply router_core::onShareAsk(std::string_view Peer,
                                     const share_ask &Ask) {
   return Shares.onAsk(Peer, Ask, readClock().Now);
@@ -193,6 +198,10 @@
       else
         Core.endWork(Start.Number, 0);
     }
+    void operator()(const dispatch_hint &Hint) const {
+      if (Core.Messenger)
+        Core.Messenger->sendHint(Hint.Front, Core.Engines.at(Hint.Engine).Name);
+    }
     void operator()(const dispatch_refuse &Refuse) const {
       if (const auto Party = Core.party(Refuse.Number))
         Party->onNotStarted(Refuse);
--- a/src/daemon/process/router_core.h
+++ b/src/daemon/process/router_core.h
@@ -43,6 +43,7 @@
   virtual void sendReturn(const std::string &Peer,
                           const share_return &Return) = 0;
   virtual void sendQuarantine(request_fingerprint Request) = 0;
+  virtual void sendHint(piece_hash Front, const std::string &Engine) = 0;
 };
 
 /// Hears of what other instances have to be told.
@@ -120,6 +121,7 @@
   const refusal &recordRefusal(refusal Refusal);
 
   /// Messages of peers.
+  void onPlacementHint(piece_hash Front, std::string_view Engine);
   share_reply onShareAsk(std::string_view Peer, const share_ask &Ask);
   void onShareReply(const std::string &Peer, const share_reply &Reply);
 
--- a/src/decisions/process/dispatcher.cpp
+++ b/src/decisions/process/dispatcher.cpp
@@ -146,6 +146,12 @@
     ++queueOf(Id).SuspectsRunning;
   Actions.push_back(dispatch_start{Request.Number, Id, Choice.ExpectedPieces,
                                    Choice.ExpectedAge});
+  if (!Request.Chain.empty() && Choice.ExpectedPieces == 0)
+    Actions.push_back(dispatch_hint{Request.Chain.front(), Id});
+}
+
+void dispatcher::onPeerHint(piece_hash Front, engine_id Engine, instant Now) {
+  Index.touch({&Front, 1}, Engines.at(Engine).epoch(), Now);
 }
 
 void dispatcher::startQueued(engine_id Engine, instant Now,
--- a/src/decisions/process/dispatcher.h
+++ b/src/decisions/process/dispatcher.h
@@ -50,7 +50,15 @@
   span_ns RetryAfter;
 };
 
-using dispatch_action = std::variant<dispatch_start, dispatch_refuse>;
+/// A prefix was placed where nobody is known to have it: peers should hear of
+/// it, so that they do not place it somewhere else.
+struct dispatch_hint {
+  piece_hash Front; ///< first piece of the prefix
+  engine_id Engine;
+};
+
+using dispatch_action =
+    std::variant<dispatch_start, dispatch_refuse, dispatch_hint>;
 using dispatch_actions = std::vector<dispatch_action>;
 
 /// Bounds of the queues.
@@ -83,6 +91,9 @@
   /// were found where \p Start expected them.
   void onUsage(const dispatch_start &Start, std::size_t Cached);
 
+  /// A peer has placed a prefix that nobody was known to have.
+  void onPeerHint(piece_hash Front, engine_id Engine, instant Now);
+
   /// Requests that wait before all upstreams.
   std::size_t queued() const { return Waiting.size(); }
 
--- a/src/decisions/process/engine_table.cpp
+++ b/src/decisions/process/engine_table.cpp
@@ -63,6 +63,13 @@
   return Ids.find(Name)->second;
 }
 
+std::optional<engine_id> engine_table::findId(std::string_view Name) const {
+  const auto Found = Ids.find(Name);
+  if (Found == Ids.end())
+    return std::nullopt;
+  return Found->second;
+}
+
 void engine_table::onSent(engine_id Id, double PrefillMs) {
   ++Engines[Id].InFlight;
   Engines[Id].SentMs += PrefillMs;
--- a/src/decisions/process/engine_table.h
+++ b/src/decisions/process/engine_table.h
@@ -9,6 +9,7 @@
 #include "decisions/version/configuration.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -79,6 +80,9 @@
   /// The number of an upstream that `update` has seen.
   engine_id idOf(std::string_view Name) const;
 
+  /// The number of an upstream, if `update` has seen it.
+  std::optional<engine_id> findId(std::string_view Name) const;
+
   /// Work was sent.
   void onSent(engine_id Id, double PrefillMs);
 
--- a/src/decisions/process/placement.cpp
+++ b/src/decisions/process/placement.cpp
@@ -16,6 +16,9 @@
 constexpr double FirstRankPrior = 0.5;
 constexpr double SecondRankPrior = 0.25;
 
+/// Share of the pieces that the home of a prefix is taken to hold.
+constexpr double HomePrior = 0.75;
+
 /// What a recomputed piece costs in relation to waiting as long: the request
 /// waits for it, and so do those behind it, and it evicts pieces of others.
 constexpr double RecomputeWeight = 4;
@@ -107,7 +110,11 @@
                        const rendezvous_order &Order) {
     const auto Pieces = static_cast<double>(Query.Chain.size());
     double Prior = 0;
-    if (Choice.Engine == Order.First)
+    // An engine that has the first piece is the prefix's home and has most of
+    // the rest, which other instances may have sent there.
+    if (Choice.ExpectedPieces > 0)
+      Prior = HomePrior;
+    else if (Choice.Engine == Order.First)
       Prior = FirstRankPrior;
     else if (Choice.Engine == Order.Second)
       Prior = SecondRankPrior;
