Net: no stalls from small writes, deep accept queue, failed connects survive

Causes, each found by the proxy benchmark: - a connect that the kernel refuses at once (no descriptors, no route) called back inside the start of an exchange; the session was told before it held the exchange and the process crashed.

Benchmarks added: decisions, capacity, proxy.

--- /dev/null
+++ b/src/bench/capacity_bench.cpp
@@ -0,0 +1,162 @@
+#include "bench/decision_bench.h"
+#include "bench/measure.h"
+#include "daemon/connection/peer_hub.h"
+#include "daemon/connection/peer_message.h"
+#include "daemon/process/logging.h"
+#include "daemon/process/version_history.h"
+#include "decisions/version/release_note.h"
+
+#include <algorithm>
+#include <memory>
+
+#include <spdlog/fmt/fmt.h>
+
+namespace ebonyvale {
+namespace {
+
+constexpr double Micro = 1e6;
+
+/// The configuration of a fleet, built by notes below the length limit.
+configuration fleetConfiguration(int Teams, int Upstreams) {
+  std::string Note = "id = \"fleet\"\n";
+  for (int Domain = 0; Domain < 39; ++Domain)
+    Note += fmt::format("[[added.failure_domain]]\nname = \"d{}\"\n"
+                        "region = \"r{}\"\nslots = 12\n",
+                        Domain, Domain % 12);
+  Note += "[[added.model]]\nname = \"m\"\nversion = \"v1\"\n";
+  for (int Team = 0; Team < Teams; ++Team)
+    Note += fmt::format(
+        "[[added.team]]\nname = \"t{0}\"\nrate = 1000\nburst = 1000\n"
+        "[[added.key]]\nid = \"k{0}\"\nteam = \"t{0}\"\nhash = \"{1}\"\n",
+        Team, toHex(hashText(fmt::format("{}", Team))));
+  configuration Value = std::move(*applyNote(configuration{}, Note));
+  constexpr int UpstreamsPerNote = 2000;
+  for (int From = 0; From < Upstreams; From += UpstreamsPerNote) {
+    Note = fmt::format("id = \"upstreams-{}\"\n", From);
+    for (int Index = From; Index < std::min(Upstreams, From + UpstreamsPerNote);
+         ++Index)
+      Note += fmt::format("[[added.upstream]]\nname = \"u{}\"\n"
+                          "address = \"10.0.0.1\"\nport = 1\n"
+                          "domain = \"d{}\"\nmodels = [\"m\"]\n",
+                          Index, Index % 39);
+    Value = std::move(*applyNote(Value, Note));
+  }
+  return Value;
+}
+
+void benchConfiguration(std::ostream &Out) {
+  for (const auto &[Teams, Upstreams] :
+       {std::pair(51, 1100), std::pair(255, 5500), std::pair(510, 11000)}) {
+    const std::size_t Before = heapBytes();
+    const configuration Base = fleetConfiguration(Teams, Upstreams);
+    const std::size_t Bytes = heapBytes() - Before;
+    const std::string Change =
+        "id = \"c\"\n[[changed.team]]\nname = \"t0\"\nrate = 2000\n";
+    const double Nanos =
+        nanosPerCall(10, [&] { (void)applyNote(Base, Change); });
+    Out << fmt::format("{:>4} teams, {:>5} upstreams: {:>6} KB held, one "
+                       "change {:>7.2f} ms, snapshot {:>6} KB\n",
+                       Teams, Upstreams, Bytes / 1024, Nanos / Micro,
+                       writeSnapshot(Base).size() / 1024);
+  }
+}
+
+void benchMessages(std::ostream &Out) {
+  refusal Refusal;
+  Refusal.Reference = "instance-17-1234567890abcdef-1000";
+  Refusal.Kind = error_kind::RateExceeded;
+  Refusal.Team = "team-100";
+  Refusal.Route = "manuals";
+  Refusal.Instance = "instance-17";
+  Refusal.Detail = "asked 2048 tokens, 100 available here";
+  Out << fmt::format(
+      "bytes: heartbeat {}, ask {}, reply {}, return {}, hint {}, refusal {}\n",
+      encode(heartbeat{"instance-17", 1, 9400, false}).size(),
+      encode(from_instance<share_ask>{
+                 "instance-17",
+                 {1, "team-100", 2048, ask_purpose::Level, 10, 4096}})
+          .size(),
+      encode(share_reply{1, "team-100", 2048, 10, 100, 0}).size(),
+      encode(from_instance<share_return>{"instance-17",
+                                         {1, "team-100", 100, true}})
+          .size(),
+      encode(placement_hints{{{1ULL << 60, "engine-1000"}}}).size(),
+      encode(refusal_copies{{Refusal}}).size());
+}
+
+/// Instances with links to each other on one loop.
+struct linked_fleet {
+  struct instance {
+    daemon_settings Settings;
+    std::unique_ptr<router_core> Core;
+    std::unique_ptr<version_history> History;
+    std::unique_ptr<peer_hub> Peers;
+  };
+
+  explicit linked_fleet(std::size_t Count) {
+    std::vector<member> Members;
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      auto Entry = std::make_unique<instance>();
+      Entry->Settings.InstanceName = fmt::format("instance-{}", Index);
+      Entry->Settings.PeerPort = 0;
+      Entry->Core =
+          std::make_unique<router_core>(Base.get(), Entry->Settings, Index);
+      Entry->History = std::make_unique<version_history>(*Entry->Core);
+      Entry->Peers = std::make_unique<peer_hub>(*Entry->Core, *Entry->History);
+      Entry->Peers->listen();
+      Members.push_back(Entry->Peers->self());
+      Instances.push_back(std::move(Entry));
+    }
+    for (const auto &Entry : Instances)
+      Entry->Peers->setMembers(Members);
+  }
+
+  void runFor(span_ns Delay) {
+    timer Stop(Base.get(), [this] { event_base_loopbreak(Base.get()); });
+    Stop.startOnce(Delay);
+    event_base_dispatch(Base.get());
+  }
+
+  std::uint64_t bytes() const {
+    std::uint64_t Sum = 0;
+    for (const auto &Entry : Instances)
+      Sum += Entry->Peers->controlBytes();
+    return Sum;
+  }
+
+  event_base_ptr Base{event_base_new()};
+  std::vector<std::unique_ptr<instance>> Instances;
+};
+
+void benchLinks(std::ostream &Out) {
+  constexpr span_ns Length = std::chrono::seconds(4);
+  for (const std::size_t Count : {3U, 6U, 12U, 24U}) {
+    const std::size_t HeapBefore = heapBytes();
+    linked_fleet Fleet(Count);
+    Fleet.runFor(std::chrono::milliseconds(1500));
+    const std::size_t Heap = heapBytes() - HeapBefore;
+    const std::uint64_t Before = Fleet.bytes();
+    const double Start = processorSeconds();
+    Fleet.runFor(Length);
+    const double Share = (processorSeconds() - Start) / toSeconds(Length);
+    const auto Instances = static_cast<double>(Count);
+    Out << fmt::format(
+        "{:>3} peers each: {:>6.0f} bytes/s, {:>6.4f}% of a core, {:>5} KB "
+        "heap an instance\n",
+        Count - 1,
+        static_cast<double>(Fleet.bytes() - Before) / toSeconds(Length) /
+            Instances,
+        Share / Instances * 100, Heap / Count / 1024);
+  }
+}
+
+} // namespace
+
+void runCapacityBench(std::ostream &Out) {
+  startLogging("text", "error");
+  benchConfiguration(Out);
+  benchMessages(Out);
+  benchLinks(Out);
+}
+
+} // namespace ebonyvale
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// ebonyvale-bench: comparisons and slopes on one machine.
+#include "bench/decision_bench.h"
 #include "bench/limit_bench.h"
+#include "bench/proxy_bench.h"
 
 #include <functional>
 #include <iostream>
@@ -13,6 +15,9 @@
 
 const std::map<std::string, std::function<void(std::ostream &)>> Benches{
     {"limits", ebonyvale::runLimitBench},
+    {"decisions", ebonyvale::runDecisionBench},
+    {"capacity", ebonyvale::runCapacityBench},
+    {"proxy", ebonyvale::runProxyBench},
 };
 
 } // namespace
--- a/src/fakes/engine_server.cpp
+++ b/src/fakes/engine_server.cpp
@@ -277,13 +277,15 @@
     Answer->end(Job.Tokens);
     return;
   }
+  // A step that is due already is not put off by further requests.
+  if (Model.idle())
+    StepTimer.startOnce(fromSeconds(Speed.StepMs / MsPerSecond));
   const std::size_t Cached = Model.submit(Job, readClock().Now);
   CachedPieces += Cached;
   PromptPieces += Job.Chain.size();
   Answer->setCached(Cached);
   Answer->start();
   Answers.emplace(Job.Number, std::move(Answer));
-  StepTimer.startOnce(fromSeconds(Speed.StepMs / MsPerSecond));
 }
 
 void engine_server::onStep() {
--- a/src/net/h2_connection.cpp
+++ b/src/net/h2_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/h2_connection.h"
 
+#include "net/socket_options.h"
 #include "net/timer.h"
 
 #include <algorithm>
@@ -8,7 +9,6 @@
 #include <utility>
 
 #include <arpa/inet.h>
-#include <netinet/tcp.h>
 #include <spdlog/fmt/fmt.h>
 
 namespace ebonyvale {
@@ -64,6 +64,7 @@
   Connection->Socket.reset(
       bufferevent_socket_new(Base, Accepted, BEV_OPT_CLOSE_ON_FREE));
   Connection->start(/*IsServer=*/true);
+  sendAtOnce(Connection->Socket.get());
   return Connection;
 }
 
@@ -196,9 +197,7 @@
   if (!Guard)
     return;
   if ((What & BEV_EVENT_CONNECTED) != 0) {
-    const int On = 1;
-    setsockopt(bufferevent_getfd(Guard->Socket.get()), IPPROTO_TCP, TCP_NODELAY,
-               &On, sizeof(On));
+    sendAtOnce(Guard->Socket.get());
     return;
   }
   if ((What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "net/http_server.h"
 
+#include "net/socket_options.h"
+
 #include <arpa/inet.h>
 #include <sys/socket.h>
 
@@ -8,6 +10,7 @@
 
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <spdlog/fmt/fmt.h>
 
 namespace ebonyvale {
@@ -22,6 +25,17 @@
     {EVHTTP_REQ_PATCH, "PATCH"},
 }};
 
+/// Connections that may wait to be accepted; evhttp's own 128 are too few for
+/// a herd of callers that come back together.
+constexpr int ListenBacklog = 4096;
+
+void setPort(sockaddr_storage &Address, std::uint16_t Port) {
+  if (Address.ss_family == AF_INET6)
+    reinterpret_cast<sockaddr_in6 *>(&Address)->sin6_port = htons(Port);
+  else
+    reinterpret_cast<sockaddr_in *>(&Address)->sin_port = htons(Port);
+}
+
 std::uint16_t readBoundPort(evhttp_bound_socket *Socket) {
   sockaddr_storage Address{};
   socklen_t Length = sizeof(Address);
@@ -55,7 +69,18 @@
 
 std::optional<failure> http_server::listen(const std::string &Address,
                                            std::uint16_t Port) {
-  Socket = evhttp_bind_socket_with_handle(Server.get(), Address.c_str(), Port);
+  sockaddr_storage Where{};
+  int Length = sizeof(Where);
+  evconnlistener *Listener = nullptr;
+  if (evutil_parse_sockaddr_port(Address.c_str(),
+                                 reinterpret_cast<sockaddr *>(&Where),
+                                 &Length) == 0) {
+    setPort(Where, Port);
+    Listener = evconnlistener_new_bind(
+        Base, nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+        ListenBacklog, reinterpret_cast<sockaddr *>(&Where), Length);
+  }
+  Socket = Listener ? evhttp_bind_listener(Server.get(), Listener) : nullptr;
   if (!Socket)
     return failure{error_kind::SettingsInvalid,
                    fmt::format("cannot listen on {}:{}", Address, Port)};
@@ -79,6 +104,7 @@
   auto *Owner = static_cast<http_server *>(Self);
   if (Owner->Arrivals)
     Owner->Arrivals->onArrived(evhttp_request_get_connection(Request));
+  sendAtOnce(evhttp_request_get_connection(Request));
   Owner->Handler(Request);
 }
 
--- /dev/null
+++ b/src/net/socket_options.h
@@ -0,0 +1,18 @@
+/// \file
+/// Options of sockets that evhttp opens.
+#ifndef EBONYVALE_NET_SOCKET_OPTIONS_H
+#define EBONYVALE_NET_SOCKET_OPTIONS_H
+
+struct bufferevent;
+struct evhttp_connection;
+
+namespace ebonyvale {
+
+/// Sends small writes at once (TCP_NODELAY). evhttp leaves the option off, and
+/// then a stream's small events wait for the peer's delayed acknowledgement.
+void sendAtOnce(bufferevent *Socket);
+void sendAtOnce(evhttp_connection *Connection);
+
+} // namespace ebonyvale
+
+#endif
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -1,5 +1,6 @@
 #include "net/upstream_exchange.h"
 
+#include "net/socket_options.h"
 #include "net/timer.h"
 
 #include <algorithm>
@@ -89,8 +90,15 @@
       this));
   const timeval ConnectTimeout = toTimeval(Request.ConnectTimeout);
   event_add(ConnectDeadline.get(), &ConnectTimeout);
-  return evhttp_make_request(Connection, Message, commandOf(Request.Method),
-                             Request.Target.c_str()) == 0;
+  // A connect that fails at once ends the request inside this call.
+  Starting = true;
+  const bool Made =
+      evhttp_make_request(Connection, Message, commandOf(Request.Method),
+                          Request.Target.c_str()) == 0;
+  Starting = false;
+  if (Made)
+    sendAtOnce(Connection);
+  return Made && !FailedAtOnce;
 }
 
 void upstream_exchange::cancel() {
@@ -170,6 +178,10 @@
   auto *Exchange = static_cast<upstream_exchange *>(Self);
   if (!Exchange->Self)
     return;
+  if (Exchange->Starting) {
+    Exchange->FailedAtOnce = true;
+    return;
+  }
   const bool Whole = Request && evhttp_request_get_response_code(Request) != 0;
   if (Whole)
     Exchange->finish();
--- a/src/net/upstream_exchange.h
+++ b/src/net/upstream_exchange.h
@@ -130,6 +130,8 @@
   evbuffer_cb_entry *OutputWatch = nullptr;
   event_ptr ConnectDeadline;
   exchange_stage Stage = exchange_stage::NotSent;
+  bool Starting = false;
+  bool FailedAtOnce = false;
   std::shared_ptr<upstream_exchange> Self; ///< held while in flight
 };
 
--- a/tests/daemon/request/at_most_once_test.cpp
+++ b/tests/daemon/request/at_most_once_test.cpp
@@ -106,3 +106,15 @@
     cr_assert(Received.find("day=1") != std::string::npos);
   }
 }
+
+Test(at_most_once, connect_that_fails_at_once_is_told_as_not_run) {
+  router_fixture Router;
+  // The kernel refuses to connect a stream to the broadcast address.
+  Router.applyNote("id = \"broadcast\"\n[[changed.upstream]]\n"
+                   "name = \"application-1\"\n"
+                   "address = \"255.255.255.255\"\n");
+  client_call Order;
+  Order.Path = "/orders/1";
+  const client_answer Answer = Router.call(Order);
+  cr_assert(refusalKind(Answer.Body) == "upstream_unreachable");
+}
