Tracing: a span for each hop by the OpenTracing API

Cause: the setting trace.file was declared and did nothing.

What it does: a tracer with 128-bit W3C ids under the OpenTracing interface (its mock tracer has 64-bit ids and its own propagation), one span for a request and one for each attempt, traceparent in and out, one OTLP/JSON object a line.

--- a/src/daemon/process/router_core.cpp
+++ b/src/daemon/process/router_core.cpp
@@ -31,6 +31,7 @@
 router_core::router_core(event_base *Base, const daemon_settings &Settings,
                          std::uint64_t Boot)
     : Base(Base), Settings(Settings), Boot(Boot),
+      Tracer(makeTracer(Settings.InstanceName, Settings.TraceFile, Boot)),
       Engines(Settings.Domain, Settings.Region),
       Dispatcher(dispatchRules(Settings), Engines,
                  makePlacementPolicy(Settings.PlacementPolicy, Boot)),
--- a/src/daemon/process/router_core.h
+++ b/src/daemon/process/router_core.h
@@ -5,6 +5,7 @@
 
 #include "daemon/process/daemon_settings.h"
 #include "daemon/process/metrics.h"
+#include "daemon/process/tracing.h"
 #include "decisions/process/crash_watch.h"
 #include "decisions/process/dispatcher.h"
 #include "decisions/process/engine_table.h"
@@ -65,6 +66,7 @@
   event_base *base() const { return Base; }
   connection_pool &connections() { return Connections; }
   metrics &counters() { return Metrics; }
+  const opentracing::Tracer &tracer() const { return *Tracer; }
   engine_table &engines() { return Engines; }
   refusal_ledger &refusals() { return Refusals; }
   crash_watch &crashes() { return Crashes; }
@@ -142,6 +144,7 @@
   const daemon_settings &Settings;
   std::uint64_t Boot;
   metrics Metrics;
+  std::shared_ptr<opentracing::Tracer> Tracer;
   configuration_ptr Config;
   engine_table Engines;
   dispatcher Dispatcher;
--- a/src/daemon/request/caller_session.cpp
+++ b/src/daemon/request/caller_session.cpp
@@ -29,6 +29,8 @@
     : Core(Core), Config(std::move(Config)), Grant(Grant), Team(Grant.team()),
       Route(std::move(Route)), Started(readClock()),
       Deadline(Started.Now + Deadline), Reply(Request, *this),
+      RequestSpan(startServerSpan(Core.tracer(), this->Route,
+                                  inputHeader(Request, "traceparent"))),
       Flow("", flow_rules{}),
       DeadlineTimer(Core.base(), [this] { onDeadline(); }) {}
 
@@ -91,6 +93,11 @@
   if (Flow.attempts() == 0)
     Core.countAttempt(Team);
   Flow.begin();
+  AttemptSpan =
+      startClientSpan(Core.tracer(), "upstream request", *RequestSpan);
+  AttemptSpan->SetTag("server.address", Core.engines().at(Start.Engine).Name);
+  AttemptSpan->SetTag("ebonyvale.expected_pieces",
+                      static_cast<std::int64_t>(Start.ExpectedPieces));
   Exchange =
       upstream_exchange::start(Core.connections(), makeRequest(Start), *this);
 }
@@ -207,6 +214,8 @@
   Refusal.Figures = Figures;
   Refusal.Detail = std::move(Detail);
   const refusal &Recorded = Core.recordRefusal(std::move(Refusal));
+  RequestSpan->SetTag("error.type", std::string(errorRow(Kind).Name));
+  RequestSpan->SetTag("ebonyvale.reference", Recorded.Reference);
   if (Reply.streaming()) {
     sendInterruption(Recorded);
     Reply.endStream();
@@ -219,6 +228,7 @@
 void caller_session::endAttempt() {
   if (!std::exchange(Running, false))
     return;
+  AttemptSpan->Finish();
   Core.endWork(Number, usedTokens());
 }
 
@@ -241,6 +251,8 @@
   endAttempt();
   if (Reserved)
     Core.shares().settle(Team, *Reserved, usedTokens(), readClock().Now);
+  RequestSpan->SetTag("ebonyvale.team", Team);
+  RequestSpan->Finish();
   Core.leave(Number);
 }
 
--- a/src/daemon/request/caller_session.h
+++ b/src/daemon/request/caller_session.h
@@ -88,6 +88,11 @@
   /// Takes the present attempt's upstream for lost.
   void blameUpstream();
 
+  /// Trace context for the present attempt's upstream.
+  std::string traceparent() const {
+    return contextOf(*AttemptSpan).traceparent();
+  }
+
   answer_flow &flow() { return Flow; }
   present startedAt() const { return Started; }
   router_core &core() { return Core; }
@@ -124,6 +129,8 @@
   phase Phase = phase::Limits;
   http_reply Reply;
   std::optional<reservation> Reserved;
+  std::unique_ptr<opentracing::Span> RequestSpan;
+  std::unique_ptr<opentracing::Span> AttemptSpan;
   answer_flow Flow;
   dispatch_start Start{};
   bool Running = false; ///< counted as work at its upstream
--- a/src/daemon/request/model_session.cpp
+++ b/src/daemon/request/model_session.cpp
@@ -73,6 +73,8 @@
   Attempt.ResumeAfter = flow().delivered();
   Attempt.Class = Class;
   Attempt.TimeLeft = timeLeft();
+  const std::string Trace = traceparent();
+  Attempt.Traceparent = Trace;
   return makeEngineRequest(Engine, Route, Chat, Body, Attempt);
 }
 
--- a/src/daemon/request/model_session.h
+++ b/src/daemon/request/model_session.h
@@ -46,7 +46,6 @@
   chat_route Route;
   chat_request Chat;
   std::string Body;
-  std::string Traceparent;
   piece_chain Chain;
   service_class Class;
   engine_head Head;
--- a/src/daemon/request/plain_session.cpp
+++ b/src/daemon/request/plain_session.cpp
@@ -76,6 +76,7 @@
   Request.Target = Target;
   Request.Headers = Headers;
   Request.Headers.emplace_back("X-Request-Id", flow().attemptId());
+  Request.Headers.emplace_back("traceparent", traceparent());
   Request.Body = {Body};
   // A pooled connection may have been closed by the upstream already, and
   // then nobody can tell whether it still read the request.
