--- a/src/daemon/connection/admin_listener.cpp
+++ b/src/daemon/connection/admin_listener.cpp
@@ -1,5 +1,6 @@
 #include "daemon/connection/admin_listener.h"
 
+#include "daemon/connection/health_answers.h"
 #include "daemon/connection/refusal_json.h"
 #include "decisions/request/caller_check.h"
 #include "decisions/request/refusal_body.h"
@@ -97,7 +98,7 @@
 }
 
 void admin_listener::onRequest(evhttp_request *Request) {
-  if (answerOpen(Request))
+  if (answerHealth(Request, Core, /*WithMetrics=*/true))
     return;
   if (!authorised(Request))
     return sendFailure(Request, {error_kind::AdminDenied, ""});
@@ -117,26 +118,6 @@
   sendFailure(Request, {error_kind::RouteUnknown, ""});
 }
 
-bool admin_listener::answerOpen(evhttp_request *Request) {
-  const std::string_view Path = requestPath(Request);
-  if (Path == "/healthz") {
-    sendAnswer(Request, 200, "text/plain", "ok\n");
-    return true;
-  }
-  if (Path == "/readyz") {
-    const bool Ready = Core.ready();
-    sendAnswer(Request, Ready ? 200 : 503, "text/plain",
-               Ready ? "ready\n" : "not ready\n");
-    return true;
-  }
-  if (Path == "/metrics") {
-    sendAnswer(Request, 200, "text/plain; version=0.0.4",
-               Core.counters().text());
-    return true;
-  }
-  return false;
-}
-
 bool admin_listener::authorised(evhttp_request *Request) const {
   const caller_claim Claim{inputHeader(Request, "Authorization"), "", "", ""};
   const std::string_view Shown = presentedKey(Claim);
--- a/src/daemon/connection/admin_listener.h
+++ b/src/daemon/connection/admin_listener.h
@@ -24,7 +24,6 @@
 
 private:
   void onRequest(evhttp_request *Request);
-  bool answerOpen(evhttp_request *Request);
   bool authorised(evhttp_request *Request) const;
   void answerStatus(evhttp_request *Request);
   void answerUpstreams(evhttp_request *Request);
--- a/src/daemon/connection/caller_listener.cpp
+++ b/src/daemon/connection/caller_listener.cpp
@@ -1,5 +1,6 @@
 #include "daemon/connection/caller_listener.h"
 
+#include "daemon/connection/health_answers.h"
 #include "daemon/connection/refusal_reply.h"
 #include "daemon/request/model_session.h"
 #include "daemon/request/plain_session.h"
@@ -88,7 +89,7 @@
 }
 
 void caller_listener::onRequest(evhttp_request *Request) {
-  if (answerBuiltIn(Request))
+  if (answerHealth(Request, Core, Core.settings().PublicMetrics))
     return;
   Core.counters().Requests.Increment();
   if (Core.refusesNew())
@@ -114,26 +115,6 @@
     startModelSession(Request, Config, *Grant);
 }
 
-bool caller_listener::answerBuiltIn(evhttp_request *Request) {
-  const std::string_view Path = requestPath(Request);
-  if (Path == "/healthz") {
-    sendAnswer(Request, 200, "text/plain", "ok\n");
-    return true;
-  }
-  if (Path == "/readyz") {
-    const bool Ready = Core.ready();
-    sendAnswer(Request, Ready ? 200 : 503, "text/plain",
-               Ready ? "ready\n" : "not ready\n");
-    return true;
-  }
-  if (Path == "/metrics" && Core.settings().PublicMetrics) {
-    sendAnswer(Request, 200, "text/plain; version=0.0.4",
-               Core.counters().text());
-    return true;
-  }
-  return false;
-}
-
 void caller_listener::answerModels(evhttp_request *Request,
                                    const configuration &Config) {
   const std::string_view Key = presentedKey(claimOf(Request));
--- a/src/daemon/connection/caller_listener.h
+++ b/src/daemon/connection/caller_listener.h
@@ -20,7 +20,6 @@
 
 private:
   void onRequest(evhttp_request *Request);
-  bool answerBuiltIn(evhttp_request *Request);
   void answerModels(evhttp_request *Request, const configuration &Config);
   std::string slowRequestAnswer();
   std::optional<failure> checkBounds(evhttp_request *Request) const;
--- a/src/load/limit_oracle.cpp
+++ b/src/load/limit_oracle.cpp
@@ -34,4 +34,28 @@
   Updated = Now;
 }
 
+void cut_oracle::open(std::vector<limit_oracle> &Teams, double NearPart,
+                      instant Now) {
+  const auto Side = [Now](limit_oracle &Team, double Part) {
+    const part_limits Limits = Team.limits();
+    return token_part({Limits.Rate * Part, Limits.Burst * Part},
+                      Team.centralLevel(Now) * Part, Now);
+  };
+  for (limit_oracle &Team : Teams) {
+    Near.push_back(Side(Team, NearPart));
+    Far.push_back(Side(Team, 1 - NearPart));
+  }
+}
+
+bool cut_oracle::admits(bool IsNear, std::size_t Team, double Tokens,
+                        instant Now) {
+  return (IsNear ? Near : Far)[Team].available(Now) >= Tokens;
+}
+
+void cut_oracle::charge(bool IsNear, std::size_t Team, double Used,
+                        instant Now) {
+  token_part &Part = (IsNear ? Near : Far)[Team];
+  Part.settle(Part.spend({Used, Used}, Now), Used, Now);
+}
+
 } // namespace ebonyvale
--- a/src/load/limit_oracle.h
+++ b/src/load/limit_oracle.h
@@ -7,6 +7,9 @@
 #include "common/instant.h"
 #include "decisions/process/token_part.h"
 
+#include <cstddef>
+#include <vector>
+
 namespace ebonyvale {
 
 /// Watches one team.
@@ -28,6 +31,9 @@
   /// Whether a central bucket would admit \p Tokens now.
   bool centralAdmits(double Tokens, instant Now);
 
+  /// The team's limits.
+  part_limits limits() const { return Limits; }
+
   /// Tokens in the central bucket.
   double centralLevel(instant Now) { return Central.available(Now); }
 
@@ -47,6 +53,25 @@
   token_part Central;
 };
 
+/// During a cut each side can have no more than its instances' part of the
+/// limits, or the sum could exceed them: what a central bucket of one side
+/// refuses, any allocator bound by the cut has to refuse.
+class cut_oracle {
+public:
+  /// The cut begins; the near side gets \p NearPart of all limits and levels.
+  void open(std::vector<limit_oracle> &Teams, double NearPart, instant Now);
+
+  /// Whether the central bucket of a side would admit \p Tokens.
+  bool admits(bool IsNear, std::size_t Team, double Tokens, instant Now);
+
+  /// Records that \p Used tokens were spent on a side.
+  void charge(bool IsNear, std::size_t Team, double Used, instant Now);
+
+private:
+  std::vector<token_part> Near; ///< by team
+  std::vector<token_part> Far;  ///< by team
+};
+
 } // namespace ebonyvale
 
 #endif
--- a/src/load/limit_trial.cpp
+++ b/src/load/limit_trial.cpp
@@ -18,9 +18,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t Domains = 3;
-constexpr std::size_t PerDomain = 3;
-constexpr std::size_t Instances = Domains * PerDomain;
+constexpr std::size_t Domains = TrialDomains;
+constexpr std::size_t PerDomain = TrialInstancesPerDomain;
+constexpr std::size_t Instances = TrialInstances;
 
 /// The third domain lies in the other region.
 constexpr std::size_t FarDomain = 2;
@@ -99,7 +99,8 @@
     for (const instance_event &Crash : Cell.Crashes)
       scheduleCrash(Crash);
     if (Cell.DomainCut.To > Cell.DomainCut.From)
-      Loop.callAt(instant(Cell.DomainCut.From), [this] { openSides(); });
+      Loop.callAt(instant(Cell.DomainCut.From),
+                  [this] { Sides.open(Oracles, 1.0 / Domains, Loop.now()); });
     if (Cell.LowerRates.To > Cell.LowerRates.From) {
       Loop.callAt(instant(Cell.LowerRates.From), [this] { setScale(0.5); });
       Loop.callAt(instant(Cell.LowerRates.To), [this] { setScale(1); });
@@ -312,7 +313,9 @@
     limit_oracle &Oracle = Oracles[Request.Team];
     const reservation Central =
         Oracle.onAdmitted(Request.Cost, Request.Used, Loop.now());
-    chargeSide(Index, Request);
+    if (Cell.DomainCut.holds(elapsed()))
+      Sides.charge(domainOf(Index) == 0, Request.Team, Request.Used,
+                   Loop.now());
     const std::uint64_t Life = State.Life;
     Loop.callAfter(Request.Duration, [this, Index, Life, Request, Central,
                                       Local = Admit.Reserved] {
@@ -339,49 +342,13 @@
       return;
     ++Outcome.Wrongful;
     const bool Cut = Cell.DomainCut.holds(elapsed());
-    if (Cut && !sideBucket(Index, Request.Team).admits(Request.Cost.Tokens))
+    if (Cut && !Sides.admits(domainOf(Index) == 0, Request.Team,
+                             Request.Cost.Tokens, Loop.now()))
       ++Outcome.Unavoidable;
     else if (Request.Team != 0)
       ++Outcome.OthersWrongful;
   }
 
-  /// During a cut each side can have no more than its instances' part of the
-  /// limits, or the sum could exceed them: what a central bucket of one side
-  /// refuses, any allocator has to refuse.
-  struct side_bucket {
-    token_part Part;
-    const virtual_loop &Loop;
-    bool admits(double Tokens) { return Part.available(Loop.now()) >= Tokens; }
-  };
-
-  side_bucket &sideBucket(std::size_t Index, std::size_t Team) {
-    return (domainOf(Index) == 0 ? NearSide : FarSide)[Team];
-  }
-
-  void openSides() {
-    constexpr double NearPart = 1.0 / Domains;
-    for (std::size_t Team = 0; Team < TrialTeams.size(); ++Team) {
-      const part_limits Limits = TrialTeams[Team].Limits;
-      const double Level = Oracles[Team].centralLevel(Loop.now());
-      const auto Side = [&](double Part) {
-        return side_bucket{token_part({Limits.Rate * Part, Limits.Burst * Part},
-                                      Level * Part, Loop.now()),
-                           Loop};
-      };
-      NearSide.push_back(Side(NearPart));
-      FarSide.push_back(Side(1 - NearPart));
-    }
-  }
-
-  void chargeSide(std::size_t Index, const trial_request &Request) {
-    if (!Cell.DomainCut.holds(elapsed()))
-      return;
-    token_part &Part = sideBucket(Index, Request.Team).Part;
-    const reservation Charged =
-        Part.spend({Request.Used, Request.Used}, Loop.now());
-    Part.settle(Charged, Request.Used, Loop.now());
-  }
-
   bool isCut(std::size_t From, std::size_t To) const {
     return Cell.DomainCut.holds(elapsed()) &&
            (domainOf(From) == 0) != (domainOf(To) == 0);
@@ -491,29 +458,12 @@
   std::array<instance_state, Instances> Fleet;
   std::vector<limit_oracle> Oracles;
   std::vector<token_part> StoreBuckets;
-  std::vector<side_bucket> NearSide;
-  std::vector<side_bucket> FarSide;
+  cut_oracle Sides;
   request_number LastNumber = 0;
   double Scale = 1;
   trial_outcome Outcome;
 };
 
-std::vector<instance_event> rollingRestart() {
-  std::vector<instance_event> Events;
-  for (std::size_t Index = 0; Index < Instances; ++Index) {
-    const span_ns From = 20s + 10s * static_cast<int>(Index);
-    Events.push_back({Index, {From, From + 500ms}});
-  }
-  return Events;
-}
-
-std::vector<instance_event> herdRestart() {
-  std::vector<instance_event> Events;
-  for (std::size_t Index = 0; Index < Instances; ++Index)
-    Events.push_back({Index, {60s, 60500ms}});
-  return Events;
-}
-
 } // namespace
 
 double trial_outcome::wrongfulPercent() const {
@@ -524,25 +474,6 @@
          static_cast<double>(Requests);
 }
 
-const std::array<trial_cell, TrialCellCount> &trialCells() {
-  static const std::array<trial_cell, TrialCellCount> Cells{{
-      {.Name = "calm"},
-      {.Name = "one instance", .Spread = caller_spread::OneInstance},
-      {.Name = "one domain", .Spread = caller_spread::OneDomain},
-      {.Name = "one team at 5x", .HotTeamFactor = 5},
-      {.Name = "full rate", .Demand = 1.0},
-      {.Name = "store out", .StoreOut = {30s, 100s}},
-      {.Name = "domain cut off", .DomainCut = {40s, 80s}},
-      {.Name = "lost messages", .Loss = 0.05},
-      {.Name = "single crash", .Crashes = {{4, {60s, 75s}}}},
-      {.Name = "each restarted", .Crashes = rollingRestart()},
-      {.Name = "herd restart", .Crashes = herdRestart()},
-      {.Name = "paused instance", .Pauses = {{1, {50s, 55s}}}},
-      {.Name = "rates halved", .LowerRates = {50s, 80s}},
-  }};
-  return Cells;
-}
-
 trial_outcome runLimitTrial(const trial_cell &Cell, limit_method Method,
                             std::uint64_t Seed) {
   return limit_trial(Cell, Method, Seed).run();
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -1,10 +1,10 @@
 /// \file
 /// ebonyvale-load: drives daemons with prompts that share nested prefixes.
+#include "common/command_line.h"
 #include "common/settings_loader.h"
 #include "ctl/admin_client.h"
 #include "load/load_run.h"
 
-#include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
 
 #include <csignal>
@@ -16,9 +16,6 @@
 using namespace ebonyvale;
 namespace options = boost::program_options;
 
-constexpr int ExitUsage = 2;
-constexpr int ExitFailure = 1;
-
 /// Sends a body to the control path of a fake.
 int publish(const std::string &Where, const std::string &Body) {
   const auto Server = parseEndpoint(Where);
@@ -50,33 +47,21 @@
       "  ebonyvale-load --publish 127.0.0.1:9001 --body "
       "'{\"crash_ms\":500}'\n\n"
       "Options");
-  Description.add_options()("help", "show this text")(
-      "settings", options::value<std::string>()->default_value(""),
-      "TOML file with the experiment")(
-      "set", options::value<std::vector<std::string>>()->default_value({}, ""),
-      "name=value, goes before the file; may be repeated")(
+  addStandardOptions(Description);
+  Description.add_options()(
       "publish", options::value<std::string>(),
       "send --body to the control path of a fake and stop")(
       "body", options::value<std::string>()->default_value("{}"), "its body");
   options::variables_map Values;
-  try {
-    options::store(options::parse_command_line(Count, Arguments, Description),
-                   Values);
-  } catch (const options::error &Error) {
-    std::cerr << "ebonyvale-load: " << Error.what() << "\n";
-    return ExitUsage;
-  }
-  if (Values.count("help") != 0) {
-    std::cout << Description;
-    return 0;
-  }
+  if (const auto Exit = parseCommandLine("ebonyvale-load", Description, Count,
+                                         Arguments, Values))
+    return *Exit;
   if (Values.count("publish") != 0)
     return publish(Values["publish"].as<std::string>(),
                    Values["body"].as<std::string>());
   load_settings Settings;
   if (const auto Problem =
-          loadSettings(Values["settings"].as<std::string>(),
-                       Values["set"].as<std::vector<std::string>>(),
+          loadSettings(settingsFile(Values), settingOverrides(Values),
                        bindFields(loadSettingFields(), Settings))) {
     std::cerr << "ebonyvale-load: " << Problem->Detail << "\n";
     return ExitUsage;
--- a/tests/daemon/fleet_fixture.cpp
+++ b/tests/daemon/fleet_fixture.cpp
@@ -1,5 +1,6 @@
 #include "daemon/fleet_fixture.h"
 
+#include "daemon/loop_runner.h"
 #include "daemon/process/logging.h"
 
 #include <criterion/criterion.h>
@@ -8,8 +9,6 @@
 namespace ebonyvale {
 namespace {
 
-constexpr span_ns HangBound = std::chrono::seconds(20);
-
 daemon_settings instanceSettings(const std::string &Name,
                                  const std::string &Domain) {
   daemon_settings Settings;
@@ -56,21 +55,10 @@
 }
 
 bool fleet_fixture::runUntil(const std::function<bool()> &Done) {
-  const instant Bound = readClock().Now + HangBound;
-  timer Wake(Base.get(), [] {});
-  while (!Done()) {
-    if (readClock().Now > Bound)
-      return false;
-    Wake.startOnce(std::chrono::milliseconds(1));
-    event_base_loop(Base.get(), EVLOOP_ONCE);
-  }
-  return true;
+  return runLoopUntil(Base.get(), Done);
 }
 
-void fleet_fixture::runFor(span_ns Delay) {
-  const instant End = readClock().Now + Delay;
-  runUntil([End] { return readClock().Now >= End; });
-}
+void fleet_fixture::runFor(span_ns Delay) { runLoopFor(Base.get(), Delay); }
 
 result<accepted_note> fleet_fixture::apply(std::size_t Index,
                                            const std::string &Note) {
--- a/tests/daemon/router_fixture.cpp
+++ b/tests/daemon/router_fixture.cpp
@@ -1,5 +1,6 @@
 #include "daemon/router_fixture.h"
 
+#include "daemon/loop_runner.h"
 #include "daemon/process/logging.h"
 #include "decisions/request/sse_events.h"
 #include "decisions/version/release_note.h"
@@ -15,9 +16,6 @@
 namespace ebonyvale {
 namespace {
 
-/// Longest real time that a test waits for anything before it fails.
-constexpr span_ns HangBound = std::chrono::seconds(20);
-
 constexpr const char *Loopback = "127.0.0.1";
 
 } // namespace
@@ -127,23 +125,10 @@
 }
 
 bool router_fixture::runUntil(const std::function<bool()> &Done) {
-  const instant Bound = readClock().Now + HangBound;
-  timer Wake(Base.get(), [] {});
-  while (!Done()) {
-    if (readClock().Now > Bound)
-      return false;
-    Wake.startOnce(std::chrono::milliseconds(1));
-    event_base_loop(Base.get(), EVLOOP_ONCE);
-  }
-  return true;
+  return runLoopUntil(Base.get(), Done);
 }
 
-void router_fixture::runFor(span_ns Delay) {
-  bool Elapsed = false;
-  timer Wait(Base.get(), [&Elapsed] { Elapsed = true; });
-  Wait.startOnce(Delay);
-  runUntil([&Elapsed] { return Elapsed; });
-}
+void router_fixture::runFor(span_ns Delay) { runLoopFor(Base.get(), Delay); }
 
 std::string router_fixture::sendRaw(const std::string &Bytes) {
   struct raw_client {
