--- a/src/net/http_reply.cpp
+++ b/src/net/http_reply.cpp
@@ -1,8 +1,15 @@
 #include "net/http_reply.h"
 
+#include <utility>
+
 #include <event2/bufferevent.h>
 
 namespace ebonyvale {
+namespace {
+
+thread_local std::size_t Unflushed = 0;
+
+} // namespace
 
 http_reply::http_reply(evhttp_request *Request, reply_observer &Observer)
     : Request(Request), Observer(&Observer) {
@@ -28,9 +35,7 @@
                            std::string_view Body) {
   if (!Request)
     return;
-  evhttp_request *Ended = Request;
-  detach();
-  sendAnswer(Ended, Status, ContentType, Body);
+  sendAnswer(detach(), Status, ContentType, Body);
 }
 
 void http_reply::startStream() {
@@ -54,9 +59,7 @@
 void http_reply::endStream() {
   if (!Request)
     return;
-  evhttp_request *Ended = Request;
-  detach();
-  evhttp_send_reply_end(Ended);
+  evhttp_send_reply_end(detach());
 }
 
 std::size_t http_reply::unsentBytes() const {
@@ -80,10 +83,23 @@
     Reply->Observer->onDrained();
 }
 
-void http_reply::detach() {
-  evhttp_connection_set_closecb(evhttp_request_get_connection(Request), nullptr,
+evhttp_request *http_reply::detach() {
+  evhttp_request *Ended = std::exchange(Request, nullptr);
+  ++Unflushed;
+  evhttp_request_set_on_complete_cb(Ended, &http_reply::onFlushed, nullptr);
+  evhttp_connection_set_closecb(evhttp_request_get_connection(Ended),
+                                &http_reply::onClosedUnflushed, nullptr);
+  return Ended;
+}
+
+std::size_t http_reply::unflushed() { return Unflushed; }
+
+void http_reply::onFlushed(evhttp_request *Ended, void *) {
+  --Unflushed;
+  evhttp_connection_set_closecb(evhttp_request_get_connection(Ended), nullptr,
                                 nullptr);
-  Request = nullptr;
 }
 
+void http_reply::onClosedUnflushed(evhttp_connection *, void *) { --Unflushed; }
+
 } // namespace ebonyvale
--- a/src/net/http_reply.h
+++ b/src/net/http_reply.h
@@ -57,10 +57,16 @@
   /// Bytes that the client has not taken yet.
   std::size_t unsentBytes() const;
 
+  /// Replies on this thread's loop that have ended but whose last bytes have
+  /// not left yet.
+  static std::size_t unflushed();
+
 private:
+  static void onFlushed(evhttp_request *Ended, void *);
+  static void onClosedUnflushed(evhttp_connection *, void *);
   static void onClose(evhttp_connection *, void *Self);
   static void onWritten(evhttp_connection *, void *Self);
-  void detach();
+  evhttp_request *detach();
 
   evhttp_request *Request;
   reply_observer *Observer;
