Peers: of two instances one beats for both

Change: the instance whose name comes first beats while it is heard; the other one beats when it is silent for two intervals.

--- a/src/daemon/connection/peer_hub.cpp
+++ b/src/daemon/connection/peer_hub.cpp
@@ -107,12 +107,23 @@
 
 void peer_hub::beat() {
   const bool IsFarBeat = Beats++ % FarBeats == 0;
-  for (auto &[Name, Link] : Links)
-    if (IsFarBeat || Link.Peer.Domain == Core.settings().Domain)
+  for (auto &[Name, Link] : Links) {
+    const bool IsNear = Link.Peer.Domain == Core.settings().Domain;
+    const span_ns Interval = IsNear ? BeatInterval : BeatInterval * FarBeats;
+    if ((IsNear || IsFarBeat) && !beatsForBoth(Link, Interval))
       beatOne(Link);
+  }
   flushRefusals();
 }
 
+/// A heartbeat and its answer tell both sides all there is to tell. Of two
+/// instances the one whose name comes first beats, as long as it is heard.
+bool peer_hub::beatsForBoth(const link &Link, span_ns Interval) const {
+  const bool IsHeard = Link.HeardAt != instant{} &&
+                       readClock().Now - Link.HeardAt < Interval * 2;
+  return IsHeard && Link.Peer.Name < Core.settings().InstanceName;
+}
+
 void peer_hub::beatOne(link &Link) {
   send(Link, HeartbeatPath, encode(ownHeartbeat()),
        [this, Name = Link.Peer.Name](std::string_view Bytes) {
@@ -307,9 +318,9 @@
     const auto Heard = decodeHeartbeat(Request.Body);
     if (!Heard)
       return Heard.error();
-    const std::uint64_t Own = Core.inForce() ? Core.inForce()->Version : 0;
-    if (Heard->ConfigurationVersion > Own)
-      pullVersions(Heard->Instance);
+    if (const auto Found = Links.find(Heard->Instance); Found != Links.end())
+      Found->second.HeardAt = readClock().Now;
+    onHeartbeat(Heard->Instance, Request.Body);
     return encode(ownHeartbeat());
   }
   if (Request.Path == ShareAskPath) {
--- a/src/daemon/connection/peer_hub.h
+++ b/src/daemon/connection/peer_hub.h
@@ -71,10 +71,12 @@
     std::shared_ptr<h2_connection> Connection;
     bool Alive = false;
     std::uint64_t Version = 0;
+    instant HeardAt; ///< when the peer last beat of its own accord
   };
   using answer_handler = std::function<void(std::string_view)>;
 
   void beat();
+  bool beatsForBoth(const link &Link, span_ns Interval) const;
   void beatOne(link &Link);
   void onHeartbeat(const std::string &Peer, std::string_view Bytes);
   void pullVersions(const std::string &Peer);
