Limits: no more owners in a domain than it has slots

Cause: the division of limits by slots held only as long as operators kept the number of instances in step; one instance more than slots added its part to the sum for as long as it ran.

Change: by rendezvous rank on the platform's list the first members own a part; further ones own nothing and borrow. Weighed: claims in the store (exact, to be built) against rank on the list (no calls, wrong while lists differ).

--- a/src/daemon/process/daemon_task.cpp
+++ b/src/daemon/process/daemon_task.cpp
@@ -91,14 +91,29 @@
   return std::nullopt;
 }
 
-void daemon_task::onMembers(const std::vector<member> &Members) {
+void daemon_task::onMembers(const std::vector<member> &Listed) {
+  Members = Listed;
   logFor(log_category::Peer).info("{} instances on the list", Members.size());
   Peers.setMembers(Members);
   if (Platform)
     Platform->setWatching(watchesStore(Peers.self(), Members, {}));
+  updateSlot();
 }
 
-void daemon_task::onVersion() { Peers.announce(); }
+void daemon_task::updateSlot() {
+  const configuration_ptr &Config = Core.inForce();
+  if (!Config || Members.empty())
+    return;
+  const auto Domain = Config->Domains.find(Settings.Domain);
+  if (Domain != Config->Domains.end())
+    Core.setOwnsSlot(ownsSlot(Peers.self(), Members,
+                              static_cast<std::size_t>(Domain->second.Slots)));
+}
+
+void daemon_task::onVersion() {
+  updateSlot();
+  Peers.announce();
+}
 
 void daemon_task::onRefusal(const refusal &Refusal) {
   Peers.copyRefusal(Refusal);
--- a/src/daemon/process/daemon_task.h
+++ b/src/daemon/process/daemon_task.h
@@ -46,7 +46,8 @@
 private:
   std::optional<failure> startConfiguration();
   std::optional<failure> startPeers();
-  void onMembers(const std::vector<member> &Members);
+  void onMembers(const std::vector<member> &Listed);
+  void updateSlot();
   void watchSignals();
   void onDrainTick();
 
@@ -60,6 +61,7 @@
   std::unique_ptr<configuration_source> Source;
   platform_configuration *Platform = nullptr; ///< `Source`, if it is one
   std::unique_ptr<instance_list> List;
+  std::vector<member> Members; ///< as last listed
   std::unique_ptr<caller_listener> Callers;
   std::unique_ptr<admin_listener> Admin;
   event_ptr TermSignal;
--- a/src/daemon/process/router_core.cpp
+++ b/src/daemon/process/router_core.cpp
@@ -63,9 +63,19 @@
     Observer->onVersion();
 }
 
+void router_core::setOwnsSlot(bool Owns) {
+  if (std::exchange(OwnsSlot, Owns) == Owns)
+    return;
+  logFor(log_category::Process)
+      .info(Owns ? "owns a part of the limits" : "owns no part of the limits");
+  if (Config)
+    applyLimits(readClock().Now);
+}
+
 void router_core::applyLimits(instant Now) {
   // The only instance of a fleet can have no peer that was lent tokens.
-  const double Fraction = instanceFraction(*Config, Settings.Domain);
+  const double Fraction =
+      OwnsSlot ? instanceFraction(*Config, Settings.Domain) : 0;
   std::vector<std::string> Names;
   for (const auto &[Name, Team] : Config->Teams) {
     const auto Rate = static_cast<double>(Team.Rate);
--- a/src/daemon/process/router_core.h
+++ b/src/daemon/process/router_core.h
@@ -79,6 +79,10 @@
   /// Brings a version into force. Older versions are ignored.
   void setConfiguration(configuration_ptr Next, const present &At);
 
+  /// Whether this instance owns a part of the limits; without one it admits
+  /// only what peers lend.
+  void setOwnsSlot(bool Owns);
+
   /// Carries messages to the peers' ledgers; null while there is none.
   void setMessenger(share_messenger *Target) { Messenger = Target; }
 
@@ -158,6 +162,7 @@
   core_observer *Observer = nullptr;
   timer ShareTimer;
   connection_pool Connections;
+  bool OwnsSlot = true;
   bool Leaving = false;
   bool RefusesNew = false;
 };
--- a/src/decisions/process/membership.cpp
+++ b/src/decisions/process/membership.cpp
@@ -26,6 +26,21 @@
   std::ranges::move(Group, std::back_inserter(Links));
 }
 
+/// Whether members that are about to leave take a rank.
+enum class leavers { Passed, Counted };
+
+/// Number of members of the own domain that rank before \p Self for \p Seed.
+std::size_t rankInDomain(const member &Self, const std::vector<member> &Members,
+                         std::string_view Seed, leavers Leavers) {
+  const std::uint64_t Own = weightOf(Seed, Self.Name);
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Members, [&](const member &Entry) {
+        const bool Counts = !Entry.Leaving || Leavers == leavers::Counted;
+        return Counts && Entry.Domain == Self.Domain &&
+               Entry.Name != Self.Name && weightOf(Seed, Entry.Name) > Own;
+      }));
+}
+
 } // namespace
 
 std::vector<member> chooseLinks(const member &Self,
@@ -54,13 +69,13 @@
 
 bool watchesStore(const member &Self, const std::vector<member> &Members,
                   const link_rules &Rules) {
-  const std::uint64_t Own = weightOf(Self.Domain, Self.Name);
-  const auto Ahead =
-      std::ranges::count_if(Members, [&Self, Own](const member &Entry) {
-        return Entry.Domain == Self.Domain && Entry.Name != Self.Name &&
-               !Entry.Leaving && weightOf(Self.Domain, Entry.Name) > Own;
-      });
-  return static_cast<std::size_t>(Ahead) < Rules.Watchers;
+  return rankInDomain(Self, Members, Self.Domain, leavers::Passed) <
+         Rules.Watchers;
+}
+
+bool ownsSlot(const member &Self, const std::vector<member> &Members,
+              std::size_t Slots) {
+  return rankInDomain(Self, Members, "slot", leavers::Counted) < Slots;
 }
 
 } // namespace ebonyvale
--- a/src/decisions/process/membership.h
+++ b/src/decisions/process/membership.h
@@ -42,6 +42,12 @@
 bool watchesStore(const member &Self, const std::vector<member> &Members,
                   const link_rules &Rules);
 
+/// Whether \p Self is among the \p Slots members of its domain that own a part
+/// of the limits. Further members own nothing and borrow what they admit. Lists
+/// that differ between instances can name too many owners until they agree.
+bool ownsSlot(const member &Self, const std::vector<member> &Members,
+              std::size_t Slots);
+
 } // namespace ebonyvale
 
 #endif
