Test: a slow caller holds the engine back and gets everything

Cause: back-pressure was promised and had no test.

Result: with 200,000 tokens (about 33 MB) made by the engine and a caller that does not read, the router stops taking events below nine tenths and takes no more; after the caller reads on, the answer is whole.

--- a/src/fakes/engine_server.h
+++ b/src/fakes/engine_server.h
@@ -49,6 +49,9 @@
   /// none.
   std::string PoisonText;
 
+  /// Whether nothing is being answered.
+  bool idle() const { return Model.idle(); }
+
   /// Requests that began to run.
   std::uint64_t executions() const { return Executions; }
 
--- a/tests/daemon/request/model_session_test.cpp
+++ b/tests/daemon/request/model_session_test.cpp
@@ -90,3 +90,28 @@
   cr_assert(refusalKind(Router.call(streamCall("hello")).Body) ==
             "key_withdrawn");
 }
+
+Test(model_session, slow_caller_holds_the_engine_back_and_gets_everything) {
+  // More than the kernel's socket buffers hold, at about 170 bytes a token.
+  constexpr int Tokens = 200'000;
+  fixture_options Options;
+  Options.Speed = {0.005, 0, 512, 64};
+  router_fixture Router(Options);
+  Router.applyNote("id = \"long\"\n[[changed.model]]\nname = \"manuals\"\n"
+                   "max_tokens = 300000\n");
+  const auto Exchange = Router.start(streamCall("hello", Tokens));
+  cr_assert(Router.runUntil(
+      [&Exchange] { return !Exchange->answer().Body.empty(); }));
+  Exchange->pause();
+  // The engine has made everything, and the router would have read it all.
+  cr_assert(Router.runUntil([&Router] { return Router.Engines[0]->idle(); }));
+  Router.runFor(std::chrono::milliseconds(300));
+  const double Taken = Router.Core->counters().PiecesDelivered.Value();
+  cr_assert(Taken < Tokens * 0.9, "%f of %d taken", Taken, Tokens);
+  Router.runFor(std::chrono::milliseconds(200));
+  cr_assert(Router.Core->counters().PiecesDelivered.Value() == Taken);
+  Exchange->resume();
+  cr_assert(Router.runUntil([&Exchange] { return Exchange->ended(); }));
+  cr_assert(Exchange->answer().Whole);
+  cr_assert(Router.Core->counters().PiecesDelivered.Value() == Tokens);
+}
--- a/tests/daemon/router_fixture.h
+++ b/tests/daemon/router_fixture.h
@@ -48,6 +48,9 @@
 
   bool ended() const { return Ended; }
   const client_answer &answer() const { return Answer; }
+  /// Stops and goes on reading the answer.
+  void pause() { Exchange->pauseReading(); }
+  void resume() { Exchange->resumeReading(); }
   /// Closes the connection.
   void leave();
 
