Refusals: a retry that waits for an upstream is not 'not run'

Cause: read while going through the code: a request whose first attempt may have run and whose retry waits in a queue was answered deadline_too_short or key_withdrawn, both of which promise ran: no.

Change: once an attempt may have run the answers are deadline_exceeded (ran: unknown) and key_cut.

Not driven end to end: the queue would have to outlast a crash and a deadline in one test.

--- a/src/daemon/request/caller_session.cpp
+++ b/src/daemon/request/caller_session.cpp
@@ -111,8 +111,7 @@
     return;
   const auto Key = Newer.Keys.find(Grant.Key->Id);
   if (Key != Newer.Keys.end() && Key->second.Withdrawn && Key->second.Cut)
-    refuse(Phase == phase::Upstream ? error_kind::KeyCut
-                                    : error_kind::KeyWithdrawn);
+    refuse(mayHaveRun() ? error_kind::KeyCut : error_kind::KeyWithdrawn);
 }
 
 void caller_session::onClientGone() {
@@ -257,11 +256,15 @@
 }
 
 void caller_session::onDeadline() {
-  refuse(Phase == phase::Upstream ? error_kind::DeadlineExceeded
-                                  : error_kind::DeadlineTooShort,
+  refuse(mayHaveRun() ? error_kind::DeadlineExceeded
+                      : error_kind::DeadlineTooShort,
          "the deadline passed");
 }
 
+bool caller_session::mayHaveRun() const {
+  return Phase == phase::Upstream || Flow.mayHaveRun();
+}
+
 span_ns caller_session::timeLeft() const {
   return std::max(span_ns(0), Deadline - readClock().Now);
 }
--- a/src/daemon/request/caller_session.h
+++ b/src/daemon/request/caller_session.h
@@ -113,6 +113,7 @@
 private:
   enum class phase { Limits, Queue, Upstream, Ended };
 
+  bool mayHaveRun() const;
   void submit();
   void end();
   void onDeadline();
--- a/src/decisions/request/answer_flow.h
+++ b/src/decisions/request/answer_flow.h
@@ -63,6 +63,10 @@
   /// Number of pieces delivered; a resumed stream starts behind them.
   std::uint64_t delivered() const { return Delivered; }
 
+  /// Whether an earlier attempt may have run, so that "not run" must not be
+  /// said although nothing is at an upstream now.
+  bool mayHaveRun() const { return EverSent; }
+
   /// The upstream's head arrived. False when it answers another attempt.
   bool onHead(std::string_view EchoedId);
 
--- a/tests/decisions/request/answer_flow_test.cpp
+++ b/tests/decisions/request/answer_flow_test.cpp
@@ -97,3 +97,15 @@
   // The second attempt did not run, but the first may have.
   cr_assert(Lost.onNotRun(true, Start).Kind == RetryBudgetSpent);
 }
+
+Test(answer_flow, earlier_attempt_that_may_have_run_is_remembered) {
+  answer_flow Flow("r", {true, true, 3, Start + Limit});
+  Flow.begin();
+  Flow.onLost(NotSent, true, Start);
+  cr_assert(!Flow.mayHaveRun());
+  Flow.begin();
+  Flow.onLost(Sent, true, Start);
+  // While the third attempt waits for an upstream, "not run" is not true.
+  cr_assert(Flow.mayHaveRun());
+  cr_assert(Flow.onNoUpstream(NoUpstream).Kind == RetryBudgetSpent);
+}
