--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -5,7 +5,7 @@
 packages=(
   g++ cmake ninja-build pkg-config clang-format clang-tidy python3
   libboost-dev libboost-program-options-dev libcriterion-dev libevent-dev
-  libmsgpack-cxx-dev libnghttp2-dev libopentracing-dev libsimdjson-dev
+  libhttp-parser-dev libmsgpack-cxx-dev libnghttp2-dev libopentracing-dev libsimdjson-dev
   libspdlog-dev libssl-dev libtomlplusplus-dev libxxhash-dev
   nlohmann-json3-dev prometheus-cpp-dev
 )
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -4,6 +4,10 @@
 #include "daemon/process/daemon_settings.h"
 #include "daemon/process/daemon_task.h"
 #include "daemon/process/logging.h"
+#include "gateway/process/gateway_task.h"
+#include "platform/documents.h"
+#include "platform/messages.h"
+#include "platform/store_client.h"
 
 #include <sys/resource.h>
 
@@ -43,6 +47,62 @@
   return 0;
 }
 
+void onSignal(evutil_socket_t, short, void *Gateway) {
+  static_cast<gateway_task *>(Gateway)->stop();
+}
+
+int runGateway(const gateway_settings &Settings,
+               const options::variables_map &Values) {
+  std::signal(SIGPIPE, SIG_IGN);
+  // Settings are read at the start; a changed file takes effect at the next.
+  std::signal(SIGHUP, SIG_IGN);
+  raiseDescriptorLimit();
+  const platform::documents Documents;
+  const platform::caller_messages Callers;
+  const platform::upstream_messages Upstreams;
+  const event_base_ptr Base(event_base_new());
+  gateway_task Gateway(
+      Base.get(), Settings, {Documents, Callers, Upstreams},
+      [](client_links &Links, const endpoint &Server, span_ns CallTimeout) {
+        return std::make_unique<platform::store_client>(Links, Server,
+                                                        CallTimeout);
+      });
+  if (const auto Problem = Gateway.start()) {
+    std::cerr << "ebonyvaled: " << Problem->Detail << "\n";
+    return ExitFailure;
+  }
+  std::ostringstream Ports;
+  Gateway.writePorts(Ports);
+  writePortsFile(Values, Ports.str());
+  const event_ptr Term(evsignal_new(Base.get(), SIGTERM, &onSignal, &Gateway));
+  const event_ptr Interrupt(
+      evsignal_new(Base.get(), SIGINT, &onSignal, &Gateway));
+  event_add(Term.get(), nullptr);
+  event_add(Interrupt.get(), nullptr);
+  event_base_dispatch(Base.get());
+  return 0;
+}
+
+/// Reads the settings of one of the two modes; prints or checks them where
+/// that was asked for, and otherwise runs.
+template <typename Settings>
+int loadAndRun(result<Settings> Loaded, std::span<const field<Settings>> Fields,
+               const options::variables_map &Values,
+               int (*Run)(const Settings &, const options::variables_map &)) {
+  if (!Loaded) {
+    std::cerr << "ebonyvaled: " << Loaded.error().Detail << "\n";
+    return ExitUsage;
+  }
+  if (Values.count("print-settings") != 0)
+    std::cout << writeFields(bindFields(Fields, *Loaded),
+                             /*WithSecrets=*/false);
+  if (Values.count("check-settings") != 0)
+    std::cout << "settings are valid\n";
+  if (Values.count("print-settings") + Values.count("check-settings") != 0)
+    return 0;
+  return Run(*Loaded, Values);
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -53,24 +113,20 @@
       "Options");
   addStandardOptions(Description);
   addPortsOption(Description);
-  Description.add_options()("check-settings", "check the settings and stop")(
+  Description.add_options()(
+      "gateway",
+      "serve on a platform with its own store, see docs/PLATFORM.md")(
+      "check-settings", "check the settings and stop")(
       "print-settings", "print the settings in force and stop");
   options::variables_map Values;
   if (const auto Exit =
           parseCommandLine("ebonyvaled", Description, Count, Arguments, Values))
     return *Exit;
-  auto Settings =
-      loadDaemonSettings(settingsFile(Values), settingOverrides(Values));
-  if (!Settings) {
-    std::cerr << "ebonyvaled: " << Settings.error().Detail << "\n";
-    return ExitUsage;
-  }
-  if (Values.count("print-settings") != 0)
-    std::cout << writeFields(bindFields(daemonSettingFields(), *Settings),
-                             /*WithSecrets=*/false);
-  if (Values.count("check-settings") != 0)
-    std::cout << "settings are valid\n";
-  if (Values.count("print-settings") + Values.count("check-settings") != 0)
-    return 0;
-  return runDaemon(*Settings, Values);
+  const std::string File = settingsFile(Values);
+  const std::vector<std::string> Overrides = settingOverrides(Values);
+  if (Values.count("gateway") != 0)
+    return loadAndRun(loadGatewaySettings(File, Overrides),
+                      gatewaySettingFields(), Values, &runGateway);
+  return loadAndRun(loadDaemonSettings(File, Overrides), daemonSettingFields(),
+                    Values, &runDaemon);
 }
--- /dev/null
+++ b/src/decisions/process/upstream_scheduler.h
@@ -0,0 +1,204 @@
+/// \file
+/// Chooses the upstream for a request, or refuses it at once when none can
+/// serve it in time.
+///
+/// The load this answers: requests for engines share long prompt prefixes, so
+/// that where a prompt is cached decides over most of its cost; every instance
+/// sees only its part of the traffic, and upstreams report their load with
+/// their answers, late. So the choice weighs time to the first token: work that
+/// waits there (own, peers' and reported), reading the missing part of the
+/// prompt, and the distance.
+#ifndef EBONYVALE_DECISIONS_PROCESS_UPSTREAM_SCHEDULER_H
+#define EBONYVALE_DECISIONS_PROCESS_UPSTREAM_SCHEDULER_H
+
+#include "common/error_kind.h"
+#include "common/instant.h"
+#include "decisions/process/upstream_directory.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace ebonyvale {
+
+/// One part of a prompt, named together with all parts before it.
+struct prompt_part {
+  std::uint64_t Chain = 0; ///< hash of cache scope, this part and all before
+  std::int64_t Tokens = 0;
+};
+
+/// What is to be placed.
+struct schedule_query {
+  std::string_view Service;
+  std::string_view Model;             ///< empty for plain services
+  std::span<const prompt_part> Parts; ///< the last one is the request's own
+  double PromptTokens = 0;
+  double AnswerTokens = 0;
+  span_ns TimeLeft{0};
+  std::span<const std::string> Tried; ///< upstreams that are not used again
+};
+
+/// Load as an upstream reports it with an answer.
+struct reported_load {
+  std::int64_t Running = 0;
+  std::int64_t Waiting = 0;
+  std::int64_t Slots = 0;
+};
+
+/// Work at one upstream as a peer instance sees it.
+struct peer_load {
+  std::string Upstream;
+  std::int64_t InFlight = 0;
+  double BacklogMs = 0;
+};
+
+/// Terms of the estimates.
+struct schedule_terms {
+  /// Prompt tokens that an engine reads in a ms; from the engines' data sheet.
+  double PrefillTokensPerMs = 80;
+  /// Time of an engine to the first token of an empty prompt; data sheet.
+  double FirstTokenMs = 41;
+  /// Mean work of a plain call in ms, until answers tell better.
+  double PlainWorkMs = 30;
+  /// Added for another domain of the region, and for another region: a round
+  /// trip, and the narrow link between regions weighed ten times its delay.
+  double DomainMs = 4;
+  double RegionMs = 60;
+  /// How long a peer's report and an answer's load count.
+  span_ns LoadTerm = std::chrono::milliseconds(1500);
+  /// An upstream that failed gets no work for this long, doubled by each
+  /// further failure in a row.
+  span_ns FailurePause = std::chrono::milliseconds(400);
+  span_ns MaxFailurePause = std::chrono::milliseconds(4000);
+  /// Time for which a cached part is believed to stay without being used.
+  span_ns CacheTerm = std::chrono::seconds(20);
+  /// Cost in ms of starting on weights that are no longer the newest.
+  double OldWeightsMs = 250;
+  /// Old weights cost nothing within it, so that a rollout can begin.
+  span_ns OldWeightsGrace = std::chrono::milliseconds(1200);
+  /// No request begins on old weights later than this after newer ones were
+  /// learnt of.
+  span_ns OldWeightsBound = std::chrono::milliseconds(8000);
+  /// Parts remembered for each upstream.
+  std::size_t MaxParts = 2000;
+};
+
+/// A choice with the figures behind it, for the log.
+struct schedule_choice {
+  std::string Upstream;
+  double ExpectedMs = 0;   ///< to the first part of the answer
+  double BacklogMs = 0;    ///< of that, work that waits there
+  double MissedTokens = 0; ///< of the shared prompt, to be read
+};
+
+/// Why nothing was chosen.
+struct schedule_refusal {
+  error_kind Kind = error_kind::NoUpstream;
+  span_ns RetryAfter{0};
+};
+
+/// Either of the two.
+struct schedule_outcome {
+  std::optional<schedule_choice> Choice;
+  schedule_refusal Refusal;
+};
+
+/// The scheduler of one instance.
+class upstream_scheduler {
+public:
+  upstream_scheduler(schedule_terms Terms, std::string Domain,
+                     std::map<std::string, std::string> RegionOfDomain);
+
+  /// Takes the discovered upstreams; forgets those that are gone and what was
+  /// known of earlier incarnations.
+  void update(const upstream_directory &Directory);
+
+  schedule_outcome choose(const schedule_query &Query, instant Now);
+
+  /// Work was sent; pair with one `onEnded`.
+  void onSent(const schedule_choice &Choice, const schedule_query &Query,
+              instant Now);
+  void onEnded(std::string_view Upstream, instant Now);
+
+  /// An answer began, \p After the request was sent.
+  void onAnswer(std::string_view Upstream, span_ns After,
+                const std::optional<reported_load> &Load, instant Now);
+  /// The upstream failed a request or could not be reached.
+  void onFailure(std::string_view Upstream, instant Now);
+  /// The upstream said that it is full.
+  void onFull(std::string_view Upstream, instant Now);
+  /// Another process answers at the address.
+  void onReplaced(std::string_view Upstream);
+
+  /// What a peer sees; replaces what it said before.
+  void onPeerLoad(std::string_view Peer, std::span<const peer_load> Loads,
+                  instant Now);
+  /// What this instance tells its peers.
+  std::vector<peer_load> ownLoad(instant Now);
+
+  /// The weights that the operators want, and when that was learnt.
+  void wantWeights(std::string_view Model, std::int64_t Version, instant Now);
+  /// Weights seen in an answer or a report.
+  void onWeights(std::string_view Upstream, std::string_view Model,
+                 std::int64_t Version);
+  /// The upstream takes new weights until \p Until and gets no work.
+  void pause(std::string_view Upstream, instant Until);
+
+private:
+  struct peer_view {
+    std::int64_t InFlight = 0;
+    double BacklogMs = 0;
+    instant At;
+  };
+  struct upstream_state {
+    upstream_entry Entry;
+    std::int64_t InFlight = 0;
+    double BacklogMs = 0; ///< as of `BacklogAt`, worked off in real time
+    instant BacklogAt;
+    std::optional<reported_load> Load;
+    instant LoadAt;
+    std::map<std::string, peer_view, std::less<>> Peers;
+    unsigned Failures = 0;
+    instant AvoidUntil;
+    instant PausedUntil;
+    std::unordered_map<std::uint64_t, instant> Parts; ///< last use
+    std::map<std::string, std::int64_t, std::less<>> Weights;
+  };
+  struct wanted_weights {
+    std::int64_t Version = 0;
+    instant LearntAt;
+  };
+  struct estimate {
+    double Ms = 0;
+    double BacklogMs = 0;
+    double MissedTokens = 0;
+  };
+
+  upstream_state *find(std::string_view Upstream);
+  double backlog(upstream_state &State, instant Now) const;
+  double distance(const upstream_state &State) const;
+  estimate estimateFor(upstream_state &State, const schedule_query &Query,
+                       std::uint64_t Home, instant Now) const;
+  std::optional<double> weightsCost(const upstream_state &State,
+                                    std::string_view Model, instant Now) const;
+  void remember(upstream_state &State, std::span<const prompt_part> Parts,
+                instant Now) const;
+  bool isPlain(const upstream_state &State) const {
+    return State.Entry.Models.empty();
+  }
+
+  schedule_terms Terms;
+  std::string Domain;
+  std::map<std::string, std::string> RegionOfDomain;
+  std::map<std::string, upstream_state, std::less<>> States;
+  std::map<std::string, wanted_weights, std::less<>> Wanted;
+};
+
+} // namespace ebonyvale
+
+#endif
--- a/src/decisions/request/sse_events.cpp
+++ b/src/decisions/request/sse_events.cpp
@@ -60,7 +60,8 @@
     const std::size_t Length = eventLength(Rest);
     if (Length == std::string_view::npos)
       break;
-    const sse_event Event = readEvent(Rest.substr(0, Length));
+    sse_event Event = readEvent(Rest.substr(0, Length));
+    Event.Raw = Rest.substr(0, Length);
     if (!Event.Data.empty() || !Event.Id.empty())
       Events.push_back(Event);
     Consumed += Length;
--- a/src/decisions/request/sse_events.h
+++ b/src/decisions/request/sse_events.h
@@ -15,6 +15,7 @@
 struct sse_event {
   std::string_view Id;   ///< value of the last `id` field, may be empty
   std::string_view Data; ///< value of the `data` field, may be empty
+  std::string_view Raw;  ///< all of its bytes, with the blank line
 };
 
 /// Cuts whole events out of a stream that arrives in arbitrary pieces.
@@ -33,6 +34,11 @@
   /// Whether the stream stopped inside an event.
   bool hasPartialEvent() const { return Consumed < Buffer.size(); }
 
+  /// The bytes behind the last whole event.
+  std::string_view rest() const {
+    return std::string_view(Buffer).substr(Consumed);
+  }
+
 private:
   std::string Buffer;
   std::size_t Consumed = 0;
--- /dev/null
+++ b/src/decisions/version/routing_table.cpp
@@ -0,0 +1,63 @@
+#include "decisions/version/routing_table.h"
+
+#include <algorithm>
+
+namespace ebonyvale {
+namespace {
+
+std::string hostName(std::string_view Host) {
+  const std::size_t Colon = Host.rfind(':');
+  std::string Name(Host.substr(0, Colon));
+  std::ranges::transform(Name, Name.begin(), [](unsigned char Letter) {
+    return static_cast<char>(std::tolower(Letter));
+  });
+  return Name;
+}
+
+} // namespace
+
+void routing_table::index() {
+  RoutesByHost.clear();
+  TeamsByKey.clear();
+  for (std::size_t Index = 0; Index < Routes.size(); ++Index)
+    RoutesByHost[hostName(Routes[Index].Host)].push_back(Index);
+  for (auto &[Host, Indices] : RoutesByHost)
+    std::ranges::stable_sort(
+        Indices, [this](std::size_t Left, std::size_t Right) {
+          return Routes[Left].Prefix.size() > Routes[Right].Prefix.size();
+        });
+  for (std::size_t Index = 0; Index < Teams.size(); ++Index)
+    for (const digest &Key : Teams[Index].Keys)
+      TeamsByKey.emplace(toHex(Key), Index);
+}
+
+const forward_route *routing_table::findRoute(std::string_view Host,
+                                              std::string_view Path) const {
+  const auto Found = RoutesByHost.find(hostName(Host));
+  if (Found == RoutesByHost.end())
+    return nullptr;
+  for (const std::size_t Index : Found->second)
+    if (Path.starts_with(Routes[Index].Prefix))
+      return &Routes[Index];
+  return nullptr;
+}
+
+const team_entry *routing_table::findTeam(const digest &Hash) const {
+  const auto Found = TeamsByKey.find(toHex(Hash));
+  return Found == TeamsByKey.end() ? nullptr : &Teams[Found->second];
+}
+
+std::string_view chooseService(const forward_route &Route, double Point) {
+  double Sum = 0;
+  for (const weighted_service &Part : Route.Split)
+    Sum += std::max(0.0, Part.Weight);
+  double Left = Point * Sum;
+  for (const weighted_service &Part : Route.Split) {
+    Left -= std::max(0.0, Part.Weight);
+    if (Left < 0)
+      return Part.Service;
+  }
+  return {};
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -0,0 +1,204 @@
+#include "gateway/connection/peer_gossip.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+namespace ebonyvale {
+namespace {
+
+using nlohmann::json;
+
+/// Number of this protocol; messages with any other are dropped.
+constexpr int GossipProtocol = 1;
+/// Longest datagram; the load of some hundred upstreams.
+constexpr std::size_t MaxDatagram = 32 * 1024;
+/// Peers that are told of the load at one interval.
+constexpr std::size_t LoadFanOut = 8;
+
+json encodeAsk(const share_ask &Ask) {
+  return {{"k", "ask"},
+          {"n", Ask.AskId},
+          {"t", Ask.Team},
+          {"w", Ask.Tokens},
+          {"p", Ask.Purpose == ask_purpose::Level},
+          {"l", Ask.Level},
+          {"b", Ask.Burst}};
+}
+
+share_ask decodeAsk(const json &Message) {
+  return {Message.at("n"),
+          Message.at("t"),
+          Message.at("w"),
+          Message.at("p").get<bool>() ? ask_purpose::Level : ask_purpose::Need,
+          Message.at("l"),
+          Message.at("b")};
+}
+
+json encodeReply(const share_reply &Reply) {
+  return {{"k", "reply"},        {"n", Reply.AskId}, {"t", Reply.Team},
+          {"w", Reply.Lent},     {"l", Reply.Level}, {"r", Reply.Rate},
+          {"m", Reply.MayReturn}};
+}
+
+share_reply decodeReply(const json &Message) {
+  return {Message.at("n"), Message.at("t"), Message.at("w"),
+          Message.at("l"), Message.at("r"), Message.at("m")};
+}
+
+} // namespace
+
+peer_gossip::peer_gossip(gateway_core &Core)
+    : Core(Core), LoadTimer(Core.base(), [this] { tellLoad(); }) {
+  Core.setMessenger(this);
+}
+
+peer_gossip::~peer_gossip() {
+  Core.setMessenger(nullptr);
+  Readable.reset();
+  if (Socket >= 0)
+    evutil_closesocket(Socket);
+}
+
+std::optional<failure> peer_gossip::listen() {
+  const std::string &Text = Core.settings().PeerEndpoint;
+  const auto Where = parseEndpoint(Text);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Where ? Where->Port : 0);
+  const bool Parsed = Where && inet_pton(AF_INET, Where->Address.c_str(),
+                                         &Address.sin_addr) == 1;
+  Socket = Parsed ? socket(AF_INET, SOCK_DGRAM, 0) : -1;
+  const bool Bound =
+      Socket >= 0 && evutil_make_socket_nonblocking(Socket) == 0 &&
+      bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) ==
+          0;
+  if (!Bound)
+    return failure{error_kind::SettingsInvalid,
+                   "cannot listen for peers on " + Text};
+  Readable.reset(event_new(Core.base(), Socket, EV_READ | EV_PERSIST,
+                           &peer_gossip::onReadable, this));
+  event_add(Readable.get(), nullptr);
+  LoadTimer.startPeriodic(
+      std::chrono::milliseconds(Core.settings().PeerIntervalMs));
+  return std::nullopt;
+}
+
+void peer_gossip::sendTo(const std::string &Peer, const json &Message) {
+  for (const auto &[Name, Entry] : Core.roster().peers()) {
+    if (Name != Peer)
+      continue;
+    json Whole = Message;
+    Whole["v"] = GossipProtocol;
+    Whole["f"] = Core.settings().InstanceName;
+    const std::vector<std::uint8_t> Bytes = json::to_msgpack(Whole);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(Entry.Port);
+    if (inet_pton(AF_INET, Entry.Address.c_str(), &Address.sin_addr) != 1)
+      return;
+    // A datagram that cannot be sent counts as lost.
+    sendto(Socket, Bytes.data(), Bytes.size(), MSG_DONTWAIT,
+           reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+    return;
+  }
+}
+
+void peer_gossip::sendToAll(const json &Message) {
+  for (const auto &[Name, Entry] : Core.roster().peers())
+    sendTo(Name, Message);
+}
+
+void peer_gossip::sendAsk(const std::string &Peer, const share_ask &Ask) {
+  sendTo(Peer, encodeAsk(Ask));
+}
+
+void peer_gossip::sendReturn(const std::string &Peer,
+                             const share_return &Return) {
+  sendTo(Peer, {{"k", "return"},
+                {"n", Return.AskId},
+                {"t", Return.Team},
+                {"w", Return.Tokens},
+                {"c", Return.Closed}});
+}
+
+void peer_gossip::sendLoss(request_fingerprint Request, engine_id Upstream) {
+  sendToAll({{"k", "loss"}, {"q", Request}, {"u", Upstream}});
+}
+
+void peer_gossip::sendPause(const std::string &Upstream, span_ns For) {
+  const auto Millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(For).count();
+  sendToAll({{"k", "pause"}, {"u", Upstream}, {"ms", Millis}});
+}
+
+void peer_gossip::tellLoad() {
+  const auto Loads = Core.scheduler().ownLoad(readBootClock());
+  const auto Peers = Core.roster().peers();
+  if (Peers.empty())
+    return;
+  json Listed = json::array();
+  for (const peer_load &Load : Loads)
+    Listed.push_back({Load.Upstream, Load.InFlight,
+                      static_cast<std::int64_t>(Load.BacklogMs)});
+  const json Message{{"k", "load"}, {"l", std::move(Listed)}};
+  for (std::size_t Told = 0; Told < std::min(LoadFanOut, Peers.size()); ++Told)
+    sendTo(Peers[NextPeer++ % Peers.size()].first, Message);
+}
+
+void peer_gossip::onReadable(evutil_socket_t Socket, short, void *Self) {
+  std::array<char, MaxDatagram> Buffer;
+  while (true) {
+    const ssize_t Length =
+        recv(Socket, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+    if (Length <= 0)
+      return;
+    static_cast<peer_gossip *>(Self)->onDatagram(
+        {Buffer.data(), static_cast<std::size_t>(Length)});
+  }
+}
+
+void peer_gossip::onDatagram(std::string_view Bytes) {
+  const json Message = json::from_msgpack(Bytes, true, false);
+  if (!Message.is_object() || Message.value("v", 0) != GossipProtocol)
+    return;
+  try {
+    takeMessage(Message.at("f"), Message);
+  } catch (const json::exception &Problem) {
+    Core.log().warn(event_category::Peer, "datagram_unreadable",
+                    {{"reason", Problem.what()}});
+  }
+}
+
+void peer_gossip::takeMessage(const std::string &From, const json &Message) {
+  const std::string Kind = Message.at("k");
+  const instant Now = readBootClock();
+  if (Kind == "load") {
+    std::vector<peer_load> Loads;
+    for (const json &Listed : Message.at("l"))
+      Loads.push_back({Listed.at(0), Listed.at(1), Listed.at(2)});
+    Core.scheduler().onPeerLoad(From, Loads, Now);
+  } else if (Kind == "ask") {
+    sendTo(From,
+           encodeReply(Core.shares().onAsk(From, decodeAsk(Message), Now)));
+  } else if (Kind == "reply") {
+    Core.onShareReply(From, decodeReply(Message));
+  } else if (Kind == "return") {
+    Core.shares().onReturn(
+        From,
+        {Message.at("n"), Message.at("t"), Message.at("w"), Message.at("c")},
+        Now);
+  } else if (Kind == "loss") {
+    Core.crashes().onLost(Message.at("q"), Message.at("u"), Now);
+  } else if (Kind == "pause") {
+    Core.scheduler().pause(
+        Message.at("u").get<std::string>(),
+        Now + std::chrono::milliseconds(Message.at("ms").get<std::int64_t>()));
+  }
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/src/gateway/connection/peer_gossip.h
@@ -0,0 +1,46 @@
+/// \file
+/// Small datagrams between instances: load at upstreams, lent tokens, requests
+/// that end their upstreams, and pauses of upstreams. Any of them may be lost.
+#ifndef EBONYVALE_GATEWAY_CONNECTION_PEER_GOSSIP_H
+#define EBONYVALE_GATEWAY_CONNECTION_PEER_GOSSIP_H
+
+#include "gateway/process/gateway_core.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+
+namespace ebonyvale {
+
+/// Owns the UDP socket.
+class peer_gossip final : public peer_messenger {
+public:
+  explicit peer_gossip(gateway_core &Core);
+  ~peer_gossip() override;
+
+  std::optional<failure> listen();
+
+  // peer_messenger
+  void sendAsk(const std::string &Peer, const share_ask &Ask) override;
+  void sendReturn(const std::string &Peer, const share_return &Return) override;
+  void sendLoss(request_fingerprint Request, engine_id Upstream) override;
+  void sendPause(const std::string &Upstream, span_ns For) override;
+
+private:
+  static void onReadable(evutil_socket_t, short, void *Self);
+  void onDatagram(std::string_view Bytes);
+  void takeMessage(const std::string &From, const nlohmann::json &Message);
+  void tellLoad();
+  void sendTo(const std::string &Peer, const nlohmann::json &Message);
+  void sendToAll(const nlohmann::json &Message);
+
+  gateway_core &Core;
+  evutil_socket_t Socket = -1;
+  event_ptr Readable;
+  timer LoadTimer;
+  std::size_t NextPeer = 0; ///< where the rotation over many peers stands
+};
+
+} // namespace ebonyvale
+
+#endif
--- /dev/null
+++ b/src/gateway/process/gateway_settings.cpp
@@ -0,0 +1,134 @@
+#include "gateway/process/gateway_settings.h"
+
+#include "common/settings_loader.h"
+
+#include <array>
+
+namespace ebonyvale {
+namespace {
+
+constexpr std::int64_t MaxMs = 3'600'000;
+constexpr std::int64_t MaxCount = 1'000'000'000;
+
+using setting = field<gateway_settings>;
+
+constexpr field_rule text(std::string_view Name, std::string_view Description) {
+  return {.Name = Name, .Description = Description};
+}
+
+constexpr field_rule millis(std::string_view Name, std::string_view Description,
+                            std::int64_t Min = 1) {
+  return {.Name = Name,
+          .Description = Description,
+          .Unit = "ms",
+          .Min = Min,
+          .Max = MaxMs};
+}
+
+constexpr field_rule count(std::string_view Name, std::string_view Description,
+                           std::string_view Unit) {
+  return {
+      .Name = Name, .Description = Description, .Unit = Unit, .Max = MaxCount};
+}
+
+const std::array Fields{
+    setting{text("instance.name", "Name of the instance, unique in the fleet."),
+            &gateway_settings::InstanceName},
+    setting{text("instance.domain", "Failure domain of the instance."),
+            &gateway_settings::Domain},
+    setting{text("instance.domains",
+                 "All failure domains, each as \"domain=region\"."),
+            &gateway_settings::Domains},
+    setting{text("listen.callers", "Endpoint for callers."),
+            &gateway_settings::CallerEndpoint},
+    setting{text("listen.ready", "Endpoint that tells readiness."),
+            &gateway_settings::ReadyEndpoint},
+    setting{text("listen.peers", "UDP endpoint for other instances."),
+            &gateway_settings::PeerEndpoint},
+    setting{text("listen.metrics", "Endpoint of /metrics; empty for none."),
+            &gateway_settings::MetricsEndpoint},
+    setting{{.Name = "store.endpoint",
+             .Description = "Endpoint of the platform's store.",
+             .Required = true},
+            &gateway_settings::StoreEndpoint},
+    setting{millis("store.call_timeout_ms", "Longest wait for an answer."),
+            &gateway_settings::StoreCallTimeoutMs},
+    setting{millis("store.watch_pause_ms",
+                   "Pause between two calls of the watch; collects changes."),
+            &gateway_settings::StoreWatchPauseMs},
+    setting{millis("store.read_interval_ms",
+                   "Time between plain reads that prove the configuration."),
+            &gateway_settings::StoreReadIntervalMs},
+    setting{millis("store.lease_ms", "Term of the instance's lease."),
+            &gateway_settings::LeaseTermMs},
+    setting{millis("bounds.key_ms",
+                   "A withdrawn key runs nothing that is sent later."),
+            &gateway_settings::KeyBoundMs},
+    setting{millis("bounds.apply_ms", "An accepted version is in force by it."),
+            &gateway_settings::ApplyBoundMs},
+    setting{
+        millis("bounds.issuer_ms", "Least time between orders of two issuers."),
+        &gateway_settings::IssuerTermMs},
+    setting{
+        millis("bounds.weights_ms",
+               "No request begins on weights that are outdated for so long."),
+        &gateway_settings::VersionBoundMs},
+    setting{millis("stop.grace_ms", "Time from SIGTERM to the forced end."),
+            &gateway_settings::StopGraceMs},
+    setting{count("retries.percent", "Repeats allowed for 100 requests.", ""),
+            &gateway_settings::RetryPercent},
+    setting{count("retries.slack", "Further repeats in a window, fleet-wide.",
+                  "requests"),
+            &gateway_settings::RetrySlack},
+    setting{millis("retries.window_ms", "Window of the retry budget."),
+            &gateway_settings::RetryWindowMs},
+    setting{count("limits.excess_percent",
+                  "Operators' tolerance above a team's limit.", "percent"),
+            &gateway_settings::LimitExcessPercent},
+    setting{count("limits.slack",
+                  "Operators' further tolerance in a window, fleet-wide.",
+                  "tokens"),
+            &gateway_settings::LimitSlackTokens},
+    setting{{.Name = "engines.prefill_tokens_per_ms",
+             .Description = "Prompt tokens that an engine reads.",
+             .Unit = "tokens/ms",
+             .Min = 1,
+             .Max = MaxCount},
+            &gateway_settings::PrefillTokensPerMs},
+    setting{millis("peers.interval_ms", "Time between messages to peers."),
+            &gateway_settings::PeerIntervalMs},
+    setting{{.Name = "log.level",
+             .Description = "Least level that is logged.",
+             .Choices = "trace|debug|info|warning|error|off"},
+            &gateway_settings::LogLevel},
+    setting{count("log.lines_per_second",
+                  "Lines about requests; those beyond are counted.", "lines"),
+            &gateway_settings::LogLinesPerSecond},
+};
+
+} // namespace
+
+std::span<const field<gateway_settings>> gatewaySettingFields() {
+  return Fields;
+}
+
+result<gateway_settings>
+loadGatewaySettings(const std::string &Path,
+                    const std::vector<std::string> &Overrides) {
+  gateway_settings Settings;
+  const auto Bound = bindFields(gatewaySettingFields(), Settings);
+  if (auto Problem = loadSettings(Path, Overrides, Bound))
+    return *Problem;
+  return Settings;
+}
+
+std::map<std::string, std::string>
+regionsOf(const std::vector<std::string> &Domains) {
+  std::map<std::string, std::string> Regions;
+  for (const std::string &Entry : Domains)
+    if (const std::size_t Equals = Entry.find('='); Equals != std::string::npos)
+      Regions[Entry.substr(0, Equals)] = Entry.substr(Equals + 1);
+  return Regions;
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/src/gateway/process/gateway_settings.h
@@ -0,0 +1,69 @@
+/// \file
+/// Settings of the gateway, the daemon on a platform that brings its own store,
+/// callers and upstreams.
+#ifndef EBONYVALE_GATEWAY_PROCESS_GATEWAY_SETTINGS_H
+#define EBONYVALE_GATEWAY_PROCESS_GATEWAY_SETTINGS_H
+
+#include "common/field_table.h"
+#include "common/result.h"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace ebonyvale {
+
+/// The settings, layered as default < file < command line. Durations are in
+/// ms, addresses "IP:PORT".
+struct gateway_settings {
+  std::string InstanceName = "instance-1";
+  std::string Domain = "local";
+  std::vector<std::string> Domains; ///< "domain=region", all of the fleet
+
+  std::string CallerEndpoint = "127.0.0.1:8080";
+  std::string ReadyEndpoint = "127.0.0.1:8081";
+  std::string PeerEndpoint = "127.0.0.1:8082";
+  std::string MetricsEndpoint;
+
+  std::string StoreEndpoint;
+  std::int64_t StoreCallTimeoutMs = 700;
+  std::int64_t StoreWatchPauseMs = 600;
+  std::int64_t StoreReadIntervalMs = 1500;
+  std::int64_t LeaseTermMs = 2000;
+
+  std::int64_t KeyBoundMs = 5000;
+  std::int64_t ApplyBoundMs = 2500;
+  std::int64_t IssuerTermMs = 3000;
+  std::int64_t VersionBoundMs = 10000;
+  std::int64_t StopGraceMs = 8000;
+
+  std::int64_t RetryPercent = 20;
+  std::int64_t RetrySlack = 50;
+  std::int64_t RetryWindowMs = 10000;
+  std::int64_t LimitExcessPercent = 10;
+  std::int64_t LimitSlackTokens = 0;
+
+  std::int64_t PrefillTokensPerMs = 80;
+  std::int64_t PeerIntervalMs = 300;
+
+  std::string LogLevel = "info";
+  std::int64_t LogLinesPerSecond = 200;
+};
+
+std::span<const field<gateway_settings>> gatewaySettingFields();
+
+/// Reads the file at \p Path (none when empty) and then \p Overrides, each
+/// "name=value". Fails with `SettingsInvalid` and one line for each problem.
+result<gateway_settings>
+loadGatewaySettings(const std::string &Path,
+                    const std::vector<std::string> &Overrides);
+
+/// Region by domain, from the "domain=region" entries.
+std::map<std::string, std::string>
+regionsOf(const std::vector<std::string> &Domains);
+
+} // namespace ebonyvale
+
+#endif
--- /dev/null
+++ b/src/gateway/process/gateway_task.cpp
@@ -0,0 +1,210 @@
+#include "gateway/process/gateway_task.h"
+
+#include <random>
+
+#include <spdlog/fmt/fmt.h>
+
+namespace ebonyvale {
+namespace {
+
+constexpr span_ns StopTick = std::chrono::milliseconds(50);
+/// New connections come until the balancer has asked twice in vain, once a
+/// second.
+constexpr span_ns BalancerLag = std::chrono::milliseconds(2600);
+/// Before the forced end: time to close what is left in order.
+constexpr span_ns ForcedEndMargin = std::chrono::milliseconds(300);
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+
+std::uint64_t makeBoot() {
+  std::random_device Device;
+  return (static_cast<std::uint64_t>(Device()) << 32) | Device();
+}
+
+endpoint endpointOf(const std::string &Text) {
+  return parseEndpoint(Text).value_or(endpoint{});
+}
+
+} // namespace
+
+/// Answers on the readiness and metrics listeners.
+class gateway_task::side_requests final : public request_handler {
+public:
+  explicit side_requests(gateway_core &Core) : Core(Core) {}
+
+  void onRequest(const std::shared_ptr<server_link> &Link,
+                 http_request Request) override {
+    const std::string_view Path = targetPath(Request.Head.Target);
+    header_list Headers;
+    Headers.add("Content-Type", "text/plain; version=0.0.4");
+    if (Path == Core.protocols().Callers.readinessPath()) {
+      const bool Ready = Core.ready(readBootClock());
+      return Link->answer(Ready ? StatusOk : StatusUnavailable, Headers,
+                          Ready ? "ready\n" : "not ready\n");
+    }
+    if (Path == "/metrics")
+      return Link->answer(StatusOk, Headers, Core.counters().text());
+    Link->answer(StatusNotFound, Headers, "");
+  }
+
+  void onUnreadable(server_link &Link, unreadable) override {
+    constexpr int BadRequest = 400;
+    Link.answer(BadRequest, {}, "");
+  }
+
+private:
+  gateway_core &Core;
+};
+
+gateway_task::gateway_task(event_base *Base, const gateway_settings &Settings,
+                           const platform_protocols &Protocols,
+                           const store_maker &MakeStore)
+    : Base(Base), Core(Base, Settings, Protocols, makeBoot()),
+      Store(MakeStore(Core.links(), endpointOf(Settings.StoreEndpoint),
+                      std::chrono::milliseconds(Settings.StoreCallTimeoutMs))),
+      Membership(Core, *Store), Weights(Core, *Store, Membership),
+      Follower(Core, *Store, std::string(OwnItemsPrefix), *this), Gossip(Core),
+      Sides(std::make_unique<side_requests>(Core)), Callers(Base, *this),
+      ReadyLinks(Base, *Sides), MetricsLinks(Base, *Sides),
+      StopTimer(Base, [this] { onStopTick(); }) {}
+
+gateway_task::~gateway_task() = default;
+
+std::optional<failure> gateway_task::listen(server_links &Links,
+                                            const std::string &Text) {
+  const auto Where = parseEndpoint(Text);
+  if (!Where)
+    return failure{error_kind::SettingsInvalid,
+                   fmt::format("'{}' is no IP:PORT", Text)};
+  return Links.listen(Where->Address, Where->Port);
+}
+
+std::optional<failure> gateway_task::start() {
+  const gateway_settings &Settings = Core.settings();
+  if (!parseEndpoint(Settings.StoreEndpoint))
+    return failure{error_kind::SettingsInvalid,
+                   "store.endpoint must be IP:PORT"};
+  if (auto Problem = listen(Callers, Settings.CallerEndpoint))
+    return Problem;
+  if (auto Problem = listen(ReadyLinks, Settings.ReadyEndpoint))
+    return Problem;
+  if (!Settings.MetricsEndpoint.empty())
+    if (auto Problem = listen(MetricsLinks, Settings.MetricsEndpoint))
+      return Problem;
+  if (auto Problem = Gossip.listen())
+    return Problem;
+  Core.log().info(event_category::Process, "started",
+                  {{"instance", Settings.InstanceName},
+                   {"domain", Settings.Domain},
+                   {"boot", fmt::format("{:016x}", Core.boot())},
+                   {"callers", Settings.CallerEndpoint},
+                   {"store", Settings.StoreEndpoint}});
+  Follower.start();
+  Membership.start();
+  Weights.start();
+  return std::nullopt;
+}
+
+void gateway_task::writePorts(std::ostream &Out) const {
+  Out << "caller " << Callers.port() << "\nready " << ReadyLinks.port()
+      << "\nmetrics " << MetricsLinks.port() << "\n";
+}
+
+void gateway_task::onRequest(const std::shared_ptr<server_link> &Link,
+                             http_request Request) {
+  updateBounds();
+  std::make_shared<forward_session>(Core, *this, Link, std::move(Request))
+      ->begin();
+}
+
+/// The first request under a new version brings its bounds into force.
+void gateway_task::updateBounds() {
+  if (BoundsOf == Core.routing())
+    return;
+  BoundsOf = Core.routing();
+  const caller_bounds &Given = BoundsOf->Bounds;
+  Callers.setBounds({Given.HeaderBytes, Given.BodyBytes, Given.HeaderTimeout,
+                     Given.IdleTimeout});
+}
+
+void gateway_task::onUnreadable(server_link &Link, unreadable Reason) {
+  error_kind Kind = error_kind::BodyMalformed;
+  if (Reason == unreadable::HeadTooLarge)
+    Kind = error_kind::HeadersTooLarge;
+  else if (Reason == unreadable::BodyTooLarge)
+    Kind = error_kind::BodyTooLarge;
+  else if (Reason == unreadable::TooSlow)
+    Kind = error_kind::HeaderTimeout;
+  const caller_protocol &Protocol = Core.protocols().Callers;
+  const int Status = Protocol.refusalStatus(Kind, false);
+  refusal Record;
+  Record.Kind = Kind;
+  Core.recordRefusal(std::move(Record), "", Status, span_ns(0));
+  Link.answer(
+      Status, Protocol.refusalHeaders(nullptr, span_ns(0)),
+      fmt::format(R"({{"error":"{}","ran":"no"}})", errorRow(Kind).Name));
+}
+
+void gateway_task::onUpstreamWeights(std::string_view Upstream,
+                                     std::string_view Model,
+                                     std::int64_t Version) {
+  Weights.onWeights(Upstream, Model, Version);
+}
+
+void gateway_task::onOwnItem(const store_item &Item) {
+  if (Item.Key == weights_task::claimKey())
+    Weights.onClaim(&Item);
+  else
+    Membership.onItem(Item);
+}
+
+void gateway_task::onOwnListing(const store_items &Items) {
+  const store_item *Claim = nullptr;
+  for (const store_item &Item : Items.Items)
+    if (Item.Key == weights_task::claimKey())
+      Claim = &Item;
+  Weights.onClaim(Claim);
+  Membership.onListing(Items);
+}
+
+void gateway_task::onWeightsWanted(const weights_target &Target) {
+  Weights.want(Target);
+}
+
+void gateway_task::onUpstreams() { Weights.onUpstreams(); }
+
+void gateway_task::stop() {
+  if (StopRequested) {
+    Core.log().warn(event_category::Process, "stopped_at_once",
+                    {{"open_requests", Core.openRequests()}});
+    event_base_loopbreak(Base);
+    return;
+  }
+  StopRequested = readBootClock();
+  Core.setLeaving();
+  Callers.closeAfterAnswers();
+  Core.log().info(event_category::Process, "stopping",
+                  {{"open_requests", Core.openRequests()}});
+  Membership.leave();
+  StopTimer.startPeriodic(StopTick);
+}
+
+void gateway_task::onStopTick() {
+  const span_ns Waited = readBootClock() - *StopRequested;
+  const span_ns Grace =
+      std::chrono::milliseconds(Core.settings().StopGraceMs) - ForcedEndMargin;
+  if (Waited < BalancerLag)
+    return;
+  Callers.stopListening();
+  Callers.closeIdle();
+  if (Callers.size() > 0 && Waited < Grace)
+    return;
+  Core.log().info(
+      event_category::Process, "stopped",
+      {{"open_requests", Core.openRequests()}, {"after_ms", Waited}});
+  event_base_loopbreak(Base);
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/src/gateway/process/gateway_task.h
@@ -0,0 +1,86 @@
+/// \file
+/// The gateway as a whole: listeners, core, followers and graceful stop.
+#ifndef EBONYVALE_GATEWAY_PROCESS_GATEWAY_TASK_H
+#define EBONYVALE_GATEWAY_PROCESS_GATEWAY_TASK_H
+
+#include "gateway/connection/peer_gossip.h"
+#include "gateway/process/gateway_core.h"
+#include "gateway/process/membership_task.h"
+#include "gateway/process/store_follower.h"
+#include "gateway/request/forward_session.h"
+#include "gateway/version/weights_task.h"
+#include "net/server_link.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <ostream>
+
+namespace ebonyvale {
+
+/// Makes the client of the platform's store.
+using store_maker = std::function<std::unique_ptr<fleet_store>(
+    client_links &Links, const endpoint &Server, span_ns CallTimeout)>;
+
+/// Runs one gateway on one event loop.
+class gateway_task final : public request_handler,
+                           public session_observer,
+                           public follower_observer {
+public:
+  gateway_task(event_base *Base, const gateway_settings &Settings,
+               const platform_protocols &Protocols,
+               const store_maker &MakeStore);
+  ~gateway_task() override;
+
+  /// Opens the listeners and starts to follow the store.
+  std::optional<failure> start();
+
+  /// Begins a graceful stop; a second call ends it at once.
+  void stop();
+
+  /// "name port" lines for the listeners.
+  void writePorts(std::ostream &Out) const;
+
+  gateway_core &core() { return Core; }
+
+  // request_handler
+  void onRequest(const std::shared_ptr<server_link> &Link,
+                 http_request Request) override;
+  void onUnreadable(server_link &Link, unreadable Reason) override;
+
+  // session_observer
+  void onUpstreamWeights(std::string_view Upstream, std::string_view Model,
+                         std::int64_t Version) override;
+
+  // follower_observer
+  void onOwnItem(const store_item &Item) override;
+  void onOwnListing(const store_items &Items) override;
+  void onWeightsWanted(const weights_target &Target) override;
+  void onUpstreams() override;
+
+private:
+  class side_requests;
+
+  std::optional<failure> listen(server_links &Links, const std::string &Text);
+  void onStopTick();
+  void updateBounds();
+
+  event_base *Base;
+  gateway_core Core;
+  std::unique_ptr<fleet_store> Store;
+  membership_task Membership;
+  weights_task Weights;
+  store_follower Follower;
+  peer_gossip Gossip;
+  std::unique_ptr<side_requests> Sides;
+  server_links Callers;
+  server_links ReadyLinks;
+  server_links MetricsLinks;
+  std::optional<instant> StopRequested;
+  timer StopTimer;
+  routing_table_ptr BoundsOf; ///< version whose bounds are in force
+};
+
+} // namespace ebonyvale
+
+#endif
--- /dev/null
+++ b/src/gateway/process/membership_task.cpp
@@ -0,0 +1,181 @@
+#include "gateway/process/membership_task.h"
+
+#include <algorithm>
+#include <set>
+
+#include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+namespace ebonyvale {
+namespace {
+
+constexpr std::string_view EntriesPrefix = "ebonyvale/instances/";
+constexpr std::string_view MarksPrefix = "ebonyvale/alive/";
+
+/// Renewals within one term, so that one may be lost.
+constexpr int RenewalsPerTerm = 3;
+/// Taken off the term: time in which the store's clock may run ahead.
+constexpr span_ns LeaseMargin = std::chrono::milliseconds(200);
+constexpr span_ns RetryPause = std::chrono::milliseconds(300);
+constexpr span_ns TickInterval = std::chrono::milliseconds(500);
+
+std::optional<roster_entry> readEntry(std::string_view Text) {
+  const auto Source = nlohmann::json::parse(Text, nullptr, false);
+  if (!Source.is_object() || !Source.contains("address") ||
+      !Source.contains("port") || !Source["address"].is_string() ||
+      !Source["port"].is_number_unsigned())
+    return std::nullopt;
+  return roster_entry{Source["address"], Source["port"],
+                      Source.value("domain", "")};
+}
+
+} // namespace
+
+membership_task::membership_task(gateway_core &Core, fleet_store &Store)
+    : Core(Core), Store(Store),
+      EntryKey(
+          fmt::format("{}{}", EntriesPrefix, Core.settings().InstanceName)),
+      MarkKey(fmt::format("{}{}", MarksPrefix, Core.settings().InstanceName)),
+      StepTimer(Core.base(),
+                [this] {
+                  if (Lease == 0)
+                    grant();
+                  else if (!Announced)
+                    announce();
+                  else
+                    renew();
+                }),
+      TickTimer(Core.base(), [this] { onTick(); }) {}
+
+void membership_task::start() {
+  grant();
+  TickTimer.startPeriodic(TickInterval);
+}
+
+void membership_task::leave() {
+  Leaving = true;
+  StepTimer.stop();
+  if (Lease != 0)
+    Store.endLease(std::exchange(Lease, 0), [](const store_result &) {});
+}
+
+std::int64_t membership_task::lease(instant Now) const {
+  return Announced && Now < LeaseUntil ? Lease : 0;
+}
+
+void membership_task::retryLater() {
+  if (!Leaving)
+    StepTimer.startOnce(RetryPause);
+}
+
+void membership_task::grant() {
+  const span_ns Term = std::chrono::milliseconds(Core.settings().LeaseTermMs);
+  Store.grantLease(Term, [this](const store_result &Result) {
+    Core.counters().onStoreCall("grant", storeStatusName(Result.Status));
+    if (Leaving || Result.Status != store_status::Ok || Result.Lease == 0)
+      return retryLater();
+    Lease = Result.Lease;
+    LeaseUntil = Result.SentAt + Result.Term - LeaseMargin;
+    Announced = false;
+    announce();
+  });
+}
+
+void membership_task::announce() {
+  const auto Peer = parseEndpoint(Core.settings().PeerEndpoint);
+  const std::string Entry = nlohmann::json{
+      {"address", Peer ? Peer->Address : ""},
+      {"port", Peer ? Peer->Port : 0},
+      {"domain", Core.settings().Domain},
+      {"boot", Core.boot()}}.dump();
+  store_commit Commit;
+  Commit.Puts = {{EntryKey, Entry, 0},
+                 {MarkKey, fmt::format("{}", Core.boot()), Lease}};
+  Store.commit(Commit, [this](const store_result &Result) {
+    Core.counters().onStoreCall("announce", storeStatusName(Result.Status));
+    if (Result.Status == store_status::NotFound)
+      Lease = 0;
+    Announced = Result.Status == store_status::Ok;
+    if (!Announced)
+      return retryLater();
+    Core.log().info(event_category::Peer, "instance_listed",
+                    {{"lease", Lease}, {"revision", Result.Revision}});
+    StepTimer.startOnce(std::chrono::milliseconds(Core.settings().LeaseTermMs) /
+                        RenewalsPerTerm);
+  });
+}
+
+void membership_task::renew() {
+  Store.renewLease(Lease, [this](const store_result &Result) {
+    Core.counters().onStoreCall("renew", storeStatusName(Result.Status));
+    if (Leaving)
+      return;
+    if (Result.Status == store_status::NotFound) {
+      Core.log().warn(event_category::Peer, "lease_lost", {{"lease", Lease}});
+      Lease = 0;
+      Announced = false;
+      return grant();
+    }
+    if (Result.Status != store_status::Ok)
+      return retryLater();
+    LeaseUntil = Result.SentAt + Result.Term - LeaseMargin;
+    StepTimer.startOnce(std::chrono::milliseconds(Core.settings().LeaseTermMs) /
+                        RenewalsPerTerm);
+  });
+}
+
+void membership_task::onItem(const store_item &Item) {
+  const instant Now = readBootClock();
+  instance_roster &Roster = Core.roster();
+  const std::string_view Key = Item.Key;
+  if (Key.starts_with(EntriesPrefix)) {
+    const std::string_view Name = Key.substr(EntriesPrefix.size());
+    if (Item.Removed)
+      Roster.removeEntry(Name);
+    else if (const auto Entry = readEntry(Item.Value))
+      Roster.putEntry(Name, *Entry, Now);
+  } else if (Key.starts_with(MarksPrefix)) {
+    const std::string_view Name = Key.substr(MarksPrefix.size());
+    if (Item.Removed)
+      Roster.removeMark(Name, Now);
+    else
+      Roster.putMark(Name, Now);
+  }
+}
+
+void membership_task::onListing(const store_items &Items) {
+  std::set<std::string_view> Marked;
+  for (const store_item &Item : Items.Items) {
+    onItem(Item);
+    if (std::string_view(Item.Key).starts_with(MarksPrefix))
+      Marked.insert(std::string_view(Item.Key).substr(MarksPrefix.size()));
+  }
+  for (const auto &[Name, Entry] : Core.roster().peers())
+    if (!Marked.contains(Name))
+      Core.roster().removeMark(Name, readBootClock());
+}
+
+void membership_task::onTick() {
+  const instant Now = readBootClock();
+  Core.updateShares(Now);
+  std::vector<std::string> Peers;
+  for (const auto &[Name, Entry] : Core.roster().peers())
+    Peers.push_back(Name);
+  Core.shares().setPeers(Peers);
+  const auto Age = Core.proof().age(Now);
+  Core.counters().EvidenceAgeSeconds.Set(Age ? toSeconds(*Age) : -1);
+  // The first of the living cleans up.
+  const bool IsFirst =
+      Peers.empty() || Core.settings().InstanceName < Peers.front();
+  if (!IsFirst || lease(Now) == 0)
+    return;
+  for (const std::string &Name : Core.roster().forgotten(Now)) {
+    store_commit Commit;
+    Commit.Conditions = {{fmt::format("{}{}", MarksPrefix, Name), 0}};
+    Commit.Removals = {fmt::format("{}{}", EntriesPrefix, Name)};
+    Core.roster().removeEntry(Name);
+    Store.commit(Commit, [](const store_result &) {});
+  }
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/src/gateway/process/store_follower.cpp
@@ -0,0 +1,229 @@
+#include "gateway/process/store_follower.h"
+
+#include <algorithm>
+
+namespace ebonyvale {
+namespace {
+
+/// How long the store holds a watch without changes.
+constexpr span_ns WatchWait = std::chrono::milliseconds(2000);
+/// First pause after a failed call, doubled by each further one.
+constexpr span_ns FirstBackOff = std::chrono::milliseconds(150);
+constexpr span_ns MaxBackOff = std::chrono::milliseconds(1200);
+/// Watches after a start without an answer begin with a listing.
+constexpr span_ns LapseCheck = std::chrono::milliseconds(250);
+
+} // namespace
+
+store_follower::store_follower(gateway_core &Core, fleet_store &Store,
+                               std::string OwnPrefix,
+                               follower_observer &Observer)
+    : Core(Core), Store(Store), OwnPrefix(std::move(OwnPrefix)),
+      Observer(Observer), ReadTimer(Core.base(), [this] { readOperators(); }),
+      WatchTimer(Core.base(),
+                 [this] {
+                   if (Listed)
+                     watch();
+                   else
+                     listAll();
+                 }),
+      LapseTimer(Core.base(), [this] {
+        if (!this->Core.directory().expire(readBootClock()))
+          return;
+        this->Core.onDirectory();
+        this->Observer.onUpstreams();
+      }) {}
+
+void store_follower::start() {
+  readOperators();
+  listAll();
+  LapseTimer.startPeriodic(LapseCheck);
+}
+
+void store_follower::note(std::string_view Call, store_status Status) {
+  Core.counters().onStoreCall(Call, storeStatusName(Status));
+  const bool Answered =
+      Status == store_status::Ok || Status == store_status::HistoryGone;
+  Failures = Answered ? 0 : Failures + 1;
+  if (!Answered)
+    OutageSinceListing = true;
+  if (Answered == Connected && EverConnected)
+    return;
+  Connected = Answered;
+  EverConnected = true;
+  if (Answered)
+    Core.log().info(event_category::Store, "store_reached", {{"call", Call}});
+  else
+    Core.log().warn(event_category::Store, "store_lost",
+                    {{"call", Call}, {"status", storeStatusName(Status)}});
+}
+
+span_ns store_follower::backOff() {
+  constexpr unsigned MaxDoublings = 4;
+  const unsigned Doublings =
+      std::min(Failures > 0 ? Failures - 1 : 0, MaxDoublings);
+  const span_ns Base =
+      std::min<span_ns>(FirstBackOff * (1U << Doublings), MaxBackOff);
+  // Spread by the process's own number, so that a fleet does not call at once.
+  constexpr std::uint64_t Steps = 16;
+  return Base + Base * (Core.boot() % Steps) / Steps / 2;
+}
+
+void store_follower::readOperators() {
+  Store.list(Core.protocols().Documents.operatorPrefix(),
+             [this](const store_items &Items) { onOperators(Items); });
+}
+
+void store_follower::onOperators(const store_items &Items) {
+  note("read_operators", Items.Status);
+  if (Items.Status != store_status::Ok) {
+    ReadTimer.startOnce(backOff());
+    return;
+  }
+  for (const store_item &Item : Items.Items)
+    takeOperatorItem(Item);
+  // The proof is taken only after the documents that it covers.
+  Core.proof().onRead(Items.SentAt);
+  ReadTimer.startOnce(
+      std::chrono::milliseconds(Core.settings().StoreReadIntervalMs));
+}
+
+void store_follower::listAll() {
+  Store.list(Core.protocols().Documents.upstreamPrefix(),
+             [this](const store_items &Items) { onUpstreamListing(Items); });
+}
+
+void store_follower::onUpstreamListing(const store_items &Items) {
+  note("list_upstreams", Items.Status);
+  if (Items.Status != store_status::Ok) {
+    WatchTimer.startOnce(backOff());
+    return;
+  }
+  const document_reader &Documents = Core.protocols().Documents;
+  std::vector<upstream_entry> Entries;
+  for (const store_item &Item : Items.Items) {
+    auto Entry =
+        Documents.readUpstream(Documents.upstreamId(Item.Key), Item.Value);
+    if (Entry)
+      Entries.push_back(std::move(*Entry));
+    else
+      Core.log().warn(event_category::Upstream, "entry_unreadable",
+                      {{"key", Item.Key}, {"revision", Item.Revision}});
+  }
+  const listing_kind Kind =
+      OutageSinceListing ? listing_kind::AfterOutage : listing_kind::Continuous;
+  Core.log().info(event_category::Upstream, "listed",
+                  {{"entries", Entries.size()},
+                   {"revision", Items.Revision},
+                   {"after_outage", OutageSinceListing}});
+  OutageSinceListing = false;
+  Core.directory().setAll(std::move(Entries), Kind, readBootClock());
+  Revision = Items.Revision;
+  Core.onDirectory();
+  Observer.onUpstreams();
+  Store.list(OwnPrefix, [this](const store_items &Own) { onOwnListing(Own); });
+}
+
+void store_follower::onOwnListing(const store_items &Items) {
+  note("list_own", Items.Status);
+  if (Items.Status != store_status::Ok) {
+    WatchTimer.startOnce(backOff());
+    return;
+  }
+  Observer.onOwnListing(Items);
+  Listed = true;
+  watch();
+}
+
+void store_follower::watch() {
+  Store.watch("", Revision, WatchWait,
+              [this](const store_items &Changes) { onChanges(Changes); });
+}
+
+void store_follower::onChanges(const store_items &Changes) {
+  note("watch", Changes.Status);
+  if (Changes.Status != store_status::Ok) {
+    // What happened meanwhile is unknown, or its history is gone.
+    if (Changes.Status == store_status::HistoryGone || OutageSinceListing)
+      Listed = false;
+    if (Changes.Status == store_status::HistoryGone)
+      return listAll();
+    WatchTimer.startOnce(backOff());
+    return;
+  }
+  const std::uint64_t Generation = Core.directory().generation();
+  for (const store_item &Item : Changes.Items)
+    takeItem(Item);
+  Revision = std::max(Revision, Changes.Revision);
+  if (Core.directory().generation() != Generation) {
+    Core.onDirectory();
+    Observer.onUpstreams();
+  }
+  WatchTimer.startOnce(
+      std::chrono::milliseconds(Core.settings().StoreWatchPauseMs));
+}
+
+void store_follower::takeItem(const store_item &Item) {
+  const document_kind Kind = Core.protocols().Documents.kindOf(Item.Key);
+  if (Kind == document_kind::Upstream)
+    takeUpstream(Item);
+  else if (Kind != document_kind::Other)
+    takeOperatorItem(Item);
+  else if (Item.Key.starts_with(OwnPrefix))
+    Observer.onOwnItem(Item);
+}
+
+void store_follower::takeOperatorItem(const store_item &Item) {
+  std::int64_t &Known = OperatorRevisions[Item.Key];
+  if (Item.Removed || Item.Revision <= Known)
+    return;
+  Known = Item.Revision;
+  const document_reader &Documents = Core.protocols().Documents;
+  const instant Now = readBootClock();
+  if (Documents.kindOf(Item.Key) == document_kind::Routing) {
+    auto Table = Documents.readRouting(Item.Value, Core.keySecret());
+    if (Table)
+      return Core.setRouting(std::move(*Table), Now);
+    Core.log().warn(
+        event_category::Store, "configuration_unreadable",
+        {{"revision", Item.Revision}, {"reason", Table.error().Detail}});
+    return;
+  }
+  const auto Target = Documents.readWeights(Item.Value);
+  if (!Target)
+    return;
+  Core.log().info(event_category::Weights, "version_named",
+                  {{"model", Target->Model},
+                   {"version", Target->Version},
+                   {"revision", Item.Revision}});
+  Core.scheduler().wantWeights(Target->Model, Target->Version, Now);
+  Observer.onWeightsWanted(*Target);
+}
+
+void store_follower::takeUpstream(const store_item &Item) {
+  const document_reader &Documents = Core.protocols().Documents;
+  const std::string_view Id = Documents.upstreamId(Item.Key);
+  const upstream_entry *Before = Core.directory().find(Id);
+  if (Item.Removed) {
+    if (Before)
+      Core.log().info(event_category::Upstream, "gone",
+                      {{"upstream", Id}, {"revision", Item.Revision}});
+    Core.directory().remove(Id);
+    return;
+  }
+  auto Entry = Documents.readUpstream(Id, Item.Value);
+  if (!Entry)
+    Core.log().warn(event_category::Upstream, "entry_unreadable",
+                    {{"key", Item.Key}, {"revision", Item.Revision}});
+  else if (!Before || Before->Draining != Entry->Draining ||
+           !Before->sameIncarnation(*Entry))
+    Core.log().info(event_category::Upstream,
+                    Entry->Draining ? "draining" : "listed_one",
+                    {{"upstream", Id},
+                     {"service", Entry->Service},
+                     {"born", Entry->Born},
+                     {"revision", Item.Revision}});
+  Core.directory().put(Id, std::move(Entry));
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/src/gateway/version/weights_task.cpp
@@ -0,0 +1,269 @@
+#include "gateway/version/weights_task.h"
+
+#include <utility>
+
+namespace ebonyvale {
+namespace {
+
+constexpr span_ns TickInterval = std::chrono::milliseconds(50);
+/// Longest wait for an upstream's answer to an order or a report call.
+constexpr span_ns CallTimeout = std::chrono::milliseconds(450);
+/// Added to the term between two holders: time on the way to an upstream.
+constexpr span_ns IssuerMargin = std::chrono::milliseconds(200);
+/// After a failed read of the claim.
+constexpr span_ns RereadPause = std::chrono::milliseconds(500);
+/// Longest answer to an order or a report call, in bytes.
+constexpr std::size_t MaxAnswerBytes = 256 * 1024;
+
+} // namespace
+
+/// One call to an upstream.
+class weights_task::call final : public answer_observer,
+                                 public std::enable_shared_from_this<call> {
+public:
+  /// Called with status 0 when there is no whole answer.
+  using callback = std::function<void(int Status, std::string_view Body)>;
+
+  call(weights_task &Owner, callback Done)
+      : Owner(Owner), Done(std::move(Done)),
+        Deadline(Owner.Core.base(), [this] { finish(0); }) {}
+  ~call() override {
+    if (Link)
+      Link->cancel();
+  }
+
+  void start(const client_request &Request) {
+    Link = Owner.Core.links().start(Request, *this);
+    Deadline.startOnce(CallTimeout);
+  }
+
+  head_verdict onAnswerHead(const http_head &Head, bool) override {
+    Status = Head.Status;
+    return head_verdict::Take;
+  }
+  void onAnswerBody(std::string_view Bytes) override {
+    if (Body.size() + Bytes.size() <= MaxAnswerBytes)
+      Body += Bytes;
+  }
+  void onAnswerEnd() override {
+    Link.reset();
+    finish(Status);
+  }
+  void onAnswerLost(const exchange_loss &) override {
+    Link.reset();
+    finish(0);
+  }
+
+private:
+  void finish(int Result) {
+    const auto Guard = shared_from_this();
+    Deadline.stop();
+    if (const auto Running = std::exchange(Link, nullptr))
+      Running->cancel();
+    Owner.Calls.erase(Guard);
+    Done(Result, Body);
+  }
+
+  weights_task &Owner;
+  callback Done;
+  timer Deadline;
+  std::shared_ptr<client_link> Link;
+  int Status = 0;
+  std::string Body;
+};
+
+weights_task::weights_task(gateway_core &Core, fleet_store &Store,
+                           membership_task &Membership)
+    : Core(Core), Store(Store), Membership(Membership),
+      Rollout(rollout_terms{}), TickTimer(Core.base(), [this] { onTick(); }) {}
+
+weights_task::~weights_task() = default;
+
+std::string_view weights_task::claimKey() { return "ebonyvale/weights-issuer"; }
+
+void weights_task::start() { TickTimer.startPeriodic(TickInterval); }
+
+void weights_task::want(const weights_target &Target) {
+  Rollout.want(Target.Model, Target.Version);
+}
+
+void weights_task::onUpstreams() { Rollout.update(Core.directory()); }
+
+void weights_task::onWeights(std::string_view Upstream, std::string_view Model,
+                             std::int64_t Version) {
+  Rollout.onWeights(Upstream, Model, Version);
+}
+
+void weights_task::onClaim(const store_item *Item) {
+  const instant Now = readBootClock();
+  const bool Present = Item && !Item->Removed;
+  const bool WasOther =
+      !ClaimOwner.empty() && ClaimOwner != Core.settings().InstanceName;
+  const bool IsOwn = Present && Item->Value == Core.settings().InstanceName;
+  if (WasOther || (!ClaimKnown && !IsOwn)) {
+    // The holder before may have sent an order a moment ago.
+    OthersUntil = Now + IssuerMargin +
+                  std::chrono::milliseconds(Core.settings().IssuerTermMs);
+  }
+  ClaimKnown = true;
+  ClaimOwner = Present ? Item->Value : "";
+  ClaimRevision = Present ? Item->Revision : 0;
+  if (Fence != 0 && ClaimRevision != Fence) {
+    Core.log().warn(event_category::Weights, "claim_lost",
+                    {{"fence", Fence}, {"holder", ClaimOwner}});
+    Fence = 0;
+    carryOut(Rollout.abandon());
+  }
+}
+
+bool weights_task::holds(instant Now) const {
+  return Fence != 0 && Membership.lease(Now) == FenceLease && FenceLease != 0;
+}
+
+void weights_task::claim(instant Now) {
+  const std::int64_t Lease = Membership.lease(Now);
+  const bool Free =
+      ClaimOwner.empty() || ClaimOwner == Core.settings().InstanceName;
+  if (Claiming || !ClaimKnown || !Free || Lease == 0 || Core.leaving())
+    return;
+  Claiming = true;
+  store_commit Commit;
+  Commit.Conditions = {{std::string(claimKey()), ClaimRevision}};
+  Commit.Puts = {
+      {std::string(claimKey()), Core.settings().InstanceName, Lease}};
+  Store.commit(Commit, [this, Lease](const store_result &Result) {
+    Claiming = false;
+    Core.counters().onStoreCall("claim", storeStatusName(Result.Status));
+    if (Result.Status != store_status::Ok) {
+      // Another instance was faster, or the write may still happen.
+      readClaim();
+      return;
+    }
+    Fence = Result.Revision;
+    FenceLease = Lease;
+    ClaimRevision = Fence;
+    ClaimOwner = Core.settings().InstanceName;
+    Core.log().info(event_category::Weights, "claim_taken",
+                    {{"fence", Fence}, {"lease", Lease}});
+  });
+}
+
+void weights_task::readClaim() {
+  ClaimKnown = false;
+  Store.list(std::string(claimKey()), [this](const store_items &Items) {
+    Core.counters().onStoreCall("read_claim", storeStatusName(Items.Status));
+    if (Items.Status == store_status::Ok)
+      return onClaim(Items.Items.empty() ? nullptr : &Items.Items.front());
+    RereadAt = readBootClock() + RereadPause;
+  });
+}
+
+void weights_task::onTick() {
+  const instant Now = readBootClock();
+  if (!holds(Now)) {
+    if (Fence != 0) {
+      Fence = 0;
+      carryOut(Rollout.abandon());
+    }
+    if (!ClaimKnown && RereadAt && Now >= *RereadAt) {
+      RereadAt.reset();
+      return readClaim();
+    }
+    return claim(Now);
+  }
+  if (Now < OthersUntil || Core.leaving())
+    return;
+  carryOut(Rollout.onTick(Now));
+}
+
+void weights_task::carryOut(const rollout_actions &Actions) {
+  for (const rollout_action &Action : Actions) {
+    if (const auto *Pause = std::get_if<rollout_pause>(&Action)) {
+      Core.scheduler().pause(Pause->Upstream, readBootClock() + Pause->For);
+      if (Core.messenger())
+        Core.messenger()->sendPause(Pause->Upstream, Pause->For);
+    } else if (const auto *Look = std::get_if<rollout_look>(&Action)) {
+      look(Look->Upstream);
+    } else if (const auto *Order = std::get_if<rollout_order>(&Action)) {
+      order(*Order);
+    }
+  }
+}
+
+std::optional<client_request>
+weights_task::requestTo(const std::string &Upstream) const {
+  const upstream_entry *Entry = Core.directory().find(Upstream);
+  if (!Entry)
+    return std::nullopt;
+  client_request Request;
+  Request.Server = {Entry->Address, Entry->Port};
+  return Request;
+}
+
+void weights_task::look(const std::string &Upstream) {
+  auto Request = requestTo(Upstream);
+  if (!Request)
+    return;
+  Core.protocols().Upstreams.makeReportCall(Upstream, *Request);
+  const auto Call = std::make_shared<call>(
+      *this, [this, Upstream](int Status, std::string_view Body) {
+        constexpr int StatusOk = 200;
+        std::optional<upstream_report> Report;
+        if (Status == StatusOk)
+          Report = Core.protocols().Upstreams.readReport(Body);
+        rollout_report Seen;
+        if (Report) {
+          Seen = {Report->Busy, Report->AcceptedOrders, Report->Models};
+          for (const auto &[Model, Version] : Report->Models)
+            Core.scheduler().onWeights(Upstream, Model, Version);
+        }
+        if (Fence != 0)
+          carryOut(Rollout.onReport(Upstream, Report ? &Seen : nullptr,
+                                    readBootClock()));
+      });
+  Calls.insert(Call);
+  Call->start(*Request);
+}
+
+void weights_task::order(const rollout_order &Order) {
+  auto Request = requestTo(Order.Upstream);
+  // Checked last, on a clock that counts suspension: behind a lost claim no
+  // order may leave.
+  if (!Request || !holds(readBootClock()))
+    return;
+  const std::string Body = Core.protocols().Upstreams.makeOrder(
+      {Order.Model, Order.Version, Core.settings().InstanceName, Fence,
+       Order.AcceptedOrders},
+      Order.Upstream, *Request);
+  Request->Body = Body;
+  Core.counters().OrdersSent.Increment();
+  Core.log().info(event_category::Weights, "order_sent",
+                  {{"upstream", Order.Upstream},
+                   {"model", Order.Model},
+                   {"version", Order.Version},
+                   {"fence", Fence},
+                   {"expected", Order.AcceptedOrders}});
+  const auto Call = std::make_shared<call>(
+      *this, [this, Order](int Status, std::string_view) {
+        const order_answer Answer =
+            Status == 0 ? order_answer::Unknown
+                        : Core.protocols().Upstreams.readOrderAnswer(Status);
+        order_outcome Outcome = order_outcome::Unknown;
+        if (Answer == order_answer::Accepted ||
+            Answer == order_answer::AlreadyHolds)
+          Outcome = order_outcome::Taken;
+        else if (Answer == order_answer::Conflict)
+          Outcome = order_outcome::Conflict;
+        else if (Answer == order_answer::Rejected)
+          Outcome = order_outcome::Rejected;
+        Core.log().info(event_category::Weights, "order_answered",
+                        {{"upstream", Order.Upstream},
+                         {"version", Order.Version},
+                         {"status", Status}});
+        Rollout.onOrderAnswer(Order.Upstream, Outcome, readBootClock());
+      });
+  Calls.insert(Call);
+  Call->start(*Request);
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/src/net/http_message.cpp
@@ -0,0 +1,213 @@
+#include "net/http_message.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <strings.h>
+
+namespace ebonyvale {
+
+namespace {
+
+/// RFC 9112, section 6.3: an answer without a length.
+bool endsAtClose(const http_parser &Parser) {
+  constexpr unsigned NoContent = 204;
+  constexpr unsigned NotModified = 304;
+  const bool HasBody =
+      Parser.status_code != NoContent && Parser.status_code != NotModified;
+  const bool HasLength = (Parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
+  return HasBody && !HasLength;
+}
+
+} // namespace
+
+bool sameHeaderName(std::string_view Left, std::string_view Right) {
+  return Left.size() == Right.size() &&
+         strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+std::optional<std::string_view> header_list::find(std::string_view Name) const {
+  for (const http_header &Field : Fields)
+    if (sameHeaderName(Field.Name, Name))
+      return Field.Value;
+  return std::nullopt;
+}
+
+std::optional<std::int64_t> header_list::number(std::string_view Name) const {
+  const auto Text = find(Name);
+  if (!Text)
+    return std::nullopt;
+  std::int64_t Value = 0;
+  const auto [End, Error] =
+      std::from_chars(Text->data(), Text->data() + Text->size(), Value);
+  const bool Whole = Error == std::errc() && End == Text->data() + Text->size();
+  if (!Whole || Value < 0)
+    return std::nullopt;
+  return Value;
+}
+
+void header_list::add(std::string_view Name, std::string_view Value) {
+  Fields.push_back({std::string(Name), std::string(Value)});
+}
+
+void header_list::set(std::string_view Name, std::string_view Value) {
+  erase(Name);
+  add(Name, Value);
+}
+
+void header_list::erase(std::string_view Name) {
+  std::erase_if(Fields, [Name](const http_header &Field) {
+    return sameHeaderName(Field.Name, Name);
+  });
+}
+
+http_header &header_list::openField(bool NewField) {
+  if (NewField || Fields.empty())
+    Fields.emplace_back();
+  return Fields.back();
+}
+
+std::string_view targetPath(std::string_view Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+message_reader::message_reader(side Side, message_sink &Sink,
+                               std::size_t HeadBytes)
+    : Side(Side), Sink(Sink), HeadBytes(HeadBytes) {
+  reset();
+}
+
+void message_reader::reset(bool AnswersHeadRequest) {
+  http_parser_init(&Parser,
+                   Side == side::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+  Parser.data = this;
+  Head = {};
+  HeadRead = 0;
+  State = read_state::Reading;
+  Begun = false;
+  InValue = true;
+  HeadDone = false;
+  AnswersHead = AnswersHeadRequest;
+}
+
+std::size_t message_reader::feed(std::string_view Bytes) {
+  if (State != read_state::Reading || Bytes.empty())
+    return 0;
+  const std::size_t Used =
+      http_parser_execute(&Parser, &callbacks(), Bytes.data(), Bytes.size());
+  if (State == read_state::Complete)
+    return Used;
+  if (HTTP_PARSER_ERRNO(&Parser) != HPE_OK && State == read_state::Reading)
+    State = HTTP_PARSER_ERRNO(&Parser) == HPE_HEADER_OVERFLOW
+                ? read_state::TooLarge
+                : read_state::Invalid;
+  return Used;
+}
+
+bool message_reader::finishAtClose() {
+  if (State == read_state::Reading)
+    http_parser_execute(&Parser, &callbacks(), nullptr, 0);
+  return State == read_state::Complete;
+}
+
+const http_parser_settings &message_reader::callbacks() {
+  static const http_parser_settings Settings = [] {
+    http_parser_settings Value;
+    http_parser_settings_init(&Value);
+    Value.on_message_begin = &message_reader::onBegin;
+    Value.on_url = &message_reader::onUrl;
+    Value.on_header_field = &message_reader::onField;
+    Value.on_header_value = &message_reader::onValue;
+    Value.on_headers_complete = &message_reader::onHeadEnd;
+    Value.on_body = &message_reader::onBody;
+    Value.on_message_complete = &message_reader::onEnd;
+    return Value;
+  }();
+  return Settings;
+}
+
+bool message_reader::countHead(std::size_t Length) {
+  HeadRead += Length;
+  if (HeadRead <= HeadBytes)
+    return true;
+  State = read_state::TooLarge;
+  return false;
+}
+
+int message_reader::onBegin(http_parser *Parser) {
+  static_cast<message_reader *>(Parser->data)->Begun = true;
+  return 0;
+}
+
+int message_reader::onUrl(http_parser *Parser, const char *Data,
+                          std::size_t Length) {
+  auto *Self = static_cast<message_reader *>(Parser->data);
+  Self->Head.Target.append(Data, Length);
+  return Self->countHead(Length) ? 0 : 1;
+}
+
+int message_reader::onField(http_parser *Parser, const char *Data,
+                            std::size_t Length) {
+  auto *Self = static_cast<message_reader *>(Parser->data);
+  // Trailers behind a chunked body are dropped.
+  if (Self->HeadDone)
+    return 0;
+  Self->Head.Headers.openField(Self->InValue).Name.append(Data, Length);
+  Self->InValue = false;
+  return Self->countHead(Length) ? 0 : 1;
+}
+
+int message_reader::onValue(http_parser *Parser, const char *Data,
+                            std::size_t Length) {
+  auto *Self = static_cast<message_reader *>(Parser->data);
+  if (Self->HeadDone)
+    return 0;
+  Self->Head.Headers.openField(false).Value.append(Data, Length);
+  Self->InValue = true;
+  return Self->countHead(Length) ? 0 : 1;
+}
+
+int message_reader::onHeadEnd(http_parser *Parser) {
+  auto *Self = static_cast<message_reader *>(Parser->data);
+  Self->HeadDone = true;
+  http_head &Head = Self->Head;
+  Head.KeepAlive = http_should_keep_alive(Parser) != 0;
+  if (Self->Side == side::Requests) {
+    Head.Method = http_method_str(static_cast<http_method>(Parser->method));
+  } else {
+    Head.Status = static_cast<int>(Parser->status_code);
+    Head.EndsAtClose = endsAtClose(*Parser);
+  }
+  // Interim answers (RFC 9110, section 15.2) announce the one that counts.
+  constexpr int FirstFinalStatus = 200;
+  const bool Interim =
+      Self->Side == side::Answers && Head.Status < FirstFinalStatus;
+  if (!Interim && !Self->Sink.onMessageHead(Head)) {
+    Self->State = read_state::Invalid;
+    return -1;
+  }
+  constexpr int SkipBody = 1;
+  return Self->AnswersHead ? SkipBody : 0;
+}
+
+int message_reader::onBody(http_parser *Parser, const char *Data,
+                           std::size_t Length) {
+  auto *Self = static_cast<message_reader *>(Parser->data);
+  Self->Sink.onMessageBody({Data, Length});
+  return 0;
+}
+
+int message_reader::onEnd(http_parser *Parser) {
+  auto *Self = static_cast<message_reader *>(Parser->data);
+  constexpr int FirstFinalStatus = 200;
+  if (Self->Side == side::Answers && Self->Head.Status < FirstFinalStatus) {
+    Self->Head = {};
+    Self->HeadDone = false;
+    return 0;
+  }
+  Self->State = read_state::Complete;
+  http_parser_pause(Parser, 1);
+  return 0;
+}
+
+} // namespace ebonyvale
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -19,4 +19,11 @@
   sendAtOnce(evhttp_connection_get_bufferevent(Connection));
 }
 
+void boundSilence(bufferevent *Socket, span_ns Limit) {
+  const auto Millis = static_cast<unsigned>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Limit).count());
+  setsockopt(bufferevent_getfd(Socket), IPPROTO_TCP, TCP_USER_TIMEOUT, &Millis,
+             sizeof(Millis));
+}
+
 } // namespace ebonyvale
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -3,6 +3,8 @@
 #ifndef EBONYVALE_NET_SOCKET_OPTIONS_H
 #define EBONYVALE_NET_SOCKET_OPTIONS_H
 
+#include "common/instant.h"
+
 struct bufferevent;
 struct evhttp_connection;
 
@@ -13,6 +15,10 @@
 void sendAtOnce(bufferevent *Socket);
 void sendAtOnce(evhttp_connection *Connection);
 
+/// Ends the connection when sent bytes stay unacknowledged for \p Limit
+/// (TCP_USER_TIMEOUT, RFC 5482), as behind a partition.
+void boundSilence(bufferevent *Socket, span_ns Limit);
+
 } // namespace ebonyvale
 
 #endif
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -1,5 +1,6 @@
 #include "net/timer.h"
 
+#include <ctime>
 #include <memory>
 
 namespace ebonyvale {
@@ -30,6 +31,13 @@
           std::chrono::floor<std::chrono::milliseconds>(System)};
 }
 
+instant readBootClock() {
+  timespec Value{};
+  clock_gettime(CLOCK_BOOTTIME, &Value);
+  return instant(std::chrono::seconds(Value.tv_sec) +
+                 std::chrono::nanoseconds(Value.tv_nsec));
+}
+
 timer::timer(event_base *Base, std::function<void()> Callback)
     : Callback(std::move(Callback)),
       Event(event_new(Base, -1, 0, &timer::onTimeout, this)) {}
--- a/src/net/timer.h
+++ b/src/net/timer.h
@@ -13,6 +13,10 @@
 /// Reads the monotonic and the civil clock; for the I/O side only.
 present readClock();
 
+/// Reads a monotonic clock that also counts the time in which the machine was
+/// suspended (CLOCK_BOOTTIME); ages of evidence and leases need it.
+instant readBootClock();
+
 /// Calls a function on an event loop, once or periodically. Stops when it is
 /// destroyed.
 class timer {
