Scheduler: weigh recomputation, memory and copies between engines

Cause: outdated weights cost 250 ms, so all instances chose the two workers that were up to date; their memory ran out and streams stood still. The age of outdated weights was counted from the newest version. Shared parts were read again on every worker that a request was placed on.

Change: recomputation counts four times its time; memory held by requests is estimated, peers' included; an engine that lacks parts copies them from one that has them, on the same weights only, which the engine checks and the cache scope names; peers hear of load within 60 ms and of newly placed parts; the age counts from the first version that the engine lacks; three engines load at once, after a pause of 250 ms.

--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -27,9 +27,9 @@
 
 upstream_scheduler::upstream_scheduler(
     schedule_terms Terms, std::string Domain,
-    std::map<std::string, std::string> RegionOfDomain)
+    const std::map<std::string, std::string> &RegionOfDomain)
     : Terms(Terms), Domain(std::move(Domain)),
-      RegionOfDomain(std::move(RegionOfDomain)) {}
+      RegionOfDomain(RegionOfDomain.begin(), RegionOfDomain.end()) {}
 
 void upstream_scheduler::update(const upstream_directory &Directory) {
   std::erase_if(
@@ -118,9 +118,14 @@
         std::max<span_ns>(MinRetryAfter, fromMs(BestEstimate.BacklogMs - Left));
     return Outcome;
   }
-  Outcome.Choice =
-      schedule_choice{Best->Entry.Id, BestEstimate.Ms, BestEstimate.BacklogMs,
-                      BestEstimate.MissedTokens};
+  Outcome.Choice = schedule_choice{Best->Entry.Id,
+                                   BestEstimate.Ms,
+                                   BestEstimate.BacklogMs,
+                                   BestEstimate.MissedTokens,
+                                   std::string(BestEstimate.FetchFrom),
+                                   weightsOf(*Best, Query.Model),
+                                   BestEstimate.HeldTokens,
+                                   BestEstimate.WorkMs};
   return Outcome;
 }
 
@@ -154,12 +159,81 @@
 double upstream_scheduler::distance(const upstream_state &State) const {
   if (State.Entry.Domain == Domain)
     return 0;
-  const auto Own = RegionOfDomain.find(Domain);
-  const auto Theirs = RegionOfDomain.find(State.Entry.Domain);
-  const bool SameRegion = Own != RegionOfDomain.end() &&
-                          Theirs != RegionOfDomain.end() &&
-                          Own->second == Theirs->second;
-  return SameRegion ? Terms.DomainMs : Terms.RegionMs;
+  return sameRegion(Domain, State.Entry.Domain) ? Terms.DomainMs
+                                                : Terms.RegionMs;
+}
+
+bool upstream_scheduler::sameRegion(std::string_view Left,
+                                    std::string_view Right) const {
+  const auto LeftRegion = RegionOfDomain.find(Left);
+  const auto RightRegion = RegionOfDomain.find(Right);
+  return LeftRegion != RegionOfDomain.end() &&
+         RightRegion != RegionOfDomain.end() &&
+         LeftRegion->second == RightRegion->second;
+}
+
+double upstream_scheduler::memoryWait(const upstream_state &State,
+                                      double Needed, instant Now) const {
+  const auto Engine = Engines.find(State.Entry.Service);
+  if (Engine == Engines.end() || Engine->second.CacheTokens <= 0)
+    return 0;
+  double Held = State.HeldTokens;
+  for (const auto &[Name, View] : State.Peers)
+    if (Now - View.At <= Terms.LoadTerm)
+      Held += View.HeldTokens;
+  const double Excess =
+      Held + Needed - Terms.UsableMemory * Engine->second.CacheTokens;
+  if (Excess <= 0 || Held <= 0)
+    return 0;
+  return Terms.MemoryWaitMs + Excess / Terms.PrefillTokensPerMs;
+}
+
+std::optional<std::int64_t>
+upstream_scheduler::weightsOf(const upstream_state &State,
+                              std::string_view Model) {
+  const auto Found = State.Weights.find(Model);
+  if (Found == State.Weights.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+bool upstream_scheduler::holdsPart(const upstream_state &State,
+                                   std::uint64_t Chain, instant Now) const {
+  const auto Found = State.Parts.find(Chain);
+  return Found != State.Parts.end() && Now - Found->second < Terms.CacheTerm;
+}
+
+/// The engine from which most of the parts behind the first \p Held ones can
+/// be copied, on the same weights. \p Tokens: how much that is.
+const upstream_scheduler::upstream_state *upstream_scheduler::findSource(
+    const upstream_state &Target, const schedule_query &Query, std::size_t Held,
+    std::size_t Shared, double &Tokens, instant Now) const {
+  const auto Weights = weightsOf(Target, Query.Model);
+  const upstream_state *Best = nullptr;
+  double BestTokens = 0;
+  for (const auto &[Id, State] : States) {
+    const bool Usable = &State != &Target &&
+                        State.Entry.Service == Target.Entry.Service &&
+                        Now >= State.AvoidUntil && Now >= State.PausedUntil &&
+                        weightsOf(State, Query.Model) == Weights;
+    if (!Usable || !Weights)
+      continue;
+    double Found = 0;
+    for (std::size_t Index = 0; Index < Shared; ++Index) {
+      if (!holdsPart(State, Query.Parts[Index].Chain, Now))
+        break;
+      if (Index >= Held)
+        Found += static_cast<double>(Query.Parts[Index].Tokens);
+    }
+    const bool Nearer = Best && Found == BestTokens &&
+                        State.Entry.Domain == Target.Entry.Domain;
+    if (Found <= 0 || (Found <= BestTokens && !Nearer))
+      continue;
+    Best = &State;
+    BestTokens = Found;
+  }
+  Tokens = BestTokens;
+  return Best;
 }
 
 upstream_scheduler::estimate
@@ -175,23 +249,55 @@
   }
   const std::string &Id = State.Entry.Id;
   const bool IsHome = XXH3_64bits(Id.data(), Id.size()) == Home;
-  double Tokens = Query.PromptTokens;
-  bool Unbroken = true;
-  for (const prompt_part &Part : Query.Parts) {
-    const auto Found = State.Parts.find(Part.Chain);
-    const bool Believed =
-        Found != State.Parts.end() && Now - Found->second < Terms.CacheTerm;
-    // The last part is the request's own; nobody else can have brought it.
-    const bool IsShared = &Part != &Query.Parts.back();
-    Unbroken = Unbroken && (Believed || (IsHome && IsShared));
-    if (Unbroken)
-      Tokens -= static_cast<double>(Part.Tokens);
-    else if (IsShared)
-      Estimate.MissedTokens += static_cast<double>(Part.Tokens);
+  const std::size_t Shared = Query.Parts.empty() ? 0 : Query.Parts.size() - 1;
+  std::size_t Held = 0;
+  double HeldTokens = 0;
+  while (Held < Shared && holdsPart(State, Query.Parts[Held].Chain, Now))
+    HeldTokens += static_cast<double>(Query.Parts[Held++].Tokens);
+  double SharedTokens = 0;
+  for (std::size_t Index = 0; Index < Shared; ++Index)
+    SharedTokens += static_cast<double>(Query.Parts[Index].Tokens);
+  double Own = Query.PromptTokens - SharedTokens;
+  // The last part is a session's: an engine that had it reads nothing of it.
+  if (Held == Shared && Shared < Query.Parts.size() &&
+      holdsPart(State, Query.Parts.back().Chain, Now))
+    Own -= static_cast<double>(Query.Parts.back().Tokens);
+  Own = std::max(0.0, Own);
+  double Missed = SharedTokens - HeldTokens;
+  Estimate.MissedTokens = Missed;
+  const auto Engine = Engines.find(State.Entry.Service);
+  const double FetchRate =
+      Engine == Engines.end() ? 0 : Engine->second.FetchTokensPerMs;
+  double FetchMs = 0;
+  if (Missed > 0 && FetchRate > 0) {
+    double Tokens = 0;
+    const upstream_state *Source =
+        findSource(State, Query, Held, Shared, Tokens, Now);
+    if (Source) {
+      double Factor = 1;
+      if (Source->Entry.Domain != State.Entry.Domain)
+        Factor = sameRegion(Source->Entry.Domain, State.Entry.Domain)
+                     ? Terms.DomainFetchFactor
+                     : Terms.RegionFetchFactor;
+      FetchMs = Tokens / FetchRate * Factor;
+      const double ReadMs = Tokens / Terms.PrefillTokensPerMs;
+      if (FetchMs * Terms.FetchWeight < ReadMs * Terms.RecomputeWeight) {
+        Estimate.FetchFrom = Source->Entry.Id;
+        Missed -= Tokens;
+      } else {
+        FetchMs = 0;
+      }
+    }
   }
-  Estimate.Ms +=
-      Terms.FirstTokenMs + std::max(0.0, Tokens) / Terms.PrefillTokensPerMs;
-  Estimate.Ms += *weightsCost(State, Query.Model, Now);
+  Estimate.WorkMs = (Own + Missed) / Terms.PrefillTokensPerMs + FetchMs;
+  Estimate.HeldTokens = Own + Query.AnswerTokens + Estimate.MissedTokens;
+  Estimate.Ms += Terms.FirstTokenMs + Own / Terms.PrefillTokensPerMs +
+                 FetchMs * Terms.FetchWeight +
+                 memoryWait(State, Estimate.HeldTokens, Now) +
+                 *weightsCost(State, Query.Model, Now);
+  // What nobody is known to hold is read at its home at no further cost.
+  const double Weight = IsHome ? 1 : Terms.RecomputeWeight;
+  Estimate.Ms += Missed / Terms.PrefillTokensPerMs * Weight;
   return Estimate;
 }
 
@@ -199,16 +305,20 @@
 std::optional<double>
 upstream_scheduler::weightsCost(const upstream_state &State,
                                 std::string_view Model, instant Now) const {
-  const auto Newest = Wanted.find(Model);
-  if (Newest == Wanted.end())
+  const auto Versions = Named.find(Model);
+  const auto Held = weightsOf(State, Model);
+  if (Versions == Named.end() || !Held)
     return 0;
-  const auto Held = State.Weights.find(Model);
-  if (Held == State.Weights.end() || Held->second >= Newest->second.Version)
-    return 0;
-  const span_ns Age = Now - Newest->second.LearntAt;
-  if (Age > Terms.OldWeightsBound)
-    return std::nullopt;
-  return Age > Terms.OldWeightsGrace ? Terms.OldWeightsMs : 0;
+  // The first newer version is the one that has waited longest.
+  for (const named_weights &Newer : Versions->second) {
+    if (Newer.Version <= *Held)
+      continue;
+    const span_ns Age = Now - Newer.LearntAt;
+    if (Age > Terms.OldWeightsBound)
+      return std::nullopt;
+    return Age > Terms.OldWeightsGrace ? Terms.OldWeightsMs : 0;
+  }
+  return 0;
 }
 
 void upstream_scheduler::onSent(const schedule_choice &Choice,
@@ -218,15 +328,24 @@
     return;
   backlog(*State, Now);
   ++State->InFlight;
-  double Tokens = Query.PromptTokens;
+  State->BacklogMs += Choice.WorkMs;
+  State->HeldTokens += Choice.HeldTokens;
   for (const prompt_part &Part : Query.Parts)
-    if (&Part != &Query.Parts.back())
-      Tokens -= static_cast<double>(Part.Tokens);
-  Tokens = std::max(0.0, Tokens) + Choice.MissedTokens;
-  State->BacklogMs += Tokens / Terms.PrefillTokensPerMs;
+    if (&Part != &Query.Parts.back() && !holdsPart(*State, Part.Chain, Now))
+      Hints.push_back({Choice.Upstream, Part.Chain});
   remember(*State, Query.Parts, Now);
 }
 
+void upstream_scheduler::onPeerHint(const part_hint &Hint, instant Now) {
+  if (upstream_state *State = find(Hint.Upstream))
+    State->Parts[Hint.Chain] = Now;
+}
+
+void upstream_scheduler::setEngine(std::string_view Service,
+                                   const engine_terms &Engine) {
+  Engines[std::string(Service)] = Engine;
+}
+
 void upstream_scheduler::remember(upstream_state &State,
                                   std::span<const prompt_part> Parts,
                                   instant Now) const {
@@ -239,14 +358,17 @@
   });
 }
 
-void upstream_scheduler::onEnded(std::string_view Upstream, instant Now) {
-  upstream_state *State = find(Upstream);
+void upstream_scheduler::onEnded(const schedule_choice &Choice, instant Now) {
+  upstream_state *State = find(Choice.Upstream);
   if (!State || State->InFlight == 0)
     return;
   backlog(*State, Now);
   --State->InFlight;
-  if (State->InFlight == 0)
-    State->BacklogMs = 0;
+  State->HeldTokens = std::max(0.0, State->HeldTokens - Choice.HeldTokens);
+  if (State->InFlight > 0)
+    return;
+  State->BacklogMs = 0;
+  State->HeldTokens = 0;
 }
 
 void upstream_scheduler::onAnswer(std::string_view Upstream, span_ns,
@@ -299,7 +421,8 @@
   for (const peer_load &Load : Loads)
     if (upstream_state *State = find(Load.Upstream))
       State->Peers.insert_or_assign(
-          std::string(Peer), peer_view{Load.InFlight, Load.BacklogMs, Now});
+          std::string(Peer),
+          peer_view{Load.InFlight, Load.BacklogMs, Load.HeldTokens, Now});
 }
 
 std::vector<peer_load> upstream_scheduler::ownLoad(instant Now) {
@@ -307,16 +430,27 @@
   for (auto &[Id, State] : States) {
     backlog(State, Now);
     if (State.InFlight > 0)
-      Loads.push_back({Id, State.InFlight, State.BacklogMs});
+      Loads.push_back({Id, State.InFlight, State.BacklogMs, State.HeldTokens});
   }
   return Loads;
 }
 
 void upstream_scheduler::wantWeights(std::string_view Model,
                                      std::int64_t Version, instant Now) {
-  wanted_weights &Entry = Wanted[std::string(Model)];
-  if (Version > Entry.Version)
-    Entry = {Version, Now};
+  std::vector<named_weights> &Versions = Named[std::string(Model)];
+  if (Versions.empty() || Version > Versions.back().Version)
+    Versions.push_back({Version, Now});
+}
+
+void upstream_scheduler::onWeightsUnknown(std::string_view Upstream,
+                                          std::string_view Model, instant Now) {
+  upstream_state *State = find(Upstream);
+  if (!State)
+    return;
+  State->Weights.erase(std::string(Model));
+  State->Parts.clear();
+  State->AvoidUntil =
+      std::max(State->AvoidUntil, Now + std::chrono::milliseconds(100));
 }
 
 void upstream_scheduler::onWeights(std::string_view Upstream,
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -22,6 +22,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace ebonyvale {
@@ -50,11 +51,24 @@
   std::int64_t Slots = 0;
 };
 
-/// Work at one upstream as a peer instance sees it.
+/// Work of one instance at one upstream.
 struct peer_load {
   std::string Upstream;
   std::int64_t InFlight = 0;
   double BacklogMs = 0;
+  double HeldTokens = 0;
+};
+
+/// A shared prompt part that was sent where nobody was known to hold it.
+struct part_hint {
+  std::string Upstream;
+  std::uint64_t Chain = 0;
+};
+
+/// What is known of a service's engines.
+struct engine_terms {
+  double CacheTokens = 0;      ///< memory of one engine; 0 where unknown
+  double FetchTokensPerMs = 0; ///< copied between engines of a domain; 0: never
 };
 
 /// Terms of the estimates.
@@ -63,12 +77,24 @@
   double PrefillTokensPerMs = 80;
   /// Time of an engine to the first token of an empty prompt; data sheet.
   double FirstTokenMs = 41;
-  /// Mean work of a plain call in ms, until answers tell better.
+  /// Mean work of a plain call in ms, from the service's data sheet.
   double PlainWorkMs = 30;
+  /// Reading a shared part again also delays the prompts behind it and evicts
+  /// other parts, so it is weighed this many times.
+  double RecomputeWeight = 4;
+  /// A part that is copied from another engine occupies two links.
+  double FetchWeight = 2;
+  /// Copies between domains and between regions take longer by this; platform.
+  double DomainFetchFactor = 2;
+  double RegionFetchFactor = 10;
   /// Added for another domain of the region, and for another region: a round
   /// trip, and the narrow link between regions weighed ten times its delay.
   double DomainMs = 4;
-  double RegionMs = 60;
+  double RegionMs = 40;
+  /// Part of an engine's memory beyond which requests wait for each other.
+  double UsableMemory = 0.85;
+  /// Mean time until a running request frees its memory.
+  double MemoryWaitMs = 300;
   /// How long a peer's report and an answer's load count.
   span_ns LoadTerm = std::chrono::milliseconds(1500);
   /// An upstream that failed gets no work for this long, doubled by each
@@ -78,11 +104,11 @@
   /// Time for which a cached part is believed to stay without being used.
   span_ns CacheTerm = std::chrono::seconds(20);
   /// Cost in ms of starting on weights that are no longer the newest.
-  double OldWeightsMs = 250;
+  double OldWeightsMs = 60;
   /// Old weights cost nothing within it, so that a rollout can begin.
   span_ns OldWeightsGrace = std::chrono::milliseconds(1200);
-  /// No request begins on old weights later than this after newer ones were
-  /// learnt of.
+  /// No request begins on weights for longer than this after the first newer
+  /// ones were learnt of.
   span_ns OldWeightsBound = std::chrono::milliseconds(8000);
   /// Parts remembered for each upstream.
   std::size_t MaxParts = 2000;
@@ -93,7 +119,11 @@
   std::string Upstream;
   double ExpectedMs = 0;   ///< to the first part of the answer
   double BacklogMs = 0;    ///< of that, work that waits there
-  double MissedTokens = 0; ///< of the shared prompt, to be read
+  double MissedTokens = 0; ///< of the shared prompt, not believed to be there
+  std::string FetchFrom;   ///< upstream that has more of it; empty for none
+  std::optional<std::int64_t> Weights; ///< that the upstream has, if known
+  double HeldTokens = 0;               ///< memory that the request takes
+  double WorkMs = 0;                   ///< reading of its prompt
 };
 
 /// Why nothing was chosen.
@@ -112,7 +142,7 @@
 class upstream_scheduler {
 public:
   upstream_scheduler(schedule_terms Terms, std::string Domain,
-                     std::map<std::string, std::string> RegionOfDomain);
+                     const std::map<std::string, std::string> &RegionOfDomain);
 
   /// Takes the discovered upstreams; forgets those that are gone and what was
   /// known of earlier incarnations.
@@ -123,7 +153,7 @@
   /// Work was sent; pair with one `onEnded`.
   void onSent(const schedule_choice &Choice, const schedule_query &Query,
               instant Now);
-  void onEnded(std::string_view Upstream, instant Now);
+  void onEnded(const schedule_choice &Choice, instant Now);
 
   /// An answer began, \p After the request was sent.
   void onAnswer(std::string_view Upstream, span_ns After,
@@ -141,11 +171,21 @@
   /// What this instance tells its peers.
   std::vector<peer_load> ownLoad(instant Now);
 
+  /// Takes what the configuration says of a service's engines.
+  void setEngine(std::string_view Service, const engine_terms &Engine);
+
+  /// Parts that this instance has placed newly since the last call.
+  std::vector<part_hint> takeHints() { return std::exchange(Hints, {}); }
+  void onPeerHint(const part_hint &Hint, instant Now);
+
   /// The weights that the operators want, and when that was learnt.
   void wantWeights(std::string_view Model, std::int64_t Version, instant Now);
   /// Weights seen in an answer or a report.
   void onWeights(std::string_view Upstream, std::string_view Model,
                  std::int64_t Version);
+  /// The upstream refused for having other weights than it was believed to.
+  void onWeightsUnknown(std::string_view Upstream, std::string_view Model,
+                        instant Now);
   /// The upstream takes new weights until \p Until and gets no work.
   void pause(std::string_view Upstream, instant Until);
 
@@ -153,6 +193,7 @@
   struct peer_view {
     std::int64_t InFlight = 0;
     double BacklogMs = 0;
+    double HeldTokens = 0;
     instant At;
   };
   struct upstream_state {
@@ -160,6 +201,7 @@
     std::int64_t InFlight = 0;
     double BacklogMs = 0; ///< as of `BacklogAt`, worked off in real time
     instant BacklogAt;
+    double HeldTokens = 0;
     std::optional<reported_load> Load;
     instant LoadAt;
     std::map<std::string, peer_view, std::less<>> Peers;
@@ -169,19 +211,33 @@
     std::unordered_map<std::uint64_t, instant> Parts; ///< last use
     std::map<std::string, std::int64_t, std::less<>> Weights;
   };
-  struct wanted_weights {
+  struct named_weights {
     std::int64_t Version = 0;
     instant LearntAt;
   };
   struct estimate {
-    double Ms = 0;
+    double Ms = 0; ///< with what it costs other requests
     double BacklogMs = 0;
     double MissedTokens = 0;
+    double WorkMs = 0;
+    double HeldTokens = 0;
+    std::string_view FetchFrom;
   };
 
   upstream_state *find(std::string_view Upstream);
   double backlog(upstream_state &State, instant Now) const;
+  double memoryWait(const upstream_state &State, double Needed,
+                    instant Now) const;
+  const upstream_state *findSource(const upstream_state &Target,
+                                   const schedule_query &Query,
+                                   std::size_t Held, std::size_t Shared,
+                                   double &Tokens, instant Now) const;
+  static std::optional<std::int64_t> weightsOf(const upstream_state &State,
+                                               std::string_view Model);
+  bool holdsPart(const upstream_state &State, std::uint64_t Chain,
+                 instant Now) const;
   double distance(const upstream_state &State) const;
+  bool sameRegion(std::string_view Left, std::string_view Right) const;
   estimate estimateFor(upstream_state &State, const schedule_query &Query,
                        std::uint64_t Home, instant Now) const;
   std::optional<double> weightsCost(const upstream_state &State,
@@ -194,9 +250,12 @@
 
   schedule_terms Terms;
   std::string Domain;
-  std::map<std::string, std::string> RegionOfDomain;
+  std::map<std::string, std::string, std::less<>> RegionOfDomain;
   std::map<std::string, upstream_state, std::less<>> States;
-  std::map<std::string, wanted_weights, std::less<>> Wanted;
+  std::map<std::string, engine_terms, std::less<>> Engines;
+  /// By model, all versions in the order in which they were named.
+  std::map<std::string, std::vector<named_weights>, std::less<>> Named;
+  std::vector<part_hint> Hints;
 };
 
 } // namespace ebonyvale
--- a/src/decisions/request/forward_flow.cpp
+++ b/src/decisions/request/forward_flow.cpp
@@ -9,6 +9,9 @@
   // Nothing reached an upstream, so the attempt counts against no limit.
   if (End == attempt_end::NotSent && !Delivered)
     return forward_next::TryElsewhere;
+  // It was never sent to an upstream that could have run it.
+  if (End == attempt_end::NotMeant)
+    --Sent;
   const bool Repeatable = Delivered ? Rules.Resumable
                           : Ran     ? Rules.Repeat == repeat_rule::Idempotent
                                     : true;
--- a/src/decisions/request/forward_flow.h
+++ b/src/decisions/request/forward_flow.h
@@ -14,6 +14,7 @@
 enum class attempt_end {
   NotSent,     ///< no byte of the request left
   NotRun,      ///< the upstream proved that it did not run it
+  NotMeant,    ///< it was not the process, or not the weights, that was meant
   Lost,        ///< it may have run
   ServerError, ///< the upstream ran it and failed
 };
--- a/src/decisions/version/routing_table.h
+++ b/src/decisions/version/routing_table.h
@@ -51,6 +51,7 @@
 struct engine_limits {
   std::int64_t Slots = 1;       ///< requests that run at once
   std::int64_t CacheTokens = 0; ///< memory for running and cached prompts
+  double FetchTokensPerMs = 0;  ///< copied between engines; 0 where unknown
   std::vector<std::string> Models;
 };
 
--- a/src/decisions/version/weights_rollout.h
+++ b/src/decisions/version/weights_rollout.h
@@ -19,9 +19,10 @@
 /// Terms of a rollout.
 struct rollout_terms {
   /// Upstreams that load at once; more slow each other down.
-  std::size_t AtOnce = 2;
-  /// From the pause of new work to the order, so that peers have heard of it.
-  span_ns PauseLead = std::chrono::milliseconds(60);
+  std::size_t AtOnce = 3;
+  /// From the pause of new work to the order: peers have heard of it, and
+  /// requests that wait there have begun. Others would be refused.
+  span_ns PauseLead = std::chrono::milliseconds(250);
   /// From an accepted order to the first look whether it is done; loading takes
   /// at least this long.
   span_ns FirstLook = std::chrono::milliseconds(700);
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -136,6 +136,11 @@
   sendToAll({{"k", "pause"}, {"u", Upstream}, {"ms", Millis}});
 }
 
+void peer_gossip::sendWeights(const std::string &Upstream,
+                              const std::string &Model, std::int64_t Version) {
+  sendToAll({{"k", "weights"}, {"u", Upstream}, {"m", Model}, {"n", Version}});
+}
+
 void peer_gossip::tellLoad() {
   const auto Loads = Core.scheduler().ownLoad(readBootClock());
   const auto Peers = Core.roster().peers();
@@ -144,8 +149,16 @@
   json Listed = json::array();
   for (const peer_load &Load : Loads)
     Listed.push_back({Load.Upstream, Load.InFlight,
-                      static_cast<std::int64_t>(Load.BacklogMs)});
-  const json Message{{"k", "load"}, {"l", std::move(Listed)}};
+                      static_cast<std::int64_t>(Load.BacklogMs),
+                      static_cast<std::int64_t>(Load.HeldTokens)});
+  json Hints = json::array();
+  for (const part_hint &Hint : Core.scheduler().takeHints())
+    Hints.push_back({Hint.Upstream, Hint.Chain});
+  if (Listed.empty() && Hints.empty() && std::exchange(ToldIdle, true))
+    return;
+  ToldIdle = Listed.empty();
+  const json Message{
+      {"k", "load"}, {"l", std::move(Listed)}, {"h", std::move(Hints)}};
   for (std::size_t Told = 0; Told < std::min(LoadFanOut, Peers.size()); ++Told)
     sendTo(Peers[NextPeer++ % Peers.size()].first, Message);
 }
@@ -180,8 +193,10 @@
   if (Kind == "load") {
     std::vector<peer_load> Loads;
     for (const json &Listed : Message.at("l"))
-      Loads.push_back({Listed.at(0), Listed.at(1), Listed.at(2)});
+      Loads.push_back({Listed.at(0), Listed.at(1), Listed.at(2), Listed.at(3)});
     Core.scheduler().onPeerLoad(From, Loads, Now);
+    for (const json &Hint : Message.at("h"))
+      Core.scheduler().onPeerHint({Hint.at(0), Hint.at(1)}, Now);
   } else if (Kind == "ask") {
     sendTo(From,
            encodeReply(Core.shares().onAsk(From, decodeAsk(Message), Now)));
@@ -194,6 +209,10 @@
         Now);
   } else if (Kind == "loss") {
     Core.crashes().onLost(Message.at("q"), Message.at("u"), Now);
+  } else if (Kind == "weights") {
+    Core.scheduler().onWeights(Message.at("u").get<std::string>(),
+                               Message.at("m").get<std::string>(),
+                               Message.at("n"));
   } else if (Kind == "pause") {
     Core.scheduler().pause(
         Message.at("u").get<std::string>(),
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -25,6 +25,8 @@
   void sendReturn(const std::string &Peer, const share_return &Return) override;
   void sendLoss(request_fingerprint Request, engine_id Upstream) override;
   void sendPause(const std::string &Upstream, span_ns For) override;
+  void sendWeights(const std::string &Upstream, const std::string &Model,
+                   std::int64_t Version) override;
 
 private:
   static void onReadable(evutil_socket_t, short, void *Self);
@@ -38,6 +40,7 @@
   evutil_socket_t Socket = -1;
   event_ptr Readable;
   timer LoadTimer;
+  bool ToldIdle = false;    ///< peers know that there is no work
   std::size_t NextPeer = 0; ///< where the rotation over many peers stands
 };
 
--- a/src/gateway/process/fleet_protocol.h
+++ b/src/gateway/process/fleet_protocol.h
@@ -106,6 +106,8 @@
   span_ns TimeLeft{0};
   std::optional<int> Priority;
   std::optional<std::int64_t> ResumeAfter;
+  std::optional<std::int64_t> Weights; ///< refuse to run on any other
+  std::string_view FetchFrom; ///< "IP:PORT" of an engine with cached parts
 };
 
 /// What the head of an upstream's answer says.
@@ -113,6 +115,7 @@
   std::string RequestId; ///< empty where none is named
   bool NotRun = false;   ///< proof that the request did not run and never will
   bool OtherProcess = false; ///< another process has the address
+  bool OtherWeights = false; ///< refused for weights that were not expected
   std::optional<reported_load> Load;
   std::optional<std::int64_t> Weights;
 };
@@ -144,7 +147,8 @@
 
   virtual header_list attemptHeaders(const header_list &Caller,
                                      const attempt_facts &Facts) const = 0;
-  virtual answer_facts readAnswer(const http_head &Head) const = 0;
+  virtual answer_facts readAnswer(const http_head &Head,
+                                  std::string_view Upstream) const = 0;
 
   /// The weights that an event of a stream switches to, if it does.
   virtual std::optional<std::int64_t>
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -85,6 +85,11 @@
             {"before", Before},
             {"routes", Routing->Routes.size()},
             {"teams", Routing->Teams.size()}});
+  for (const auto &[Name, Service] : Routing->Services)
+    if (Service.Engine)
+      Scheduler.setEngine(Name,
+                          {static_cast<double>(Service.Engine->CacheTokens),
+                           Service.Engine->FetchTokensPerMs});
   Sharers = 0;
   updateShares(Now);
 }
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -47,6 +47,9 @@
   virtual void sendLoss(request_fingerprint Request, engine_id Upstream) = 0;
   /// An upstream gets no new work for \p For; zero: work may go on.
   virtual void sendPause(const std::string &Upstream, span_ns For) = 0;
+  /// An upstream has taken new weights.
+  virtual void sendWeights(const std::string &Upstream,
+                           const std::string &Model, std::int64_t Version) = 0;
 };
 
 /// Translations to the platform in use.
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -46,7 +46,7 @@
   std::int64_t LimitSlackTokens = 0;
 
   std::int64_t PrefillTokensPerMs = 80;
-  std::int64_t PeerIntervalMs = 300;
+  std::int64_t PeerIntervalMs = 60;
 
   std::string LogLevel = "info";
   std::int64_t LogLinesPerSecond = 200;
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -218,7 +218,18 @@
   attempt_facts Attempt;
   Attempt.Upstream = Chosen.Upstream;
   Attempt.TimeLeft = timeLeft(Now);
-  Attempt.CacheScope = CacheScope;
+  // Parts are cached under the weights that made them; an upstream with any
+  // other refuses, so that none is ever found under a wrong name.
+  const std::string Scope =
+      CacheScope.empty() || !Chosen.Weights
+          ? CacheScope
+          : fmt::format("{}:{}", CacheScope, *Chosen.Weights);
+  Attempt.CacheScope = Scope;
+  Attempt.Weights = Chosen.Weights;
+  const upstream_entry *Source = Core.directory().find(Chosen.FetchFrom);
+  const std::string SourceAddress =
+      Source ? fmt::format("{}:{}", Source->Address, Source->Port) : "";
+  Attempt.FetchFrom = SourceAddress;
   Attempt.ResumeAfter = LastEvent;
   if (Team)
     Attempt.Team = Team->Name;
@@ -247,6 +258,8 @@
                    {"expected_ms", Chosen.ExpectedMs},
                    {"backlog_ms", Chosen.BacklogMs},
                    {"missed_tokens", Chosen.MissedTokens},
+                   {"fetch_from", Chosen.FetchFrom},
+                   {"weights", Chosen.Weights.value_or(-1)},
                    {"left_ms", Attempt.TimeLeft},
                    {"version", Routing->Version},
                    {"evidence_age_ms", Age.value_or(span_ns(-1))}});
@@ -256,7 +269,7 @@
 head_verdict forward_session::onAnswerHead(const http_head &Head,
                                            bool FirstOnLink) {
   const instant Now = readBootClock();
-  AnswerFacts = Core.protocols().Upstreams.readAnswer(Head);
+  AnswerFacts = Core.protocols().Upstreams.readAnswer(Head, Choice->Upstream);
   // An answer without an id can only be trusted to be ours where no other
   // answer can have come before it.
   const bool Named = !AnswerFacts.RequestId.empty();
@@ -343,8 +356,8 @@
 void forward_session::noteFirstPart() {
   if (std::exchange(SawFirstPart, true))
     return;
-  Core.counters().FirstPartSeconds.Observe(
-      toSeconds(readBootClock() - Arrived));
+  FirstPartAt = readBootClock();
+  Core.counters().FirstPartSeconds.Observe(toSeconds(FirstPartAt - Arrived));
 }
 
 void forward_session::onAnswerEnd() {
@@ -354,10 +367,15 @@
   if (AnswerFacts.NotRun) {
     if (AnswerFacts.OtherProcess)
       Core.scheduler().onReplaced(Choice->Upstream);
+    else if (AnswerFacts.OtherWeights)
+      Core.scheduler().onWeightsUnknown(Choice->Upstream, Facts.Model, Now);
     else
       Core.scheduler().onFull(Choice->Upstream, Now);
-    return follow(attempt_end::NotRun,
-                  AnswerFacts.OtherProcess ? "other_process" : "not_run");
+    if (AnswerFacts.OtherProcess)
+      return follow(attempt_end::NotMeant, "other_process");
+    if (AnswerFacts.OtherWeights)
+      return follow(attempt_end::NotMeant, "other_weights");
+    return follow(attempt_end::NotRun, "not_run");
   }
   if (Answer.Status >= FirstServerError && !Streaming)
     return follow(attempt_end::ServerError, "server_error");
@@ -399,7 +417,7 @@
 /// The present attempt occupies its upstream no more.
 void forward_session::endAttempt(instant Now) {
   if (Choice)
-    Core.scheduler().onEnded(Choice->Upstream, Now);
+    Core.scheduler().onEnded(*Choice, Now);
 }
 
 void forward_session::follow(attempt_end End, std::string_view Reason) {
@@ -409,8 +427,9 @@
   const bool Quarantined =
       Core.crashes().check(Fingerprint, Now) == suspicion::Quarantined;
   // Asked only where another attempt is allowed at all, since it is taken.
-  const bool Budget = End != attempt_end::NotSent && !Quarantined &&
-                      Flow.mayTryAgain() && Core.takeRetry(Service, Now);
+  const bool Allowed = Flow.mayTryAgain() || End == attempt_end::NotMeant;
+  const bool Budget = End != attempt_end::NotSent && !Quarantined && Allowed &&
+                      Core.takeRetry(Service, Now);
   const forward_next Next = Flow.onEnd(End, Budget);
   Core.log().info(event_category::Request, "attempt_ended",
                   {{"id", Facts.Id},
@@ -430,7 +449,7 @@
     return passAnswerOn();
   }
   error_kind Kind = error_kind::OutcomeUnknown;
-  if (End == attempt_end::NotRun)
+  if (End == attempt_end::NotRun || End == attempt_end::NotMeant)
     Kind = error_kind::UpstreamRefused;
   else if (Streaming)
     Kind = error_kind::StreamInterrupted;
@@ -530,6 +549,7 @@
                    {"outcome", Outcome},
                    {"status", Answer.Status},
                    {"attempts", Flow.attempts()},
+                   {"first_ms", FirstPartAt - Arrived},
                    {"after_ms", Now - Arrived}});
   callLater(Core.base(), [Guard = std::move(Self)] {});
 }
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -116,6 +116,7 @@
   sse_splitter Splitter;
   std::optional<std::int64_t> LastEvent; ///< delivered, or had by the caller
   bool SawFirstPart = false;
+  instant FirstPartAt;
   bool Ended = false;
   timer DeadlineTimer;
   std::shared_ptr<forward_session> Self; ///< held until the answer has ended
--- a/src/gateway/version/weights_task.cpp
+++ b/src/gateway/version/weights_task.cpp
@@ -214,8 +214,11 @@
         rollout_report Seen;
         if (Report) {
           Seen = {Report->Busy, Report->AcceptedOrders, Report->Models};
-          for (const auto &[Model, Version] : Report->Models)
+          for (const auto &[Model, Version] : Report->Models) {
             Core.scheduler().onWeights(Upstream, Model, Version);
+            if (Core.messenger() && !Report->Busy)
+              Core.messenger()->sendWeights(Upstream, Model, Version);
+          }
         }
         if (Fence != 0)
           carryOut(Rollout.onReport(Upstream, Report ? &Seen : nullptr,
