Weights: a restarted instance hears from peers since when versions are named

Change: versions found at the start count as nearly due; peers tell when they were named. Reports and resumed work are logged.

--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -436,10 +436,35 @@
 }
 
 void upstream_scheduler::wantWeights(std::string_view Model,
-                                     std::int64_t Version, instant Now) {
+                                     std::int64_t Version, bool FoundAtStart,
+                                     instant Now) {
   std::vector<named_weights> &Versions = Named[std::string(Model)];
-  if (Versions.empty() || Version > Versions.back().Version)
-    Versions.push_back({Version, Now});
+  if (!Versions.empty() && Version <= Versions.back().Version)
+    return;
+  const instant LearntAt =
+      FoundAtStart ? Now - (Terms.OldWeightsBound - Terms.AssumedLeft) : Now;
+  Versions.push_back({std::string(Model), Version, LearntAt, FoundAtStart});
+}
+
+std::vector<named_weights>
+upstream_scheduler::recentWeights(instant Now) const {
+  std::vector<named_weights> Recent;
+  for (const auto &[Model, Versions] : Named)
+    for (const named_weights &Weights : Versions)
+      if (!Weights.Assumed && Now - Weights.LearntAt < Terms.OldWeightsBound)
+        Recent.push_back(Weights);
+  return Recent;
+}
+
+void upstream_scheduler::onPeerWeights(const named_weights &Told) {
+  const auto Versions = Named.find(Told.Model);
+  if (Versions == Named.end())
+    return;
+  for (named_weights &Known : Versions->second)
+    if (Known.Version == Told.Version && Known.Assumed) {
+      Known.LearntAt = std::max(Known.LearntAt, Told.LearntAt);
+      Known.Assumed = false;
+    }
 }
 
 void upstream_scheduler::onWeightsUnknown(std::string_view Upstream,
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -110,10 +110,21 @@
   /// No request begins on weights for longer than this after the first newer
   /// ones were learnt of.
   span_ns OldWeightsBound = std::chrono::milliseconds(8000);
+  /// What a new process leaves of the bound above for versions that it finds at
+  /// its start; the rules hold for it from 3 s after the start on.
+  span_ns AssumedLeft = std::chrono::milliseconds(2800);
   /// Parts remembered for each upstream.
   std::size_t MaxParts = 2000;
 };
 
+/// A version of a model's weights that operators have named.
+struct named_weights {
+  std::string Model;
+  std::int64_t Version = 0;
+  instant LearntAt;
+  bool Assumed = false; ///< when it was named is not known
+};
+
 /// A choice with the figures behind it, for the log.
 struct schedule_choice {
   std::string Upstream;
@@ -178,8 +189,15 @@
   std::vector<part_hint> takeHints() { return std::exchange(Hints, {}); }
   void onPeerHint(const part_hint &Hint, instant Now);
 
-  /// The weights that the operators want, and when that was learnt.
-  void wantWeights(std::string_view Model, std::int64_t Version, instant Now);
+  /// The operators have named weights. A process that finds them there at its
+  /// start cannot know since when, and takes them for nearly due.
+  void wantWeights(std::string_view Model, std::int64_t Version,
+                   bool FoundAtStart, instant Now);
+
+  /// Versions named lately, for peers that have started since.
+  std::vector<named_weights> recentWeights(instant Now) const;
+  void onPeerWeights(const named_weights &Weights);
+
   /// Weights seen in an answer or a report.
   void onWeights(std::string_view Upstream, std::string_view Model,
                  std::int64_t Version);
@@ -211,10 +229,6 @@
     std::unordered_map<std::uint64_t, instant> Parts; ///< last use
     std::map<std::string, std::int64_t, std::less<>> Weights;
   };
-  struct named_weights {
-    std::int64_t Version = 0;
-    instant LearntAt;
-  };
   struct estimate {
     double Ms = 0; ///< with what it costs other requests
     double BacklogMs = 0;
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -157,8 +157,17 @@
   if (Listed.empty() && Hints.empty() && std::exchange(ToldIdle, true))
     return;
   ToldIdle = Listed.empty();
-  const json Message{
-      {"k", "load"}, {"l", std::move(Listed)}, {"h", std::move(Hints)}};
+  const instant Now = readBootClock();
+  json Weights = json::array();
+  for (const named_weights &Named : Core.scheduler().recentWeights(Now))
+    Weights.push_back({Named.Model, Named.Version,
+                       std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Now - Named.LearntAt)
+                           .count()});
+  const json Message{{"k", "load"},
+                     {"l", std::move(Listed)},
+                     {"h", std::move(Hints)},
+                     {"w", std::move(Weights)}};
   for (std::size_t Told = 0; Told < std::min(LoadFanOut, Peers.size()); ++Told)
     sendTo(Peers[NextPeer++ % Peers.size()].first, Message);
 }
@@ -195,6 +204,10 @@
     for (const json &Listed : Message.at("l"))
       Loads.push_back({Listed.at(0), Listed.at(1), Listed.at(2), Listed.at(3)});
     Core.scheduler().onPeerLoad(From, Loads, Now);
+    for (const json &Named : Message.at("w"))
+      Core.scheduler().onPeerWeights(
+          {Named.at(0), Named.at(1),
+           Now - std::chrono::milliseconds(Named.at(2).get<std::int64_t>())});
     for (const json &Hint : Message.at("h"))
       Core.scheduler().onPeerHint({Hint.at(0), Hint.at(1)}, Now);
   } else if (Kind == "ask") {
--- a/src/gateway/version/weights_task.cpp
+++ b/src/gateway/version/weights_task.cpp
@@ -180,6 +180,9 @@
   for (const rollout_action &Action : Actions) {
     if (const auto *Pause = std::get_if<rollout_pause>(&Action)) {
       Core.scheduler().pause(Pause->Upstream, readBootClock() + Pause->For);
+      if (Pause->For == span_ns(0))
+        Core.log().info(event_category::Weights, "work_resumed",
+                        {{"upstream", Pause->Upstream}});
       if (Core.messenger())
         Core.messenger()->sendPause(Pause->Upstream, Pause->For);
     } else if (const auto *Look = std::get_if<rollout_look>(&Action)) {
@@ -214,6 +217,10 @@
         rollout_report Seen;
         if (Report) {
           Seen = {Report->Busy, Report->AcceptedOrders, Report->Models};
+          Core.log().info(event_category::Weights, "report",
+                          {{"upstream", Upstream},
+                           {"busy", Report->Busy},
+                           {"orders", Report->AcceptedOrders}});
           for (const auto &[Model, Version] : Report->Models) {
             Core.scheduler().onWeights(Upstream, Model, Version);
             if (Core.messenger() && !Report->Busy)
