Stop: no request is taken that may outlive the grace; older named weights travel

Change: peers tell all versions of the last 30 s and a new process takes in those it does not know; once the balancer's lag has passed, connections close when they are idle and requests are refused as not run.

--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -451,20 +451,25 @@
   std::vector<named_weights> Recent;
   for (const auto &[Model, Versions] : Named)
     for (const named_weights &Weights : Versions)
-      if (!Weights.Assumed && Now - Weights.LearntAt < Terms.OldWeightsBound)
+      if (!Weights.Assumed && Now - Weights.LearntAt < Terms.WeightsMemory)
         Recent.push_back(Weights);
   return Recent;
 }
 
 void upstream_scheduler::onPeerWeights(const named_weights &Told) {
-  const auto Versions = Named.find(Told.Model);
-  if (Versions == Named.end())
+  std::vector<named_weights> &Versions = Named[Told.Model];
+  const auto Place = std::ranges::lower_bound(Versions, Told.Version, {},
+                                              &named_weights::Version);
+  if (Place == Versions.end() || Place->Version != Told.Version) {
+    // The store keeps the newest version only; a new process learns of the ones
+    // before it here.
+    Versions.insert(Place, Told);
     return;
-  for (named_weights &Known : Versions->second)
-    if (Known.Version == Told.Version && Known.Assumed) {
-      Known.LearntAt = std::max(Known.LearntAt, Told.LearntAt);
-      Known.Assumed = false;
-    }
+  }
+  if (!Place->Assumed)
+    return;
+  Place->LearntAt = std::max(Place->LearntAt, Told.LearntAt);
+  Place->Assumed = false;
 }
 
 void upstream_scheduler::onWeightsUnknown(std::string_view Upstream,
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -110,6 +110,9 @@
   /// No request begins on weights for longer than this after the first newer
   /// ones were learnt of.
   span_ns OldWeightsBound = std::chrono::milliseconds(8000);
+  /// How long peers are told of a version: an engine that was away may still
+  /// lack it.
+  span_ns WeightsMemory = std::chrono::seconds(30);
   /// What a new process leaves of the bound above for versions that it finds at
   /// its start; the rules hold for it from 3 s after the start on.
   span_ns AssumedLeft = std::chrono::milliseconds(2800);
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -11,6 +11,8 @@
 /// New connections come until the balancer has asked twice in vain, once a
 /// second.
 constexpr span_ns BalancerLag = std::chrono::milliseconds(2600);
+/// Advice to callers of a stopping instance: any other one takes them at once.
+constexpr span_ns DrainRetry = std::chrono::milliseconds(20);
 /// Before the forced end: time to close what is left in order.
 constexpr span_ns ForcedEndMargin = std::chrono::milliseconds(300);
 
@@ -115,6 +117,10 @@
 void gateway_task::onRequest(const std::shared_ptr<server_link> &Link,
                              http_request Request) {
   updateBounds();
+  // The platform has stopped sending new connections by then, and what comes
+  // later may not end before this process has to.
+  if (StopRequested && readBootClock() - *StopRequested >= BalancerLag)
+    return refuse(*Link, error_kind::Draining, DrainRetry);
   std::make_shared<forward_session>(Core, *this, Link, std::move(Request))
       ->begin();
 }
@@ -137,13 +143,19 @@
     Kind = error_kind::BodyTooLarge;
   else if (Reason == unreadable::TooSlow)
     Kind = error_kind::HeaderTimeout;
+  refuse(Link, Kind, span_ns(0));
+}
+
+/// Refuses a request before anything of it has been looked at.
+void gateway_task::refuse(server_link &Link, error_kind Kind,
+                          span_ns RetryAfter) {
   const caller_protocol &Protocol = Core.protocols().Callers;
   const int Status = Protocol.refusalStatus(Kind, false);
   refusal Record;
   Record.Kind = Kind;
-  Core.recordRefusal(std::move(Record), "", Status, span_ns(0));
+  Core.recordRefusal(std::move(Record), "", Status, RetryAfter);
   Link.answer(
-      Status, Protocol.refusalHeaders(nullptr, span_ns(0)),
+      Status, Protocol.refusalHeaders(nullptr, RetryAfter),
       fmt::format(R"({{"error":"{}","ran":"no"}})", errorRow(Kind).Name));
 }
 
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -62,6 +62,7 @@
   class side_requests;
 
   std::optional<failure> listen(server_links &Links, const std::string &Text);
+  void refuse(server_link &Link, error_kind Kind, span_ns RetryAfter);
   void onStopTick();
   void updateBounds();
 
--- a/src/net/server_link.cpp
+++ b/src/net/server_link.cpp
@@ -176,7 +176,7 @@
   const auto Guard = shared_from_this();
   Observer.reset();
   Streaming = false;
-  if (CloseAfter)
+  if (CloseAfter || Owner.closesIdle())
     return closeAfterFlush();
   Phase = phase::Idle;
   Reader.reset();
@@ -293,6 +293,7 @@
 }
 
 void server_links::closeIdle() {
+  ClosingIdle = true;
   const std::vector<server_link *> Open(Links.begin(), Links.end());
   for (server_link *Link : Open)
     Link->closeIfIdle();
--- a/src/net/server_link.h
+++ b/src/net/server_link.h
@@ -151,8 +151,10 @@
   void closeAfterAnswers() { Closing = true; }
   bool closing() const { return Closing; }
 
-  /// Closes connections on which no request is being read or answered.
+  /// Closes connections on which no request is being read or answered, from
+  /// now on as soon as they are idle.
   void closeIdle();
+  bool closesIdle() const { return ClosingIdle; }
 
   void setBounds(const link_bounds &Value) { Bounds = Value; }
   const link_bounds &bounds() const { return Bounds; }
@@ -173,6 +175,7 @@
   std::uint16_t BoundPort = 0;
   std::unordered_set<server_link *> Links;
   bool Closing = false;
+  bool ClosingIdle = false;
 };
 
 } // namespace ebonyvale
