Placement and rollout: settings for the weights, prompts grouped by first part

Each engine held every first part.

Change: the home of a prompt is one of three engines for its first part; the figures of placement and rollout are settings, so that they can be compared.

--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -60,52 +60,19 @@
 schedule_outcome upstream_scheduler::choose(const schedule_query &Query,
                                             instant Now) {
   schedule_outcome Outcome;
-  // The shared prefix has one home that all instances agree on without any
-  // message (rendezvous hashing).
-  std::uint64_t Shared = 0;
-  if (Query.Parts.size() > 1)
-    Shared = Query.Parts[Query.Parts.size() - 2].Chain;
-  else if (!Query.Parts.empty())
-    Shared = Query.Parts.front().Chain;
-  std::uint64_t HomeRank = 0;
-  std::uint64_t Home = 0;
-  std::vector<upstream_state *> Candidates;
-  bool Known = false;
-  instant FreeAt = instant::max();
-  for (auto &[Id, State] : States) {
-    if (State.Entry.Service != Query.Service || State.Entry.Draining)
-      continue;
-    if (std::ranges::find(Query.Tried, Id) != Query.Tried.end())
-      continue;
-    Known = true;
-    const std::uint64_t IdHash = XXH3_64bits(Id.data(), Id.size());
-    const std::uint64_t Rank =
-        XXH3_64bits_withSeed(&Shared, sizeof(Shared), IdHash);
-    if (Rank >= HomeRank) {
-      HomeRank = Rank;
-      Home = IdHash;
-    }
-    if (!weightsCost(State, Query.Model, Now))
-      continue;
-    const instant Free = std::max(State.AvoidUntil, State.PausedUntil);
-    if (Now < Free) {
-      FreeAt = std::min(FreeAt, Free);
-      continue;
-    }
-    Candidates.push_back(&State);
-  }
-  if (Candidates.empty()) {
-    Outcome.Refusal.Kind = error_kind::NoUpstream;
-    Outcome.Refusal.RetryAfter =
-        Known && FreeAt != instant::max()
-            ? std::max<span_ns>(MinRetryAfter, FreeAt - Now)
-            : NoUpstreamRetry;
+  const candidate_set Set = findCandidates(Query, Now);
+  if (Set.Usable.empty()) {
+    Outcome.Refusal = {error_kind::NoUpstream, NoUpstreamRetry};
+    if (Set.FreeAt != instant::max())
+      Outcome.Refusal.RetryAfter =
+          std::max<span_ns>(MinRetryAfter, Set.FreeAt - Now);
     return Outcome;
   }
+  const upstream_state *Home = homeOf(Query, Set.Usable);
   upstream_state *Best = nullptr;
   estimate BestEstimate;
-  for (upstream_state *State : Candidates) {
-    const estimate Estimate = estimateFor(*State, Query, Home, Now);
+  for (upstream_state *State : Set.Usable) {
+    const estimate Estimate = estimateFor(*State, Query, Home == State, Now);
     if (Best && Estimate.Ms >= BestEstimate.Ms)
       continue;
     Best = State;
@@ -129,6 +96,54 @@
   return Outcome;
 }
 
+upstream_scheduler::candidate_set
+upstream_scheduler::findCandidates(const schedule_query &Query, instant Now) {
+  candidate_set Set;
+  for (auto &[Id, State] : States) {
+    const bool Wanted =
+        State.Entry.Service == Query.Service && !State.Entry.Draining &&
+        std::ranges::find(Query.Tried, Id) == Query.Tried.end() &&
+        weightsCost(State, Query.Model, Now);
+    if (!Wanted)
+      continue;
+    const instant Free = std::max(State.AvoidUntil, State.PausedUntil);
+    if (Now < Free)
+      Set.FreeAt = std::min(Set.FreeAt, Free);
+    else
+      Set.Usable.push_back(&State);
+  }
+  return Set;
+}
+
+/// The engine on which a shared prompt is read when none holds it. All
+/// instances agree on it without any message (rendezvous hashing). Prompts with
+/// the same first part stay on a few engines, or each engine would hold all of
+/// the first parts.
+const upstream_scheduler::upstream_state *
+upstream_scheduler::homeOf(const schedule_query &Query,
+                           std::span<upstream_state *const> Usable) const {
+  if (Query.Parts.size() < 2)
+    return nullptr;
+  const std::uint64_t First = Query.Parts.front().Chain;
+  const std::uint64_t Shared = Query.Parts[Query.Parts.size() - 2].Chain;
+  const auto Rank = [](const upstream_state *State, std::uint64_t Chain) {
+    return XXH3_64bits_withSeed(State->Entry.Id.data(), State->Entry.Id.size(),
+                                Chain);
+  };
+  std::vector<const upstream_state *> Group(Usable.begin(), Usable.end());
+  const std::size_t Size = std::min(Terms.EnginesPerFirstPart, Group.size());
+  std::ranges::partial_sort(
+      Group, Group.begin() + static_cast<std::ptrdiff_t>(Size),
+      [&](const upstream_state *Left, const upstream_state *Right) {
+        return Rank(Left, First) > Rank(Right, First);
+      });
+  return *std::max_element(
+      Group.begin(), Group.begin() + static_cast<std::ptrdiff_t>(Size),
+      [&](const upstream_state *Left, const upstream_state *Right) {
+        return Rank(Left, Shared) < Rank(Right, Shared);
+      });
+}
+
 double upstream_scheduler::backlog(upstream_state &State, instant Now) const {
   State.BacklogMs =
       std::max(0.0, State.BacklogMs - toMs(Now - State.BacklogAt));
@@ -238,7 +253,7 @@
 
 upstream_scheduler::estimate
 upstream_scheduler::estimateFor(upstream_state &State,
-                                const schedule_query &Query, std::uint64_t Home,
+                                const schedule_query &Query, bool IsHome,
                                 instant Now) const {
   estimate Estimate;
   Estimate.BacklogMs = backlog(State, Now);
@@ -247,8 +262,6 @@
     Estimate.Ms += Terms.PlainWorkMs;
     return Estimate;
   }
-  const std::string &Id = State.Entry.Id;
-  const bool IsHome = XXH3_64bits(Id.data(), Id.size()) == Home;
   const std::size_t Shared = Query.Parts.empty() ? 0 : Query.Parts.size() - 1;
   std::size_t Held = 0;
   double HeldTokens = 0;
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -87,6 +87,9 @@
   /// Copies between domains and between regions take longer by this; platform.
   double DomainFetchFactor = 2;
   double RegionFetchFactor = 10;
+  /// Engines on which prompts with the same first part are read: few, so that
+  /// its copies leave room for others, yet enough to share the load.
+  std::size_t EnginesPerFirstPart = 3;
   /// Added for another domain of the region, and for another region: a round
   /// trip, and the narrow link between regions weighed ten times its delay.
   double DomainMs = 4;
@@ -232,6 +235,10 @@
     std::unordered_map<std::uint64_t, instant> Parts; ///< last use
     std::map<std::string, std::int64_t, std::less<>> Weights;
   };
+  struct candidate_set {
+    std::vector<upstream_state *> Usable;
+    instant FreeAt = instant::max(); ///< when another one can be used
+  };
   struct estimate {
     double Ms = 0; ///< with what it costs other requests
     double BacklogMs = 0;
@@ -255,8 +262,11 @@
                  instant Now) const;
   double distance(const upstream_state &State) const;
   bool sameRegion(std::string_view Left, std::string_view Right) const;
+  candidate_set findCandidates(const schedule_query &Query, instant Now);
+  const upstream_state *homeOf(const schedule_query &Query,
+                               std::span<upstream_state *const> Usable) const;
   estimate estimateFor(upstream_state &State, const schedule_query &Query,
-                       std::uint64_t Home, instant Now) const;
+                       bool IsHome, instant Now) const;
   std::optional<double> weightsCost(const upstream_state &State,
                                     std::string_view Model, instant Now) const;
   void remember(upstream_state &State, std::span<const prompt_part> Parts,
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -35,6 +35,12 @@
 schedule_terms scheduleTerms(const gateway_settings &Settings) {
   schedule_terms Terms;
   Terms.PrefillTokensPerMs = static_cast<double>(Settings.PrefillTokensPerMs);
+  Terms.RecomputeWeight = static_cast<double>(Settings.RecomputeWeight);
+  Terms.FetchWeight = static_cast<double>(Settings.FetchWeight);
+  Terms.EnginesPerFirstPart =
+      static_cast<std::size_t>(Settings.EnginesPerFirstPart);
+  Terms.RegionMs = static_cast<double>(Settings.RegionMs);
+  Terms.OldWeightsMs = static_cast<double>(Settings.OldWeightsMs);
   Terms.OldWeightsBound =
       std::chrono::milliseconds(Settings.VersionBoundMs) - WeightsMargin;
   return Terms;
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -46,6 +46,13 @@
   std::int64_t LimitSlackTokens = 0;
 
   std::int64_t PrefillTokensPerMs = 80;
+  std::int64_t RecomputeWeight = 4;
+  std::int64_t FetchWeight = 2;
+  std::int64_t EnginesPerFirstPart = 3;
+  std::int64_t RegionMs = 40;
+  std::int64_t OldWeightsMs = 60;
+  std::int64_t LoadsAtOnce = 3;
+  std::int64_t PauseLeadMs = 250;
   std::int64_t PeerIntervalMs = 60;
 
   std::string LogLevel = "info";
--- a/src/gateway/version/weights_task.cpp
+++ b/src/gateway/version/weights_task.cpp
@@ -15,6 +15,13 @@
 /// Longest answer to an order or a report call, in bytes.
 constexpr std::size_t MaxAnswerBytes = 256 * 1024;
 
+rollout_terms rolloutTerms(const gateway_settings &Settings) {
+  rollout_terms Terms;
+  Terms.AtOnce = static_cast<std::size_t>(Settings.LoadsAtOnce);
+  Terms.PauseLead = std::chrono::milliseconds(Settings.PauseLeadMs);
+  return Terms;
+}
+
 } // namespace
 
 /// One call to an upstream.
@@ -75,7 +82,8 @@
 weights_task::weights_task(gateway_core &Core, fleet_store &Store,
                            membership_task &Membership)
     : Core(Core), Store(Store), Membership(Membership),
-      Rollout(rollout_terms{}), TickTimer(Core.base(), [this] { onTick(); }) {}
+      Rollout(rolloutTerms(Core.settings())),
+      TickTimer(Core.base(), [this] { onTick(); }) {}
 
 weights_task::~weights_task() = default;
 
