Placement: copies from the store of cached parts; estimates in a file of their own

Change: engines in the store's domain save to it and copy from it; a store with slow copies is left alone for 2.5 s.

--- /dev/null
+++ b/src/decisions/process/upstream_estimate.cpp
@@ -0,0 +1,248 @@
+#include "decisions/process/upstream_scheduler.h"
+
+#include <algorithm>
+
+#include <spdlog/fmt/fmt.h>
+
+namespace ebonyvale {
+namespace {
+
+double toMs(span_ns Span) {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
+
+std::string addressOf(const upstream_entry &Entry) {
+  return fmt::format("{}:{}", Entry.Address, Entry.Port);
+}
+
+} // namespace
+
+std::uint64_t upstream_scheduler::weightsMark(std::int64_t Version) {
+  // Spreads small numbers over all bits (Fibonacci hashing).
+  constexpr std::uint64_t Multiplier = 0x9e3779b97f4a7c15;
+  return static_cast<std::uint64_t>(Version) * Multiplier;
+}
+
+double upstream_scheduler::backlog(upstream_state &State, instant Now) const {
+  State.BacklogMs =
+      std::max(0.0, State.BacklogMs - toMs(Now - State.BacklogAt));
+  State.BacklogAt = Now;
+  double Sum = State.BacklogMs;
+  std::int64_t InFlight = State.InFlight;
+  for (const auto &[Name, View] : State.Peers) {
+    if (Now - View.At > Terms.LoadTerm)
+      continue;
+    Sum += std::max(0.0, View.BacklogMs - toMs(Now - View.At));
+    InFlight += View.InFlight;
+  }
+  if (State.Load && Now - State.LoadAt <= Terms.LoadTerm)
+    InFlight = std::max(InFlight, State.Load->Running + State.Load->Waiting);
+  const auto Slots = std::max<std::int64_t>(1, State.Entry.Slots);
+  if (isPlain(State)) {
+    // Calls share the slots; what does not fit waits for whole turns.
+    const double Turns =
+        static_cast<double>(InFlight) / static_cast<double>(Slots);
+    return Turns * Terms.PlainWorkMs;
+  }
+  // Full engines admit a request when another one ends.
+  if (InFlight >= Slots)
+    Sum += Terms.FirstTokenMs * static_cast<double>(InFlight - Slots + 1);
+  return Sum;
+}
+
+double upstream_scheduler::distance(const upstream_state &State) const {
+  if (State.Entry.Domain == Domain)
+    return 0;
+  return sameRegion(Domain, State.Entry.Domain) ? Terms.DomainMs
+                                                : Terms.RegionMs;
+}
+
+bool upstream_scheduler::sameRegion(std::string_view Left,
+                                    std::string_view Right) const {
+  const auto LeftRegion = RegionOfDomain.find(Left);
+  const auto RightRegion = RegionOfDomain.find(Right);
+  return LeftRegion != RegionOfDomain.end() &&
+         RightRegion != RegionOfDomain.end() &&
+         LeftRegion->second == RightRegion->second;
+}
+
+double upstream_scheduler::memoryWait(const upstream_state &State,
+                                      double Needed, instant Now) const {
+  const auto Engine = Engines.find(State.Entry.Service);
+  if (Engine == Engines.end() || Engine->second.CacheTokens <= 0)
+    return 0;
+  double Held = State.HeldTokens;
+  for (const auto &[Name, View] : State.Peers)
+    if (Now - View.At <= Terms.LoadTerm)
+      Held += View.HeldTokens;
+  const double Excess =
+      Held + Needed - Terms.UsableMemory * Engine->second.CacheTokens;
+  if (Excess <= 0 || Held <= 0)
+    return 0;
+  return Terms.MemoryWaitMs + Excess / Terms.PrefillTokensPerMs;
+}
+
+std::optional<std::int64_t>
+upstream_scheduler::weightsOf(const upstream_state &State,
+                              std::string_view Model) {
+  const auto Found = State.Weights.find(Model);
+  if (Found == State.Weights.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+double upstream_scheduler::copyFactor(std::string_view From,
+                                      std::string_view To) const {
+  if (From == To)
+    return 1;
+  return sameRegion(From, To) ? Terms.DomainFetchFactor
+                              : Terms.RegionFetchFactor;
+}
+
+/// Takes \p Offer if it spares more reading than it costs.
+void upstream_scheduler::considerCopy(const copy_plan &Offer,
+                                      const schedule_query &Query,
+                                      std::size_t Held, copy_plan &Best) const {
+  double Missed = 0;
+  for (std::size_t Index = Held; Index + 1 < Query.Parts.size(); ++Index)
+    Missed += static_cast<double>(Query.Parts[Index].Tokens);
+  const auto Cost = [&](const copy_plan &Plan) {
+    return Plan.Ms * Terms.FetchWeight + (Missed - Plan.Tokens) /
+                                             Terms.PrefillTokensPerMs *
+                                             Terms.RecomputeWeight;
+  };
+  if (Offer.Tokens > 0 && Cost(Offer) < Cost(Best))
+    Best = Offer;
+}
+
+/// From where the parts behind the first \p Held ones are copied best: another
+/// engine on the same weights or a store. Nothing where reading is cheaper.
+upstream_scheduler::copy_plan
+upstream_scheduler::planCopy(const upstream_state &Target,
+                             const schedule_query &Query, std::size_t Held,
+                             instant Now) const {
+  copy_plan Best;
+  const auto Weights = weightsOf(Target, Query.Model);
+  const std::size_t Shared = Query.Parts.size() - 1;
+  if (!Weights || Held >= Shared)
+    return Best;
+  const auto TokensAt = [&](const cached_parts &Parts, std::uint64_t Version) {
+    double Found = 0;
+    for (std::size_t Index = 0; Index < Shared; ++Index) {
+      if (!Parts.holds(Query.Parts[Index].Chain ^ Version, Now))
+        break;
+      if (Index >= Held)
+        Found += static_cast<double>(Query.Parts[Index].Tokens);
+    }
+    return Found;
+  };
+  const auto Engine = Engines.find(Target.Entry.Service);
+  const double Rate =
+      Engine == Engines.end() ? 0 : Engine->second.FetchTokensPerMs;
+  for (const auto &[Id, State] : States) {
+    const bool Usable = Rate > 0 && &State != &Target &&
+                        State.Entry.Service == Target.Entry.Service &&
+                        Now >= State.AvoidUntil && Now >= State.PausedUntil &&
+                        weightsOf(State, Query.Model) == Weights;
+    if (!Usable)
+      continue;
+    const double Tokens = TokensAt(State.Parts, 0);
+    const double Factor = copyFactor(State.Entry.Domain, Target.Entry.Domain);
+    considerCopy({addressOf(State.Entry), Tokens, Tokens / Rate * Factor},
+                 Query, Held, Best);
+  }
+  for (const cache_store &Store : Stores) {
+    if (Now < Store.PausedUntil || Store.Place.FetchTokensPerMs <= 0)
+      continue;
+    const double Tokens = TokensAt(Store.Parts, weightsMark(*Weights));
+    const double Factor = copyFactor(Store.Place.Domain, Target.Entry.Domain);
+    considerCopy({Store.Place.Address, Tokens,
+                  Tokens / Store.Place.FetchTokensPerMs * Factor},
+                 Query, Held, Best);
+  }
+  return Best;
+}
+
+/// A store in the engine's own domain that is not believed to hold the whole
+/// shared prompt. Copies over longer ways occupy a store's link for too long.
+std::string upstream_scheduler::storeLacking(const upstream_state &Target,
+                                             const schedule_query &Query,
+                                             instant Now) const {
+  const auto Weights = weightsOf(Target, Query.Model);
+  for (const cache_store &Store : Stores) {
+    const bool Usable = Weights && Store.Place.Domain == Target.Entry.Domain &&
+                        Now >= Store.PausedUntil;
+    if (!Usable)
+      continue;
+    for (std::size_t Index = 0; Index + 1 < Query.Parts.size(); ++Index)
+      if (!Store.Parts.holds(Query.Parts[Index].Chain ^ weightsMark(*Weights),
+                             Now))
+        return Store.Place.Address;
+  }
+  return {};
+}
+
+upstream_scheduler::estimate
+upstream_scheduler::estimateFor(upstream_state &State,
+                                const schedule_query &Query, bool IsHome,
+                                instant Now) const {
+  estimate Estimate;
+  Estimate.BacklogMs = backlog(State, Now);
+  Estimate.Ms = Estimate.BacklogMs + distance(State);
+  if (isPlain(State)) {
+    Estimate.Ms += Terms.PlainWorkMs;
+    return Estimate;
+  }
+  const std::size_t Shared = Query.Parts.empty() ? 0 : Query.Parts.size() - 1;
+  std::size_t Held = 0;
+  double HeldTokens = 0;
+  while (Held < Shared && State.Parts.holds(Query.Parts[Held].Chain, Now))
+    HeldTokens += static_cast<double>(Query.Parts[Held++].Tokens);
+  double SharedTokens = 0;
+  for (std::size_t Index = 0; Index < Shared; ++Index)
+    SharedTokens += static_cast<double>(Query.Parts[Index].Tokens);
+  double Own = Query.PromptTokens - SharedTokens;
+  // The last part is a session's: an engine that had it reads nothing of it.
+  if (Held == Shared && Shared < Query.Parts.size() &&
+      State.Parts.holds(Query.Parts.back().Chain, Now))
+    Own -= static_cast<double>(Query.Parts.back().Tokens);
+  Own = std::max(0.0, Own);
+  Estimate.MissedTokens = SharedTokens - HeldTokens;
+  if (Estimate.MissedTokens > 0) {
+    Estimate.Copy = planCopy(State, Query, Held, Now);
+    Estimate.SaveTo = storeLacking(State, Query, Now);
+  }
+  const double Read = Estimate.MissedTokens - Estimate.Copy.Tokens;
+  Estimate.WorkMs = (Own + Read) / Terms.PrefillTokensPerMs;
+  Estimate.HeldTokens = Own + Query.AnswerTokens + Estimate.MissedTokens;
+  Estimate.Ms += Terms.FirstTokenMs + Own / Terms.PrefillTokensPerMs +
+                 Estimate.Copy.Ms * Terms.FetchWeight +
+                 memoryWait(State, Estimate.HeldTokens, Now) +
+                 *weightsCost(State, Query.Model, Now);
+  // What nobody is known to hold is read at its home at no further cost.
+  const double Weight = IsHome ? 1 : Terms.RecomputeWeight;
+  Estimate.Ms += Read / Terms.PrefillTokensPerMs * Weight;
+  return Estimate;
+}
+
+/// Nothing where the upstream's weights are too old to be used at all.
+std::optional<double>
+upstream_scheduler::weightsCost(const upstream_state &State,
+                                std::string_view Model, instant Now) const {
+  const auto Versions = Named.find(Model);
+  const auto Held = weightsOf(State, Model);
+  if (Versions == Named.end() || !Held)
+    return 0;
+  // The first newer version is the one that has waited longest.
+  for (const named_weights &Newer : Versions->second) {
+    if (Newer.Version <= *Held)
+      continue;
+    const span_ns Age = Now - Newer.LearntAt;
+    if (Age > Terms.OldWeightsBound)
+      return std::nullopt;
+    return Age > Terms.OldWeightsGrace ? Terms.OldWeightsMs : 0;
+  }
+  return 0;
+}
+
+} // namespace ebonyvale
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -42,6 +42,7 @@
       const std::int64_t InFlight = State.InFlight;
       State = {};
       State.InFlight = InFlight;
+      State.Parts = cached_parts(Terms.CacheTerm, Terms.MaxParts);
     }
     State.Entry = Entry;
     for (const auto &[Model, Version] : Entry.Models) {
@@ -89,7 +90,8 @@
                                    BestEstimate.Ms,
                                    BestEstimate.BacklogMs,
                                    BestEstimate.MissedTokens,
-                                   std::string(BestEstimate.FetchFrom),
+                                   BestEstimate.Copy.From,
+                                   BestEstimate.SaveTo,
                                    weightsOf(*Best, Query.Model),
                                    BestEstimate.HeldTokens,
                                    BestEstimate.WorkMs};
@@ -144,196 +146,6 @@
       });
 }
 
-double upstream_scheduler::backlog(upstream_state &State, instant Now) const {
-  State.BacklogMs =
-      std::max(0.0, State.BacklogMs - toMs(Now - State.BacklogAt));
-  State.BacklogAt = Now;
-  double Sum = State.BacklogMs;
-  std::int64_t InFlight = State.InFlight;
-  for (const auto &[Name, View] : State.Peers) {
-    if (Now - View.At > Terms.LoadTerm)
-      continue;
-    Sum += std::max(0.0, View.BacklogMs - toMs(Now - View.At));
-    InFlight += View.InFlight;
-  }
-  if (State.Load && Now - State.LoadAt <= Terms.LoadTerm)
-    InFlight = std::max(InFlight, State.Load->Running + State.Load->Waiting);
-  const auto Slots = std::max<std::int64_t>(1, State.Entry.Slots);
-  if (isPlain(State)) {
-    // Calls share the slots; what does not fit waits for whole turns.
-    const double Turns =
-        static_cast<double>(InFlight) / static_cast<double>(Slots);
-    return Turns * Terms.PlainWorkMs;
-  }
-  // Full engines admit a request when another one ends.
-  if (InFlight >= Slots)
-    Sum += Terms.FirstTokenMs * static_cast<double>(InFlight - Slots + 1);
-  return Sum;
-}
-
-double upstream_scheduler::distance(const upstream_state &State) const {
-  if (State.Entry.Domain == Domain)
-    return 0;
-  return sameRegion(Domain, State.Entry.Domain) ? Terms.DomainMs
-                                                : Terms.RegionMs;
-}
-
-bool upstream_scheduler::sameRegion(std::string_view Left,
-                                    std::string_view Right) const {
-  const auto LeftRegion = RegionOfDomain.find(Left);
-  const auto RightRegion = RegionOfDomain.find(Right);
-  return LeftRegion != RegionOfDomain.end() &&
-         RightRegion != RegionOfDomain.end() &&
-         LeftRegion->second == RightRegion->second;
-}
-
-double upstream_scheduler::memoryWait(const upstream_state &State,
-                                      double Needed, instant Now) const {
-  const auto Engine = Engines.find(State.Entry.Service);
-  if (Engine == Engines.end() || Engine->second.CacheTokens <= 0)
-    return 0;
-  double Held = State.HeldTokens;
-  for (const auto &[Name, View] : State.Peers)
-    if (Now - View.At <= Terms.LoadTerm)
-      Held += View.HeldTokens;
-  const double Excess =
-      Held + Needed - Terms.UsableMemory * Engine->second.CacheTokens;
-  if (Excess <= 0 || Held <= 0)
-    return 0;
-  return Terms.MemoryWaitMs + Excess / Terms.PrefillTokensPerMs;
-}
-
-std::optional<std::int64_t>
-upstream_scheduler::weightsOf(const upstream_state &State,
-                              std::string_view Model) {
-  const auto Found = State.Weights.find(Model);
-  if (Found == State.Weights.end())
-    return std::nullopt;
-  return Found->second;
-}
-
-bool upstream_scheduler::holdsPart(const upstream_state &State,
-                                   std::uint64_t Chain, instant Now) const {
-  const auto Found = State.Parts.find(Chain);
-  return Found != State.Parts.end() && Now - Found->second < Terms.CacheTerm;
-}
-
-/// The engine from which most of the parts behind the first \p Held ones can
-/// be copied, on the same weights. \p Tokens: how much that is.
-const upstream_scheduler::upstream_state *upstream_scheduler::findSource(
-    const upstream_state &Target, const schedule_query &Query, std::size_t Held,
-    std::size_t Shared, double &Tokens, instant Now) const {
-  const auto Weights = weightsOf(Target, Query.Model);
-  const upstream_state *Best = nullptr;
-  double BestTokens = 0;
-  for (const auto &[Id, State] : States) {
-    const bool Usable = &State != &Target &&
-                        State.Entry.Service == Target.Entry.Service &&
-                        Now >= State.AvoidUntil && Now >= State.PausedUntil &&
-                        weightsOf(State, Query.Model) == Weights;
-    if (!Usable || !Weights)
-      continue;
-    double Found = 0;
-    for (std::size_t Index = 0; Index < Shared; ++Index) {
-      if (!holdsPart(State, Query.Parts[Index].Chain, Now))
-        break;
-      if (Index >= Held)
-        Found += static_cast<double>(Query.Parts[Index].Tokens);
-    }
-    const bool Nearer = Best && Found == BestTokens &&
-                        State.Entry.Domain == Target.Entry.Domain;
-    if (Found <= 0 || (Found <= BestTokens && !Nearer))
-      continue;
-    Best = &State;
-    BestTokens = Found;
-  }
-  Tokens = BestTokens;
-  return Best;
-}
-
-upstream_scheduler::estimate
-upstream_scheduler::estimateFor(upstream_state &State,
-                                const schedule_query &Query, bool IsHome,
-                                instant Now) const {
-  estimate Estimate;
-  Estimate.BacklogMs = backlog(State, Now);
-  Estimate.Ms = Estimate.BacklogMs + distance(State);
-  if (isPlain(State)) {
-    Estimate.Ms += Terms.PlainWorkMs;
-    return Estimate;
-  }
-  const std::size_t Shared = Query.Parts.empty() ? 0 : Query.Parts.size() - 1;
-  std::size_t Held = 0;
-  double HeldTokens = 0;
-  while (Held < Shared && holdsPart(State, Query.Parts[Held].Chain, Now))
-    HeldTokens += static_cast<double>(Query.Parts[Held++].Tokens);
-  double SharedTokens = 0;
-  for (std::size_t Index = 0; Index < Shared; ++Index)
-    SharedTokens += static_cast<double>(Query.Parts[Index].Tokens);
-  double Own = Query.PromptTokens - SharedTokens;
-  // The last part is a session's: an engine that had it reads nothing of it.
-  if (Held == Shared && Shared < Query.Parts.size() &&
-      holdsPart(State, Query.Parts.back().Chain, Now))
-    Own -= static_cast<double>(Query.Parts.back().Tokens);
-  Own = std::max(0.0, Own);
-  double Missed = SharedTokens - HeldTokens;
-  Estimate.MissedTokens = Missed;
-  const auto Engine = Engines.find(State.Entry.Service);
-  const double FetchRate =
-      Engine == Engines.end() ? 0 : Engine->second.FetchTokensPerMs;
-  double FetchMs = 0;
-  if (Missed > 0 && FetchRate > 0) {
-    double Tokens = 0;
-    const upstream_state *Source =
-        findSource(State, Query, Held, Shared, Tokens, Now);
-    if (Source) {
-      double Factor = 1;
-      if (Source->Entry.Domain != State.Entry.Domain)
-        Factor = sameRegion(Source->Entry.Domain, State.Entry.Domain)
-                     ? Terms.DomainFetchFactor
-                     : Terms.RegionFetchFactor;
-      FetchMs = Tokens / FetchRate * Factor;
-      const double ReadMs = Tokens / Terms.PrefillTokensPerMs;
-      if (FetchMs * Terms.FetchWeight < ReadMs * Terms.RecomputeWeight) {
-        Estimate.FetchFrom = Source->Entry.Id;
-        Missed -= Tokens;
-      } else {
-        FetchMs = 0;
-      }
-    }
-  }
-  Estimate.WorkMs = (Own + Missed) / Terms.PrefillTokensPerMs + FetchMs;
-  Estimate.HeldTokens = Own + Query.AnswerTokens + Estimate.MissedTokens;
-  Estimate.Ms += Terms.FirstTokenMs + Own / Terms.PrefillTokensPerMs +
-                 FetchMs * Terms.FetchWeight +
-                 memoryWait(State, Estimate.HeldTokens, Now) +
-                 *weightsCost(State, Query.Model, Now);
-  // What nobody is known to hold is read at its home at no further cost.
-  const double Weight = IsHome ? 1 : Terms.RecomputeWeight;
-  Estimate.Ms += Missed / Terms.PrefillTokensPerMs * Weight;
-  return Estimate;
-}
-
-/// Nothing where the upstream's weights are too old to be used at all.
-std::optional<double>
-upstream_scheduler::weightsCost(const upstream_state &State,
-                                std::string_view Model, instant Now) const {
-  const auto Versions = Named.find(Model);
-  const auto Held = weightsOf(State, Model);
-  if (Versions == Named.end() || !Held)
-    return 0;
-  // The first newer version is the one that has waited longest.
-  for (const named_weights &Newer : Versions->second) {
-    if (Newer.Version <= *Held)
-      continue;
-    const span_ns Age = Now - Newer.LearntAt;
-    if (Age > Terms.OldWeightsBound)
-      return std::nullopt;
-    return Age > Terms.OldWeightsGrace ? Terms.OldWeightsMs : 0;
-  }
-  return 0;
-}
-
 void upstream_scheduler::onSent(const schedule_choice &Choice,
                                 const schedule_query &Query, instant Now) {
   upstream_state *State = find(Choice.Upstream);
@@ -343,15 +155,74 @@
   ++State->InFlight;
   State->BacklogMs += Choice.WorkMs;
   State->HeldTokens += Choice.HeldTokens;
-  for (const prompt_part &Part : Query.Parts)
-    if (&Part != &Query.Parts.back() && !holdsPart(*State, Part.Chain, Now))
+  for (const prompt_part &Part : Query.Parts) {
+    const bool IsShared = &Part != &Query.Parts.back();
+    if (IsShared && !State->Parts.holds(Part.Chain, Now))
       Hints.push_back({Choice.Upstream, Part.Chain});
-  remember(*State, Query.Parts, Now);
+    State->Parts.note(Part.Chain, Now);
+  }
+  noteStoreUse(Choice, Query, Now);
+}
+
+/// A store that was copied from or saved to holds the shared parts from now on.
+void upstream_scheduler::noteStoreUse(const schedule_choice &Choice,
+                                      const schedule_query &Query,
+                                      instant Now) {
+  for (cache_store &Store : Stores) {
+    const bool Used =
+        Choice.Weights && (Choice.SaveTo == Store.Place.Address ||
+                           Choice.FetchFrom == Store.Place.Address);
+    for (std::size_t Index = 0; Used && Index + 1 < Query.Parts.size();
+         ++Index) {
+      const std::uint64_t Chain =
+          Query.Parts[Index].Chain ^ weightsMark(*Choice.Weights);
+      if (!Store.Parts.holds(Chain, Now))
+        Hints.push_back({Store.Place.Address, Chain});
+      Store.Parts.note(Chain, Now);
+    }
+  }
 }
 
 void upstream_scheduler::onPeerHint(const part_hint &Hint, instant Now) {
   if (upstream_state *State = find(Hint.Upstream))
-    State->Parts[Hint.Chain] = Now;
+    State->Parts.note(Hint.Chain, Now);
+  for (cache_store &Store : Stores)
+    if (Store.Place.Address == Hint.Upstream)
+      Store.Parts.note(Hint.Chain, Now);
+}
+
+void upstream_scheduler::setCacheStores(
+    std::span<const cache_store_terms> Places) {
+  std::vector<cache_store> Next;
+  for (const cache_store_terms &Place : Places) {
+    const auto Known =
+        std::ranges::find(Stores, Place.Address, [](const cache_store &Store) {
+          return Store.Place.Address;
+        });
+    if (Known != Stores.end())
+      Next.push_back(std::move(*Known));
+    else
+      Next.push_back(
+          {Place, cached_parts(Terms.StoreTerm, Terms.MaxParts), 0, {}});
+    Next.back().Place = Place;
+  }
+  Stores = std::move(Next);
+}
+
+void upstream_scheduler::onFirstPart(const schedule_choice &Choice,
+                                     span_ns After, instant Now) {
+  for (cache_store &Store : Stores) {
+    if (Choice.FetchFrom != Store.Place.Address)
+      continue;
+    const bool Slow = toMs(After) > Choice.ExpectedMs + toMs(Terms.SlowCopy);
+    Store.SlowCopies = Slow ? Store.SlowCopies + 1 : 0;
+    if (Store.SlowCopies < 2)
+      continue;
+    Store.SlowCopies = 0;
+    Store.PausedUntil = Now + Terms.StorePause;
+    // It may have come back empty.
+    Store.Parts.clear();
+  }
 }
 
 void upstream_scheduler::setEngine(std::string_view Service,
@@ -359,18 +230,6 @@
   Engines[std::string(Service)] = Engine;
 }
 
-void upstream_scheduler::remember(upstream_state &State,
-                                  std::span<const prompt_part> Parts,
-                                  instant Now) const {
-  for (const prompt_part &Part : Parts)
-    State.Parts[Part.Chain] = Now;
-  if (State.Parts.size() <= Terms.MaxParts)
-    return;
-  std::erase_if(State.Parts, [&](const auto &Part) {
-    return Now - Part.second > Terms.CacheTerm / 2;
-  });
-}
-
 void upstream_scheduler::onEnded(const schedule_choice &Choice, instant Now) {
   upstream_state *State = find(Choice.Upstream);
   if (!State || State->InFlight == 0)
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -13,6 +13,7 @@
 
 #include "common/error_kind.h"
 #include "common/instant.h"
+#include "decisions/process/cached_parts.h"
 #include "decisions/process/upstream_directory.h"
 
 #include <cstdint>
@@ -119,10 +120,23 @@
   /// What a new process leaves of the bound above for versions that it finds at
   /// its start; the rules hold for it from 3 s after the start on.
   span_ns AssumedLeft = std::chrono::milliseconds(2800);
+  /// A store keeps far more; reloads of one are noticed by slow copies.
+  span_ns StoreTerm = std::chrono::seconds(30);
+  /// Copies from a store that end later than expected by this much.
+  span_ns SlowCopy = std::chrono::milliseconds(250);
+  /// A store with two slow copies in a row is left alone for this long.
+  span_ns StorePause = std::chrono::milliseconds(2500);
   /// Parts remembered for each upstream.
   std::size_t MaxParts = 2000;
 };
 
+/// A store of cached parts beside the engines.
+struct cache_store_terms {
+  std::string Address; ///< "IP:PORT"
+  std::string Domain;
+  double FetchTokensPerMs = 0; ///< copied inside its domain
+};
+
 /// A version of a model's weights that operators have named.
 struct named_weights {
   std::string Model;
@@ -137,7 +151,8 @@
   double ExpectedMs = 0;   ///< to the first part of the answer
   double BacklogMs = 0;    ///< of that, work that waits there
   double MissedTokens = 0; ///< of the shared prompt, not believed to be there
-  std::string FetchFrom;   ///< upstream that has more of it; empty for none
+  std::string FetchFrom;   ///< "IP:PORT" that has more of it; empty for none
+  std::string SaveTo;      ///< "IP:PORT" of a store that lacks it, or empty
   std::optional<std::int64_t> Weights; ///< that the upstream has, if known
   double HeldTokens = 0;               ///< memory that the request takes
   double WorkMs = 0;                   ///< reading of its prompt
@@ -191,6 +206,12 @@
   /// Takes what the configuration says of a service's engines.
   void setEngine(std::string_view Service, const engine_terms &Engine);
 
+  /// Takes the stores of cached parts that the configuration names.
+  void setCacheStores(std::span<const cache_store_terms> Stores);
+
+  /// The first part of an answer has come.
+  void onFirstPart(const schedule_choice &Choice, span_ns After, instant Now);
+
   /// Parts that this instance has placed newly since the last call.
   std::vector<part_hint> takeHints() { return std::exchange(Hints, {}); }
   void onPeerHint(const part_hint &Hint, instant Now);
@@ -232,9 +253,21 @@
     unsigned Failures = 0;
     instant AvoidUntil;
     instant PausedUntil;
-    std::unordered_map<std::uint64_t, instant> Parts; ///< last use
+    cached_parts Parts{span_ns(0), 0};
     std::map<std::string, std::int64_t, std::less<>> Weights;
   };
+  struct cache_store {
+    cache_store_terms Place;
+    cached_parts Parts;
+    unsigned SlowCopies = 0; ///< in a row
+    instant PausedUntil;
+  };
+  /// A copy of the parts behind those that an engine holds itself.
+  struct copy_plan {
+    std::string From;
+    double Tokens = 0;
+    double Ms = 0;
+  };
   struct candidate_set {
     std::vector<upstream_state *> Usable;
     instant FreeAt = instant::max(); ///< when another one can be used
@@ -245,21 +278,26 @@
     double MissedTokens = 0;
     double WorkMs = 0;
     double HeldTokens = 0;
-    std::string_view FetchFrom;
+    copy_plan Copy;
+    std::string SaveTo;
   };
 
   upstream_state *find(std::string_view Upstream);
   double backlog(upstream_state &State, instant Now) const;
   double memoryWait(const upstream_state &State, double Needed,
                     instant Now) const;
-  const upstream_state *findSource(const upstream_state &Target,
-                                   const schedule_query &Query,
-                                   std::size_t Held, std::size_t Shared,
-                                   double &Tokens, instant Now) const;
+  copy_plan planCopy(const upstream_state &Target, const schedule_query &Query,
+                     std::size_t Held, instant Now) const;
+  static std::uint64_t weightsMark(std::int64_t Version);
+  void noteStoreUse(const schedule_choice &Choice, const schedule_query &Query,
+                    instant Now);
+  void considerCopy(const copy_plan &Offer, const schedule_query &Query,
+                    std::size_t Held, copy_plan &Best) const;
+  double copyFactor(std::string_view From, std::string_view To) const;
+  std::string storeLacking(const upstream_state &Target,
+                           const schedule_query &Query, instant Now) const;
   static std::optional<std::int64_t> weightsOf(const upstream_state &State,
                                                std::string_view Model);
-  bool holdsPart(const upstream_state &State, std::uint64_t Chain,
-                 instant Now) const;
   double distance(const upstream_state &State) const;
   bool sameRegion(std::string_view Left, std::string_view Right) const;
   candidate_set findCandidates(const schedule_query &Query, instant Now);
@@ -269,8 +307,6 @@
                        bool IsHome, instant Now) const;
   std::optional<double> weightsCost(const upstream_state &State,
                                     std::string_view Model, instant Now) const;
-  void remember(upstream_state &State, std::span<const prompt_part> Parts,
-                instant Now) const;
   bool isPlain(const upstream_state &State) const {
     return State.Entry.Models.empty();
   }
@@ -282,6 +318,7 @@
   std::map<std::string, engine_terms, std::less<>> Engines;
   /// By model, all versions in the order in which they were named.
   std::map<std::string, std::vector<named_weights>, std::less<>> Named;
+  std::vector<cache_store> Stores;
   std::vector<part_hint> Hints;
 };
 
--- a/src/decisions/version/routing_table.h
+++ b/src/decisions/version/routing_table.h
@@ -51,16 +51,25 @@
 struct engine_limits {
   std::int64_t Slots = 1;       ///< requests that run at once
   std::int64_t CacheTokens = 0; ///< memory for running and cached prompts
-  double FetchTokensPerMs = 0;  ///< copied between engines; 0 where unknown
+  double LinkMbps = 0;          ///< of one engine, for copies of cached parts
+  double TokenBytes = 0;        ///< of one token in the cache
   std::vector<std::string> Models;
 };
 
+/// A store of cached prompt parts, which no route leads to.
+struct cache_store_entry {
+  std::string Address; ///< "IP:PORT"
+  std::string Domain;
+  double LinkMbps = 0;
+};
+
 /// A group of equal upstreams.
 struct service_entry {
   std::string Name;
   std::string HealthPath;
   std::int64_t MaxConnections = 0; ///< of one upstream, for all callers
   std::optional<engine_limits> Engine;
+  std::optional<cache_store_entry> CacheStore;
 };
 
 /// A customer, its keys and its limits over the whole fleet.
--- a/src/gateway/process/fleet_protocol.h
+++ b/src/gateway/process/fleet_protocol.h
@@ -107,7 +107,8 @@
   std::optional<int> Priority;
   std::optional<std::int64_t> ResumeAfter;
   std::optional<std::int64_t> Weights; ///< refuse to run on any other
-  std::string_view FetchFrom; ///< "IP:PORT" of an engine with cached parts
+  std::string_view FetchFrom;          ///< "IP:PORT" that has cached parts
+  std::string_view SaveTo; ///< "IP:PORT" of a store for the parts read
 };
 
 /// What the head of an upstream's answer says.
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -91,15 +91,35 @@
             {"before", Before},
             {"routes", Routing->Routes.size()},
             {"teams", Routing->Teams.size()}});
-  for (const auto &[Name, Service] : Routing->Services)
-    if (Service.Engine)
-      Scheduler.setEngine(Name,
-                          {static_cast<double>(Service.Engine->CacheTokens),
-                           Service.Engine->FetchTokensPerMs});
+  describeEngines();
   Sharers = 0;
   updateShares(Now);
 }
 
+/// Tells the scheduler what engines hold and how fast parts are copied.
+void gateway_core::describeEngines() {
+  constexpr double BytesPerMsOfMbps = 125; // 10^6 bits a second
+  double TokenBytes = 0;
+  for (const auto &[Name, Service] : Routing->Services) {
+    if (!Service.Engine)
+      continue;
+    engine_terms Engine;
+    Engine.CacheTokens = static_cast<double>(Service.Engine->CacheTokens);
+    if (Service.Engine->TokenBytes > 0)
+      Engine.FetchTokensPerMs = Service.Engine->LinkMbps * BytesPerMsOfMbps /
+                                Service.Engine->TokenBytes;
+    TokenBytes = std::max(TokenBytes, Service.Engine->TokenBytes);
+    Scheduler.setEngine(Name, Engine);
+  }
+  std::vector<cache_store_terms> Stores;
+  for (const auto &[Name, Service] : Routing->Services)
+    if (Service.CacheStore && TokenBytes > 0)
+      Stores.push_back(
+          {Service.CacheStore->Address, Service.CacheStore->Domain,
+           Service.CacheStore->LinkMbps * BytesPerMsOfMbps / TokenBytes});
+  Scheduler.setCacheStores(Stores);
+}
+
 void gateway_core::onDirectory() { Scheduler.update(Directory); }
 
 /// The operators judge a window: (rate x window + burst) x (1 + excess) +
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -129,6 +129,7 @@
 private:
   void carryOut(const std::vector<share_action> &Actions);
   void armShareTimer();
+  void describeEngines();
   team_limits limitsOf(const team_entry &Team) const;
 
   event_base *Base;
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -226,10 +226,8 @@
           : fmt::format("{}:{}", CacheScope, *Chosen.Weights);
   Attempt.CacheScope = Scope;
   Attempt.Weights = Chosen.Weights;
-  const upstream_entry *Source = Core.directory().find(Chosen.FetchFrom);
-  const std::string SourceAddress =
-      Source ? fmt::format("{}:{}", Source->Address, Source->Port) : "";
-  Attempt.FetchFrom = SourceAddress;
+  Attempt.FetchFrom = Chosen.FetchFrom;
+  Attempt.SaveTo = Chosen.SaveTo;
   Attempt.ResumeAfter = LastEvent;
   if (Team)
     Attempt.Team = Team->Name;
@@ -357,6 +355,8 @@
   if (std::exchange(SawFirstPart, true))
     return;
   FirstPartAt = readBootClock();
+  if (Choice)
+    Core.scheduler().onFirstPart(*Choice, FirstPartAt - SentAt, FirstPartAt);
   Core.counters().FirstPartSeconds.Observe(toSeconds(FirstPartAt - Arrived));
 }
 
