Caches: follow what engines hold by the tokens that were brought in

Change: the belief follows a least recently used cache whose clock counts the tokens brought in, peers' included, and whose room is the memory that running requests leave; a running request holds its whole prompt and its answer.

--- a/src/decisions/process/cached_parts.h
+++ b/src/decisions/process/cached_parts.h
@@ -3,35 +3,41 @@
 #ifndef EBONYVALE_DECISIONS_PROCESS_CACHED_PARTS_H
 #define EBONYVALE_DECISIONS_PROCESS_CACHED_PARTS_H
 
-#include "common/instant.h"
-
+#include <cstddef>
 #include <cstdint>
 #include <unordered_map>
 
 namespace ebonyvale {
 
-/// Each part is named by a hash of itself and all parts before it.
+/// Follows a cache whose least recently used parts yield. Its clock counts the
+/// tokens that were brought in: a part is gone once as many have come since its
+/// last use as the cache has room for. Each part is named by a hash of itself
+/// and all parts before it.
 class cached_parts {
 public:
-  /// \p Term: how long a part is believed to stay without being used.
-  /// \p MaxParts: parts remembered before the older half is dropped.
-  cached_parts(span_ns Term, std::size_t MaxParts)
-      : Term(Term), MaxParts(MaxParts) {}
+  /// Parts remembered before those that are gone are dropped.
+  static constexpr std::size_t MaxParts = 4000;
+
+  /// Tokens that the cache has room for at present; 0 where unknown, and then
+  /// nothing is believed to be held.
+  void setRoom(double Tokens) { Room = Tokens; }
 
-  bool holds(std::uint64_t Chain, instant Now) const {
+  /// Tokens were brought in, by whomever.
+  void onInserted(double Tokens) { Inserted += Tokens; }
+
+  bool holds(std::uint64_t Chain) const {
     const auto Found = LastUse.find(Chain);
-    return Found != LastUse.end() && Now - Found->second < Term;
+    return Found != LastUse.end() && isFresh(Found->second);
   }
 
   /// The part has been read, used or copied there.
-  void note(std::uint64_t Chain, instant Now) {
-    LastUse[Chain] = Now;
+  void note(std::uint64_t Chain) {
+    LastUse[Chain] = Inserted;
     if (LastUse.size() <= MaxParts)
       return;
-    std::erase_if(LastUse, [&](const auto &Part) {
-      return Now - Part.second > Term / 2;
-    });
-    // Everything is young: forgetting costs copies, never correctness.
+    std::erase_if(LastUse,
+                  [this](const auto &Part) { return !isFresh(Part.second); });
+    // All are fresh: forgetting costs copies, never correctness.
     if (LastUse.size() > MaxParts)
       LastUse.clear();
   }
@@ -39,9 +45,11 @@
   void clear() { LastUse.clear(); }
 
 private:
-  span_ns Term;
-  std::size_t MaxParts;
-  std::unordered_map<std::uint64_t, instant> LastUse;
+  bool isFresh(double UsedAt) const { return Inserted - UsedAt < Room; }
+
+  double Room = 0;
+  double Inserted = 0;
+  std::unordered_map<std::uint64_t, double> LastUse;
 };
 
 } // namespace ebonyvale
--- a/src/decisions/process/upstream_estimate.cpp
+++ b/src/decisions/process/upstream_estimate.cpp
@@ -66,18 +66,27 @@
          LeftRegion->second == RightRegion->second;
 }
 
-double upstream_scheduler::memoryWait(const upstream_state &State,
-                                      double Needed, instant Now) const {
-  const auto Engine = Engines.find(State.Entry.Service);
-  if (Engine == Engines.end() || Engine->second.CacheTokens <= 0)
-    return 0;
+/// Memory of an engine that running requests hold, all instances' together.
+double upstream_scheduler::heldTokens(const upstream_state &State,
+                                      instant Now) const {
   double Held = State.HeldTokens;
   for (const auto &[Name, View] : State.Peers)
     if (Now - View.At <= Terms.LoadTerm)
       Held += View.HeldTokens;
-  const double Excess =
-      Held + Needed - Terms.UsableMemory * Engine->second.CacheTokens;
-  if (Excess <= 0 || Held <= 0)
+  return Held;
+}
+
+double upstream_scheduler::cacheTokens(const upstream_state &State) const {
+  const auto Engine = Engines.find(State.Entry.Service);
+  return Engine == Engines.end() ? 0 : Engine->second.CacheTokens;
+}
+
+double upstream_scheduler::memoryWait(const upstream_state &State,
+                                      double Needed, instant Now) const {
+  const double Capacity = cacheTokens(State);
+  const double Held = heldTokens(State, Now);
+  const double Excess = Held + Needed - Terms.UsableMemory * Capacity;
+  if (Capacity <= 0 || Excess <= 0 || Held <= 0)
     return 0;
   return Terms.MemoryWaitMs + Excess / Terms.PrefillTokensPerMs;
 }
@@ -129,7 +138,7 @@
   const auto TokensAt = [&](const cached_parts &Parts, std::uint64_t Version) {
     double Found = 0;
     for (std::size_t Index = 0; Index < Shared; ++Index) {
-      if (!Parts.holds(Query.Parts[Index].Chain ^ Version, Now))
+      if (!Parts.holds(Query.Parts[Index].Chain ^ Version))
         break;
       if (Index >= Held)
         Found += static_cast<double>(Query.Parts[Index].Tokens);
@@ -175,8 +184,7 @@
     if (!Usable)
       continue;
     for (std::size_t Index = 0; Index + 1 < Query.Parts.size(); ++Index)
-      if (!Store.Parts.holds(Query.Parts[Index].Chain ^ weightsMark(*Weights),
-                             Now))
+      if (!Store.Parts.holds(Query.Parts[Index].Chain ^ weightsMark(*Weights)))
         return Store.Place.Address;
   }
   return {};
@@ -193,10 +201,13 @@
     Estimate.Ms += Terms.PlainWorkMs;
     return Estimate;
   }
+  // What running requests hold cannot cache anything else.
+  State.Parts.setRoom(Terms.CacheRoom * cacheTokens(State) -
+                      heldTokens(State, Now));
   const std::size_t Shared = Query.Parts.empty() ? 0 : Query.Parts.size() - 1;
   std::size_t Held = 0;
   double HeldTokens = 0;
-  while (Held < Shared && State.Parts.holds(Query.Parts[Held].Chain, Now))
+  while (Held < Shared && State.Parts.holds(Query.Parts[Held].Chain))
     HeldTokens += static_cast<double>(Query.Parts[Held++].Tokens);
   double SharedTokens = 0;
   for (std::size_t Index = 0; Index < Shared; ++Index)
@@ -204,7 +215,7 @@
   double Own = Query.PromptTokens - SharedTokens;
   // The last part is a session's: an engine that had it reads nothing of it.
   if (Held == Shared && Shared < Query.Parts.size() &&
-      State.Parts.holds(Query.Parts.back().Chain, Now))
+      State.Parts.holds(Query.Parts.back().Chain))
     Own -= static_cast<double>(Query.Parts.back().Tokens);
   Own = std::max(0.0, Own);
   Estimate.MissedTokens = SharedTokens - HeldTokens;
@@ -214,7 +225,8 @@
   }
   const double Read = Estimate.MissedTokens - Estimate.Copy.Tokens;
   Estimate.WorkMs = (Own + Read) / Terms.PrefillTokensPerMs;
-  Estimate.HeldTokens = Own + Query.AnswerTokens + Estimate.MissedTokens;
+  Estimate.HeldTokens = Query.PromptTokens + Query.AnswerTokens;
+  Estimate.InsertedTokens = Own + Query.AnswerTokens + Estimate.MissedTokens;
   Estimate.Ms += Terms.FirstTokenMs + Own / Terms.PrefillTokensPerMs +
                  Estimate.Copy.Ms * Terms.FetchWeight +
                  memoryWait(State, Estimate.HeldTokens, Now) +
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -42,7 +42,6 @@
       const std::int64_t InFlight = State.InFlight;
       State = {};
       State.InFlight = InFlight;
-      State.Parts = cached_parts(Terms.CacheTerm, Terms.MaxParts);
     }
     State.Entry = Entry;
     for (const auto &[Model, Version] : Entry.Models) {
@@ -86,15 +85,13 @@
         std::max<span_ns>(MinRetryAfter, fromMs(BestEstimate.BacklogMs - Left));
     return Outcome;
   }
-  Outcome.Choice = schedule_choice{Best->Entry.Id,
-                                   BestEstimate.Ms,
-                                   BestEstimate.BacklogMs,
-                                   BestEstimate.MissedTokens,
-                                   BestEstimate.Copy.From,
-                                   BestEstimate.SaveTo,
-                                   weightsOf(*Best, Query.Model),
-                                   BestEstimate.HeldTokens,
-                                   BestEstimate.WorkMs};
+  Outcome.Choice =
+      schedule_choice{Best->Entry.Id,          BestEstimate.Ms,
+                      BestEstimate.BacklogMs,  BestEstimate.MissedTokens,
+                      BestEstimate.Copy.From,  BestEstimate.Copy.Tokens,
+                      BestEstimate.SaveTo,     weightsOf(*Best, Query.Model),
+                      BestEstimate.HeldTokens, BestEstimate.InsertedTokens,
+                      BestEstimate.WorkMs};
   return Outcome;
 }
 
@@ -155,19 +152,20 @@
   ++State->InFlight;
   State->BacklogMs += Choice.WorkMs;
   State->HeldTokens += Choice.HeldTokens;
+  State->InsertedTokens += Choice.InsertedTokens;
+  State->Parts.onInserted(Choice.InsertedTokens);
   for (const prompt_part &Part : Query.Parts) {
     const bool IsShared = &Part != &Query.Parts.back();
-    if (IsShared && !State->Parts.holds(Part.Chain, Now))
+    if (IsShared && Part.Tokens >= Terms.MinHintTokens)
       Hints.push_back({Choice.Upstream, Part.Chain});
-    State->Parts.note(Part.Chain, Now);
+    State->Parts.note(Part.Chain);
   }
-  noteStoreUse(Choice, Query, Now);
+  noteStoreUse(Choice, Query);
 }
 
 /// A store that was copied from or saved to holds the shared parts from now on.
 void upstream_scheduler::noteStoreUse(const schedule_choice &Choice,
-                                      const schedule_query &Query,
-                                      instant Now) {
+                                      const schedule_query &Query) {
   for (cache_store &Store : Stores) {
     const bool Used =
         Choice.Weights && (Choice.SaveTo == Store.Place.Address ||
@@ -176,19 +174,19 @@
          ++Index) {
       const std::uint64_t Chain =
           Query.Parts[Index].Chain ^ weightsMark(*Choice.Weights);
-      if (!Store.Parts.holds(Chain, Now))
+      if (Query.Parts[Index].Tokens >= Terms.MinHintTokens)
         Hints.push_back({Store.Place.Address, Chain});
-      Store.Parts.note(Chain, Now);
+      Store.Parts.note(Chain);
     }
   }
 }
 
-void upstream_scheduler::onPeerHint(const part_hint &Hint, instant Now) {
+void upstream_scheduler::onPeerHint(const part_hint &Hint) {
   if (upstream_state *State = find(Hint.Upstream))
-    State->Parts.note(Hint.Chain, Now);
+    State->Parts.note(Hint.Chain);
   for (cache_store &Store : Stores)
     if (Store.Place.Address == Hint.Upstream)
-      Store.Parts.note(Hint.Chain, Now);
+      Store.Parts.note(Hint.Chain);
 }
 
 void upstream_scheduler::setCacheStores(
@@ -202,9 +200,9 @@
     if (Known != Stores.end())
       Next.push_back(std::move(*Known));
     else
-      Next.push_back(
-          {Place, cached_parts(Terms.StoreTerm, Terms.MaxParts), 0, {}});
+      Next.push_back({Place, cached_parts(), 0, {}});
     Next.back().Place = Place;
+    Next.back().Parts.setRoom(Terms.CacheRoom * Place.CacheTokens);
   }
   Stores = std::move(Next);
 }
@@ -290,11 +288,21 @@
   for (auto &[Id, State] : States)
     if (const auto Found = State.Peers.find(Peer); Found != State.Peers.end())
       State.Peers.erase(Found);
-  for (const peer_load &Load : Loads)
-    if (upstream_state *State = find(Load.Upstream))
-      State->Peers.insert_or_assign(
-          std::string(Peer),
-          peer_view{Load.InFlight, Load.BacklogMs, Load.HeldTokens, Now});
+  for (const peer_load &Load : Loads) {
+    upstream_state *State = find(Load.Upstream);
+    if (!State)
+      continue;
+    State->Peers.insert_or_assign(
+        std::string(Peer),
+        peer_view{Load.InFlight, Load.BacklogMs, Load.HeldTokens, Now});
+    double &Before = State->PeerInserted[std::string(Peer)];
+    // A peer that has started anew counts from zero.
+    const double Since = Load.InsertedTokens < Before
+                             ? Load.InsertedTokens
+                             : Load.InsertedTokens - Before;
+    Before = Load.InsertedTokens;
+    State->Parts.onInserted(Since);
+  }
 }
 
 std::vector<peer_load> upstream_scheduler::ownLoad(instant Now) {
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -58,9 +58,10 @@
   std::int64_t InFlight = 0;
   double BacklogMs = 0;
   double HeldTokens = 0;
+  double InsertedTokens = 0; ///< brought into its cache since the start
 };
 
-/// A shared prompt part that was sent where nobody was known to hold it.
+/// A shared prompt part that was used somewhere.
 struct part_hint {
   std::string Upstream;
   std::uint64_t Chain = 0;
@@ -105,8 +106,11 @@
   /// further failure in a row.
   span_ns FailurePause = std::chrono::milliseconds(400);
   span_ns MaxFailurePause = std::chrono::milliseconds(4000);
-  /// Time for which a cached part is believed to stay without being used.
-  span_ns CacheTerm = std::chrono::seconds(20);
+  /// Shorter parts are not worth a message to the peers.
+  std::int64_t MinHintTokens = 300;
+  /// Part of an engine's memory in which cached parts last; running requests
+  /// and partly filled blocks take the rest.
+  double CacheRoom = 0.95;
   /// Cost in ms of starting on weights that are no longer the newest.
   double OldWeightsMs = 60;
   /// Old weights cost nothing within it, so that a rollout can begin.
@@ -120,14 +124,10 @@
   /// What a new process leaves of the bound above for versions that it finds at
   /// its start; the rules hold for it from 3 s after the start on.
   span_ns AssumedLeft = std::chrono::milliseconds(2800);
-  /// A store keeps far more; reloads of one are noticed by slow copies.
-  span_ns StoreTerm = std::chrono::seconds(30);
   /// Copies from a store that end later than expected by this much.
   span_ns SlowCopy = std::chrono::milliseconds(250);
   /// A store with two slow copies in a row is left alone for this long.
   span_ns StorePause = std::chrono::milliseconds(2500);
-  /// Parts remembered for each upstream.
-  std::size_t MaxParts = 2000;
 };
 
 /// A store of cached parts beside the engines.
@@ -135,6 +135,7 @@
   std::string Address; ///< "IP:PORT"
   std::string Domain;
   double FetchTokensPerMs = 0; ///< copied inside its domain
+  double CacheTokens = 0;
 };
 
 /// A version of a model's weights that operators have named.
@@ -152,9 +153,11 @@
   double BacklogMs = 0;    ///< of that, work that waits there
   double MissedTokens = 0; ///< of the shared prompt, not believed to be there
   std::string FetchFrom;   ///< "IP:PORT" that has more of it; empty for none
+  double CopiedTokens = 0; ///< of those missed, copied instead of read
   std::string SaveTo;      ///< "IP:PORT" of a store that lacks it, or empty
   std::optional<std::int64_t> Weights; ///< that the upstream has, if known
   double HeldTokens = 0;               ///< memory that the request takes
+  double InsertedTokens = 0;           ///< brought into the engine's cache
   double WorkMs = 0;                   ///< reading of its prompt
 };
 
@@ -212,9 +215,9 @@
   /// The first part of an answer has come.
   void onFirstPart(const schedule_choice &Choice, span_ns After, instant Now);
 
-  /// Parts that this instance has placed newly since the last call.
+  /// Parts that this instance has used since the last call.
   std::vector<part_hint> takeHints() { return std::exchange(Hints, {}); }
-  void onPeerHint(const part_hint &Hint, instant Now);
+  void onPeerHint(const part_hint &Hint);
 
   /// The operators have named weights. A process that finds them there at its
   /// start cannot know since when, and takes them for nearly due.
@@ -253,7 +256,9 @@
     unsigned Failures = 0;
     instant AvoidUntil;
     instant PausedUntil;
-    cached_parts Parts{span_ns(0), 0};
+    cached_parts Parts;
+    double InsertedTokens = 0; ///< by this instance
+    std::map<std::string, double, std::less<>> PeerInserted;
     std::map<std::string, std::int64_t, std::less<>> Weights;
   };
   struct cache_store {
@@ -278,19 +283,21 @@
     double MissedTokens = 0;
     double WorkMs = 0;
     double HeldTokens = 0;
+    double InsertedTokens = 0;
     copy_plan Copy;
     std::string SaveTo;
   };
 
   upstream_state *find(std::string_view Upstream);
   double backlog(upstream_state &State, instant Now) const;
+  double heldTokens(const upstream_state &State, instant Now) const;
+  double cacheTokens(const upstream_state &State) const;
   double memoryWait(const upstream_state &State, double Needed,
                     instant Now) const;
   copy_plan planCopy(const upstream_state &Target, const schedule_query &Query,
                      std::size_t Held, instant Now) const;
   static std::uint64_t weightsMark(std::int64_t Version);
-  void noteStoreUse(const schedule_choice &Choice, const schedule_query &Query,
-                    instant Now);
+  void noteStoreUse(const schedule_choice &Choice, const schedule_query &Query);
   void considerCopy(const copy_plan &Offer, const schedule_query &Query,
                     std::size_t Held, copy_plan &Best) const;
   double copyFactor(std::string_view From, std::string_view To) const;
--- a/src/decisions/version/routing_table.h
+++ b/src/decisions/version/routing_table.h
@@ -61,6 +61,7 @@
   std::string Address; ///< "IP:PORT"
   std::string Domain;
   double LinkMbps = 0;
+  double CacheTokens = 0;
 };
 
 /// A group of equal upstreams.
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -150,7 +150,8 @@
   for (const peer_load &Load : Loads)
     Listed.push_back({Load.Upstream, Load.InFlight,
                       static_cast<std::int64_t>(Load.BacklogMs),
-                      static_cast<std::int64_t>(Load.HeldTokens)});
+                      static_cast<std::int64_t>(Load.HeldTokens),
+                      static_cast<std::int64_t>(Load.InsertedTokens)});
   json Hints = json::array();
   for (const part_hint &Hint : Core.scheduler().takeHints())
     Hints.push_back({Hint.Upstream, Hint.Chain});
@@ -202,14 +203,15 @@
   if (Kind == "load") {
     std::vector<peer_load> Loads;
     for (const json &Listed : Message.at("l"))
-      Loads.push_back({Listed.at(0), Listed.at(1), Listed.at(2), Listed.at(3)});
+      Loads.push_back({Listed.at(0), Listed.at(1), Listed.at(2), Listed.at(3),
+                       Listed.at(4)});
     Core.scheduler().onPeerLoad(From, Loads, Now);
     for (const json &Named : Message.at("w"))
       Core.scheduler().onPeerWeights(
           {Named.at(0), Named.at(1),
            Now - std::chrono::milliseconds(Named.at(2).get<std::int64_t>())});
     for (const json &Hint : Message.at("h"))
-      Core.scheduler().onPeerHint({Hint.at(0), Hint.at(1)}, Now);
+      Core.scheduler().onPeerHint({Hint.at(0), Hint.at(1)});
   } else if (Kind == "ask") {
     sendTo(From,
            encodeReply(Core.shares().onAsk(From, decodeAsk(Message), Now)));
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -116,7 +116,8 @@
     if (Service.CacheStore && TokenBytes > 0)
       Stores.push_back(
           {Service.CacheStore->Address, Service.CacheStore->Domain,
-           Service.CacheStore->LinkMbps * BytesPerMsOfMbps / TokenBytes});
+           Service.CacheStore->LinkMbps * BytesPerMsOfMbps / TokenBytes,
+           Service.CacheStore->CacheTokens});
   Scheduler.setCacheStores(Stores);
 }
 
