--- /dev/null
+++ b/tests/platform/messages_test.cpp
@@ -0,0 +1,185 @@
+#include "platform/messages.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <set>
+
+using namespace ebonyvale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const platform::caller_messages Callers;
+const platform::upstream_messages Upstreams;
+
+http_head headOf(std::initializer_list<http_header> Headers) {
+  http_head Head;
+  Head.Method = "POST";
+  Head.Target = "/a/b?q=1";
+  for (const http_header &Field : Headers)
+    Head.Headers.add(Field.Name, Field.Value);
+  return Head;
+}
+
+struct malformed_row {
+  char Name[32];
+  char Value[32];
+};
+
+struct answer_row {
+  int Status;
+  char Name[32];
+  char Value[32];
+  bool NotRun;
+  bool OtherProcess;
+  bool OtherWeights;
+};
+
+} // namespace
+
+Test(platform_messages, a_request_in_our_words) {
+  const auto Request = Callers.describe(
+      headOf({{"Host", "h.example:80"},
+              {"Ebonyvale-Request-Id", "9c41"},
+              {"authorization", "bearer key"},
+              {"Ebonyvale-Deadline-Ms", "4000"},
+              {"Ebonyvale-Model", "m"},
+              {"Ebonyvale-Token-Usage", "1460,80"},
+              {"Ebonyvale-Prompt-Prefix", "5c1e:800,91bd:410,e440:250"},
+              {"Last-Event-Id", "12"}}));
+  cr_assert(Request);
+  cr_assert(Request->Id == "9c41" && Request->Key == "key");
+  cr_assert(Request->Path == "/a/b" && Request->Host == "h.example:80");
+  cr_assert(Request->Deadline == 4s);
+  cr_assert(Request->PromptTokens == 1460 && Request->AnswerTokens == 80);
+  cr_assert(Request->Parts.size() == 3);
+  cr_assert(Request->Parts[1].Name == "91bd");
+  cr_assert(Request->Parts[1].Tokens == 410);
+  cr_assert(Request->ResumeAfter == 12);
+}
+
+ParameterizedTestParameters(platform_messages, malformed_requests) {
+  static malformed_row Rows[] = {
+      {"Ebonyvale-Deadline-Ms", "soon"},  {"Ebonyvale-Deadline-Ms", "-1"},
+      {"Ebonyvale-Token-Usage", "1"},     {"Ebonyvale-Token-Usage", "1,x"},
+      {"Ebonyvale-Prompt-Prefix", "a"},   {"Ebonyvale-Prompt-Prefix", ":1"},
+      {"Ebonyvale-Prompt-Prefix", "a:b"}, {"Last-Event-Id", "x"},
+      {"Last-Event-Id", "1.5"},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(malformed_row *Row, platform_messages, malformed_requests) {
+  const auto Request = Callers.describe(headOf({{Row->Name, Row->Value}}));
+  cr_assert(!Request);
+  cr_assert(Request.error().kind() == error_kind::BodyMalformed);
+}
+
+/// Whatever a caller claims to be set by this side is not passed on.
+Test(platform_messages, upstreams_get_no_key_and_no_claims_of_callers) {
+  header_list Caller;
+  for (const char *Name :
+       {"Authorization", "Ebonyvale-Tenant", "Ebonyvale-Cache-Salt",
+        "Ebonyvale-Hold", "Ebonyvale-Pin-Ms", "Ebonyvale-Kv-Backup", "Kv-From",
+        "Ebonyvale-Kv-Source", "Ebonyvale-Kv-Target",
+        "Ebonyvale-Expect-Instance", "Ebonyvale-Expect-Version",
+        "Ebonyvale-Request-Priority", "Ebonyvale-Deadline-Ms", "Connection",
+        "Keep-Alive", "Transfer-Encoding", "Content-Length", "Upgrade"})
+    Caller.add(Name, "claimed");
+  Caller.set("Connection", "close, X-Private");
+  Caller.add("X-Private", "1");
+  Caller.add("Ebonyvale-Request-Id", "9c41");
+  Caller.add("Ebonyvale-Length-Hint", "60");
+  attempt_facts Facts;
+  Facts.Upstream = "i-1";
+  Facts.Team = "t";
+  Facts.TimeLeft = 1234ms;
+  const header_list Sent = Upstreams.attemptHeaders(Caller, Facts);
+  for (const http_header &Field : Sent.all())
+    cr_assert(Field.Value != "claimed", "%s", Field.Name.c_str());
+  cr_assert(!Sent.find("X-Private"));
+  cr_assert(Sent.find("Ebonyvale-Request-Id") == "9c41");
+  cr_assert(Sent.find("Ebonyvale-Length-Hint") == "60");
+  cr_assert(Sent.find("Ebonyvale-Tenant") == "t");
+  cr_assert(Sent.find("Ebonyvale-Expect-Instance") == "i-1");
+  cr_assert(Sent.find("Ebonyvale-Deadline-Ms") == "1234");
+}
+
+ParameterizedTestParameters(platform_messages, proofs_of_not_having_run) {
+  static answer_row Rows[] = {
+      {200, "X", "1", false, false, false},
+      {503, "X", "1", false, false, false},
+      {503, "Ebonyvale-Not-Executed", "1", true, false, false},
+      {429, "Ebonyvale-Not-Executed", "1", true, false, false},
+      {421, "Ebonyvale-Instance-Id", "i-2", true, true, false},
+      // The process that was meant refuses for its weights.
+      {421, "Ebonyvale-Instance-Id", "i-1", true, false, true},
+      {421, "X", "1", true, false, true},
+      {504, "X", "1", false, false, false},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(answer_row *Row, platform_messages,
+                  proofs_of_not_having_run) {
+  http_head Head = headOf({{Row->Name, Row->Value}});
+  Head.Status = Row->Status;
+  const answer_facts Facts = Upstreams.readAnswer(Head, "i-1");
+  cr_assert(Facts.NotRun == Row->NotRun);
+  cr_assert(Facts.OtherProcess == Row->OtherProcess);
+  cr_assert(Facts.OtherWeights == Row->OtherWeights);
+}
+
+/// 408, 421, 429 and 503 promise that the request has not run.
+Test(platform_messages, no_refusal_promises_what_is_not_known) {
+  const std::set<int> Promises{408, 421, 429, 503};
+  for (const error_row &Row : errorTable()) {
+    const int Unknown = Callers.refusalStatus(Row.Kind, /*MayHaveRun=*/true);
+    cr_assert(Unknown == 502 || Unknown == 504, "%s: %d", Row.Name.data(),
+              Unknown);
+    const int NotRun = Callers.refusalStatus(Row.Kind, /*MayHaveRun=*/false);
+    cr_assert(NotRun < 500 || NotRun == 503, "%s: %d", Row.Name.data(), NotRun);
+  }
+  cr_assert(Callers.refusalHeaders(nullptr, 250ms).find("Retry-After") ==
+            "0.250");
+  cr_assert(!Callers.refusalHeaders(nullptr, 0ms).find("Retry-After"));
+}
+
+Test(platform_messages, load_weights_and_events) {
+  http_head Head = headOf({{"Ebonyvale-Server-Load", "3,1,8"},
+                           {"Ebonyvale-Weight-Versions", "4"},
+                           {"Ebonyvale-Request-Id", "9c41"}});
+  const answer_facts Facts = Upstreams.readAnswer(Head, "i-1");
+  cr_assert(Facts.Load->Running == 3 && Facts.Load->Waiting == 1);
+  cr_assert(Facts.Load->Slots == 8 && Facts.Weights == 4);
+  cr_assert(!Upstreams
+                 .readAnswer(headOf({{"Ebonyvale-Server-Load", "3,x,8"}}),
+                             "i-1")
+                 .Load);
+  cr_assert(Upstreams.eventWeights(
+                "ebonyvale-weight-versions: 5\nid: 1\ndata: x\n\n") == 5);
+  cr_assert(!Upstreams.eventWeights("id: 1\ndata: x\n\n"));
+}
+
+Test(platform_messages, orders_and_reports) {
+  client_request Out;
+  const std::string Body =
+      Upstreams.makeOrder({"m", 2, "node-7", 41, 3}, "i-1", Out);
+  cr_assert(Out.Method == "POST" && Out.Target == "/v1/order");
+  cr_assert(Out.Headers.find("Ebonyvale-Expect-Instance") == "i-1");
+  for (const char *Part :
+       {"\"fencingToken\":41", "\"expected\":3", "\"mode\":\"wait\"",
+        "\"owner\":\"node-7\"", "\"version\":2"})
+    cr_assert(Body.find(Part) != std::string::npos, "%s", Part);
+  cr_assert(Upstreams.readOrderAnswer(202) == order_answer::Accepted);
+  cr_assert(Upstreams.readOrderAnswer(200) == order_answer::AlreadyHolds);
+  cr_assert(Upstreams.readOrderAnswer(409) == order_answer::Conflict);
+  cr_assert(Upstreams.readOrderAnswer(400) == order_answer::Rejected);
+  cr_assert(Upstreams.readOrderAnswer(500) == order_answer::Unknown);
+  const auto Report = Upstreams.readReport(
+      R"({"models":[{"name":"m","version":1}],"busy":true,"sequence":2})");
+  cr_assert(Report && Report->Busy && Report->AcceptedOrders == 2);
+  cr_assert(Report->Models.at("m") == 1);
+  cr_assert(!Upstreams.readReport("{}"));
+}
--- /dev/null
+++ b/tests/platform/store_client_test.cpp
@@ -0,0 +1,141 @@
+#include "platform/store_client.h"
+
+#include "daemon/loop_runner.h"
+#include "net/scripted_server.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <spdlog/fmt/fmt.h>
+
+#include <deque>
+
+using namespace ebonyvale;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store that gives prepared answers in turn; none keeps it silent.
+struct fixture {
+  explicit fixture(std::deque<std::string> Prepared)
+      : Answers(std::move(Prepared)),
+        Server(Base.get(),
+               [this](scripted_server::peer &Peer) {
+                 Calls.push_back(std::exchange(Peer.Received, {}));
+                 if (Answers.empty())
+                   return;
+                 Peer.send(Answers.front());
+                 Answers.pop_front();
+               }),
+        Client(Links, Server.address(), 200ms) {}
+
+  event_base_ptr Base{event_base_new()};
+  std::deque<std::string> Answers;
+  std::vector<std::string> Calls;
+  client_links Links{Base.get(), {}};
+  scripted_server Server;
+  platform::store_client Client;
+};
+
+std::string answer(int Status, std::string_view Body) {
+  return fmt::format("HTTP/1.1 {} x\r\nContent-Length: {}\r\n\r\n{}", Status,
+                     Body.size(), Body);
+}
+
+struct status_row {
+  int Status; ///< 0: the store stays silent
+  store_status Means;
+};
+
+} // namespace
+
+Test(store_client, lists_all_pages_as_of_the_first) {
+  fixture Store(
+      {answer(200, R"({"items":[{"key":"a/1","value":"eA==","revision":3}],)"
+                   R"("hasMore":true,"storeRevision":9})"),
+       answer(200, R"({"items":[{"key":"a/2","value":"eQ==","revision":4},)"
+                   R"({"key":"a/3","value":"%","revision":5}],)"
+                   R"("hasMore":false,"storeRevision":11})")});
+  std::optional<store_items> Found;
+  Store.Client.list("a/", [&](const store_items &Items) { Found = Items; });
+  cr_assert(runLoopUntil(Store.Base.get(), [&] { return Found.has_value(); }));
+  cr_assert(Found->Status == store_status::Ok);
+  // An item whose value cannot be read is left out, the others hold.
+  cr_assert(Found->Items.size() == 2 && Found->Items[1].Value == "y");
+  cr_assert(Found->Revision == 9);
+  cr_assert(Store.Calls[1].find("after=a%2F1") != std::string::npos);
+}
+
+Test(store_client, a_watch_gives_writes_and_removals) {
+  fixture Store({answer(
+      200, R"({"events":[{"key":"k","value":"eA==","revision":3},)"
+           R"({"key":"l","revision":4,"tombstone":true}],"storeRevision":4})")});
+  std::optional<store_items> Found;
+  Store.Client.watch("", 2, 1000ms,
+                     [&](const store_items &Items) { Found = Items; });
+  cr_assert(runLoopUntil(Store.Base.get(), [&] { return Found.has_value(); }));
+  cr_assert(Found->Items.size() == 2);
+  cr_assert(!Found->Items[0].Removed && Found->Items[1].Removed);
+  cr_assert(Store.Calls[0].find("after=2&waitMs=1000") != std::string::npos);
+}
+
+ParameterizedTestParameters(store_client, statuses) {
+  static status_row Rows[] = {
+      {200, store_status::Ok},       {404, store_status::NotFound},
+      {410, store_status::HistoryGone}, {412, store_status::Conflict},
+      {429, store_status::Refused},  {503, store_status::Refused},
+      {500, store_status::NoAnswer}, {0, store_status::NoAnswer},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(status_row *Row, store_client, statuses) {
+  fixture Store(Row->Status == 0
+                    ? std::deque<std::string>{}
+                    : std::deque<std::string>{
+                          answer(Row->Status, R"({"revision":41})")});
+  std::optional<store_result> Found;
+  store_commit Commit;
+  Commit.Conditions = {{"k", 0}};
+  Commit.Puts = {{"k", "v", 7}};
+  Commit.Removals = {"gone"};
+  Store.Client.commit(Commit,
+                      [&](const store_result &Result) { Found = Result; });
+  cr_assert(runLoopUntil(Store.Base.get(), [&] { return Found.has_value(); }));
+  cr_assert(Found->Status == Row->Means);
+  if (Row->Status == 200)
+    cr_assert(Found->Revision == 41);
+  cr_assert(Store.Calls[0].find(R"("lease":7)") != std::string::npos);
+  cr_assert(Store.Calls[0].find(R"("remove":["gone"])") != std::string::npos);
+}
+
+Test(store_client, an_answer_that_is_no_document_proves_nothing) {
+  fixture Store({answer(200, "<html>")});
+  std::optional<store_items> Found;
+  Store.Client.list("a/", [&](const store_items &Items) { Found = Items; });
+  cr_assert(runLoopUntil(Store.Base.get(), [&] { return Found.has_value(); }));
+  cr_assert(Found->Status == store_status::NoAnswer);
+}
+
+Test(store_client, leases_are_granted_renewed_and_ended) {
+  fixture Store({answer(200, R"({"lease":5,"ttlMs":2000})"),
+                 answer(200, R"({"ttlMs":2000})"), answer(404, "{}")});
+  std::vector<store_result> Results;
+  const auto Keep = [&](const store_result &Result) {
+    Results.push_back(Result);
+  };
+  const auto WaitFor = [&](std::size_t Count) {
+    return runLoopUntil(Store.Base.get(),
+                        [&] { return Results.size() == Count; });
+  };
+  Store.Client.grantLease(2s, Keep);
+  cr_assert(WaitFor(1));
+  cr_assert(Results[0].Lease == 5 && Results[0].Term == 2s);
+  Store.Client.renewLease(5, Keep);
+  cr_assert(WaitFor(2));
+  Store.Client.endLease(5, Keep);
+  cr_assert(WaitFor(3));
+  cr_assert(Results[1].Status == store_status::Ok);
+  cr_assert(Results[2].Status == store_status::NotFound);
+  cr_assert(Store.Calls[2].starts_with("DELETE /v1/kv-lease-end/5 "));
+}
