--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -121,7 +121,7 @@
   /// and partly filled blocks take the rest.
   double CacheRoom = 0.95;
   /// Cost in ms of starting on weights that are no longer the newest.
-  double OldWeightsMs = 60;
+  double OldWeightsMs = 200;
   /// Old weights cost nothing within it, so that a rollout can begin.
   span_ns OldWeightsGrace = std::chrono::milliseconds(1200);
   /// No request begins on weights for longer than this after the first newer
--- a/src/decisions/version/weights_rollout.h
+++ b/src/decisions/version/weights_rollout.h
@@ -18,8 +18,9 @@
 
 /// Terms of a rollout.
 struct rollout_terms {
-  /// Upstreams that load at once; more slow each other down.
-  std::size_t AtOnce = 2;
+  /// Upstreams that take weights at once. Most of that time they wait for their
+  /// running requests, so that fewer really load.
+  std::size_t AtOnce = 3;
   /// From the pause of new work to the order: peers have heard of it, and
   /// requests that wait there have begun. Others would be refused.
   span_ns PauseLead = std::chrono::milliseconds(250);
--- /dev/null
+++ b/src/fakes/fleet_store_stand_in.cpp
@@ -0,0 +1,178 @@
+#include "fakes/fleet_store_stand_in.h"
+
+namespace ebonyvale {
+namespace {
+
+constexpr span_ns TickInterval = std::chrono::milliseconds(5);
+/// After it a caller takes a silent store for not answering.
+constexpr span_ns CallTimeout = std::chrono::milliseconds(30);
+
+std::string endOf(const std::string &Prefix) { return Prefix + '\xff'; }
+
+store_item itemOf(const key_value &Entry, bool Removed) {
+  return {Entry.Key, Removed ? "" : Entry.Value, Entry.ModRevision, Removed};
+}
+
+store_status statusUnder(store_fault Fault) {
+  return Fault == store_fault::Refuses ? store_status::Refused
+                                       : store_status::NoAnswer;
+}
+
+} // namespace
+
+fleet_store_stand_in::fleet_store_stand_in(event_base *Base)
+    : Base(Base), Tick(Base, [this] { tick(); }) {
+  Tick.startPeriodic(TickInterval);
+}
+
+void fleet_store_stand_in::put(const std::string &Key, std::string Value) {
+  Model.put(Key, std::move(Value), 0);
+}
+
+void fleet_store_stand_in::erase(const std::string &Key) {
+  Model.eraseRange(Key, Key + '\0');
+}
+
+void fleet_store_stand_in::setFault(store_fault Fault,
+                                    const std::string &Instance) {
+  if (Instance.empty())
+    Faults.clear();
+  Faults[Instance] = Fault;
+}
+
+store_fault fleet_store_stand_in::faultFor(const std::string &Instance) const {
+  if (const auto Own = Faults.find(Instance); Own != Faults.end())
+    return Own->second;
+  const auto All = Faults.find("");
+  return All == Faults.end() ? store_fault::None : All->second;
+}
+
+void fleet_store_stand_in::tick() {
+  const instant Now = readBootClock();
+  Model.expire(Now);
+  for (auto Next = Watches.begin(); Next != Watches.end();) {
+    const auto Watch = Next++;
+    waiting_watch Taken = *Watch;
+    if (!answerWatch(Taken, Now))
+      continue;
+    Watches.erase(Watch);
+  }
+}
+
+bool fleet_store_stand_in::answerWatch(waiting_watch &Watch, instant Now) {
+  store_items Found;
+  Found.SentAt = Now;
+  const store_fault Fault = faultFor(Watch.Instance);
+  if (Fault == store_fault::Down || Fault == store_fault::Refuses) {
+    if (Fault == store_fault::Down && Now < Watch.Until)
+      return false;
+    Found.Status = statusUnder(Fault);
+  } else if (Watch.Revision < OldestKept) {
+    Found.Status = store_status::HistoryGone;
+  } else {
+    Found.Status = store_status::Ok;
+    Found.Revision = Model.revision();
+    for (const key_change &Change : Model.changesSince(
+             Watch.Revision + 1, Watch.Prefix, endOf(Watch.Prefix))) {
+      store_item Item = itemOf(Change.Entry, Change.Deleted);
+      Item.Revision = Change.Revision;
+      Found.Items.push_back(std::move(Item));
+    }
+    if (Found.Items.empty() && Now < Watch.Until)
+      return false;
+  }
+  callLater(Base, [Done = Watch.Done, Found] { Done(Found); });
+  return true;
+}
+
+void fleet_store_client::list(const std::string &Prefix, items_callback Done) {
+  store_items Found;
+  Found.SentAt = readBootClock();
+  const store_fault Fault = Store.faultFor(Instance);
+  if (Fault == store_fault::Down || Fault == store_fault::Refuses) {
+    Found.Status = statusUnder(Fault);
+    const span_ns After = Fault == store_fault::Down ? CallTimeout : span_ns(0);
+    return callAfter(Store.Base, After,
+                     [Done = std::move(Done), Found] { Done(Found); });
+  }
+  ++Store.Answered;
+  Found.Status = store_status::Ok;
+  Found.Revision = Store.Model.revision();
+  for (const key_value &Entry : Store.Model.range(Prefix, endOf(Prefix)))
+    Found.Items.push_back(itemOf(Entry, false));
+  callLater(Store.Base, [Done = std::move(Done), Found] { Done(Found); });
+}
+
+void fleet_store_client::watch(const std::string &Prefix, std::int64_t Revision,
+                               span_ns Wait, items_callback Done) {
+  Store.Watches.push_back(
+      {Instance, Prefix, Revision, readBootClock() + Wait, std::move(Done)});
+}
+
+void fleet_store_client::answer(store_result Result, bool IsWrite,
+                                result_callback Done) {
+  const store_fault Fault = Store.faultFor(Instance);
+  span_ns After{0};
+  if (Fault == store_fault::Down ||
+      (Fault == store_fault::LosesWrites && IsWrite)) {
+    Result = {};
+    After = CallTimeout;
+  } else if (Fault == store_fault::Refuses) {
+    Result = {};
+    Result.Status = store_status::Refused;
+  }
+  callAfter(Store.Base, After,
+            [Done = std::move(Done), Result] { Done(Result); });
+}
+
+void fleet_store_client::commit(const store_commit &Commit,
+                                result_callback Done) {
+  store_result Result;
+  Result.SentAt = readBootClock();
+  Result.Status = store_status::Ok;
+  const store_fault Fault = Store.faultFor(Instance);
+  const bool Reached =
+      Fault == store_fault::None || Fault == store_fault::LosesWrites;
+  for (const store_condition &Condition : Commit.Conditions) {
+    const auto Entry = Store.Model.get(Condition.Key);
+    if ((Entry ? Entry->ModRevision : 0) != Condition.Revision)
+      Result.Status = store_status::Conflict;
+  }
+  if (Reached && Result.Status == store_status::Ok) {
+    for (const store_put &Put : Commit.Puts)
+      Store.Model.put(Put.Key, Put.Value, Put.Lease);
+    for (const std::string &Key : Commit.Removals)
+      Store.Model.eraseRange(Key, Key + '\0');
+    Result.Revision = Store.Model.revision();
+  }
+  answer(Result, /*IsWrite=*/true, std::move(Done));
+}
+
+void fleet_store_client::grantLease(span_ns Term, result_callback Done) {
+  store_result Result;
+  Result.SentAt = readBootClock();
+  Result.Status = store_status::Ok;
+  Result.Term = Term;
+  Result.Lease = Store.Model.grantLease(Term, Result.SentAt);
+  answer(Result, /*IsWrite=*/true, std::move(Done));
+}
+
+void fleet_store_client::renewLease(std::int64_t Lease, result_callback Done) {
+  store_result Result;
+  Result.SentAt = readBootClock();
+  const bool Reached = Store.faultFor(Instance) == store_fault::None;
+  const bool Lives = Reached && Store.Model.renewLease(Lease, Result.SentAt);
+  Result.Status = Lives ? store_status::Ok : store_status::NotFound;
+  Result.Term = std::chrono::seconds(2);
+  answer(Result, /*IsWrite=*/false, std::move(Done));
+}
+
+void fleet_store_client::endLease(std::int64_t Lease, result_callback Done) {
+  store_result Result;
+  Result.Status = store_status::Ok;
+  if (Store.faultFor(Instance) == store_fault::None)
+    Store.Model.revokeLease(Lease);
+  answer(Result, /*IsWrite=*/true, std::move(Done));
+}
+
+} // namespace ebonyvale
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -50,8 +50,8 @@
   std::int64_t FetchWeight = 1;
   std::int64_t EnginesPerFirstPart = 3;
   std::int64_t RegionMs = 16;
-  std::int64_t OldWeightsMs = 60;
-  std::int64_t LoadsAtOnce = 2;
+  std::int64_t OldWeightsMs = 200;
+  std::int64_t LoadsAtOnce = 3;
   std::int64_t PauseLeadMs = 250;
   std::int64_t PeerIntervalMs = 60;
 
--- a/tests/decisions/version/weights_rollout_test.cpp
+++ b/tests/decisions/version/weights_rollout_test.cpp
@@ -144,7 +144,7 @@
 
 Test(weights_rollout, brings_nine_engines_up_two_at_a_time) {
   upstream_play Play(9, 1);
-  weights_rollout Rollout({});
+  weights_rollout Rollout({.AtOnce = 2});
   Rollout.update(Play.directory());
   Rollout.want("m", 2);
   Play.run(Rollout, 8s, 0);
@@ -157,7 +157,7 @@
 
 Test(weights_rollout, a_version_every_four_seconds_ends_at_the_newest) {
   upstream_play Play(9, 2);
-  weights_rollout Rollout({});
+  weights_rollout Rollout({.AtOnce = 2});
   Rollout.update(Play.directory());
   for (std::int64_t Version = 2; Version <= 5; ++Version) {
     Rollout.want("m", Version);
@@ -171,7 +171,7 @@
 Test(weights_rollout, lost_and_late_orders_leave_nothing_old) {
   for (std::uint32_t Seed = 1; Seed <= 20; ++Seed) {
     upstream_play Play(9, Seed);
-    weights_rollout Rollout({});
+    weights_rollout Rollout({.AtOnce = 2});
     Rollout.update(Play.directory());
     Rollout.want("m", 2);
     Play.run(Rollout, 25s, 0.5);
@@ -183,7 +183,7 @@
 
 Test(weights_rollout, abandoned_work_pauses_nothing) {
   upstream_play Play(3, 3);
-  weights_rollout Rollout({});
+  weights_rollout Rollout({.AtOnce = 2});
   Rollout.update(Play.directory());
   Rollout.want("m", 2);
   std::set<std::string> Paused;
@@ -206,7 +206,7 @@
   Draining.Models = {{"m", 1}};
   upstream_directory Directory;
   Directory.setAll({Draining}, listing_kind::Continuous, instant{});
-  weights_rollout Rollout({});
+  weights_rollout Rollout({.AtOnce = 2});
   Rollout.update(Directory);
   Rollout.want("m", 3);
   Rollout.want("m", 2);
--- /dev/null
+++ b/tests/gateway/gateway_fixture.cpp
@@ -0,0 +1,124 @@
+#include "gateway/gateway_fixture.h"
+
+#include <criterion/criterion.h>
+#include <spdlog/fmt/fmt.h>
+
+#include <csignal>
+#include <sstream>
+
+namespace ebonyvale {
+
+class gateway_fixture::caller final : public answer_observer {
+public:
+  head_verdict onAnswerHead(const http_head &Head, bool) override {
+    Result.Status = Head.Status;
+    Result.Headers = Head.Headers;
+    return head_verdict::Take;
+  }
+  void onAnswerBody(std::string_view Bytes) override { Result.Body += Bytes; }
+  void onAnswerEnd() override { Over = Result.Whole = true; }
+  void onAnswerLost(const exchange_loss &) override { Over = true; }
+
+  caller_result Result;
+  bool Over = false;
+};
+
+gateway_settings gateway_fixture::quickSettings() {
+  gateway_settings Settings;
+  Settings.InstanceName = "i-1";
+  Settings.Domain = "z";
+  Settings.Domains = {"z=r"};
+  Settings.CallerEndpoint = "127.0.0.1:0";
+  Settings.ReadyEndpoint = "127.0.0.1:0";
+  Settings.PeerEndpoint = "127.0.0.1:0";
+  Settings.StoreEndpoint = "127.0.0.1:1"; // the stand-in needs none
+  Settings.StoreWatchPauseMs = 5;
+  Settings.StoreReadIntervalMs = 50;
+  Settings.LimitSlackTokens = 1000;
+  Settings.LogLevel = "off";
+  return Settings;
+}
+
+gateway_fixture::gateway_fixture(gateway_settings Given)
+    : Settings(std::move(Given)) {
+  std::signal(SIGPIPE, SIG_IGN);
+  for (const char *Id : {"u-1", "u-2"}) {
+    Upstreams.push_back(std::make_unique<upstream_stand_in>(Base.get(), Id));
+    Store.put(Upstreams.back()->key(), Upstreams.back()->entry("s"));
+  }
+  configure(1);
+  Gateway = std::make_unique<gateway_task>(
+      Base.get(), Settings, platform_protocols{Documents, Callers, Messages},
+      [this](client_links &, const endpoint &, span_ns) {
+        return std::make_unique<fleet_store_client>(Store,
+                                                    Settings.InstanceName);
+      });
+  cr_assert(!Gateway->start());
+  std::ostringstream Ports;
+  Gateway->writePorts(Ports);
+  std::istringstream Lines(Ports.str());
+  std::string Name;
+  Lines >> Name >> Port;
+  cr_assert(waitFor([this] { return core().ready(readBootClock()); }));
+}
+
+gateway_fixture::~gateway_fixture() {
+  if (Exchange)
+    Exchange->cancel();
+}
+
+void gateway_fixture::configure(int Version, const std::string &Keys,
+                                double Rate) {
+  const auto Route = [](const char *Path, const char *Kind, int Attempts,
+                        bool Resumable, bool Open) {
+    return fmt::format(
+        R"({{"name":"{0}","hostname":"h.example","prefix":"/{0}/",)"
+        R"("routeType":"{1}","timeoutMs":4000,"targetLatencyMs":500,)"
+        R"("backend":"s","maxAttempts":{2},"resumable":{3},"anonymous":{4}}})",
+        Path, Kind, Attempts, Resumable, Open);
+  };
+  Store.put(
+      "op/config",
+      fmt::format(R"({{"version":{},"routes":[{},{},{},{},{}],"services":[)"
+                  R"({{"name":"s"}}],"limits":{{"headerBytes":16384,)"
+                  R"("bodyBytes":1000,"headerTimeoutMs":3000,)"
+                  R"("idleTimeoutMs":5000}},"tenants":[{{"name":"t",)"
+                  R"("apiKeys":[{}],"unit":"tokens","uncachedTokens":200,)"
+                  R"("ratePerS":{},"burst":{}}}]}})",
+                  Version, Route("read", "safe", 2, false, false),
+                  Route("order", "unsafe", 2, false, false),
+                  Route("stream-on", "streaming", 2, true, false),
+                  Route("stream-once", "streaming", 2, false, false),
+                  Route("open", "safe", 2, false, true), Keys, Rate, Rate));
+}
+
+void gateway_fixture::begin(const caller_ask &Ask) {
+  client_request Request;
+  Request.Server = {"127.0.0.1", Port};
+  Request.Method = Ask.Method;
+  Request.Target = Ask.Path;
+  Request.FreshLink = true;
+  Request.Headers.add("Host", "h.example");
+  Request.Headers.add("Ebonyvale-Request-Id", Ask.Id);
+  Request.Headers.add("Ebonyvale-Deadline-Ms", Ask.DeadlineMs);
+  if (!Ask.Key.empty())
+    Request.Headers.add("Authorization", "Bearer " + Ask.Key);
+  if (!Ask.ResumeAfter.empty())
+    Request.Headers.add("Last-Event-Id", Ask.ResumeAfter);
+  Request.Body = "the body";
+  Present = std::make_unique<caller>();
+  Exchange = Links.start(Request, *Present);
+}
+
+bool gateway_fixture::over() const { return Present->Over; }
+
+void gateway_fixture::leave() { std::exchange(Exchange, nullptr)->cancel(); }
+
+caller_result gateway_fixture::ask(const caller_ask &Ask) {
+  begin(Ask);
+  cr_assert(waitFor([this] { return over(); }));
+  Exchange.reset();
+  return Present->Result;
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/tests/gateway/gateway_task_test.cpp
@@ -0,0 +1,198 @@
+// The gateway and the store: keys, versions, outages, weights and the stop.
+#include "gateway/gateway_fixture.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace ebonyvale;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Settings under which proof of the configuration ages fast.
+gateway_settings agingSettings() {
+  gateway_settings Settings = gateway_fixture::quickSettings();
+  Settings.KeyBoundMs = 800; // 300 of them are kept as a margin
+  Settings.ApplyBoundMs = 300;
+  return Settings;
+}
+
+struct outage_row {
+  store_fault Fault;
+};
+
+int runs(const gateway_fixture &Gateway) {
+  return Gateway.Upstreams[0]->runs() + Gateway.Upstreams[1]->runs();
+}
+
+} // namespace
+
+Test(gateway_task, a_withdrawn_key_stops_working) {
+  gateway_fixture Gateway;
+  cr_assert(Gateway.ask({.Path = "/read/1"}).Status == 200);
+  Gateway.configure(2, "\"key-2\"");
+  cr_assert(
+      Gateway.waitFor([&] { return Gateway.core().routing()->Version == 2; }));
+  cr_assert(Gateway.ask({.Path = "/read/1"}).Status == 401);
+  cr_assert(Gateway.ask({.Path = "/read/1", .Key = "key-2"}).Status == 200);
+}
+
+Test(gateway_task, an_older_version_never_comes_into_force) {
+  gateway_fixture Gateway;
+  Gateway.configure(5);
+  cr_assert(
+      Gateway.waitFor([&] { return Gateway.core().routing()->Version == 5; }));
+  Gateway.configure(4, "\"key-2\"");
+  Gateway.configure(6, "\"key-1\",\"key-6\"");
+  cr_assert(
+      Gateway.waitFor([&] { return Gateway.core().routing()->Version == 6; }));
+  cr_assert(Gateway.ask({.Path = "/read/1"}).Status == 200);
+}
+
+ParameterizedTestParameters(gateway_task, without_proof_no_key_is_used) {
+  static outage_row Rows[] = {{store_fault::Down}, {store_fault::Refuses}};
+  return criterion_test_params(Rows);
+}
+
+/// The operators may have withdrawn the key while the store does not serve
+/// this instance.
+ParameterizedTest(outage_row *Row, gateway_task, without_proof_no_key_is_used) {
+  gateway_fixture Gateway(agingSettings());
+  Gateway.Store.setFault(Row->Fault);
+  const auto Proved = [&] {
+    return Gateway.core().proof().coversKeys(readBootClock(),
+                                             Gateway.core().proofTerms());
+  };
+  cr_assert(Gateway.waitFor([&] { return !Proved(); }));
+  const int Before = runs(Gateway);
+  const caller_result Refused = Gateway.ask({.Path = "/read/1"});
+  cr_assert(Refused.Status == 503);
+  cr_assert(Refused.Headers.find("Retry-After"));
+  cr_assert(runs(Gateway) == Before);
+  // Ignorance is never a 401 or 404, and routes open to all go on.
+  cr_assert(Gateway.ask({.Path = "/read/1", .Key = "x"}).Status == 503);
+  cr_assert(Gateway.ask({.Path = "/none/1"}).Status == 503);
+  cr_assert(Gateway.ask({.Path = "/open/1", .Key = ""}).Status == 200);
+  Gateway.Store.setFault(store_fault::None);
+  cr_assert(Gateway.waitFor(Proved));
+  cr_assert(Gateway.ask({.Path = "/read/1"}).Status == 200);
+}
+
+Test(gateway_task, before_the_first_version_nothing_is_unknown) {
+  gateway_settings Settings = gateway_fixture::quickSettings();
+  gateway_fixture Gateway(Settings);
+  // A second instance starts while the store is down.
+  Gateway.Store.setFault(store_fault::Down, "i-2");
+  const platform::documents Documents;
+  const platform::caller_messages Callers;
+  const platform::upstream_messages Messages;
+  Settings.InstanceName = "i-2";
+  gateway_task Second(
+      Gateway.Base.get(), Settings, {Documents, Callers, Messages},
+      [&](client_links &, const endpoint &, span_ns) {
+        return std::make_unique<fleet_store_client>(Gateway.Store, "i-2");
+      });
+  cr_assert(!Second.start());
+  cr_assert(!Second.core().ready(readBootClock()));
+  cr_assert(!Second.core().routing());
+  Gateway.Store.setFault(store_fault::None, "i-2");
+  cr_assert(
+      Gateway.waitFor([&] { return Second.core().ready(readBootClock()); }));
+}
+
+Test(gateway_task, lost_history_is_listed_anew) {
+  gateway_fixture Gateway;
+  Gateway.Store.forgetHistory();
+  Gateway.Store.put(Gateway.Upstreams[0]->key(),
+                    Gateway.Upstreams[0]->entry("s", /*Draining=*/true));
+  Gateway.Store.forgetHistory();
+  cr_assert(Gateway.waitFor([&] {
+    const upstream_entry *Entry = Gateway.core().directory().find("u-1");
+    return Entry && Entry->Draining;
+  }));
+  for (int Index = 0; Index < 5; ++Index)
+    Gateway.ask({.Path = "/read/1", .Id = std::to_string(Index)});
+  cr_assert(Gateway.Upstreams[0]->runs() == 0);
+  cr_assert(Gateway.Upstreams[1]->runs() == 5);
+}
+
+Test(gateway_task, a_foreign_entry_harms_no_other) {
+  gateway_fixture Gateway;
+  Gateway.Store.put("servers/foreign", "\xff{");
+  Gateway.Store.put(Gateway.Upstreams[0]->key(), "{}");
+  cr_assert(
+      Gateway.waitFor([&] { return !Gateway.core().directory().find("u-1"); }));
+  cr_assert(Gateway.ask({.Path = "/read/1"}).Status == 200);
+  cr_assert(Gateway.Upstreams[1]->runs() == 1);
+}
+
+Test(gateway_task, new_weights_are_brought_to_all_engines) {
+  gateway_settings Settings = gateway_fixture::quickSettings();
+  Settings.IssuerTermMs = 1;
+  gateway_fixture Gateway(Settings);
+  Gateway.Store.put("op/version/m", R"({"model":"m","version":2})");
+  cr_assert(Gateway.waitFor([&] {
+    return Gateway.Upstreams[0]->Weights == 2 &&
+           Gateway.Upstreams[1]->Weights == 2;
+  }));
+}
+
+/// The write of the claim is done and its answer lost.
+Test(gateway_task, a_lost_answer_to_the_claim_is_read_back) {
+  gateway_settings Settings = gateway_fixture::quickSettings();
+  Settings.IssuerTermMs = 1;
+  gateway_fixture Gateway(Settings);
+  const std::string Claim(weights_task::claimKey());
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.Store.model().get(Claim).has_value(); }));
+  Gateway.Store.setFault(store_fault::LosesWrites);
+  // Somebody removes the claim; it is taken again without an answer.
+  Gateway.Store.erase(Claim);
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.Store.model().get(Claim).has_value(); }));
+  Gateway.Store.setFault(store_fault::None);
+  Gateway.Store.put("op/version/m", R"({"model":"m","version":3})");
+  cr_assert(Gateway.waitFor([&] {
+    return Gateway.Upstreams[0]->Weights == 3 &&
+           Gateway.Upstreams[1]->Weights == 3;
+  }));
+}
+
+Test(gateway_task, another_instances_claim_is_left_alone) {
+  gateway_settings Settings = gateway_fixture::quickSettings();
+  Settings.IssuerTermMs = 1;
+  gateway_fixture Gateway(Settings);
+  const std::string Claim(weights_task::claimKey());
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.Store.model().get(Claim).has_value(); }));
+  Gateway.Store.put(Claim, "i-9");
+  Gateway.Store.put("op/version/m", R"({"model":"m","version":2})");
+  runLoopFor(Gateway.Base.get(), 600ms);
+  cr_assert(Gateway.Upstreams[0]->Weights == 1);
+  cr_assert(Gateway.Store.model().get(Claim)->Value == "i-9");
+}
+
+Test(gateway_task, a_planned_stop_cuts_nothing) {
+  gateway_fixture Gateway;
+  for (auto &Upstream : Gateway.Upstreams)
+    Upstream->Act = upstream_act::Hold;
+  Gateway.begin({.Path = "/order/1"});
+  cr_assert(Gateway.waitFor([&] { return runs(Gateway) == 1; }));
+  Gateway.stop();
+  cr_assert(!Gateway.core().ready(readBootClock()));
+  // It goes on serving those whom the balancer still sends.
+  runLoopFor(Gateway.Base.get(), 50ms);
+  cr_assert(!Gateway.over());
+  for (auto &Upstream : Gateway.Upstreams)
+    for (const auto &Link : Upstream->Held) {
+      header_list Headers;
+      Headers.add("Ebonyvale-Request-Id", "id-1");
+      Link->answer(200, Headers, "late");
+    }
+  cr_assert(Gateway.waitFor([&] { return Gateway.over(); }));
+  for (auto &Upstream : Gateway.Upstreams)
+    Upstream->Act = upstream_act::Answer;
+  const caller_result During = Gateway.ask({.Path = "/read/1", .Id = "id-2"});
+  cr_assert(During.Status == 200);
+  cr_assert(During.Headers.find("Connection") == "close");
+}
--- a/tests/net/client_link_test.cpp
+++ b/tests/net/client_link_test.cpp
@@ -83,8 +83,8 @@
       // Without a length only an orderly close ends it.
       {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok", ending::Close, true, "ok", false},
       {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok", ending::Reset, false, "", false},
-      {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok",
-       ending::Close, false, "", false},
+      {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok", ending::Close,
+       false, "", false},
       {"nonsense\r\n\r\n", ending::None, false, "", false},
       {"", ending::Close, false, "", false},
       {"", ending::Reset, false, "", false},
@@ -146,8 +146,7 @@
   cr_assert(Caller.Ended && Caller.Status == 413);
   caller Second;
   const auto Next = Links.start(requestTo(Server), Second);
-  cr_assert(
-      runLoopUntil(Base.get(), [&] { return Server.Peers.size() == 2; }));
+  cr_assert(runLoopUntil(Base.get(), [&] { return Server.Peers.size() == 2; }));
   cr_assert(Links.opened() == 2);
 }
 
--- a/tests/net/http_message_test.cpp
+++ b/tests/net/http_message_test.cpp
@@ -41,8 +41,8 @@
 ParameterizedTestParameters(http_message, requests) {
   static request_row Rows[] = {
       {"GET /a HTTP/1.1\r\nHost: h\r\n\r\n", read_state::Complete, ""},
-      {"POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc",
-       read_state::Complete, "abc"},
+      {"POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", read_state::Complete,
+       "abc"},
       {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\n"
        "c\r\n0\r\n\r\n",
        read_state::Complete, "abc"},
--- a/tests/net/server_link_test.cpp
+++ b/tests/net/server_link_test.cpp
@@ -42,7 +42,8 @@
 /// A plain blocking client socket.
 class client {
 public:
-  explicit client(std::uint16_t Port) : Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+  explicit client(std::uint16_t Port)
+      : Socket(socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in Where{};
     Where.sin_family = AF_INET;
     Where.sin_port = htons(Port);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -91,7 +91,7 @@
 
 ParameterizedTestParameters(platform_documents, upstream_entries) {
 #define ENTRY                                                                  \
-  "\"backend\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":"   \
+  "\"backend\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":"  \
   "\"v1\",\"batchSlots\":6"
   static entry_row Rows[] = {
       {"{" ENTRY ",\"state\":\"ready\"}", true},
@@ -105,10 +105,12 @@
       {"{" ENTRY ",\"state\":\"ready\",\"born\":1.5}", false},
       {"{" ENTRY ",\"state\":\"ready\",\"models\":{}}", false},
       {"{" ENTRY ",\"state\":\"ready\",\"models\":[{\"name\":\"m\"}]}", false},
-      {"{\"backend\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\",\"batchSlots\":"
+      {"{\"backend\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
+       "\"batchSlots\":"
        "6,\"state\":\"ready\"}",
        false},
-      {"{\"backend\":5,\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"batchSlots\":"
+      {"{\"backend\":5,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+       "\"batchSlots\":"
        "6,\"state\":\"ready\"}",
        false},
       {"\xff\xfe{", false},
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -153,10 +153,9 @@
   const answer_facts Facts = Upstreams.readAnswer(Head, "i-1");
   cr_assert(Facts.Load->Running == 3 && Facts.Load->Waiting == 1);
   cr_assert(Facts.Load->Slots == 8 && Facts.Weights == 4);
-  cr_assert(!Upstreams
-                 .readAnswer(headOf({{"Ebonyvale-Server-Load", "3,x,8"}}),
-                             "i-1")
-                 .Load);
+  cr_assert(
+      !Upstreams.readAnswer(headOf({{"Ebonyvale-Server-Load", "3,x,8"}}), "i-1")
+           .Load);
   cr_assert(Upstreams.eventWeights(
                 "ebonyvale-weight-versions: 5\nid: 1\ndata: x\n\n") == 5);
   cr_assert(!Upstreams.eventWeights("id: 1\ndata: x\n\n"));
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -68,8 +68,9 @@
 
 Test(store_client, a_watch_gives_writes_and_removals) {
   fixture Store({answer(
-      200, R"({"events":[{"key":"k","value":"eA==","revision":3},)"
-           R"({"key":"l","revision":4,"tombstone":true}],"storeRevision":4})")});
+      200,
+      R"({"events":[{"key":"k","value":"eA==","revision":3},)"
+      R"({"key":"l","revision":4,"tombstone":true}],"storeRevision":4})")});
   std::optional<store_items> Found;
   Store.Client.watch("", 2, 1000ms,
                      [&](const store_items &Items) { Found = Items; });
@@ -81,19 +82,18 @@
 
 ParameterizedTestParameters(store_client, statuses) {
   static status_row Rows[] = {
-      {200, store_status::Ok},       {404, store_status::NotFound},
+      {200, store_status::Ok},          {404, store_status::NotFound},
       {410, store_status::HistoryGone}, {412, store_status::Conflict},
-      {429, store_status::Refused},  {503, store_status::Refused},
-      {500, store_status::NoAnswer}, {0, store_status::NoAnswer},
+      {429, store_status::Refused},     {503, store_status::Refused},
+      {500, store_status::NoAnswer},    {0, store_status::NoAnswer},
   };
   return criterion_test_params(Rows);
 }
 
 ParameterizedTest(status_row *Row, store_client, statuses) {
-  fixture Store(Row->Status == 0
-                    ? std::deque<std::string>{}
-                    : std::deque<std::string>{
-                          answer(Row->Status, R"({"revision":41})")});
+  fixture Store(Row->Status == 0 ? std::deque<std::string>{}
+                                 : std::deque<std::string>{answer(
+                                       Row->Status, R"({"revision":41})")});
   std::optional<store_result> Found;
   store_commit Commit;
   Commit.Conditions = {{"k", 0}};
--- /dev/null
+++ b/tests/platform/upstream_stand_in.cpp
@@ -0,0 +1,120 @@
+#include "platform/upstream_stand_in.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+
+namespace ebonyvale {
+
+upstream_stand_in::upstream_stand_in(event_base *Base, std::string Id)
+    : Id(std::move(Id)), Links(Base, *this) {
+  cr_assert(!Links.listen("127.0.0.1", 0));
+}
+
+std::string upstream_stand_in::entry(std::string_view Service,
+                                     bool Draining) const {
+  return nlohmann::json{
+      {"backend", Service},
+      {"address", fmt::format("127.0.0.1:{}", Links.port())},
+      {"zone", "z"},
+      {"version", "v1"},
+      {"batchSlots", 8},
+      {"state", Draining ? "draining" : "ready"},
+      {"models",
+       nlohmann::json::array({{{"name", "m"}, {"version", Weights}}})},
+      {"sequence", 1}}
+      .dump();
+}
+
+std::string upstream_stand_in::events(int After, int Last) {
+  std::string Text;
+  for (int Event = After + 1; Event <= Last; ++Event)
+    Text += fmt::format("id: {}\ndata: piece {}\n\n", Event, Event);
+  return Text;
+}
+
+int upstream_stand_in::runs() const {
+  int Sum = 0;
+  for (const auto &[Request, Count] : Runs)
+    Sum += Count;
+  return Sum;
+}
+
+std::size_t upstream_stand_in::stillHeld() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Held, [](const auto &Link) { return Link->open(); }));
+}
+
+void upstream_stand_in::onRequest(const std::shared_ptr<server_link> &Link,
+                                  http_request Request) {
+  const std::string_view Path = targetPath(Request.Head.Target);
+  if (Path == "/v1/report" || Path == "/v1/order")
+    return order(*Link, Request);
+  const std::string RequestId(
+      Request.Head.Headers.find("Ebonyvale-Request-Id").value_or(""));
+  Seen.push_back(Request);
+  header_list Headers;
+  Headers.add("Ebonyvale-Request-Id", RequestId);
+  const auto Expected = Request.Head.Headers.find("Ebonyvale-Expect-Version");
+  const bool OtherWeights = Expected && *Expected != std::to_string(Weights);
+  if (Act == upstream_act::OtherProcess || OtherWeights) {
+    Headers.add("Ebonyvale-Instance-Id", OtherWeights ? Id : "i-other");
+    return Link->answer(421, Headers, "");
+  }
+  if (Act == upstream_act::Full) {
+    Headers.add("Ebonyvale-Not-Executed", "1");
+    return Link->answer(503, Headers, "");
+  }
+  ++Runs[RequestId];
+  Headers.add("Ebonyvale-Server-Seal", "seal-" + Id);
+  Headers.add("Ebonyvale-Weight-Versions", std::to_string(Weights));
+  if (Act == upstream_act::Hold) {
+    Held.push_back(Link);
+    return;
+  }
+  if (Act == upstream_act::LoseAnswer)
+    return Link->breakOff();
+  if (Act == upstream_act::Error)
+    return Link->answer(500, Headers, "failed");
+  if (Path.find("stream") == std::string_view::npos)
+    return Link->answer(200, Headers, "answer of " + Id);
+  Link->beginStream(200, Headers);
+  stream(*Link, Request, Act == upstream_act::BreakStream);
+}
+
+void upstream_stand_in::stream(server_link &Link, const http_request &Request,
+                               bool Broken) {
+  const auto After = static_cast<int>(
+      Request.Head.Headers.number("Last-Event-Id").value_or(0));
+  if (!Broken) {
+    Link.streamPart(events(After));
+    return Link.endStream();
+  }
+  const std::string Half = events(After + 2, After + 3).substr(0, 9);
+  Link.streamPart(events(After, After + 2) + Half);
+  Link.breakOff();
+}
+
+void upstream_stand_in::order(server_link &Link, const http_request &Request) {
+  if (Request.Head.Method == "POST") {
+    const auto Order = nlohmann::json::parse(Request.Body, nullptr, false);
+    cr_assert(Order.at("expected") == Orders);
+    Weights = Order.at("version");
+    ++Orders;
+    return Link.answer(202, {}, "");
+  }
+  const nlohmann::json Report{
+      {"models",
+       nlohmann::json::array({{{"name", "m"}, {"version", Weights}}})},
+      {"busy", false},
+      {"sequence", Orders}};
+  Link.answer(200, {}, Report.dump());
+}
+
+void upstream_stand_in::onUnreadable(server_link &Link, unreadable) {
+  Link.answer(400, {}, "");
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/tests/platform/upstream_stand_in.h
@@ -0,0 +1,64 @@
+/// \file
+/// An upstream on the platform's wire, for tests of the gateway. It counts what
+/// it runs.
+#ifndef EBONYVALE_TESTS_PLATFORM_UPSTREAM_STAND_IN_H
+#define EBONYVALE_TESTS_PLATFORM_UPSTREAM_STAND_IN_H
+
+#include "net/server_link.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ebonyvale {
+
+/// What the upstream does with a request.
+enum class upstream_act {
+  Answer,       ///< 200 with a body, or a stream of all events
+  Error,        ///< runs it and answers 500
+  Full,         ///< proves that it did not run it
+  LoseAnswer,   ///< runs it and closes the connection
+  BreakStream,  ///< streams two events and a half and closes
+  Hold,         ///< runs it and never answers
+  OtherProcess, ///< another process has the address
+};
+
+/// One upstream process.
+class upstream_stand_in final : public request_handler {
+public:
+  upstream_stand_in(event_base *Base, std::string Id);
+
+  /// Its entry in the store, for \p Service.
+  std::string entry(std::string_view Service, bool Draining = false) const;
+  std::string key() const { return "servers/" + Id; }
+
+  void onRequest(const std::shared_ptr<server_link> &Link,
+                 http_request Request) override;
+  void onUnreadable(server_link &Link, unreadable Reason) override;
+
+  upstream_act Act = upstream_act::Answer;
+  std::int64_t Weights = 1;
+  std::map<std::string, int> Runs; ///< by request id
+  std::vector<http_request> Seen;
+  std::vector<std::shared_ptr<server_link>> Held;
+
+  int runs() const;
+  /// Held requests whose connection is still open.
+  std::size_t stillHeld() const;
+
+  static constexpr int Events = 6;
+  /// Bytes of the events behind \p After.
+  static std::string events(int After, int Last = Events);
+
+private:
+  void stream(server_link &Link, const http_request &Request, bool Broken);
+  void order(server_link &Link, const http_request &Request);
+
+  std::string Id;
+  server_links Links;
+  std::int64_t Orders = 0;
+};
+
+} // namespace ebonyvale
+
+#endif
