Scheduler: answers are compared with the expected time, not the weighed cost

Cause: the log showed expected times of 4 to 14 s beside real ones of 1 s: the choice carried the weighed cost, and so late answers never counted against an engine. Change: it carries the time to the first part; the log tells what it is made of.

--- a/src/decisions/process/upstream_estimate.cpp
+++ b/src/decisions/process/upstream_estimate.cpp
@@ -204,12 +204,14 @@
                                 instant Now) const {
   estimate Estimate;
   Estimate.BacklogMs = backlog(State, Now);
-  Estimate.Ms = Estimate.BacklogMs + surplus(State, Now) + distance(State);
+  Estimate.SurplusMs = surplus(State, Now);
+  Estimate.Ms = Estimate.BacklogMs + Estimate.SurplusMs + distance(State);
   if (isPlain(State)) {
     Estimate.Ms += Terms.PlainWorkMs;
     Estimate.FirstMs = Estimate.Ms;
     return Estimate;
   }
+  Estimate.EngineHeldTokens = heldTokens(State, Now);
   // What running requests hold cannot cache anything else.
   State.Parts.setRoom(Terms.CacheRoom * cacheTokens(State) -
                       heldTokens(State, Now));
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -85,13 +85,21 @@
         std::max<span_ns>(MinRetryAfter, fromMs(BestEstimate.BacklogMs - Left));
     return Outcome;
   }
-  Outcome.Choice =
-      schedule_choice{Best->Entry.Id,          BestEstimate.Ms,
-                      BestEstimate.BacklogMs,  BestEstimate.MissedTokens,
-                      BestEstimate.Copy.From,  BestEstimate.Copy.Tokens,
-                      BestEstimate.SaveTo,     weightsOf(*Best, Query.Model),
-                      BestEstimate.HeldTokens, BestEstimate.InsertedTokens,
-                      BestEstimate.WorkMs};
+  schedule_choice Choice;
+  Choice.Upstream = Best->Entry.Id;
+  Choice.ExpectedMs = BestEstimate.FirstMs;
+  Choice.BacklogMs = BestEstimate.BacklogMs;
+  Choice.SurplusMs = BestEstimate.SurplusMs;
+  Choice.EngineHeldTokens = BestEstimate.EngineHeldTokens;
+  Choice.MissedTokens = BestEstimate.MissedTokens;
+  Choice.CopiedTokens = BestEstimate.Copy.Tokens;
+  Choice.FetchFrom = BestEstimate.Copy.From;
+  Choice.SaveTo = BestEstimate.SaveTo;
+  Choice.Weights = weightsOf(*Best, Query.Model);
+  Choice.HeldTokens = BestEstimate.HeldTokens;
+  Choice.InsertedTokens = BestEstimate.InsertedTokens;
+  Choice.WorkMs = BestEstimate.WorkMs;
+  Outcome.Choice = std::move(Choice);
   return Outcome;
 }
 
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -158,12 +158,14 @@
 /// A choice with the figures behind it, for the log.
 struct schedule_choice {
   std::string Upstream;
-  double ExpectedMs = 0;   ///< to the first part of the answer
-  double BacklogMs = 0;    ///< of that, work that waits there
-  double MissedTokens = 0; ///< of the shared prompt, not believed to be there
-  std::string FetchFrom;   ///< "IP:PORT" that has more of it; empty for none
-  double CopiedTokens = 0; ///< of those missed, copied instead of read
-  std::string SaveTo;      ///< "IP:PORT" of a store that lacks it, or empty
+  double ExpectedMs = 0;       ///< to the first part of the answer
+  double BacklogMs = 0;        ///< of that, work that waits there
+  double SurplusMs = 0;        ///< of that, what late answers told
+  double EngineHeldTokens = 0; ///< by running requests, without this one
+  double MissedTokens = 0;     ///< shared, not believed to be there
+  double CopiedTokens = 0;     ///< of those, copied instead of read
+  std::string FetchFrom;       ///< "IP:PORT" to copy from; empty for none
+  std::string SaveTo; ///< "IP:PORT" of a store that lacks parts, or empty
   std::optional<std::int64_t> Weights; ///< that the upstream has, if known
   double HeldTokens = 0;               ///< memory that the request takes
   double InsertedTokens = 0;           ///< brought into the engine's cache
@@ -295,6 +297,8 @@
     double Ms = 0;      ///< with what it costs other requests
     double FirstMs = 0; ///< to the first part of the answer
     double BacklogMs = 0;
+    double SurplusMs = 0;
+    double EngineHeldTokens = 0;
     double MissedTokens = 0;
     double WorkMs = 0;
     double HeldTokens = 0;
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -257,6 +257,8 @@
                    {"expected_ms", Chosen.ExpectedMs},
                    {"backlog_ms", Chosen.BacklogMs},
                    {"prompt_tokens", Facts.PromptTokens},
+                   {"engine_held_tokens", Chosen.EngineHeldTokens},
+                   {"surplus_ms", Chosen.SurplusMs},
                    {"missed_tokens", Chosen.MissedTokens},
                    {"copied_tokens", Chosen.CopiedTokens},
                    {"fetch_from", Chosen.FetchFrom},
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -146,8 +146,9 @@
     if (Length == 0)
       return;
     // Drained before the callbacks, which may end this connection.
-    const std::string Bytes(
-        reinterpret_cast<const char *>(evbuffer_pullup(Input, Length)), Length);
+    const std::string Bytes(reinterpret_cast<const char *>(evbuffer_pullup(
+                                Input, static_cast<ev_ssize_t>(Length))),
+                            Length);
     const std::size_t Used = Reader.feed(Bytes);
     if (!Socket || !Observer)
       return;
--- a/src/net/server_link.cpp
+++ b/src/net/server_link.cpp
@@ -84,8 +84,8 @@
     const std::size_t Length = evbuffer_get_contiguous_space(Input);
     if (Length == 0)
       return;
-    const auto *Data =
-        reinterpret_cast<const char *>(evbuffer_pullup(Input, Length));
+    const auto *Data = reinterpret_cast<const char *>(
+        evbuffer_pullup(Input, static_cast<ev_ssize_t>(Length)));
     const std::size_t Used = Reader.feed({Data, Length});
     evbuffer_drain(Input, Used);
     if (Phase == phase::Idle && Reader.begun()) {
--- a/src/net/upstream_exchange.h
+++ b/src/net/upstream_exchange.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -25,7 +26,9 @@
   std::uint16_t Port = 0;
 
   bool operator==(const endpoint &) const = default;
-  auto operator<=>(const endpoint &) const = default;
+  bool operator<(const endpoint &Other) const {
+    return std::tie(Address, Port) < std::tie(Other.Address, Other.Port);
+  }
 };
 
 /// Reads "address:port"; nothing for any other text.
