Scheduler: the wait for memory is as long as freeing the excess takes

Cause: expected times of 1.6 s beside real ones of 0.5 s while engines held 190,000 tokens of requests. Change: the wait grows with the excess over the memory, not with reading it.

--- a/src/decisions/process/upstream_estimate.cpp
+++ b/src/decisions/process/upstream_estimate.cpp
@@ -96,7 +96,7 @@
   const double Excess = Held + Needed - Terms.UsableMemory * Capacity;
   if (Capacity <= 0 || Excess <= 0 || Held <= 0)
     return 0;
-  return Terms.MemoryWaitMs + Excess / Terms.PrefillTokensPerMs;
+  return Terms.MemoryWaitMs * Excess / Capacity;
 }
 
 std::optional<std::int64_t>
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -105,8 +105,9 @@
   double RegionMs = 16;
   /// Part of an engine's memory beyond which requests wait for each other.
   double UsableMemory = 0.85;
-  /// Mean time until a running request frees its memory.
-  double MemoryWaitMs = 300;
+  /// Time in which running requests free an engine's whole memory: about the
+  /// length of an answer to a long prompt.
+  double MemoryWaitMs = 600;
   /// How long a peer's report and an answer's load count.
   span_ns LoadTerm = std::chrono::milliseconds(1500);
   /// What late answers told of an engine counts half after it.
