--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
-git ls-files 'src/*.cpp' |
+git ls-files 'src/*.cpp' 'platform/*.cpp' |
   xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "$build"
