Admission: a decision of its own, with a table test

The session had grown to 560 lines and judged keys and routes between its I/O. Admission, limit costs and cache scopes are functions now, tested without a network: by the age of proof, and that no prompt part crosses a wall.

--- a/src/gateway/process/fleet_protocol.h
+++ b/src/gateway/process/fleet_protocol.h
@@ -8,6 +8,7 @@
 #include "common/result.h"
 #include "decisions/process/upstream_directory.h"
 #include "decisions/process/upstream_scheduler.h"
+#include "decisions/request/caller_request.h"
 #include "decisions/version/routing_table.h"
 #include "net/client_link.h"
 #include "net/server_link.h"
@@ -56,27 +57,6 @@
   readUpstream(std::string_view Id, std::string_view Value) const = 0;
 };
 
-/// One named part of a prompt.
-struct named_part {
-  std::string Name;
-  std::int64_t Tokens = 0;
-};
-
-/// A caller's request in neutral terms.
-struct caller_request {
-  std::string Id; ///< unique for each request of a caller
-  std::string Host;
-  std::string Path;
-  std::string Key; ///< empty where none was sent
-  std::optional<span_ns> Deadline;
-  std::string Model;
-  std::vector<named_part> Parts;
-  std::int64_t PromptTokens = 0;
-  std::int64_t AnswerTokens = 0;
-  bool TellsTokens = false;
-  std::optional<std::int64_t> ResumeAfter; ///< last event that the caller has
-};
-
 /// Translates callers' messages.
 class caller_protocol {
 public:
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -14,7 +14,7 @@
 
 /// Advice where a refusal ends by itself soon.
 constexpr span_ns ShortRetry = std::chrono::milliseconds(250);
-/// Advice while nothing is known of the configuration or it cannot be proved.
+/// Advice while the configuration cannot be proved.
 constexpr span_ns ProofRetry = std::chrono::milliseconds(700);
 /// Advice for requests that end the upstreams which run them.
 constexpr span_ns QuarantineRetry = std::chrono::seconds(30);
@@ -76,28 +76,22 @@
   if (!Team || Team->Rate <= 0)
     return place();
   WaitsForTokens = true;
-  Core.requestTokens(Number, Team->Name, tokenCost(), weak_from_this());
+  Core.requestTokens(Number, Team->Name, limitCost(*Team, Facts),
+                     weak_from_this());
 }
 
-std::optional<forward_session::refusal_reason>
-forward_session::admit(instant Now) {
+std::optional<forward_refusal> forward_session::admit(instant Now) {
   auto Read = Core.protocols().Callers.describe(Request.Head);
   if (!Read)
-    return refusal_reason{error_kind::BodyMalformed, Read.error().Detail};
+    return forward_refusal{error_kind::BodyMalformed, Read.error().Detail};
   Facts = std::move(*Read);
-  if (!Routing)
-    return refusal_reason{error_kind::NotReady, "no configuration is known",
-                          ProofRetry};
-  Route = Routing->findRoute(Facts.Host, Facts.Path);
-  const bool Proved = Core.proof().coversAbsence(Now, Core.proofTerms());
-  if (!Route && !Proved)
-    return refusal_reason{error_kind::NotReady,
-                          "no route is known and a newer version may have one",
-                          ProofRetry};
-  if (!Route)
-    return refusal_reason{error_kind::RouteUnknown, ""};
-  if (const auto Reason = checkKey(Now))
-    return Reason;
+  admission Outcome = admitForward(
+      {Routing.get(), Core.proof(), Core.proofTerms(), Core.keySecret()}, Facts,
+      Now);
+  if (Outcome.Refusal)
+    return Outcome.Refusal;
+  Route = Outcome.Route;
+  Team = Outcome.Team;
   Service = chooseService(*Route, pointOf(Facts.Id));
   Core.countRequest(Service, Now);
   Flow = forward_flow({Route->Repeat, Route->Resumable, Route->MaxAttempts});
@@ -110,54 +104,12 @@
       "", fmt::format("{} {}", Team ? Team->Name : "", Request.Head.Target),
       Request.Body);
   if (Core.crashes().check(Fingerprint, Now) == suspicion::Quarantined)
-    return refusal_reason{error_kind::RequestQuarantined, "", QuarantineRetry};
-  describePrompt();
+    return forward_refusal{error_kind::RequestQuarantined, "", QuarantineRetry};
+  CacheScope = cacheScope(Team, Facts);
+  Parts = promptParts(CacheScope, Facts);
   return std::nullopt;
 }
 
-std::optional<forward_session::refusal_reason>
-forward_session::checkKey(instant Now) {
-  if (!Routing->limitsTeams() || Route->Open)
-    return std::nullopt;
-  // Absence from an old version proves nothing, and neither does presence.
-  if (!Core.proof().coversKeys(Now, Core.proofTerms()))
-    return refusal_reason{error_kind::NotReady,
-                          "the configuration could not be proved lately",
-                          ProofRetry};
-  if (Facts.Key.empty())
-    return refusal_reason{error_kind::KeyMissing, ""};
-  Team = Routing->findTeam(hashKey(Core.keySecret(), Facts.Key));
-  if (Team)
-    return std::nullopt;
-  if (!Core.proof().coversAbsence(Now, Core.proofTerms()))
-    return refusal_reason{error_kind::NotReady,
-                          "the key is unknown and a newer version may have it",
-                          ProofRetry};
-  return refusal_reason{error_kind::KeyUnknown, ""};
-}
-
-void forward_session::describePrompt() {
-  if (Facts.Parts.empty())
-    return;
-  // Teams that share nothing with others get a scope of their own.
-  CacheScope = Team && Team->OwnCache ? "team:" + Team->Name : "shared";
-  std::uint64_t Chain =
-      XXH3_64bits_withSeed(CacheScope.data(), CacheScope.size(),
-                           XXH3_64bits(Facts.Model.data(), Facts.Model.size()));
-  for (const named_part &Part : Facts.Parts) {
-    Chain = XXH3_64bits_withSeed(Part.Name.data(), Part.Name.size(), Chain);
-    Parts.push_back({Chain, Part.Tokens});
-  }
-}
-
-double forward_session::tokenCost() const {
-  if (!Team->CountsTokens)
-    return 1;
-  if (Facts.TellsTokens)
-    return static_cast<double>(Facts.PromptTokens + Facts.AnswerTokens);
-  return Team->DefaultTokens;
-}
-
 void forward_session::onTokens(const reservation &Granted) {
   const auto Guard = shared_from_this();
   WaitsForTokens = false;
@@ -462,7 +414,7 @@
 }
 
 void forward_session::finishUnserved(forward_next Next,
-                                     const refusal_reason &Reason) {
+                                     const forward_refusal &Reason) {
   // A head that was passed on cannot be taken back.
   if (Next == forward_next::BreakOff || Streaming) {
     Core.log().warn(event_category::Request, "broken_off",
@@ -476,7 +428,7 @@
   refuse(Reason);
 }
 
-void forward_session::refuse(const refusal_reason &Reason) {
+void forward_session::refuse(const forward_refusal &Reason) {
   const auto Guard = shared_from_this();
   const bool MayHaveRun = Flow.mayHaveRun();
   const caller_protocol &Protocol = Core.protocols().Callers;
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -3,6 +3,7 @@
 #ifndef EBONYVALE_GATEWAY_REQUEST_FORWARD_SESSION_H
 #define EBONYVALE_GATEWAY_REQUEST_FORWARD_SESSION_H
 
+#include "decisions/request/forward_admission.h"
 #include "decisions/request/forward_flow.h"
 #include "decisions/request/sse_events.h"
 #include "gateway/process/gateway_core.h"
@@ -54,24 +55,14 @@
   void onAnswerLost(const exchange_loss &Loss) override;
 
 private:
-  struct refusal_reason {
-    error_kind Kind;
-    std::string Detail;
-    span_ns RetryAfter{0};
-    limit_figures Figures{};
-  };
-
-  std::optional<refusal_reason> admit(instant Now);
-  std::optional<refusal_reason> checkKey(instant Now);
-  void describePrompt();
-  double tokenCost() const;
+  std::optional<forward_refusal> admit(instant Now);
   void place();
   void send(const schedule_choice &Choice, instant Now);
   schedule_query query(instant Now) const;
   void endAttempt(instant Now);
   void follow(attempt_end End, std::string_view Reason);
-  void finishUnserved(forward_next Next, const refusal_reason &Reason);
-  void refuse(const refusal_reason &Reason);
+  void finishUnserved(forward_next Next, const forward_refusal &Reason);
+  void refuse(const forward_refusal &Reason);
   void passAnswerOn();
   void beginStream();
   bool deliverEvents(std::string_view Bytes);
