Rollout: a fifth of the engines at once in large fleets

Change: a fifth of all engines where that is more than three; the test of 140 engines fails before and passes after. On the sites of nine engines nothing changes.

--- a/src/decisions/version/weights_rollout.cpp
+++ b/src/decisions/version/weights_rollout.cpp
@@ -63,6 +63,11 @@
       }));
 }
 
+std::size_t weights_rollout::atOnce() const {
+  const double Part = Terms.PartAtOnce * static_cast<double>(States.size());
+  return std::max(Terms.AtOnce, static_cast<std::size_t>(Part));
+}
+
 rollout_actions weights_rollout::onTick(instant Now) {
   rollout_actions Actions;
   std::size_t Working = 0;
@@ -83,7 +88,8 @@
     Actions.push_back(rollout_pause{Id, Terms.PauseTerm});
     Actions.push_back(rollout_look{Id});
   }
-  while (Working < Terms.AtOnce) {
+  const std::size_t Most = atOnce();
+  while (Working < Most) {
     target_state *Next = nullptr;
     std::string_view NextId;
     for (auto &[Id, State] : States) {
--- a/src/decisions/version/weights_rollout.h
+++ b/src/decisions/version/weights_rollout.h
@@ -21,6 +21,9 @@
   /// Upstreams that take weights at once. Most of that time they wait for their
   /// running requests, so that fewer really load.
   std::size_t AtOnce = 3;
+  /// Part of all engines that take weights at once where that is more: a large
+  /// fleet has to be through within the same bound.
+  double PartAtOnce = 0.2;
   /// From the pause of new work to the order: peers have heard of it, and
   /// requests that wait there have begun. Others would be refused.
   span_ns PauseLead = std::chrono::milliseconds(250);
@@ -112,6 +115,7 @@
 
   /// The model that the upstream has to load; empty when it is up to date.
   std::string_view outdated(const target_state &State) const;
+  std::size_t atOnce() const;
   std::int64_t lowestLag(const target_state &State) const;
   rollout_actions finish(std::string_view Upstream, target_state &State);
 
--- a/tests/decisions/version/weights_rollout_test.cpp
+++ b/tests/decisions/version/weights_rollout_test.cpp
@@ -155,6 +155,17 @@
   cr_assert(Rollout.pending() == 0);
 }
 
+/// With three at once 140 engines took longer than a version may be missing.
+Test(weights_rollout, a_large_fleet_is_through_within_the_bound) {
+  upstream_play Play(140, 4);
+  weights_rollout Rollout({});
+  Rollout.update(Play.directory());
+  Rollout.want("m", 2);
+  Play.run(Rollout, 12s, 0);
+  cr_assert(Play.allAt(2));
+  cr_assert(Play.MostLoading <= 28, "%zu loaded at once", Play.MostLoading);
+}
+
 Test(weights_rollout, a_version_every_four_seconds_ends_at_the_newest) {
   upstream_play Play(9, 2);
   weights_rollout Rollout({.AtOnce = 2});
