Limits: a new instance owns nothing before it knows the others

Change: limits are divided only once the own items have been read, and an instance counts itself before its own entry is read; until then requests with a key are refused as not run.

--- a/src/decisions/process/instance_roster.cpp
+++ b/src/decisions/process/instance_roster.cpp
@@ -36,8 +36,12 @@
     const state &State = Instance.second;
     return State.Marked || Starting || Now - State.UnmarkedAt < GoneTerm;
   };
-  const auto Count = std::ranges::count_if(Instances, Counts);
-  return std::max<std::size_t>(1, static_cast<std::size_t>(Count));
+  const auto Count =
+      static_cast<std::size_t>(std::ranges::count_if(Instances, Counts));
+  // This instance shares as well, also before its own entry has been read.
+  const auto Own = Instances.find(Self);
+  const bool OwnCounted = Own != Instances.end() && Counts(*Own);
+  return OwnCounted ? Count : Count + 1;
 }
 
 std::vector<std::pair<std::string, roster_entry>>
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -137,10 +137,15 @@
           Sharers <= 1};
 }
 
+void gateway_core::onRosterKnown(instant Now) {
+  RosterKnown = true;
+  updateShares(Now);
+}
+
 void gateway_core::updateShares(instant Now) {
   const std::size_t Count = Roster.sharers(Now, Started);
   Metrics.Instances.Set(static_cast<double>(Count));
-  if (!Routing || Count == Sharers)
+  if (!Routing || !RosterKnown || Count == Sharers)
     return;
   if (Sharers != 0)
     Log.info(event_category::Peer, "limits_divided",
@@ -246,7 +251,7 @@
 }
 
 bool gateway_core::ready(instant Now) const {
-  return Routing && !Leaving && !Directory.all().empty() &&
+  return Routing && RosterKnown && !Leaving && !Directory.all().empty() &&
          Proof.coversKeys(Now, ProofTerms);
 }
 
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -92,6 +92,11 @@
   /// The directory has changed.
   void onDirectory();
 
+  /// The other instances have been read; until then this one owns no part of
+  /// the limits, since it cannot know how small its part is.
+  void onRosterKnown(instant Now);
+  bool rosterKnown() const { return RosterKnown; }
+
   /// Divides the limits anew when the number of instances has changed.
   void updateShares(instant Now);
 
@@ -153,7 +158,8 @@
   retry_terms RetryTerms;
   std::map<std::string, retry_allowance, std::less<>> Retries;
   std::unordered_map<std::uint64_t, std::weak_ptr<token_waiter>> Waiters;
-  std::size_t Sharers = 0;
+  std::size_t Sharers = 0; ///< 0: the limits are not divided yet
+  bool RosterKnown = false;
   std::uint64_t LastNumber = 0;
   std::size_t Open = 0;
   peer_messenger *Messenger = nullptr;
--- a/src/gateway/process/membership_task.cpp
+++ b/src/gateway/process/membership_task.cpp
@@ -153,6 +153,7 @@
   for (const auto &[Name, Entry] : Core.roster().peers())
     if (!Marked.contains(Name))
       Core.roster().removeMark(Name, readBootClock());
+  Core.onRosterKnown(readBootClock());
 }
 
 void membership_task::onTick() {
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -75,6 +75,10 @@
   DeadlineTimer.startOnce(timeLeft(Arrived));
   if (!Team || Team->Rate <= 0)
     return place();
+  if (!Core.rosterKnown())
+    return refuse({error_kind::NotReady,
+                   "the instances that share the limits are not known yet",
+                   ProofRetry});
   WaitsForTokens = true;
   Core.requestTokens(Number, Team->Name, limitCost(*Team, Facts),
                      weak_from_this());
--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -172,6 +172,36 @@
   cr_assert(Gateway.Store.model().get(Claim)->Value == "i-9");
 }
 
+/// After all have been restarted each reads the routing document before it has
+/// read who the others are; one that took itself for the only one would spend
+/// everybody's part.
+Test(gateway_task, a_new_instance_takes_no_more_than_its_part) {
+  gateway_fixture Gateway;
+  constexpr std::size_t Others = 8;
+  for (std::size_t Index = 0; Index < Others; ++Index)
+    Gateway.Store.put("ebonyvale/instances/o-" + std::to_string(Index),
+                      R"({"address":"127.0.0.1","port":1,"domain":"z"})");
+  gateway_settings Settings = gateway_fixture::quickSettings();
+  Settings.InstanceName = "i-2";
+  const platform::documents Documents;
+  const platform::caller_messages Callers;
+  const platform::upstream_messages Messages;
+  gateway_task Second(
+      Gateway.Base.get(), Settings, {Documents, Callers, Messages},
+      [&](client_links &, const endpoint &, span_ns) {
+        return std::make_unique<fleet_store_client>(Gateway.Store, "i-2");
+      });
+  cr_assert(!Second.start());
+  cr_assert(
+      Gateway.waitFor([&] { return Second.core().ready(readBootClock()); }));
+  // A tenth of an equal part of the tolerated burst: 1.09 of a million and the
+  // slack's part, over ten instances.
+  constexpr double Part = (1.09e6 + 600) / (Others + 2);
+  const double Spendable =
+      Second.core().shares().available("t", readBootClock());
+  cr_assert(Spendable <= 0.1 * Part + 1, "%.0f of %.0f", Spendable, Part);
+}
+
 Test(gateway_task, a_planned_stop_cuts_nothing) {
   gateway_fixture Gateway;
   for (auto &Upstream : Gateway.Upstreams)
