Gateway: an answer too large to be held counts as lost

Cause: bodies above the 8 MB that a whole answer may take were cut without a word and passed on as complete. Change: the attempt is cancelled and counts as lost, so that a repeatable request goes on elsewhere and any other is told that its outcome is unknown. The body of an answer that proves it was not run is not held at all. Before and after: rows of what_callers_get with 9 MB answers, 200 before, 502 after with the runs counted.

--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -254,23 +254,27 @@
 
 void forward_session::onAnswerBody(std::string_view Bytes) {
   const auto Guard = shared_from_this();
-  const bool IsStream =
-      Route->Streams && Answer.Status == StatusOk && !AnswerFacts.NotRun;
-  if (!IsStream) {
-    if (Whole.size() + Bytes.size() <= MaxWholeBytes)
-      Whole += Bytes;
+  if (AnswerFacts.NotRun)
+    return; // the caller gets a refusal of our own instead
+  if (!Route->Streams || Answer.Status != StatusOk) {
+    Whole += Bytes;
+    if (Whole.size() > MaxWholeBytes)
+      abandon("answer_too_large");
     return;
   }
   if (!Streaming)
     beginStream();
   if (!PassEvents)
     return deliver(Bytes);
-  if (deliverEvents(Bytes))
-    return;
-  const auto Running = std::exchange(Exchange, nullptr);
-  if (Running)
+  if (!deliverEvents(Bytes))
+    abandon("events_out_of_order");
+}
+
+void forward_session::abandon(std::string_view Reason) {
+  if (const auto Running = std::exchange(Exchange, nullptr))
     Running->cancel();
-  follow(attempt_end::Lost, "events_out_of_order");
+  Whole.clear();
+  follow(attempt_end::Lost, Reason);
 }
 
 void forward_session::beginStream() {
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -61,6 +61,8 @@
   schedule_query query(instant Now) const;
   void endAttempt(instant Now);
   void follow(attempt_end End, std::string_view Reason);
+  /// The present attempt is of no use although its answer goes on.
+  void abandon(std::string_view Reason);
   void finishUnserved(forward_next Next, const forward_refusal &Reason);
   void refuse(const forward_refusal &Reason);
   void passAnswerOn();
--- a/tests/gateway/forward_session_test.cpp
+++ b/tests/gateway/forward_session_test.cpp
@@ -32,6 +32,10 @@
       // The upstream's own failure reaches the caller as it is.
       {"/order/1", Error, Error, 500, 1, true},
       {"/read/1", Error, Error, 500, 2, true},
+      // Too large to be held: never a part of it as if it were all.
+      {"/order/1", TooLarge, TooLarge, 502, 1, true},
+      {"/read/1", TooLarge, TooLarge, 502, 2, true},
+      {"/stream-once/1", TooLarge, TooLarge, 200, 1, true},
       // Proved not to have run.
       {"/order/1", Full, Full, 503, 0, true},
       {"/read/1", Full, Full, 503, 0, true},
--- a/tests/platform/upstream_stand_in.cpp
+++ b/tests/platform/upstream_stand_in.cpp
@@ -7,6 +7,11 @@
 #include <algorithm>
 
 namespace ebonyvale {
+namespace {
+
+constexpr std::size_t TooLargeBytes = 9 * 1024 * 1024;
+
+} // namespace
 
 upstream_stand_in::upstream_stand_in(event_base *Base, std::string Id)
     : Id(std::move(Id)), Links(Base, *this) {
@@ -78,6 +83,8 @@
     return Link->breakOff();
   if (Act == upstream_act::Error)
     return Link->answer(500, Headers, "failed");
+  if (Act == upstream_act::TooLarge)
+    return Link->answer(200, Headers, std::string(TooLargeBytes, 'x'));
   if (Path.find("stream") == std::string_view::npos)
     return Link->answer(200, Headers, "answer of " + Id);
   Link->beginStream(200, Headers);
--- a/tests/platform/upstream_stand_in.h
+++ b/tests/platform/upstream_stand_in.h
@@ -20,6 +20,7 @@
   LoseAnswer,   ///< runs it and closes the connection
   BreakStream,  ///< streams two events and a half and closes
   Hold,         ///< runs it and never answers
+  TooLarge,     ///< runs it and answers with more than is held at once
   OtherProcess, ///< another process has the address
 };
 
