Store stand-in: late writes and deaf watches

Change: LateWrites does a write after its caller gave up, if its conditions and its lease still hold then; DeafWatches ends watches without changes. A commit now checks its leases and acts on them whatever the fault of its answer is. Before and after: four new tests (late claim displaces nobody, is found and used; a withdrawn key and a leaving upstream behind a deaf watch).

--- a/src/fakes/fleet_store_stand_in.cpp
+++ b/src/fakes/fleet_store_stand_in.cpp
@@ -71,12 +71,16 @@
     Found.Status = store_status::HistoryGone;
   } else {
     Found.Status = store_status::Ok;
-    Found.Revision = Model.revision();
-    for (const key_change &Change : Model.changesSince(
-             Watch.Revision + 1, Watch.Prefix, endOf(Watch.Prefix))) {
-      store_item Item = itemOf(Change.Entry, Change.Deleted);
-      Item.Revision = Change.Revision;
-      Found.Items.push_back(std::move(Item));
+    if (Fault == store_fault::DeafWatches) {
+      Found.Revision = Watch.Revision;
+    } else {
+      Found.Revision = Model.revision();
+      for (const key_change &Change : Model.changesSince(
+               Watch.Revision + 1, Watch.Prefix, endOf(Watch.Prefix))) {
+        store_item Item = itemOf(Change.Entry, Change.Deleted);
+        Item.Revision = Change.Revision;
+        Found.Items.push_back(std::move(Item));
+      }
     }
     if (Found.Items.empty() && Now < Watch.Until)
       return false;
@@ -113,8 +117,9 @@
                                 result_callback Done) {
   const store_fault Fault = Store.faultFor(Instance);
   span_ns After{0};
-  if (Fault == store_fault::Down ||
-      (Fault == store_fault::LosesWrites && IsWrite)) {
+  const bool AnswerLost =
+      Fault == store_fault::LosesWrites || Fault == store_fault::LateWrites;
+  if (Fault == store_fault::Down || (AnswerLost && IsWrite)) {
     Result = {};
     After = CallTimeout;
   } else if (Fault == store_fault::Refuses) {
@@ -125,26 +130,35 @@
             [Done = std::move(Done), Result] { Done(Result); });
 }
 
+store_status fleet_store_stand_in::execute(const store_commit &Commit) {
+  Model.expire(readBootClock());
+  for (const store_condition &Condition : Commit.Conditions) {
+    const auto Entry = Model.get(Condition.Key);
+    if ((Entry ? Entry->ModRevision : 0) != Condition.Revision)
+      return store_status::Conflict;
+  }
+  for (const store_put &Put : Commit.Puts)
+    if (Put.Lease != 0 && !Model.hasLease(Put.Lease))
+      return store_status::NotFound;
+  for (const store_put &Put : Commit.Puts)
+    Model.put(Put.Key, Put.Value, Put.Lease);
+  for (const std::string &Key : Commit.Removals)
+    Model.eraseRange(Key, Key + '\0');
+  return store_status::Ok;
+}
+
 void fleet_store_client::commit(const store_commit &Commit,
                                 result_callback Done) {
   store_result Result;
   Result.SentAt = readBootClock();
-  Result.Status = store_status::Ok;
   const store_fault Fault = Store.faultFor(Instance);
-  const bool Reached =
-      Fault == store_fault::None || Fault == store_fault::LosesWrites;
-  for (const store_condition &Condition : Commit.Conditions) {
-    const auto Entry = Store.Model.get(Condition.Key);
-    if ((Entry ? Entry->ModRevision : 0) != Condition.Revision)
-      Result.Status = store_status::Conflict;
-  }
-  if (Reached && Result.Status == store_status::Ok) {
-    for (const store_put &Put : Commit.Puts)
-      Store.Model.put(Put.Key, Put.Value, Put.Lease);
-    for (const std::string &Key : Commit.Removals)
-      Store.Model.eraseRange(Key, Key + '\0');
+  if (Fault == store_fault::LateWrites)
+    callAfter(Store.Base, fleet_store_stand_in::LateBy,
+              [&Store = Store, Commit] { Store.execute(Commit); });
+  else if (Fault != store_fault::Down && Fault != store_fault::Refuses)
+    Result.Status = Store.execute(Commit);
+  if (Result.Status == store_status::Ok)
     Result.Revision = Store.Model.revision();
-  }
   answer(Result, /*IsWrite=*/true, std::move(Done));
 }
 
@@ -160,7 +174,9 @@
 void fleet_store_client::renewLease(std::int64_t Lease, result_callback Done) {
   store_result Result;
   Result.SentAt = readBootClock();
-  const bool Reached = Store.faultFor(Instance) == store_fault::None;
+  const store_fault Fault = Store.faultFor(Instance);
+  const bool Reached =
+      Fault != store_fault::Down && Fault != store_fault::Refuses;
   const bool Lives = Reached && Store.Model.renewLease(Lease, Result.SentAt);
   Result.Status = Lives ? store_status::Ok : store_status::NotFound;
   Result.Term = std::chrono::seconds(2);
@@ -170,7 +186,8 @@
 void fleet_store_client::endLease(std::int64_t Lease, result_callback Done) {
   store_result Result;
   Result.Status = store_status::Ok;
-  if (Store.faultFor(Instance) == store_fault::None)
+  const store_fault Fault = Store.faultFor(Instance);
+  if (Fault != store_fault::Down && Fault != store_fault::Refuses)
     Store.Model.revokeLease(Lease);
   answer(Result, /*IsWrite=*/true, std::move(Done));
 }
--- a/src/fakes/fleet_store_stand_in.h
+++ b/src/fakes/fleet_store_stand_in.h
@@ -17,9 +17,11 @@
 /// What goes wrong.
 enum class store_fault {
   None,
-  Down,       ///< no call is answered
-  Refuses,    ///< every call is refused
-  LosesWrites ///< writes are done and not answered
+  Down,        ///< no call is answered
+  Refuses,     ///< every call is refused
+  LosesWrites, ///< writes are done and not answered
+  LateWrites,  ///< not answered, and done later if their conditions still hold
+  DeafWatches  ///< reads and writes work; watches end without any change
 };
 
 /// One store for all instances of a test.
@@ -40,6 +42,9 @@
   /// Watches from before now end with their history gone.
   void forgetHistory() { OldestKept = Model.revision(); }
 
+  /// How long after its call a late write is done.
+  static constexpr span_ns LateBy = std::chrono::milliseconds(120);
+
   /// Calls answered with `Ok` or a conflict.
   std::size_t answered() const { return Answered; }
 
@@ -55,6 +60,8 @@
 
   void tick();
   bool answerWatch(waiting_watch &Watch, instant Now);
+  /// Writes if all conditions hold and the leases live.
+  store_status execute(const store_commit &Commit);
 
   event_base *Base;
   key_value_model Model;
--- a/src/fakes/key_value_model.h
+++ b/src/fakes/key_value_model.h
@@ -54,6 +54,8 @@
   /// Renews a lease; false when it has lapsed.
   bool renewLease(std::int64_t Lease, instant Now);
 
+  bool hasLease(std::int64_t Lease) const { return Leases.contains(Lease); }
+
   /// Ends a lease and deletes its keys.
   void revokeLease(std::int64_t Lease);
 
--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -158,6 +158,71 @@
   }));
 }
 
+/// A claim whose answer was lost may be written seconds later, when another
+/// instance has long taken over.
+Test(gateway_task, a_late_claim_displaces_nobody) {
+  gateway_settings Settings = gateway_fixture::quickSettings();
+  Settings.IssuerTermMs = 1;
+  gateway_fixture Gateway(Settings);
+  const std::string Claim(weights_task::claimKey());
+  const auto Holder = [&] { return Gateway.Store.model().get(Claim); };
+  cr_assert(Gateway.waitFor([&] { return Holder().has_value(); }));
+  Gateway.Store.setFault(store_fault::LateWrites);
+  Gateway.Store.erase(Claim);
+  // Long enough for an attempt to claim to be under way.
+  runLoopFor(Gateway.Base.get(), fleet_store_stand_in::LateBy / 2);
+  Gateway.Store.put(Claim, "i-9");
+  Gateway.Store.put("op/version/m", R"({"model":"m","version":2})");
+  runLoopFor(Gateway.Base.get(), fleet_store_stand_in::LateBy * 3);
+  cr_assert(Holder()->Value == "i-9");
+  cr_assert(Gateway.Upstreams[0]->Weights == 1);
+}
+
+/// All writes of a new instance are late: it takes up its work all the same.
+Test(gateway_task, a_late_claim_is_found_and_used) {
+  gateway_settings Settings = gateway_fixture::quickSettings();
+  Settings.IssuerTermMs = 1;
+  gateway_fixture Gateway(Settings);
+  const std::string Claim(weights_task::claimKey());
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.Store.model().get(Claim).has_value(); }));
+  Gateway.Store.setFault(store_fault::LateWrites);
+  Gateway.Store.erase(Claim);
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.Store.model().get(Claim).has_value(); }));
+  Gateway.Store.setFault(store_fault::None);
+  Gateway.Store.put("op/version/m", R"({"model":"m","version":2})");
+  cr_assert(Gateway.waitFor([&] {
+    return Gateway.Upstreams[0]->Weights == 2 &&
+           Gateway.Upstreams[1]->Weights == 2;
+  }));
+}
+
+/// A watch that says nothing hides no withdrawn key: plain reads prove it.
+Test(gateway_task, a_deaf_watch_hides_no_withdrawn_key) {
+  gateway_fixture Gateway;
+  Gateway.Store.setFault(store_fault::DeafWatches);
+  Gateway.configure(2, "\"key-2\"");
+  cr_assert(
+      Gateway.waitFor([&] { return Gateway.core().routing()->Version == 2; }));
+  cr_assert(Gateway.ask({.Path = "/read/1"}).Status == 401);
+}
+
+/// What upstreams wrote while the watch was deaf is found once it is cut.
+Test(gateway_task, upstreams_are_listed_anew_after_a_deaf_watch) {
+  gateway_fixture Gateway;
+  Gateway.Store.setFault(store_fault::DeafWatches);
+  Gateway.Store.put(Gateway.Upstreams[0]->key(),
+                    Gateway.Upstreams[0]->entry("s", /*Draining=*/true));
+  runLoopFor(Gateway.Base.get(), 50ms);
+  Gateway.Store.forgetHistory();
+  Gateway.Store.setFault(store_fault::None);
+  cr_assert(Gateway.waitFor([&] {
+    const upstream_entry *Entry = Gateway.core().directory().find("u-1");
+    return Entry && Entry->Draining;
+  }));
+}
+
 Test(gateway_task, another_instances_claim_is_left_alone) {
   gateway_settings Settings = gateway_fixture::quickSettings();
   Settings.IssuerTermMs = 1;
