Scheduler: a large fleet uses all of its engines; peers are told what is new

With 140 engines and four first parts that left 12 engines for nearly all prompts, which then refused half of them. Each message to peers listed every engine ever used, 140 entries 133 times a second from each of 59 instances. Change: a third of the fleet's engines, at least three, read prompts with the same first part. Messages list upstreams that run work or have news. Engines that hold a part are looked up once a request instead of once an engine. Sites of nine engines keep their group of three.

--- a/src/decisions/process/upstream_estimate.cpp
+++ b/src/decisions/process/upstream_estimate.cpp
@@ -132,38 +132,51 @@
     Best = Offer;
 }
 
+/// The engines from which a part of the shared prompt may be copied. Looked up
+/// once for a request, since each engine is weighed against all of them.
+std::vector<upstream_scheduler::part_holder>
+upstream_scheduler::holdersOf(const schedule_query &Query, instant Now) const {
+  std::vector<part_holder> Holders;
+  const std::size_t Shared = Query.Parts.empty() ? 0 : Query.Parts.size() - 1;
+  for (const auto &[Id, State] : States) {
+    const bool Usable = State.Entry.Service == Query.Service &&
+                        Now >= State.AvoidUntil && Now >= State.PausedUntil;
+    std::size_t Parts = 0;
+    while (Usable && Parts < Shared &&
+           State.Parts.holds(Query.Parts[Parts].Chain))
+      ++Parts;
+    if (Parts > 0)
+      Holders.push_back({&State, Parts});
+  }
+  return Holders;
+}
+
 /// From where the parts behind the first \p Held ones are copied best: another
 /// engine on the same weights or a store. Nothing where reading is cheaper.
-upstream_scheduler::copy_plan
-upstream_scheduler::planCopy(const upstream_state &Target,
-                             const schedule_query &Query, std::size_t Held,
-                             instant Now) const {
+upstream_scheduler::copy_plan upstream_scheduler::planCopy(
+    const upstream_state &Target, const schedule_query &Query, std::size_t Held,
+    std::span<const part_holder> Holders, instant Now) const {
   copy_plan Best;
   const auto Weights = weightsOf(Target, Query.Model);
   const std::size_t Shared = Query.Parts.size() - 1;
   if (!Weights || Held >= Shared)
     return Best;
-  const auto TokensAt = [&](const cached_parts &Parts, std::uint64_t Version) {
-    double Found = 0;
-    for (std::size_t Index = 0; Index < Shared; ++Index) {
-      if (!Parts.holds(Query.Parts[Index].Chain ^ Version))
-        break;
-      if (Index >= Held)
-        Found += static_cast<double>(Query.Parts[Index].Tokens);
-    }
-    return Found;
+  const auto TokensUpTo = [&](std::size_t End) {
+    double Sum = 0;
+    for (std::size_t Index = Held; Index < End; ++Index)
+      Sum += static_cast<double>(Query.Parts[Index].Tokens);
+    return Sum;
   };
   const auto Engine = Engines.find(Target.Entry.Service);
   const double Rate =
       Engine == Engines.end() ? 0 : Engine->second.FetchTokensPerMs;
-  for (const auto &[Id, State] : States) {
-    const bool Usable = Rate > 0 && &State != &Target &&
-                        State.Entry.Service == Target.Entry.Service &&
-                        Now >= State.AvoidUntil && Now >= State.PausedUntil &&
+  for (const part_holder &Holder : Holders) {
+    const upstream_state &State = *Holder.State;
+    const bool Usable = Rate > 0 && &State != &Target && Holder.Parts > Held &&
                         weightsOf(State, Query.Model) == Weights;
     if (!Usable)
       continue;
-    const double Tokens = TokensAt(State.Parts, 0);
+    const double Tokens = TokensUpTo(Holder.Parts);
     const double Factor = copyFactor(State.Entry.Domain, Target.Entry.Domain);
     considerCopy({addressOf(State.Entry), Tokens, Tokens / Rate * Factor},
                  Query, Held, Best);
@@ -171,7 +184,11 @@
   for (const cache_store &Store : Stores) {
     if (Now < Store.PausedUntil || Store.Place.FetchTokensPerMs <= 0)
       continue;
-    const double Tokens = TokensAt(Store.Parts, weightsMark(*Weights));
+    std::size_t Parts = 0;
+    while (Parts < Shared &&
+           Store.Parts.holds(Query.Parts[Parts].Chain ^ weightsMark(*Weights)))
+      ++Parts;
+    const double Tokens = TokensUpTo(Parts);
     const double Factor = copyFactor(Store.Place.Domain, Target.Entry.Domain);
     considerCopy({Store.Place.Address, Tokens,
                   Tokens / Store.Place.FetchTokensPerMs * Factor},
@@ -198,10 +215,9 @@
   return {};
 }
 
-upstream_scheduler::estimate
-upstream_scheduler::estimateFor(upstream_state &State,
-                                const schedule_query &Query, bool IsHome,
-                                instant Now) const {
+upstream_scheduler::estimate upstream_scheduler::estimateFor(
+    upstream_state &State, const schedule_query &Query, bool IsHome,
+    std::span<const part_holder> Holders, instant Now) const {
   estimate Estimate;
   Estimate.BacklogMs = backlog(State, Now);
   Estimate.SurplusMs = surplus(State, Now);
@@ -231,7 +247,7 @@
   Own = std::max(0.0, Own);
   Estimate.MissedTokens = SharedTokens - HeldTokens;
   if (Estimate.MissedTokens > 0) {
-    Estimate.Copy = planCopy(State, Query, Held, Now);
+    Estimate.Copy = planCopy(State, Query, Held, Holders, Now);
     Estimate.SaveTo = storeLacking(State, Query, Now);
   }
   const double Read = Estimate.MissedTokens - Estimate.Copy.Tokens;
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -69,10 +69,12 @@
     return Outcome;
   }
   const upstream_state *Home = homeOf(Query, Set.Usable);
+  const std::vector<part_holder> Holders = holdersOf(Query, Now);
   upstream_state *Best = nullptr;
   estimate BestEstimate;
   for (upstream_state *State : Set.Usable) {
-    const estimate Estimate = estimateFor(*State, Query, Home == State, Now);
+    const estimate Estimate =
+        estimateFor(*State, Query, Home == State, Holders, Now);
     if (Best && Estimate.Ms >= BestEstimate.Ms)
       continue;
     Best = State;
@@ -138,7 +140,10 @@
                                 Chain);
   };
   std::vector<const upstream_state *> Group(Usable.begin(), Usable.end());
-  const std::size_t Size = std::min(Terms.EnginesPerFirstPart, Group.size());
+  const auto FleetPart = static_cast<std::size_t>(
+      Terms.FleetPartPerFirstPart * static_cast<double>(Group.size()));
+  const std::size_t Size =
+      std::min(std::max(Terms.EnginesPerFirstPart, FleetPart), Group.size());
   std::ranges::partial_sort(
       Group, Group.begin() + static_cast<std::ptrdiff_t>(Size),
       [&](const upstream_state *Left, const upstream_state *Right) {
@@ -158,6 +163,7 @@
     return;
   backlog(*State, Now);
   ++State->InFlight;
+  State->ChangedAt = Now;
   State->BacklogMs += Choice.WorkMs;
   State->SentMs += Choice.WorkMs;
   State->HeldTokens += Choice.HeldTokens;
@@ -249,6 +255,7 @@
     return;
   backlog(*State, Now);
   --State->InFlight;
+  State->ChangedAt = Now;
   State->HeldTokens = std::max(0.0, State->HeldTokens - Choice.HeldTokens);
   if (State->InFlight == 0)
     State->HeldTokens = 0;
@@ -319,10 +326,11 @@
   }
 }
 
-std::vector<peer_load> upstream_scheduler::ownLoad() const {
+std::vector<peer_load> upstream_scheduler::ownLoad(instant Since) const {
   std::vector<peer_load> Loads;
   for (const auto &[Id, State] : States)
-    if (State.InFlight > 0 || State.SentMs > 0)
+    if (State.InFlight > 0 ||
+        (State.ChangedAt >= Since && State.ChangedAt != instant{}))
       Loads.push_back({Id, State.InFlight, State.SentMs, State.HeldTokens,
                        State.InsertedTokens});
   return Loads;
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -97,8 +97,10 @@
   double DomainFetchFactor = 2;
   double RegionFetchFactor = 10;
   /// Engines on which prompts with the same first part are read: few, so that
-  /// its copies leave room for others, yet enough to share the load.
+  /// its copies leave room for others, yet enough to share the load. At least
+  /// so many, and this part of a larger fleet.
   std::size_t EnginesPerFirstPart = 3;
+  double FleetPartPerFirstPart = 1.0 / 3;
   /// Added for another domain of the region, and for another region: a round
   /// trip, from the platform's data sheet.
   double DomainMs = 4;
@@ -215,8 +217,9 @@
   /// What a peer sees; replaces what it said before.
   void onPeerLoad(std::string_view Peer, std::span<const peer_load> Loads,
                   instant Now);
-  /// What this instance tells its peers.
-  std::vector<peer_load> ownLoad() const;
+  /// What this instance tells its peers: the upstreams that run work of its own
+  /// now, or whose figures have changed since \p Since.
+  std::vector<peer_load> ownLoad(instant Since) const;
 
   /// Takes what the configuration says of a service's engines.
   void setEngine(std::string_view Service, const engine_terms &Engine);
@@ -276,6 +279,7 @@
     cached_parts Parts;
     double InsertedTokens = 0; ///< by this instance, since its start
     double SentMs = 0;         ///< likewise
+    instant ChangedAt;         ///< when work was sent or ended last
     std::map<std::string, std::int64_t, std::less<>> Weights;
   };
   struct cache_store {
@@ -290,6 +294,12 @@
     double Tokens = 0;
     double Ms = 0;
   };
+  /// An engine and how many shared parts it is believed to hold, from the first
+  /// one on.
+  struct part_holder {
+    const upstream_state *State = nullptr;
+    std::size_t Parts = 0;
+  };
   struct candidate_set {
     std::vector<upstream_state *> Usable;
     instant FreeAt = instant::max(); ///< when another one can be used
@@ -315,8 +325,11 @@
   double cacheTokens(const upstream_state &State) const;
   double memoryWait(const upstream_state &State, double Needed,
                     instant Now) const;
+  std::vector<part_holder> holdersOf(const schedule_query &Query,
+                                     instant Now) const;
   copy_plan planCopy(const upstream_state &Target, const schedule_query &Query,
-                     std::size_t Held, instant Now) const;
+                     std::size_t Held, std::span<const part_holder> Holders,
+                     instant Now) const;
   static std::uint64_t weightsMark(std::int64_t Version);
   void noteStoreUse(const schedule_choice &Choice, const schedule_query &Query);
   void considerCopy(const copy_plan &Offer, const schedule_query &Query,
@@ -332,7 +345,8 @@
   const upstream_state *homeOf(const schedule_query &Query,
                                std::span<upstream_state *const> Usable) const;
   estimate estimateFor(upstream_state &State, const schedule_query &Query,
-                       bool IsHome, instant Now) const;
+                       bool IsHome, std::span<const part_holder> Holders,
+                       instant Now) const;
   std::optional<double> weightsCost(const upstream_state &State,
                                     std::string_view Model, instant Now) const;
   bool isPlain(const upstream_state &State) const {
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -142,10 +142,16 @@
 }
 
 void peer_gossip::tellLoad() {
-  const auto Loads = Core.scheduler().ownLoad();
   const auto Peers = Core.roster().peers();
   if (Peers.empty())
     return;
+  // Whatever changed is told to each peer twice, since a message may be lost.
+  constexpr std::size_t Tellings = 2;
+  const std::size_t Rounds = (Peers.size() + LoadFanOut - 1) / LoadFanOut;
+  const instant Now = readBootClock();
+  const auto Loads = Core.scheduler().ownLoad(
+      Now - std::chrono::milliseconds(Core.settings().PeerIntervalMs) *
+                static_cast<std::int64_t>(Tellings * Rounds));
   json Listed = json::array();
   for (const peer_load &Load : Loads)
     Listed.push_back({Load.Upstream, Load.InFlight,
@@ -158,7 +164,6 @@
   if (Listed.empty() && Hints.empty() && std::exchange(ToldIdle, true))
     return;
   ToldIdle = Listed.empty();
-  const instant Now = readBootClock();
   json Weights = json::array();
   for (const named_weights &Named : Core.scheduler().recentWeights(Now))
     Weights.push_back({Named.Model, Named.Version,
--- a/tests/decisions/process/fleet_play.cpp
+++ b/tests/decisions/process/fleet_play.cpp
@@ -75,7 +75,9 @@
   lru_cache Cache;
   instant FreeAt; ///< when all prompts sent so far have been read
   std::size_t Requests = 0;
+  std::size_t Present = 0; ///< running and waiting
   bool Down = false;
+  std::vector<instant> Ends; ///< of the requests that are present
 };
 
 struct prompt {
@@ -107,7 +109,7 @@
       Entry.Service = "s";
       Entry.Address = "10.0.0.1";
       Entry.Port = static_cast<std::uint16_t>(1000 + Index);
-      Entry.Slots = 64;
+      Entry.Slots = static_cast<std::int64_t>(Load.Slots);
       Entry.Domain = "d";
       Entry.Models = {{"m", 1}};
       Entries.push_back(Entry);
@@ -209,6 +211,16 @@
       --Result.Asked;
       return;
     }
+    // An engine lets three times as many wait as it runs, and refuses the rest.
+    constexpr std::size_t PresentPerSlot = 4;
+    if (Engine.Present >= PresentPerSlot * Load.Slots) {
+      ++Result.Full;
+      --Result.Asked;
+      if (Policy == play_policy::Scheduler)
+        Scheduler.onFull(Choice->Upstream, Now);
+      return place(Prompt, Now + 10ms);
+    }
+    ++Engine.Present;
     ++Engine.Requests;
     double Read = OwnTokens;
     double CopyMs = 0;
@@ -234,20 +246,33 @@
       Engine.Cache.pin(Part.Chain, 1);
     }
     Engine.Cache.shrinkTo(CacheTokens);
-    const instant Start = std::max(Now + fromMs(CopyMs), Engine.FreeAt);
+    instant Start = std::max(Now + fromMs(CopyMs), Engine.FreeAt);
+    Start = std::max(Start, slotFreeAt(Engine));
     Engine.FreeAt = Start + fromMs(Read / ReadTokensPerMs);
     const instant First = Engine.FreeAt + fromMs(FirstTokenMs);
     Result.InAim += First - Now <= fromMs(Aim) ? 1 : 0;
     if (Policy == play_policy::Scheduler)
       Scheduler.onSent(*Choice, queryOf(Prompt), Now);
+    Engine.Ends.push_back(First + fromMs(AnswerMs));
     Running.push(
         {First + fromMs(AnswerMs), First - Now, Prompt, Index, *Choice});
   }
 
+  /// When the engine can run one more, with all that is sent to it before.
+  instant slotFreeAt(engine &Engine) const {
+    if (Engine.Ends.size() < Load.Slots)
+      return {};
+    std::ranges::sort(Engine.Ends);
+    return Engine.Ends[Engine.Ends.size() - Load.Slots];
+  }
+
   void endRuns(instant Now) {
     while (!Running.empty() && Running.top().EndsAt <= Now) {
       const running Done = Running.top();
       Running.pop();
+      --Engines[Done.Engine].Present;
+      std::erase_if(Engines[Done.Engine].Ends,
+                    [Now](instant End) { return End <= Now; });
       for (const prompt_part &Part : Done.Prompt.Parts)
         Engines[Done.Engine].Cache.pin(Part.Chain, -1);
       if (Policy != play_policy::Scheduler)
@@ -262,11 +287,16 @@
     if (Policy != play_policy::Scheduler)
       return;
     for (std::size_t From = 0; From < Schedulers.size(); ++From) {
-      const auto Loads = Schedulers[From]->ownLoad();
+      const auto Loads = Schedulers[From]->ownLoad(
+          Now -
+          Load.PeerDelay * static_cast<std::int64_t>(
+                               2 * (1 + Schedulers.size() / Load.PeersTold)));
       const auto Hints = Schedulers[From]->takeHints();
-      for (std::size_t To = 0; To < Schedulers.size(); ++To) {
-        if (To == From)
-          continue;
+      const std::size_t Others = Schedulers.size() - 1;
+      for (std::size_t Told = 0; Told < std::min(Load.PeersTold, Others);
+           ++Told) {
+        const std::size_t To =
+            (From + 1 + NextTold++ % Others) % Schedulers.size();
         Schedulers[To]->onPeerLoad("i" + std::to_string(From), Loads, Now);
         for (const part_hint &Hint : Hints)
           Schedulers[To]->onPeerHint(Hint);
@@ -282,6 +312,7 @@
   std::priority_queue<running, std::vector<running>, std::greater<>> Running;
   std::uint64_t LastOwn = 0;
   std::size_t Turn = 0;
+  std::size_t NextTold = 0;
   play_result Result;
 };
 
--- a/tests/decisions/process/fleet_play.h
+++ b/tests/decisions/process/fleet_play.h
@@ -25,7 +25,9 @@
   std::size_t Groups = 4; ///< of documents with the same first part
   double HotShare = 0;    ///< part of the requests about one document
   span_ns PeerDelay = std::chrono::milliseconds(80);
-  std::size_t EnginesDown = 0; ///< silent from a third of the time on
+  std::size_t PeersTold = 1000; ///< that one instance tells of its load at once
+  std::size_t Slots = 64;       ///< requests that an engine runs at once
+  std::size_t EnginesDown = 0;  ///< silent from a third of the time on
   std::uint32_t Seed = 1;
 };
 
@@ -34,6 +36,7 @@
   std::size_t Asked = 0;
   std::size_t InAim = 0; ///< first token within 500 ms
   std::size_t Refused = 0;
+  std::size_t Full = 0;       ///< attempts that an engine turned away
   double TokensRead = 0;      ///< by all engines
   double MostOnOneEngine = 0; ///< of the requests, relative to an equal share
 };
--- a/tests/decisions/process/upstream_scheduler_test.cpp
+++ b/tests/decisions/process/upstream_scheduler_test.cpp
@@ -112,6 +112,48 @@
             Plain.InAim);
 }
 
+/// Many small engines: no few of them may get all prompts that begin alike, and
+/// an instance hears only of some peers at a time.
+Test(upstream_scheduler, a_large_fleet_uses_all_of_its_engines) {
+  const play_load Load{.Instances = 59,
+                       .Engines = 140,
+                       .PerSecond = 455,
+                       .Length = 6s,
+                       .Documents = 2860,
+                       .PeersTold = 8,
+                       .Slots = 12};
+  const play_result Ours = playFleet(play_policy::Scheduler, Load);
+  const play_result Robin = playFleet(play_policy::RoundRobin, Load);
+  cr_log_info("in aim %zu of %zu, round robin %zu; full %zu; read %.0f, %.0f; "
+              "busiest %.2f",
+              Ours.InAim, Ours.Asked, Robin.InAim, Ours.Full, Ours.TokensRead,
+              Robin.TokensRead, Ours.MostOnOneEngine);
+  cr_assert(Ours.InAim * 100 >= Ours.Asked * InTimeOf100, "%zu of %zu",
+            Ours.InAim, Ours.Asked);
+  cr_assert(Ours.Full == 0 && Ours.Refused == 0);
+  cr_assert(Ours.TokensRead < Robin.TokensRead);
+}
+
+/// In a large fleet most upstreams have no news, and messages cost bytes
+/// between regions.
+Test(upstream_scheduler, peers_are_told_what_is_new) {
+  auto Scheduler = schedulerOf({engineIn("1", "a"), engineIn("2", "a")});
+  const auto Choice = Scheduler.choose(queryOf(Prompt), instant(1s)).Choice;
+  cr_assert(Scheduler.ownLoad(instant{}).empty());
+  Scheduler.onSent(*Choice, queryOf(Prompt), instant(1s));
+  // Told for as long as it runs, however long ago it began.
+  const auto Running = Scheduler.ownLoad(instant(9s));
+  cr_assert(Running.size() == 1);
+  cr_assert(Running[0].Upstream == Choice->Upstream);
+  cr_assert(Running[0].InFlight == 1);
+  Scheduler.onEnded(*Choice, instant(10s));
+  // Its end is news, and so is what was sent up to then.
+  const auto Ended = Scheduler.ownLoad(instant(9s));
+  cr_assert(Ended.size() == 1 && Ended[0].InFlight == 0);
+  cr_assert(Ended[0].SentMs > 0);
+  cr_assert(Scheduler.ownLoad(instant(11s)).empty());
+}
+
 Test(upstream_scheduler, all_instances_agree_on_where_a_new_prompt_goes) {
   std::set<std::string> Chosen;
   for (const char *Domain : {"a", "a", "b"}) {
