Store calls at the pace that the bounds allow

Change: both follow from bounds.apply_ms and bounds.key_ms unless they are set. At 2.5 s they are what they were, 600 ms and 1.5 s.

--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "common/settings_loader.h"
 
+#include <algorithm>
 #include <array>
 
 namespace ebonyvale {
@@ -54,10 +55,14 @@
     setting{millis("store.call_timeout_ms", "Longest wait for an answer."),
             &gateway_settings::StoreCallTimeoutMs},
     setting{millis("store.watch_pause_ms",
-                   "Pause between two calls of the watch; collects changes."),
+                   "Pause between two calls of the watch; collects changes. "
+                   "0: a quarter of bounds.apply_ms.",
+                   0),
             &gateway_settings::StoreWatchPauseMs},
     setting{millis("store.read_interval_ms",
-                   "Time between plain reads that prove the configuration."),
+                   "Time between plain reads that prove the configuration. "
+                   "0: from bounds.apply_ms and bounds.key_ms.",
+                   0),
             &gateway_settings::StoreReadIntervalMs},
     setting{millis("store.lease_ms", "Term of the instance's lease."),
             &gateway_settings::LeaseTermMs},
@@ -144,6 +149,26 @@
   return Settings;
 }
 
+span_ns watchPause(const gateway_settings &Settings) {
+  // A missed call, its time-out and the next one still fit into the bound.
+  constexpr double PartOfBound = 0.24;
+  if (Settings.StoreWatchPauseMs > 0)
+    return std::chrono::milliseconds(Settings.StoreWatchPauseMs);
+  return std::chrono::milliseconds(static_cast<std::int64_t>(
+      PartOfBound * static_cast<double>(Settings.ApplyBoundMs)));
+}
+
+span_ns readInterval(const gateway_settings &Settings) {
+  constexpr double PartOfApplyBound = 0.6;
+  constexpr double PartOfKeyBound = 0.48;
+  if (Settings.StoreReadIntervalMs > 0)
+    return std::chrono::milliseconds(Settings.StoreReadIntervalMs);
+  const double Millis =
+      std::min(PartOfApplyBound * static_cast<double>(Settings.ApplyBoundMs),
+               PartOfKeyBound * static_cast<double>(Settings.KeyBoundMs));
+  return std::chrono::milliseconds(static_cast<std::int64_t>(Millis));
+}
+
 std::map<std::string, std::string>
 regionsOf(const std::vector<std::string> &Domains) {
   std::map<std::string, std::string> Regions;
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -5,6 +5,7 @@
 #define EBONYVALE_GATEWAY_PROCESS_GATEWAY_SETTINGS_H
 
 #include "common/field_table.h"
+#include "common/instant.h"
 #include "common/result.h"
 
 #include <cstdint>
@@ -29,8 +30,8 @@
 
   std::string StoreEndpoint;
   std::int64_t StoreCallTimeoutMs = 700;
-  std::int64_t StoreWatchPauseMs = 600;
-  std::int64_t StoreReadIntervalMs = 1500;
+  std::int64_t StoreWatchPauseMs = 0;   ///< see `watchPause`
+  std::int64_t StoreReadIntervalMs = 0; ///< see `readInterval`
   std::int64_t LeaseTermMs = 2000;
 
   std::int64_t KeyBoundMs = 5000;
@@ -67,6 +68,15 @@
 loadGatewaySettings(const std::string &Path,
                     const std::vector<std::string> &Overrides);
 
+/// Pause between two calls of the watch. Unless it is set, a part of the bound
+/// within which a version is in force: store calls are billed, and a change may
+/// wait for one of them only.
+span_ns watchPause(const gateway_settings &Settings);
+
+/// Time between plain reads of the operators' documents. Unless it is set, it
+/// leaves time for a second read before the proof is too old for any bound.
+span_ns readInterval(const gateway_settings &Settings);
+
 /// Region by domain, from the "domain=region" entries.
 std::map<std::string, std::string>
 regionsOf(const std::vector<std::string> &Domains);
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -84,8 +84,7 @@
     takeOperatorItem(Item);
   // The proof is taken only after the documents that it covers.
   Core.proof().onRead(Items.SentAt);
-  ReadTimer.startOnce(
-      std::chrono::milliseconds(Core.settings().StoreReadIntervalMs));
+  ReadTimer.startOnce(readInterval(Core.settings()));
 }
 
 void store_follower::listAll() {
@@ -159,8 +158,7 @@
     Core.onDirectory();
     Observer.onUpstreams();
   }
-  WatchTimer.startOnce(
-      std::chrono::milliseconds(Core.settings().StoreWatchPauseMs));
+  WatchTimer.startOnce(watchPause(Core.settings()));
 }
 
 void store_follower::takeItem(const store_item &Item) {
