ebonyvalectl log: questions to the kept lines of many instances

Change: log request, log changes, log holders and log table read files of log lines, with or without a collector's prefix, and put them in order.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "ctl/admin_client.h"
 #include "ctl/instant_text.h"
+#include "ctl/log_commands.h"
 #include "decisions/version/key_hash.h"
 
 #include <algorithm>
@@ -302,12 +303,13 @@
   for (const ctl_command &Command : ctlCommands())
     Words += std::string(Command.Words) + " ";
   Out << "complete -W '" << Words
-      << "--admin --token --json --team --from --to --wait --key-secret' "
+      << "--admin --token --json --team --from --to --wait --key-secret "
+         "--log --interval' "
          "ebonyvalectl\n";
   return exit_code::Done;
 }
 
-constexpr std::array<ctl_command, 9> Commands{{
+constexpr std::array<ctl_command, 13> Commands{{
     {"note check", "FILE", "check a release note without applying it",
      &noteCheck},
     {"note apply", "FILE", "apply a release note and show where it is in force",
@@ -318,6 +320,14 @@
     {"refusals", "", "refusals by --team, --from and --to", &refusals},
     {"explain", "REFERENCE", "one refusal with the numbers behind it",
      &explain},
+    {"log request", "ID", "what happened to a request, from --log files",
+     &logRequest},
+    {"log changes", "",
+     "what changed between --from and --to, from --log files", &logChanges},
+    {"log holders", "", "versions, claims and limits at --to, from --log files",
+     &logHolders},
+    {"log table", "", "outcomes by --interval and instance, from --log files",
+     &logTable},
     {"key new", "", "make a key; it is printed only here", &keyNew},
     {"key hash", "", "the hash of a key given with --key", &keyHash},
     {"completion", "bash", "print the completion script", &completion},
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -28,6 +28,8 @@
   std::string From; ///< RFC 3339 or milliseconds since the epoch
   std::string To;
   int WaitSeconds = 0;
+  std::vector<std::string> Logs; ///< files of log lines, "-" for standard input
+  int IntervalSeconds = 0;       ///< of a table's rows
   bool Json = false;
 };
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -22,6 +22,8 @@
                "  ebonyvalectl note apply note.toml --wait 10\n"
                "  ebonyvalectl refusals --team tintworks "
                "--from 2026-01-31T12:00:00Z\n"
+               "  ebonyvalectl log request 9c41d07be2a35f68 --log a.log "
+               "--log b.log\n"
                "  ebonyvalectl key new --key-secret s1\n\n"
                "Exit codes: 0 done, 1 refused, 2 wrong usage, 3 unreachable\n\n"
             << Description;
@@ -49,9 +51,13 @@
       "to", options::value(&Given.To), "up to this instant")(
       "wait", options::value(&Given.WaitSeconds)->default_value(5),
       "seconds to wait until a note is in force")(
-      "key-secret", options::value(&Given.KeySecret),
-      "the daemons' secrets.key_secret")("key", options::value(&Given.Key),
-                                         "a key");
+      "log", options::value(&Given.Logs)->composing(),
+      "log lines of gateways; may be repeated, - for standard input")(
+      "interval", options::value(&Given.IntervalSeconds)->default_value(2),
+      "seconds of a row of log table")("key-secret",
+                                       options::value(&Given.KeySecret),
+                                       "the daemons' secrets.key_secret")(
+      "key", options::value(&Given.Key), "a key");
   options::options_description All;
   All.add(Visible).add_options()("words", options::value(&Words));
   options::positional_options_description Positions;
