--- a/src/daemon/connection/admin_listener.cpp
+++ b/src/daemon/connection/admin_listener.cpp
@@ -1,7 +1,7 @@
 #include "daemon/connection/admin_listener.h"
 
 #include "daemon/connection/health_answers.h"
-#include "daemon/connection/refusal_json.h"
+#include "decisions/process/refusal_json.h"
 #include "decisions/request/caller_check.h"
 #include "decisions/request/refusal_body.h"
 #include "decisions/version/release_note.h"
--- a/src/decisions/process/upstream_estimate.cpp
+++ b/src/decisions/process/upstream_estimate.cpp
@@ -216,8 +216,8 @@
 }
 
 upstream_scheduler::estimate upstream_scheduler::estimateFor(
-    upstream_state &State, const schedule_query &Query, bool IsHome,
-    std::span<const part_holder> Holders, instant Now) const {
+    upstream_state &State, const schedule_query &Query,
+    const choice_context &Context, instant Now) const {
   estimate Estimate;
   Estimate.BacklogMs = backlog(State, Now);
   Estimate.SurplusMs = surplus(State, Now);
@@ -247,7 +247,7 @@
   Own = std::max(0.0, Own);
   Estimate.MissedTokens = SharedTokens - HeldTokens;
   if (Estimate.MissedTokens > 0) {
-    Estimate.Copy = planCopy(State, Query, Held, Holders, Now);
+    Estimate.Copy = planCopy(State, Query, Held, Context.Holders, Now);
     Estimate.SaveTo = storeLacking(State, Query, Now);
   }
   const double Read = Estimate.MissedTokens - Estimate.Copy.Tokens;
@@ -259,9 +259,9 @@
                      Estimate.Copy.Ms + Wait;
   Estimate.Ms += Terms.FirstTokenMs + Own / Terms.PrefillTokensPerMs +
                  Estimate.Copy.Ms * Terms.FetchWeight + Wait +
-                 *weightsCost(State, Query.Model, Now);
+                 *weightsCost(State, Query.Model, Context.UpdatedPart, Now);
   // What nobody is known to hold is read at its home at no further cost.
-  const double Weight = IsHome ? 1 : Terms.RecomputeWeight;
+  const double Weight = Context.Home == &State ? 1 : Terms.RecomputeWeight;
   Estimate.Ms += Read / Terms.PrefillTokensPerMs * Weight;
   const double Safe = toMs(Query.Target) * Terms.SafeTarget;
   if (Safe > 0)
@@ -269,10 +269,27 @@
   return Estimate;
 }
 
+/// The part of \p Usable that has the newest weights, or shows none.
+double
+upstream_scheduler::updatedPart(std::string_view Model,
+                                std::span<upstream_state *const> Usable) const {
+  const auto Versions = Named.find(Model);
+  if (Versions == Named.end() || Versions->second.empty() || Usable.empty())
+    return 0;
+  const std::int64_t Newest = Versions->second.back().Version;
+  const auto Updated =
+      std::ranges::count_if(Usable, [&](const upstream_state *State) {
+        const auto Held = weightsOf(*State, Model);
+        return !Held || *Held >= Newest;
+      });
+  return static_cast<double>(Updated) / static_cast<double>(Usable.size());
+}
+
 /// Nothing where the upstream's weights are too old to be used at all.
 std::optional<double>
 upstream_scheduler::weightsCost(const upstream_state &State,
-                                std::string_view Model, instant Now) const {
+                                std::string_view Model, double UpdatedPart,
+                                instant Now) const {
   const auto Versions = Named.find(Model);
   const auto Held = weightsOf(State, Model);
   if (Versions == Named.end() || !Held)
@@ -284,7 +301,7 @@
     const span_ns Age = Now - Newer.LearntAt;
     if (Age > Terms.OldWeightsBound)
       return std::nullopt;
-    return Age > Terms.OldWeightsGrace ? Terms.OldWeightsMs : 0;
+    return Age > Terms.OldWeightsGrace ? Terms.OldWeightsMs * UpdatedPart : 0;
   }
   return 0;
 }
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -68,13 +68,12 @@
           std::max<span_ns>(MinRetryAfter, Set.FreeAt - Now);
     return Outcome;
   }
-  const upstream_state *Home = homeOf(Query, Set.Usable);
-  const std::vector<part_holder> Holders = holdersOf(Query, Now);
+  const choice_context Context{homeOf(Query, Set.Usable), holdersOf(Query, Now),
+                               updatedPart(Query.Model, Set.Usable)};
   upstream_state *Best = nullptr;
   estimate BestEstimate;
   for (upstream_state *State : Set.Usable) {
-    const estimate Estimate =
-        estimateFor(*State, Query, Home == State, Holders, Now);
+    const estimate Estimate = estimateFor(*State, Query, Context, Now);
     if (Best && Estimate.Ms >= BestEstimate.Ms)
       continue;
     Best = State;
@@ -112,7 +111,7 @@
     const bool Wanted =
         State.Entry.Service == Query.Service && !State.Entry.Draining &&
         std::ranges::find(Query.Tried, Id) == Query.Tried.end() &&
-        weightsCost(State, Query.Model, Now);
+        weightsCost(State, Query.Model, 0, Now);
     if (!Wanted)
       continue;
     const instant Free = std::max(State.AvoidUntil, State.PausedUntil);
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -123,7 +123,9 @@
   /// Part of an engine's memory in which cached parts last; running requests
   /// and partly filled blocks take the rest.
   double CacheRoom = 0.95;
-  /// Cost in ms of starting on weights that are no longer the newest.
+  /// Cost in ms of starting on weights that are no longer the newest, once all
+  /// other engines have newer ones. It grows with their number: all instances
+  /// would send everything to the first few at once.
   double OldWeightsMs = 200;
   /// Old weights cost nothing within it, so that a rollout can begin.
   span_ns OldWeightsGrace = std::chrono::milliseconds(1200);
@@ -304,6 +306,12 @@
     std::vector<upstream_state *> Usable;
     instant FreeAt = instant::max(); ///< when another one can be used
   };
+  /// What all engines are weighed with for one request.
+  struct choice_context {
+    const upstream_state *Home = nullptr;
+    std::vector<part_holder> Holders;
+    double UpdatedPart = 0; ///< of the usable engines, on the newest weights
+  };
   struct estimate {
     double Ms = 0;      ///< with what it costs other requests
     double FirstMs = 0; ///< to the first part of the answer
@@ -344,11 +352,13 @@
   candidate_set findCandidates(const schedule_query &Query, instant Now);
   const upstream_state *homeOf(const schedule_query &Query,
                                std::span<upstream_state *const> Usable) const;
+  double updatedPart(std::string_view Model,
+                     std::span<upstream_state *const> Usable) const;
   estimate estimateFor(upstream_state &State, const schedule_query &Query,
-                       bool IsHome, std::span<const part_holder> Holders,
-                       instant Now) const;
+                       const choice_context &Context, instant Now) const;
   std::optional<double> weightsCost(const upstream_state &State,
-                                    std::string_view Model, instant Now) const;
+                                    std::string_view Model, double UpdatedPart,
+                                    instant Now) const;
   bool isPlain(const upstream_state &State) const {
     return State.Entry.Models.empty();
   }
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -88,29 +88,34 @@
   return std::nullopt;
 }
 
-void peer_gossip::sendTo(const std::string &Peer, const json &Message) {
-  for (const auto &[Name, Entry] : Core.roster().peers()) {
-    if (Name != Peer)
-      continue;
-    json Whole = Message;
-    Whole["v"] = GossipProtocol;
-    Whole["f"] = Core.settings().InstanceName;
-    const std::vector<std::uint8_t> Bytes = json::to_msgpack(Whole);
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_port = htons(Entry.Port);
-    if (inet_pton(AF_INET, Entry.Address.c_str(), &Address.sin_addr) != 1)
-      return;
-    // A datagram that cannot be sent counts as lost.
-    sendto(Socket, Bytes.data(), Bytes.size(), MSG_DONTWAIT,
-           reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+std::vector<std::uint8_t> peer_gossip::encode(json Message) const {
+  Message["v"] = GossipProtocol;
+  Message["f"] = Core.settings().InstanceName;
+  return json::to_msgpack(Message);
+}
+
+void peer_gossip::sendBytes(const roster_entry &Peer,
+                            std::span<const std::uint8_t> Bytes) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Peer.Port);
+  if (inet_pton(AF_INET, Peer.Address.c_str(), &Address.sin_addr) != 1)
     return;
-  }
+  // A datagram that cannot be sent counts as lost.
+  sendto(Socket, Bytes.data(), Bytes.size(), MSG_DONTWAIT,
+         reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+}
+
+void peer_gossip::sendTo(const std::string &Peer, const json &Message) {
+  for (const auto &[Name, Entry] : Core.roster().peers())
+    if (Name == Peer)
+      return sendBytes(Entry, encode(Message));
 }
 
 void peer_gossip::sendToAll(const json &Message) {
+  const std::vector<std::uint8_t> Bytes = encode(Message);
   for (const auto &[Name, Entry] : Core.roster().peers())
-    sendTo(Name, Message);
+    sendBytes(Entry, Bytes);
 }
 
 void peer_gossip::sendAsk(const std::string &Peer, const share_ask &Ask) {
@@ -174,8 +179,9 @@
                      {"l", std::move(Listed)},
                      {"h", std::move(Hints)},
                      {"w", std::move(Weights)}};
+  const std::vector<std::uint8_t> Bytes = encode(Message);
   for (std::size_t Told = 0; Told < std::min(LoadFanOut, Peers.size()); ++Told)
-    sendTo(Peers[NextPeer++ % Peers.size()].first, Message);
+    sendBytes(Peers[NextPeer++ % Peers.size()].second, Bytes);
 }
 
 void peer_gossip::onReadable(evutil_socket_t Socket, short, void *Self) {
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -8,7 +8,10 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstdint>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace ebonyvale {
 
@@ -33,6 +36,8 @@
   void onDatagram(std::string_view Bytes);
   void takeMessage(const std::string &From, const nlohmann::json &Message);
   void tellLoad();
+  std::vector<std::uint8_t> encode(nlohmann::json Message) const;
+  void sendBytes(const roster_entry &Peer, std::span<const std::uint8_t> Bytes);
   void sendTo(const std::string &Peer, const nlohmann::json &Message);
   void sendToAll(const nlohmann::json &Message);
 
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -236,6 +236,7 @@
   Refusal.At = readClock().Wall;
   Metrics.onRefusal(Refusal.Kind, Refusal.Team);
   const refusal &Kept = Refusals.record(std::move(Refusal));
+  Digest.add(Kept);
   const auto Age = Proof.age(readBootClock());
   Log.info(event_category::Request, "refused",
            {{"id", RequestId},
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -7,6 +7,7 @@
 #include "decisions/process/crash_watch.h"
 #include "decisions/process/evidence.h"
 #include "decisions/process/instance_roster.h"
+#include "decisions/process/refusal_digest.h"
 #include "decisions/process/refusal_ledger.h"
 #include "decisions/process/retry_allowance.h"
 #include "decisions/process/share_ledger.h"
@@ -74,11 +75,13 @@
   upstream_directory &directory() { return Directory; }
   upstream_scheduler &scheduler() { return Scheduler; }
   instance_roster &roster() { return Roster; }
+  const instance_roster &roster() const { return Roster; }
   evidence &proof() { return Proof; }
   const evidence_terms &proofTerms() const { return ProofTerms; }
   share_ledger &shares() { return Shares; }
   crash_watch &crashes() { return Crashes; }
   refusal_ledger &refusals() { return Refusals; }
+  refusal_digest &digest() { return Digest; }
   std::uint64_t boot() const { return Boot; }
   std::string_view keySecret() const { return KeySecret; }
   instant started() const { return Started; }
@@ -155,6 +158,7 @@
   share_ledger Shares;
   crash_watch Crashes;
   refusal_ledger Refusals;
+  refusal_digest Digest; ///< what the store has not been told of yet
   retry_terms RetryTerms;
   std::map<std::string, retry_allowance, std::less<>> Retries;
   std::unordered_map<std::uint64_t, std::weak_ptr<token_waiter>> Waiters;
--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -66,6 +66,10 @@
             &gateway_settings::StoreReadIntervalMs},
     setting{millis("store.lease_ms", "Term of the instance's lease."),
             &gateway_settings::LeaseTermMs},
+    setting{millis("store.refusal_interval_ms",
+                   "Least time between two writes of refusals; a large fleet "
+                   "writes less often."),
+            &gateway_settings::RefusalIntervalMs},
     setting{millis("bounds.key_ms",
                    "A withdrawn key runs nothing that is sent later."),
             &gateway_settings::KeyBoundMs},
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -33,6 +33,7 @@
   std::int64_t StoreWatchPauseMs = 0;   ///< see `watchPause`
   std::int64_t StoreReadIntervalMs = 0; ///< see `readInterval`
   std::int64_t LeaseTermMs = 2000;
+  std::int64_t RefusalIntervalMs = 10000;
 
   std::int64_t KeyBoundMs = 5000;
   std::int64_t ApplyBoundMs = 2500;
--- a/tests/decisions/process/fleet_play.cpp
+++ b/tests/decisions/process/fleet_play.cpp
@@ -76,6 +76,7 @@
   instant FreeAt; ///< when all prompts sent so far have been read
   std::size_t Requests = 0;
   std::size_t Present = 0; ///< running and waiting
+  bool HasNewWeights = false;
   bool Down = false;
   std::vector<instant> Ends; ///< of the requests that are present
 };
@@ -135,6 +136,7 @@
       if (Now > instant(Load.Length / 3))
         for (std::size_t Index = 0; Index < Load.EnginesDown; ++Index)
           Engines[Index].Down = true;
+      rollWeights(Now);
       place(makePrompt(), Now);
     }
     for (const engine &Engine : Engines)
@@ -222,6 +224,7 @@
     }
     ++Engine.Present;
     ++Engine.Requests;
+    noteWeights(Engine, Now);
     double Read = OwnTokens;
     double CopyMs = 0;
     const engine *Source = nullptr;
@@ -266,6 +269,44 @@
     return Engine.Ends[Engine.Ends.size() - Load.Slots];
   }
 
+  /// Moves on with the weights; see `play_load::NewWeights`.
+  void rollWeights(instant Now) {
+    constexpr std::size_t Groups = 5;
+    constexpr span_ns GroupTime = std::chrono::seconds(1);
+    const instant Named = instant(Load.Length / 3);
+    if (!Load.NewWeights || Now < Named)
+      return;
+    for (std::size_t Group = GroupsDone; Group <= Groups; ++Group) {
+      if (Now < Named + GroupTime * static_cast<std::int64_t>(Group))
+        return;
+      GroupsDone = Group + 1;
+      for (std::size_t Index = 0; Index < Engines.size(); ++Index) {
+        const bool Finishes = Group > 0 && Index % Groups == Group - 1;
+        const bool Begins = Index % Groups == Group;
+        if (Finishes) {
+          Engines[Index].HasNewWeights = true;
+          Engines[Index].Cache = {};
+        }
+        for (const auto &Scheduler : Schedulers) {
+          if (Group == 0)
+            Scheduler->wantWeights("m", 2, /*FoundAtStart=*/false, Now);
+          if (Finishes)
+            Scheduler->onWeights(engineName(Index), "m", 2);
+          if (Finishes || Begins)
+            Scheduler->pause(engineName(Index),
+                             Finishes ? Now : Now + GroupTime);
+        }
+      }
+    }
+  }
+
+  void noteWeights(const engine &Engine, instant Now) {
+    constexpr span_ns Grace = 1500ms;
+    if (Load.NewWeights && !Engine.HasNewWeights &&
+        Now >= instant(Load.Length / 3) + Grace)
+      ++Result.Outdated;
+  }
+
   void endRuns(instant Now) {
     while (!Running.empty() && Running.top().EndsAt <= Now) {
       const running Done = Running.top();
@@ -313,6 +354,7 @@
   std::uint64_t LastOwn = 0;
   std::size_t Turn = 0;
   std::size_t NextTold = 0;
+  std::size_t GroupsDone = 0; ///< whose turn to take new weights has begun
   play_result Result;
 };
 
--- a/tests/decisions/process/fleet_play.h
+++ b/tests/decisions/process/fleet_play.h
@@ -28,6 +28,9 @@
   std::size_t PeersTold = 1000; ///< that one instance tells of its load at once
   std::size_t Slots = 64;       ///< requests that an engine runs at once
   std::size_t EnginesDown = 0;  ///< silent from a third of the time on
+  /// From a third of the time on, a fifth of the engines after the other takes
+  /// new weights, a second each, and forgets what it has read.
+  bool NewWeights = false;
   std::uint32_t Seed = 1;
 };
 
@@ -37,6 +40,7 @@
   std::size_t InAim = 0; ///< first token within 500 ms
   std::size_t Refused = 0;
   std::size_t Full = 0;       ///< attempts that an engine turned away
+  std::size_t Outdated = 0;   ///< begun on old weights 1.5 s after newer ones
   double TokensRead = 0;      ///< by all engines
   double MostOnOneEngine = 0; ///< of the requests, relative to an equal share
 };
--- a/tests/decisions/process/upstream_scheduler_test.cpp
+++ b/tests/decisions/process/upstream_scheduler_test.cpp
@@ -134,6 +134,31 @@
   cr_assert(Ours.TokensRead < Robin.TokensRead);
 }
 
+/// The few engines that have new weights already are what everybody would like
+/// best; sent there by all instances at once, requests wait for each other.
+Test(upstream_scheduler, new_weights_overload_nobody) {
+  for (std::uint32_t Seed = 1; Seed <= 2; ++Seed) {
+    const play_load Load{.Instances = 59,
+                         .Engines = 140,
+                         .PerSecond = 455,
+                         .Length = 12s,
+                         .Documents = 2860,
+                         .PeersTold = 8,
+                         .Slots = 12,
+                         .NewWeights = true,
+                         .Seed = Seed};
+    const play_result Ours = playFleet(play_policy::Scheduler, Load);
+    const play_result Robin = playFleet(play_policy::RoundRobin, Load);
+    cr_log_info("seed %u: in aim %zu of %zu, round robin %zu; on old weights "
+                "%zu, %zu; full %zu; read %.0f, %.0f",
+                Seed, Ours.InAim, Ours.Asked, Robin.InAim, Ours.Outdated,
+                Robin.Outdated, Ours.Full, Ours.TokensRead, Robin.TokensRead);
+    cr_assert(Ours.InAim * 100 >= Ours.Asked * InTimeOf100, "%zu of %zu",
+              Ours.InAim, Ours.Asked);
+    cr_assert(Ours.Outdated < Robin.Outdated);
+  }
+}
+
 /// In a large fleet most upstreams have no news, and messages cost bytes
 /// between regions.
 Test(upstream_scheduler, peers_are_told_what_is_new) {
