Refusals outlive their instance; ebonyvalectl reads gateways

The metrics listener answers /status, /upstreams, /refusals and /explain in the daemon's form; ebonyvalectl has a command limits. The readers of query strings are one class now, and tests start a second instance in one place.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -184,6 +184,32 @@
                        Body.value("version", 0), Body.value("note", ""),
                        Body.value("ready", false) ? "ready" : "not ready",
                        Body.value("open_requests", 0));
+    // Of a gateway only.
+    if (Body.contains("evidence_age_ms"))
+      Out << fmt::format("  configuration proved {:.0f} ms ago  limits divided "
+                         "by {}  weights issued by '{}'\n",
+                         Body.value("evidence_age_ms", -1.0),
+                         Body.value("limits_divided_by", 0),
+                         Body.value("weights_issuer", ""));
+  });
+}
+
+/// What each instance could spend now; lent tokens are counted where they are.
+exit_code limits(const ctl_options &Options, const arguments &,
+                 std::ostream &Out, std::ostream &Err) {
+  return askAll(Options, "/status", Out, Err, [&](const json &Body) {
+    for (const auto &[Name, Team] :
+         Body.value("teams", json::object()).items()) {
+      if (!Options.Team.empty() && Options.Team != Name)
+        continue;
+      Out << fmt::format(
+          "{:<20} team '{}'  {:.0f} tokens available of a burst of {:.0f}, "
+          "{:.0f} a second in all\n",
+          Body.value("instance", ""), Name,
+          Team.value("available_here_tokens", 0.0),
+          Team.value("burst_tokens", 0.0),
+          Team.value("rate_tokens_per_second", 0.0));
+    }
   });
 }
 
@@ -202,11 +228,15 @@
 }
 
 void printRefusal(std::ostream &Out, const json &Entry) {
-  Out << fmt::format("{}  {}  {}  team '{}'  route '{}'  ran {}  {}\n",
+  Out << fmt::format("{}  {}  {}  team '{}'  route '{}'  ran {}  {}",
                      Entry.value("instant", ""), Entry.value("reference", ""),
                      Entry.value("kind", ""), Entry.value("team", ""),
                      Entry.value("route", ""), Entry.value("ran", ""),
                      Entry.value("detail", ""));
+  // Rows of the platform's store stand for all of a second.
+  if (const auto Count = Entry.value("count", 1); Count > 1)
+    Out << fmt::format("  (the last of {} in this second)", Count);
+  Out << "\n";
 }
 
 exit_code refusals(const ctl_options &Options, const arguments &,
@@ -309,7 +339,7 @@
   return exit_code::Done;
 }
 
-constexpr std::array<ctl_command, 13> Commands{{
+constexpr std::array<ctl_command, 14> Commands{{
     {"note check", "FILE", "check a release note without applying it",
      &noteCheck},
     {"note apply", "FILE", "apply a release note and show where it is in force",
@@ -317,6 +347,8 @@
     {"status", "", "version, readiness and open requests of each instance",
      &status},
     {"upstreams", "", "what each instance knows of its upstreams", &upstreams},
+    {"limits", "", "what each instance can spend of a --team's limit, or all",
+     &limits},
     {"refusals", "", "refusals by --team, --from and --to", &refusals},
     {"explain", "REFERENCE", "one refusal with the numbers behind it",
      &explain},
--- a/src/daemon/connection/admin_listener.cpp
+++ b/src/daemon/connection/admin_listener.cpp
@@ -5,49 +5,17 @@
 #include "decisions/request/caller_check.h"
 #include "decisions/request/refusal_body.h"
 #include "decisions/version/release_note.h"
+#include "net/query_parameters.h"
 
 #include <algorithm>
-#include <charconv>
 #include <iterator>
 #include <memory>
 
-#include <event2/keyvalq_struct.h>
 #include <openssl/crypto.h>
 
 namespace ebonyvale {
 namespace {
 
-/// A parsed query string.
-class query_parameters {
-public:
-  explicit query_parameters(evhttp_request *Request) {
-    const std::string Text(requestQuery(Request));
-    evhttp_parse_query_str(Text.c_str(), &Values);
-  }
-  ~query_parameters() { evhttp_clear_headers(&Values); }
-  query_parameters(const query_parameters &) = delete;
-  query_parameters &operator=(const query_parameters &) = delete;
-
-  std::string text(const char *Name) const {
-    const char *Value = evhttp_find_header(&Values, Name);
-    return Value ? Value : "";
-  }
-
-  /// A time in milliseconds since the epoch, or \p Default.
-  wall_ms time(const char *Name, wall_ms Default) const {
-    const std::string Text = text(Name);
-    std::int64_t Millis = 0;
-    const auto [End, Error] =
-        std::from_chars(Text.data(), Text.data() + Text.size(), Millis);
-    if (Error != std::errc() || Text.empty())
-      return Default;
-    return wall_ms(std::chrono::milliseconds(Millis));
-  }
-
-private:
-  evkeyvalq Values{};
-};
-
 void sendJson(evhttp_request *Request, int Status, const nlohmann::json &Body) {
   sendAnswer(
       Request, Status, "application/json",
@@ -200,7 +168,7 @@
 }
 
 void admin_listener::answerRefusals(evhttp_request *Request) {
-  const query_parameters Parameters(Request);
+  const query_parameters Parameters(requestQuery(Request));
   const refusal_query Query{Parameters.text("team"),
                             Parameters.time("from", wall_ms::min()),
                             Parameters.time("to", wall_ms::max())};
@@ -222,7 +190,7 @@
 }
 
 void admin_listener::answerExplain(evhttp_request *Request) {
-  const query_parameters Parameters(Request);
+  const query_parameters Parameters(requestQuery(Request));
   const auto Waiting = std::make_shared<detached_reply>(Request);
   withRefusals({"", wall_ms::min(), wall_ms::max()},
                [Waiting, Reference = Parameters.text("reference")](
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -335,6 +335,28 @@
   return Loads;
 }
 
+std::vector<upstream_view> upstream_scheduler::views(instant Now) const {
+  std::vector<upstream_view> Views;
+  for (const auto &[Id, State] : States) {
+    upstream_view View;
+    View.Entry = State.Entry;
+    View.Usable = !State.Entry.Draining && Now >= State.AvoidUntil &&
+                  Now >= State.PausedUntil;
+    View.Failures = State.Failures;
+    View.InFlight = State.InFlight;
+    for (const auto &[Name, Peer] : State.Peers)
+      if (Now - Peer.At <= Terms.LoadTerm)
+        View.InFlightOfPeers += Peer.InFlight;
+    View.BacklogMs =
+        std::max(0.0, State.BacklogMs - toMs(Now - State.BacklogAt));
+    if (State.Load)
+      View.ReportAge = Now - State.LoadAt;
+    View.Weights = State.Weights;
+    Views.push_back(std::move(View));
+  }
+  return Views;
+}
+
 void upstream_scheduler::wantWeights(std::string_view Model,
                                      std::int64_t Version, bool FoundAtStart,
                                      instant Now) {
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -177,6 +177,18 @@
   double WorkMs = 0;                   ///< reading of its prompt
 };
 
+/// What is believed of an upstream, for operators.
+struct upstream_view {
+  upstream_entry Entry;
+  bool Usable = false; ///< neither avoided, paused nor leaving
+  unsigned Failures = 0;
+  std::int64_t InFlight = 0;        ///< sent from here
+  std::int64_t InFlightOfPeers = 0; ///< as they said lately
+  double BacklogMs = 0;
+  std::optional<span_ns> ReportAge; ///< of the load that it told itself
+  std::map<std::string, std::int64_t, std::less<>> Weights;
+};
+
 /// Why nothing was chosen.
 struct schedule_refusal {
   error_kind Kind = error_kind::NoUpstream;
@@ -223,6 +235,9 @@
   /// now, or whose figures have changed since \p Since.
   std::vector<peer_load> ownLoad(instant Since) const;
 
+  /// All upstreams by their names.
+  std::vector<upstream_view> views(instant Now) const;
+
   /// Takes what the configuration says of a service's engines.
   void setEngine(std::string_view Service, const engine_terms &Engine);
 
--- /dev/null
+++ b/src/gateway/connection/operator_answers.cpp
@@ -0,0 +1,165 @@
+#include "gateway/connection/operator_answers.h"
+
+#include "decisions/process/refusal_json.h"
+#include "net/query_parameters.h"
+
+#include <algorithm>
+
+namespace ebonyvale {
+namespace {
+
+using nlohmann::json;
+
+constexpr int StatusOk = 200;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusUnavailable = 503;
+
+double toMs(span_ns Span) {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
+
+void answerJson(server_link &Link, int Status, const json &Body) {
+  header_list Headers;
+  Headers.add("Content-Type", "application/json");
+  Link.answer(Status, Headers,
+              Body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+void answerFailure(server_link &Link, error_kind Kind,
+                   const std::string &Detail) {
+  const error_row &Row = errorRow(Kind);
+  answerJson(
+      Link, Row.Status,
+      {{"error",
+        {{"kind", Row.Name}, {"message", Row.Message}, {"detail", Detail}}}});
+}
+
+} // namespace
+
+void operator_answers::onRequest(const std::shared_ptr<server_link> &Link,
+                                 http_request Request) {
+  const std::string_view Path = targetPath(Request.Head.Target);
+  const std::string_view Query = targetQuery(Request.Head.Target);
+  const instant Now = readBootClock();
+  header_list Text;
+  Text.add("Content-Type", "text/plain; version=0.0.4");
+  if (Path == Core.protocols().Callers.readinessPath()) {
+    const bool Ready = Core.ready(Now);
+    return Link->answer(Ready ? StatusOk : StatusUnavailable, Text,
+                        Ready ? "ready\n" : "not ready\n");
+  }
+  if (Path == "/metrics")
+    return Link->answer(StatusOk, Text, Core.counters().text());
+  if (Path == "/status")
+    return answerJson(*Link, StatusOk, statusOf(Now));
+  if (Path == "/upstreams")
+    return answerJson(*Link, StatusOk, upstreamsOf(Now));
+  if (Path == "/refusals")
+    return answerRefusals(Link, Query);
+  if (Path == "/explain")
+    return answerExplain(Link, Query);
+  answerFailure(*Link, error_kind::RouteUnknown, std::string(Path));
+}
+
+void operator_answers::onUnreadable(server_link &Link, unreadable) {
+  Link.answer(StatusBadRequest, {}, "");
+}
+
+json operator_answers::statusOf(instant Now) {
+  const auto Age = Core.proof().age(Now);
+  json Teams = json::object();
+  if (Core.routing())
+    for (const team_entry &Team : Core.routing()->Teams)
+      Teams[Team.Name] = {
+          {"rate_tokens_per_second", Team.Rate},
+          {"burst_tokens", Team.Burst},
+          {"available_here_tokens", Core.shares().available(Team.Name, Now)}};
+  json Instances = json::array();
+  for (const auto &[Name, Entry] : Core.roster().peers())
+    Instances.push_back({{"name", Name}, {"domain", Entry.Domain}});
+  return {{"instance", Core.settings().InstanceName},
+          {"domain", Core.settings().Domain},
+          {"ready", Core.ready(Now)},
+          {"version", Core.routing() ? Core.routing()->Version : 0},
+          {"evidence_age_ms", Age ? toMs(*Age) : -1},
+          {"open_requests", Core.openRequests()},
+          {"limits_divided_by", Core.roster().sharers(Now, Core.started())},
+          {"peers", Instances},
+          {"weights_issuer", Weights.holder()},
+          {"teams", Teams}};
+}
+
+json operator_answers::upstreamsOf(instant Now) {
+  json List = json::array();
+  for (const upstream_view &View : Core.scheduler().views(Now))
+    List.push_back(
+        {{"name", View.Entry.Id},
+         {"service", View.Entry.Service},
+         {"address", View.Entry.Address},
+         {"port", View.Entry.Port},
+         {"nearness", View.Entry.Domain == Core.settings().Domain
+                          ? "same_domain"
+                          : View.Entry.Domain},
+         {"usable", View.Usable},
+         {"leaving", View.Entry.Draining},
+         {"failures", View.Failures},
+         {"in_flight", View.InFlight},
+         {"in_flight_of_peers", View.InFlightOfPeers},
+         {"backlog_ms", View.BacklogMs},
+         {"report_age_ms", View.ReportAge ? toMs(*View.ReportAge) : -1},
+         {"weights", View.Weights}});
+  return {{"upstreams", List}};
+}
+
+/// Rows of the store, and refusals of this process that are not there yet.
+void operator_answers::withRefusals(const refusal_query &Query,
+                                    rows_callback Done) {
+  Writer.query(Query, [this, Query, Done = std::move(Done)](
+                          const rows &Stored, store_status Status) {
+    rows Found = Stored;
+    for (const refusal &Refusal : Core.refusals().select(Query)) {
+      const bool IsStored = std::ranges::any_of(Stored, [&](const json &Row) {
+        return Row.value("reference", "") == Refusal.Reference;
+      });
+      if (!IsStored)
+        Found.push_back(refusalJson(Refusal));
+    }
+    std::ranges::stable_sort(
+        Found, {}, [](const json &Row) { return Row.value("instant", ""); });
+    Done(Found, Status == store_status::Ok ? "reached" : "not reached");
+  });
+}
+
+void operator_answers::answerRefusals(const std::shared_ptr<server_link> &Link,
+                                      std::string_view Query) {
+  const query_parameters Parameters(Query);
+  const refusal_query Wanted{Parameters.text("team"),
+                             Parameters.time("from", wall_ms::min()),
+                             Parameters.time("to", wall_ms::max())};
+  withRefusals(
+      Wanted, [this, Wanted, Link](const rows &Found, std::string_view Store) {
+        json Counts = json::array();
+        for (const refusal_count &Count : Core.refusals().count(Wanted))
+          Counts.push_back(refusalCountJson(Count));
+        answerJson(*Link, StatusOk,
+                   {{"refusals", Found}, {"counts", Counts}, {"store", Store}});
+      });
+}
+
+void operator_answers::answerExplain(const std::shared_ptr<server_link> &Link,
+                                     std::string_view Query) {
+  const std::string Reference = query_parameters(Query).text("reference");
+  withRefusals({"", wall_ms::min(), wall_ms::max()},
+               [Link, Reference](const rows &All, std::string_view Store) {
+                 const auto Found =
+                     std::ranges::find(All, Reference, [](const json &Row) {
+                       return Row.value("reference", "");
+                     });
+                 if (Found == All.end())
+                   return answerFailure(*Link, error_kind::ReferenceUnknown,
+                                        "store " + std::string(Store));
+                 answerJson(*Link, StatusOk, *Found);
+               });
+}
+
+} // namespace ebonyvale
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -16,10 +16,6 @@
 /// Before the forced end: time to close what is left in order.
 constexpr span_ns ForcedEndMargin = std::chrono::milliseconds(300);
 
-constexpr int StatusOk = 200;
-constexpr int StatusNotFound = 404;
-constexpr int StatusUnavailable = 503;
-
 std::uint64_t makeBoot() {
   std::random_device Device;
   return (static_cast<std::uint64_t>(Device()) << 32) | Device();
@@ -31,35 +27,6 @@
 
 } // namespace
 
-/// Answers on the readiness and metrics listeners.
-class gateway_task::side_requests final : public request_handler {
-public:
-  explicit side_requests(gateway_core &Core) : Core(Core) {}
-
-  void onRequest(const std::shared_ptr<server_link> &Link,
-                 http_request Request) override {
-    const std::string_view Path = targetPath(Request.Head.Target);
-    header_list Headers;
-    Headers.add("Content-Type", "text/plain; version=0.0.4");
-    if (Path == Core.protocols().Callers.readinessPath()) {
-      const bool Ready = Core.ready(readBootClock());
-      return Link->answer(Ready ? StatusOk : StatusUnavailable, Headers,
-                          Ready ? "ready\n" : "not ready\n");
-    }
-    if (Path == "/metrics")
-      return Link->answer(StatusOk, Headers, Core.counters().text());
-    Link->answer(StatusNotFound, Headers, "");
-  }
-
-  void onUnreadable(server_link &Link, unreadable) override {
-    constexpr int BadRequest = 400;
-    Link.answer(BadRequest, {}, "");
-  }
-
-private:
-  gateway_core &Core;
-};
-
 gateway_task::gateway_task(event_base *Base, const gateway_settings &Settings,
                            const platform_protocols &Protocols,
                            const store_maker &MakeStore)
@@ -68,9 +35,10 @@
                       std::chrono::milliseconds(Settings.StoreCallTimeoutMs))),
       Membership(Core, *Store), Weights(Core, *Store, Membership),
       Follower(Core, *Store, std::string(OwnItemsPrefix), *this), Gossip(Core),
-      Sides(std::make_unique<side_requests>(Core)), Callers(Base, *this),
-      ReadyLinks(Base, *Sides), MetricsLinks(Base, *Sides),
-      StopTimer(Base, [this] { onStopTick(); }) {}
+      Refusals(Core, *Store), Operators(Core, Weights, Refusals),
+      Callers(Base, *this), ReadyLinks(Base, Operators),
+      MetricsLinks(Base, Operators), StopTimer(Base, [this] { onStopTick(); }) {
+}
 
 gateway_task::~gateway_task() = default;
 
@@ -106,6 +74,7 @@
   Follower.start();
   Membership.start();
   Weights.start();
+  Refusals.start();
   return std::nullopt;
 }
 
@@ -199,6 +168,7 @@
   Callers.closeAfterAnswers();
   Core.log().info(event_category::Process, "stopping",
                   {{"open_requests", Core.openRequests()}});
+  Refusals.leave();
   Membership.leave();
   StopTimer.startPeriodic(StopTick);
 }
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -3,6 +3,7 @@
 #ifndef EBONYVALE_GATEWAY_PROCESS_GATEWAY_TASK_H
 #define EBONYVALE_GATEWAY_PROCESS_GATEWAY_TASK_H
 
+#include "gateway/connection/operator_answers.h"
 #include "gateway/connection/peer_gossip.h"
 #include "gateway/process/gateway_core.h"
 #include "gateway/process/membership_task.h"
@@ -59,8 +60,6 @@
   void onUpstreams() override;
 
 private:
-  class side_requests;
-
   std::optional<failure> listen(server_links &Links, const std::string &Text);
   void refuse(server_link &Link, error_kind Kind, span_ns RetryAfter);
   void onStopTick();
@@ -73,7 +72,8 @@
   weights_task Weights;
   store_follower Follower;
   peer_gossip Gossip;
-  std::unique_ptr<side_requests> Sides;
+  refusal_writer Refusals;
+  operator_answers Operators;
   server_links Callers;
   server_links ReadyLinks;
   server_links MetricsLinks;
--- a/src/gateway/process/refusal_writer.cpp
+++ b/src/gateway/process/refusal_writer.cpp
@@ -13,16 +13,15 @@
 
 constexpr std::string_view AllPrefix = "ebonyvale-refusals/";
 
-/// All instances together write no more often than this: each write reaches the
-/// watches of all of them.
+/// A large fleet writes no more often than this, all instances together: each
+/// write reaches the watches of all of them.
 constexpr span_ns FleetInterval = std::chrono::milliseconds(250);
 
 span_ns refusalInterval(const gateway_core &Core) {
-  const auto Instances =
-      static_cast<std::int64_t>(Core.roster().peers().size() + 1);
+  const auto Peers = static_cast<std::int64_t>(Core.roster().peers().size());
   const span_ns Least =
       std::chrono::milliseconds(Core.settings().RefusalIntervalMs);
-  return std::max<span_ns>(Least, FleetInterval * Instances);
+  return std::max<span_ns>(Least, FleetInterval * Peers);
 }
 
 std::size_t slotOf(std::string_view Key) {
--- a/src/gateway/version/weights_task.h
+++ b/src/gateway/version/weights_task.h
@@ -26,6 +26,9 @@
 
   void start();
 
+  /// The instance that issues orders, as last read; empty for none.
+  const std::string &holder() const { return ClaimOwner; }
+
   void want(const weights_target &Target);
   void onUpstreams();
   void onWeights(std::string_view Upstream, std::string_view Model,
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -90,6 +90,12 @@
   return Target.substr(0, Target.find('?'));
 }
 
+std::string_view targetQuery(std::string_view Target) {
+  const std::size_t Mark = Target.find('?');
+  return Mark == std::string_view::npos ? std::string_view()
+                                        : Target.substr(Mark + 1);
+}
+
 message_reader::message_reader(side Side, message_sink &Sink,
                                std::size_t HeadBytes)
     : Side(Side), Sink(Sink), HeadBytes(HeadBytes) {
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -67,6 +67,9 @@
 /// The path of a request target, without its query.
 std::string_view targetPath(std::string_view Target);
 
+/// What stands behind the path, without the question mark.
+std::string_view targetQuery(std::string_view Target);
+
 /// What became of bytes given to a reader.
 enum class read_state {
   Reading,  ///< more bytes are needed
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -5,9 +5,27 @@
 
 #include <csignal>
 #include <sstream>
+#include <tuple>
 
 namespace ebonyvale {
 
+namespace {
+
+/// Ports for callers and for operators.
+std::pair<std::uint16_t, std::uint16_t> portsOf(const gateway_task &Gateway) {
+  std::ostringstream Ports;
+  Gateway.writePorts(Ports);
+  std::istringstream Lines(Ports.str());
+  std::string Name;
+  std::uint16_t Callers = 0;
+  std::uint16_t Ready = 0;
+  std::uint16_t Operators = 0;
+  Lines >> Name >> Callers >> Name >> Ready >> Name >> Operators;
+  return {Callers, Operators};
+}
+
+} // namespace
+
 class gateway_fixture::caller final : public answer_observer {
 public:
   head_verdict onAnswerHead(const http_head &Head, bool) override {
@@ -31,6 +49,7 @@
   Settings.CallerEndpoint = "127.0.0.1:0";
   Settings.ReadyEndpoint = "127.0.0.1:0";
   Settings.PeerEndpoint = "127.0.0.1:0";
+  Settings.MetricsEndpoint = "127.0.0.1:0";
   Settings.StoreEndpoint = "127.0.0.1:1"; // the stand-in needs none
   Settings.StoreWatchPauseMs = 5;
   Settings.StoreReadIntervalMs = 50;
@@ -47,21 +66,29 @@
     Store.put(Upstreams.back()->key(), Upstreams.back()->entry("s"));
   }
   configure(1);
-  Gateway = std::make_unique<gateway_task>(
-      Base.get(), Settings, platform_protocols{Documents, Callers, Messages},
-      [this](client_links &, const endpoint &, span_ns) {
-        return std::make_unique<fleet_store_client>(Store,
-                                                    Settings.InstanceName);
-      });
-  cr_assert(!Gateway->start());
-  std::ostringstream Ports;
-  Gateway->writePorts(Ports);
-  std::istringstream Lines(Ports.str());
-  std::string Name;
-  Lines >> Name >> Port;
+  Gateway = startAnother(Settings.InstanceName);
+  std::tie(Port, OperatorPort) = portsOf(*Gateway);
   cr_assert(waitFor([this] { return core().ready(readBootClock()); }));
 }
 
+void gateway_fixture::useOperatorPortOf(const gateway_task &Other) {
+  OperatorPort = portsOf(Other).second;
+}
+
+std::unique_ptr<gateway_task>
+gateway_fixture::startAnother(const std::string &Name) {
+  InstanceSettings.push_back(std::make_unique<gateway_settings>(Settings));
+  InstanceSettings.back()->InstanceName = Name;
+  auto Started = std::make_unique<gateway_task>(
+      Base.get(), *InstanceSettings.back(),
+      platform_protocols{Documents, Callers, Messages},
+      [this, Name](client_links &, const endpoint &, span_ns) {
+        return std::make_unique<fleet_store_client>(Store, Name);
+      });
+  cr_assert(!Started->start());
+  return Started;
+}
+
 gateway_fixture::~gateway_fixture() {
   if (Exchange)
     Exchange->cancel();
@@ -110,6 +137,19 @@
   Exchange = Links.start(Request, *Present);
 }
 
+caller_result gateway_fixture::askAsOperator(const std::string &Target) {
+  client_request Request;
+  Request.Server = {"127.0.0.1", OperatorPort};
+  Request.Method = "GET";
+  Request.Target = Target;
+  Request.FreshLink = true;
+  Present = std::make_unique<caller>();
+  Exchange = Links.start(Request, *Present);
+  cr_assert(waitFor([this] { return over(); }));
+  Exchange.reset();
+  return Present->Result;
+}
+
 bool gateway_fixture::over() const { return Present->Over; }
 
 void gateway_fixture::leave() { std::exchange(Exchange, nullptr)->cancel(); }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -52,6 +52,16 @@
   /// Asks and waits for the outcome.
   caller_result ask(const caller_ask &Ask);
 
+  /// What `ebonyvalectl` reads at \p Target.
+  caller_result askAsOperator(const std::string &Target);
+
+  /// Starts another instance on the same store.
+  std::unique_ptr<gateway_task> startAnother(const std::string &Name);
+  /// Operators ask \p Other from now on.
+  void useOperatorPortOf(const gateway_task &Other);
+  /// The gateway ends without a word; the store keeps what it wrote.
+  void kill() { Gateway.reset(); }
+
   /// Asks without waiting.
   void begin(const caller_ask &Ask);
   bool over() const;
@@ -76,8 +86,10 @@
   platform::caller_messages Callers;
   platform::upstream_messages Messages;
   gateway_settings Settings;
+  std::vector<std::unique_ptr<gateway_settings>> InstanceSettings;
   std::unique_ptr<gateway_task> Gateway;
   std::uint16_t Port = 0;
+  std::uint16_t OperatorPort = 0;
   client_links Links{Base.get(), {}};
   std::unique_ptr<caller> Present;
   std::shared_ptr<client_link> Exchange;
--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -79,25 +79,15 @@
 }
 
 Test(gateway_task, before_the_first_version_nothing_is_unknown) {
-  gateway_settings Settings = gateway_fixture::quickSettings();
-  gateway_fixture Gateway(Settings);
+  gateway_fixture Gateway;
   // A second instance starts while the store is down.
   Gateway.Store.setFault(store_fault::Down, "i-2");
-  const platform::documents Documents;
-  const platform::caller_messages Callers;
-  const platform::upstream_messages Messages;
-  Settings.InstanceName = "i-2";
-  gateway_task Second(
-      Gateway.Base.get(), Settings, {Documents, Callers, Messages},
-      [&](client_links &, const endpoint &, span_ns) {
-        return std::make_unique<fleet_store_client>(Gateway.Store, "i-2");
-      });
-  cr_assert(!Second.start());
-  cr_assert(!Second.core().ready(readBootClock()));
-  cr_assert(!Second.core().routing());
+  const auto Second = Gateway.startAnother("i-2");
+  cr_assert(!Second->core().ready(readBootClock()));
+  cr_assert(!Second->core().routing());
   Gateway.Store.setFault(store_fault::None, "i-2");
   cr_assert(
-      Gateway.waitFor([&] { return Second.core().ready(readBootClock()); }));
+      Gateway.waitFor([&] { return Second->core().ready(readBootClock()); }));
 }
 
 Test(gateway_task, lost_history_is_listed_anew) {
@@ -246,24 +236,14 @@
   for (std::size_t Index = 0; Index < Others; ++Index)
     Gateway.Store.put("ebonyvale/instances/o-" + std::to_string(Index),
                       R"({"address":"127.0.0.1","port":1,"domain":"z"})");
-  gateway_settings Settings = gateway_fixture::quickSettings();
-  Settings.InstanceName = "i-2";
-  const platform::documents Documents;
-  const platform::caller_messages Callers;
-  const platform::upstream_messages Messages;
-  gateway_task Second(
-      Gateway.Base.get(), Settings, {Documents, Callers, Messages},
-      [&](client_links &, const endpoint &, span_ns) {
-        return std::make_unique<fleet_store_client>(Gateway.Store, "i-2");
-      });
-  cr_assert(!Second.start());
+  const auto Second = Gateway.startAnother("i-2");
   cr_assert(
-      Gateway.waitFor([&] { return Second.core().ready(readBootClock()); }));
+      Gateway.waitFor([&] { return Second->core().ready(readBootClock()); }));
   // A tenth of an equal part of the tolerated burst: 1.09 of a million and the
   // slack's part, over ten instances.
   constexpr double Part = (1.09e6 + 600) / (Others + 2);
   const double Spendable =
-      Second.core().shares().available("t", readBootClock());
+      Second->core().shares().available("t", readBootClock());
   cr_assert(Spendable <= 0.1 * Part + 1, "%.0f of %.0f", Spendable, Part);
 }
 
