Stand-ins for a soak: the store over HTTP, slow answers and streams, a relay

Cause: a soak of real processes needs the platform's store on its wire and upstreams that take time; the stand-ins lived in one process with the tests. Change: store_server puts the store stand-in behind the wire; upstreams can delay answers and events, and refuse orders that do not follow the last one instead of asserting, which the fixture checks at its end. Instances announce the port on which they really hear their peers, so that kernel ports work.

--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -80,6 +80,9 @@
   if (!Bound)
     return failure{error_kind::SettingsInvalid,
                    "cannot listen for peers on " + Text};
+  socklen_t Length = sizeof(Address);
+  getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+  Core.setPeerPort(ntohs(Address.sin_port));
   Readable.reset(event_new(Core.base(), Socket, EV_READ | EV_PERSIST,
                            &peer_gossip::onReadable, this));
   event_add(Readable.get(), nullptr);
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -129,6 +129,10 @@
   void recordRefusal(refusal Refusal, std::string_view RequestId, int Status,
                      span_ns RetryAfter);
 
+  /// Port on which this instance hears its peers, once it listens.
+  void setPeerPort(std::uint16_t Port) { PeerPort = Port; }
+  std::uint16_t peerPort() const { return PeerPort; }
+
   /// Whether the instance takes new requests.
   bool ready(instant Now) const;
   void setLeaving() { Leaving = true; }
@@ -167,6 +171,7 @@
   std::uint64_t LastNumber = 0;
   std::size_t Open = 0;
   peer_messenger *Messenger = nullptr;
+  std::uint16_t PeerPort = 0;
   timer ShareTimer;
   bool Leaving = false;
 };
--- a/src/gateway/process/membership_task.cpp
+++ b/src/gateway/process/membership_task.cpp
@@ -85,7 +85,7 @@
   const auto Peer = parseEndpoint(Core.settings().PeerEndpoint);
   const std::string Entry = nlohmann::json{
       {"address", Peer ? Peer->Address : ""},
-      {"port", Peer ? Peer->Port : 0},
+      {"port", Core.peerPort()},
       {"domain", Core.settings().Domain},
       {"boot", Core.boot()}}.dump();
   store_commit Commit;
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -90,6 +90,11 @@
 }
 
 gateway_fixture::~gateway_fixture() {
+  // Each order says which one it follows.
+  for (const auto &Upstream : Upstreams) {
+    cr_assert(Upstream->port() != 0);
+    cr_assert(Upstream->Conflicts == 0);
+  }
   if (Exchange)
     Exchange->cancel();
 }
--- /dev/null
+++ b/tests/platform/store_server.cpp
@@ -0,0 +1,142 @@
+#include "platform/store_server.h"
+
+#include "net/base64.h"
+#include "net/query_parameters.h"
+
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace ebonyvale {
+namespace {
+
+using nlohmann::json;
+
+constexpr int BadRequest = 400;
+constexpr int NotFound = 404;
+
+/// 0 where the store does not answer.
+int statusOf(store_status Status) {
+  switch (Status) {
+  case store_status::Ok:
+    return 200;
+  case store_status::NotFound:
+    return NotFound;
+  case store_status::Conflict:
+    return 412;
+  case store_status::HistoryGone:
+    return 410;
+  case store_status::Refused:
+    return 503;
+  case store_status::NoAnswer:
+    break;
+  }
+  return 0;
+}
+
+std::int64_t numberOf(std::string_view Text) {
+  std::int64_t Number = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  return Number;
+}
+
+void answer(server_link &Link, store_status Status, const json &Body) {
+  if (const int Code = statusOf(Status); Code != 0 && Link.open())
+    Link.answer(Code, {}, Body.dump());
+}
+
+json itemsOf(const store_items &Found, const char *Name) {
+  json Listed = json::array();
+  for (const store_item &Item : Found.Items) {
+    json Entry{{"key", Item.Key}, {"revision", Item.Revision}};
+    if (Item.Removed)
+      Entry["tombstone"] = true;
+    else
+      Entry["value"] = toBase64(Item.Value);
+    Listed.push_back(std::move(Entry));
+  }
+  return {{Name, Listed}, {"storeRevision", Found.Revision}};
+}
+
+} // namespace
+
+store_server::store_server(event_base *Base, fleet_store &Store)
+    : Store(Store), Links(Base, *this) {
+  Links.listen("127.0.0.1", 0);
+}
+
+void store_server::onRequest(const std::shared_ptr<server_link> &Link,
+                             http_request Request) {
+  const std::string_view Path = targetPath(Request.Head.Target);
+  const std::string_view Query = targetQuery(Request.Head.Target);
+  const std::string_view Last = Path.substr(Path.rfind('/') + 1);
+  const auto AnswerResult = [Link](const store_result &Result) {
+    answer(*Link, Result.Status,
+           {{"revision", Result.Revision},
+            {"lease", Result.Lease},
+            {"ttlMs",
+             std::chrono::duration_cast<std::chrono::milliseconds>(Result.Term)
+                 .count()}});
+  };
+  if (Path == "/v1/kv-range")
+    return list(Link, Query);
+  if (Path == "/v1/kv-watch")
+    return watch(Link, Query);
+  if (Path == "/v1/kv-txn")
+    return commit(Link, Request.Body);
+  if (Path == "/v1/kv-lease") {
+    const json Body = json::parse(Request.Body, nullptr, false);
+    const std::int64_t Millis =
+        Body.is_object() ? Body.value("ttlMs", std::int64_t{0}) : 0;
+    return Store.grantLease(std::chrono::milliseconds(Millis), AnswerResult);
+  }
+  if (Path.starts_with("/v1/kv-keep/"))
+    return Store.renewLease(numberOf(Last), AnswerResult);
+  if (Path.starts_with("/v1/kv-lease-end/"))
+    return Store.endLease(numberOf(Last), AnswerResult);
+  Link->answer(NotFound, {}, "");
+}
+
+void store_server::onUnreadable(server_link &Link, unreadable) {
+  Link.answer(BadRequest, {}, "");
+}
+
+void store_server::list(const std::shared_ptr<server_link> &Link,
+                        std::string_view Query) {
+  Store.list(query_parameters(Query).text("prefix"),
+             [Link](const store_items &Found) {
+               answer(*Link, Found.Status, itemsOf(Found, "items"));
+             });
+}
+
+void store_server::watch(const std::shared_ptr<server_link> &Link,
+                         std::string_view Query) {
+  const query_parameters Parameters(Query);
+  Store.watch(Parameters.text("prefix"), numberOf(Parameters.text("after")),
+              std::chrono::milliseconds(numberOf(Parameters.text("waitMs"))),
+              [Link](const store_items &Found) {
+                answer(*Link, Found.Status, itemsOf(Found, "events"));
+              });
+}
+
+void store_server::commit(const std::shared_ptr<server_link> &Link,
+                          const std::string &Text) {
+  const json Body = json::parse(Text, nullptr, false);
+  if (!Body.is_object())
+    return Link->answer(BadRequest, {}, "");
+  store_commit Commit;
+  for (const json &Entry : Body.at("expected"))
+    Commit.Conditions.push_back({Entry.at("key"), Entry.at("revision")});
+  for (const json &Entry : Body.at("puts"))
+    Commit.Puts.push_back(
+        {Entry.at("key"),
+         fromBase64(Entry.at("value").get<std::string>()).value_or(""),
+         Entry.value("lease", std::int64_t{0})});
+  for (const json &Key : Body.at("remove"))
+    Commit.Removals.push_back(Key);
+  Store.commit(Commit, [Link](const store_result &Result) {
+    answer(*Link, Result.Status, {{"revision", Result.Revision}});
+  });
+}
+
+} // namespace ebonyvale
--- a/tests/platform/upstream_stand_in.cpp
+++ b/tests/platform/upstream_stand_in.cpp
@@ -1,6 +1,5 @@
 #include "platform/upstream_stand_in.h"
 
-#include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
 #include <spdlog/fmt/fmt.h>
 
@@ -15,14 +14,16 @@
 
 upstream_stand_in::upstream_stand_in(event_base *Base, std::string Id)
     : Id(std::move(Id)), Links(Base, *this) {
-  cr_assert(!Links.listen("127.0.0.1", 0));
+  // A stand-in that cannot listen has port 0, which no test can reach.
+  Links.listen("127.0.0.1", 0);
 }
 
-std::string upstream_stand_in::entry(std::string_view Service,
-                                     bool Draining) const {
+std::string upstream_stand_in::entryAt(std::uint16_t Port,
+                                       std::string_view Service,
+                                       bool Draining) const {
   return nlohmann::json{
       {"backend", Service},
-      {"address", fmt::format("127.0.0.1:{}", Links.port())},
+      {"address", fmt::format("127.0.0.1:{}", Port)},
       {"zone", "z"},
       {"version", "v1"},
       {"batchSlots", 8},
@@ -73,6 +74,21 @@
     return Link->answer(503, Headers, "");
   }
   ++Runs[RequestId];
+  if (OnRun)
+    OnRun(Request);
+  if (Delay == span_ns(0))
+    return respond(Link, Request, std::move(Headers));
+  callAfter(Links.base(), Delay,
+            [this, Link, Request = std::move(Request), Headers] {
+              if (Link->open())
+                respond(Link, Request, Headers);
+            });
+}
+
+void upstream_stand_in::respond(const std::shared_ptr<server_link> &Link,
+                                const http_request &Request,
+                                header_list Headers) {
+  const std::string_view Path = targetPath(Request.Head.Target);
   Headers.add("Ebonyvale-Server-Seal", "seal-" + Id);
   Headers.add("Ebonyvale-Weight-Versions", std::to_string(Weights));
   if (Act == upstream_act::Hold) {
@@ -86,28 +102,48 @@
   if (Act == upstream_act::TooLarge)
     return Link->answer(200, Headers, std::string(TooLargeBytes, 'x'));
   if (Path.find("stream") == std::string_view::npos)
-    return Link->answer(200, Headers, "answer of " + Id);
+    return Link->answer(
+        200, Headers,
+        fmt::format("answer of {} to {}", Id,
+                    Headers.find("Ebonyvale-Request-Id").value_or("")));
   Link->beginStream(200, Headers);
-  stream(*Link, Request, Act == upstream_act::BreakStream);
+  stream(Link, Request, Act == upstream_act::BreakStream);
 }
 
-void upstream_stand_in::stream(server_link &Link, const http_request &Request,
-                               bool Broken) {
+void upstream_stand_in::stream(const std::shared_ptr<server_link> &Link,
+                               const http_request &Request, bool Broken) {
   const auto After = static_cast<int>(
       Request.Head.Headers.number("Last-Event-Id").value_or(0));
-  if (!Broken) {
-    Link.streamPart(events(After));
-    return Link.endStream();
+  if (Broken) {
+    const std::string Half = events(After + 2, After + 3).substr(0, 9);
+    Link->streamPart(events(After, After + 2) + Half);
+    return Link->breakOff();
   }
-  const std::string Half = events(After + 2, After + 3).substr(0, 9);
-  Link.streamPart(events(After, After + 2) + Half);
-  Link.breakOff();
+  if (EventGap > span_ns(0))
+    return streamSlowly(Link, After);
+  Link->streamPart(events(After));
+  Link->endStream();
+}
+
+void upstream_stand_in::streamSlowly(const std::shared_ptr<server_link> &Link,
+                                     int After) {
+  if (!Link->open())
+    return;
+  if (After >= Events)
+    return Link->endStream();
+  Link->streamPart(events(After, After + 1));
+  callAfter(Links.base(), EventGap,
+            [this, Link, After] { streamSlowly(Link, After + 1); });
 }
 
 void upstream_stand_in::order(server_link &Link, const http_request &Request) {
   if (Request.Head.Method == "POST") {
     const auto Order = nlohmann::json::parse(Request.Body, nullptr, false);
-    cr_assert(Order.at("expected") == Orders);
+    constexpr int Conflict = 409;
+    if (Order.value("expected", std::int64_t{-1}) != Orders) {
+      ++Conflicts;
+      return Link.answer(Conflict, {}, "");
+    }
     Weights = Order.at("version");
     ++Orders;
     return Link.answer(202, {}, "");
--- a/tests/platform/upstream_stand_in.h
+++ b/tests/platform/upstream_stand_in.h
@@ -6,6 +6,7 @@
 
 #include "net/server_link.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -30,7 +31,12 @@
   upstream_stand_in(event_base *Base, std::string Id);
 
   /// Its entry in the store, for \p Service.
-  std::string entry(std::string_view Service, bool Draining = false) const;
+  std::string entry(std::string_view Service, bool Draining = false) const {
+    return entryAt(Links.port(), Service, Draining);
+  }
+  /// The same behind a proxy on \p Port.
+  std::string entryAt(std::uint16_t Port, std::string_view Service,
+                      bool Draining) const;
   std::string key() const { return "servers/" + Id; }
 
   void onRequest(const std::shared_ptr<server_link> &Link,
@@ -43,7 +49,17 @@
   std::vector<http_request> Seen;
   std::vector<std::shared_ptr<server_link>> Held;
 
+  /// Orders that did not follow the last one that was accepted.
+  std::size_t Conflicts = 0;
+  /// Time from a request to what follows of it.
+  span_ns Delay{0};
+  /// Time between two events of a stream; 0 for all at once.
+  span_ns EventGap{0};
+  /// Called with each request that is run.
+  std::function<void(const http_request &)> OnRun;
+
   int runs() const;
+  std::uint16_t port() const { return Links.port(); }
   /// Held requests whose connection is still open.
   std::size_t stillHeld() const;
 
@@ -52,7 +68,11 @@
   static std::string events(int After, int Last = Events);
 
 private:
-  void stream(server_link &Link, const http_request &Request, bool Broken);
+  void respond(const std::shared_ptr<server_link> &Link,
+               const http_request &Request, header_list Headers);
+  void stream(const std::shared_ptr<server_link> &Link,
+              const http_request &Request, bool Broken);
+  void streamSlowly(const std::shared_ptr<server_link> &Link, int After);
   void order(server_link &Link, const http_request &Request);
 
   std::string Id;
--- /dev/null
+++ b/tests/soak/daemon_process.cpp
@@ -0,0 +1,62 @@
+#include "soak/daemon_process.h"
+
+#include <csignal>
+#include <utility>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+extern char **environ; // NOLINT: name set by POSIX
+
+namespace ebonyvale {
+
+daemon_process::daemon_process(std::string Program,
+                               std::vector<std::string> Arguments,
+                               std::string LogFile)
+    : Program(std::move(Program)), Arguments(std::move(Arguments)),
+      LogFile(std::move(LogFile)) {}
+
+daemon_process::~daemon_process() {
+  if (!running())
+    return;
+  signal(SIGKILL);
+  waitpid(Pid, nullptr, 0);
+}
+
+bool daemon_process::start() {
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  constexpr int Mode = 0644;
+  posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, LogFile.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, Mode);
+  posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  std::vector<char *> Words{Program.data()};
+  for (std::string &Argument : Arguments)
+    Words.push_back(Argument.data());
+  Words.push_back(nullptr);
+  const int Error = posix_spawn(&Pid, Program.c_str(), &Actions, nullptr,
+                                Words.data(), environ);
+  posix_spawn_file_actions_destroy(&Actions);
+  if (Error != 0)
+    Pid = 0;
+  return Error == 0;
+}
+
+void daemon_process::signal(int Number) const {
+  if (Pid > 0)
+    kill(Pid, Number);
+}
+
+bool daemon_process::running() {
+  if (Pid == 0)
+    return false;
+  int Status = 0;
+  if (waitpid(Pid, &Status, WNOHANG) == 0)
+    return true;
+  Ended = WIFSIGNALED(Status) ? -WTERMSIG(Status) : WEXITSTATUS(Status);
+  Pid = 0;
+  return false;
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/tests/soak/loopback_proxy.cpp
@@ -0,0 +1,187 @@
+#include "soak/loopback_proxy.h"
+
+#include "net/timer.h"
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <sys/socket.h>
+
+namespace ebonyvale {
+namespace {
+
+sockaddr_in loopback(std::uint16_t Port) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return Address;
+}
+
+/// The peer sees a reset instead of an orderly end.
+void resetSocket(bufferevent *Socket) {
+  const linger Now{1, 0};
+  setsockopt(bufferevent_getfd(Socket), SOL_SOCKET, SO_LINGER, &Now,
+             sizeof(Now));
+}
+
+} // namespace
+
+/// One relayed connection; index 0 is the client's side, 1 the server's.
+class loopback_proxy::relay : public std::enable_shared_from_this<relay> {
+public:
+  relay(loopback_proxy &Owner, evutil_socket_t Client) : Owner(Owner) {
+    Sides[0].reset(bufferevent_socket_new(Owner.Base, Client,
+                                          BEV_OPT_CLOSE_ON_FREE));
+    Sides[1].reset(
+        bufferevent_socket_new(Owner.Base, -1, BEV_OPT_CLOSE_ON_FREE));
+  }
+
+  void start() {
+    sockaddr_in Server = loopback(Owner.Target);
+    bufferevent_socket_connect(Sides[1].get(),
+                               reinterpret_cast<sockaddr *>(&Server),
+                               sizeof(Server));
+    for (auto &Side : Sides) {
+      bufferevent_setcb(Side.get(), &relay::onReadable, &relay::onWritten,
+                        &relay::onEvent, this);
+      bufferevent_enable(Side.get(), EV_READ | EV_WRITE);
+    }
+    setHarm(Owner.Harm, /*IsNew=*/true);
+  }
+
+  void setHarm(proxy_harm Value, bool IsNew) {
+    Harm = Value;
+    Silenced = Silenced || (Harm == proxy_harm::Silence && !IsNew);
+    if (Harm == proxy_harm::Reset)
+      return end(/*Reset=*/true);
+    pass(0);
+    if (Sides[0])
+      pass(1);
+  }
+
+private:
+  std::size_t indexOf(const bufferevent *Side) const {
+    return Side == Sides[0].get() ? 0 : 1;
+  }
+
+  /// Passes on what the side \p From has sent, as far as it may.
+  void pass(std::size_t From) {
+    const auto Guard = shared_from_this();
+    const bool Held =
+        Silenced || (From == 0 && Harm == proxy_harm::CutThere) ||
+        (From == 1 && Harm == proxy_harm::CutBack);
+    if (Held || !Sides[0])
+      return;
+    evbuffer *Input = bufferevent_get_input(Sides[From].get());
+    const std::size_t Length = evbuffer_get_length(Input);
+    if (Length > 0 && Harm == proxy_harm::Delay) {
+      std::vector<char> Bytes(Length);
+      evbuffer_remove(Input, Bytes.data(), Length);
+      ++Delayed;
+      callAfter(Owner.Base, DelayTime,
+                [Self = Guard, From, Bytes = std::move(Bytes)] {
+                  --Self->Delayed;
+                  if (!Self->Sides[0])
+                    return;
+                  bufferevent_write(Self->Sides[1 - From].get(), Bytes.data(),
+                                    Bytes.size());
+                  Self->endIfDone();
+                });
+    } else if (Length > 0) {
+      bufferevent_write_buffer(Sides[1 - From].get(), Input);
+    }
+    endIfDone();
+  }
+
+  /// After one side has closed, once all that it sent has been passed on.
+  void endIfDone() {
+    if (!Sides[0] || !Closed || Delayed > 0 || Silenced)
+      return;
+    const bool HoldsBack =
+        evbuffer_get_length(bufferevent_get_input(Sides[*Closed].get())) > 0;
+    const bool Unsent = evbuffer_get_length(bufferevent_get_output(
+                            Sides[1 - *Closed].get())) > 0;
+    if (!HoldsBack && !Unsent)
+      end(/*Reset=*/false);
+  }
+
+  void end(bool Reset) {
+    const auto Guard = shared_from_this();
+    for (auto &Side : Sides) {
+      if (Side && Reset)
+        resetSocket(Side.get());
+      Side.reset();
+    }
+    Owner.Relays.erase(Guard);
+  }
+
+  static void onReadable(bufferevent *Side, void *Self) {
+    auto *Relay = static_cast<relay *>(Self);
+    Relay->pass(Relay->indexOf(Side));
+  }
+  static void onWritten(bufferevent *, void *Self) {
+    const auto Guard = static_cast<relay *>(Self)->shared_from_this();
+    Guard->endIfDone();
+  }
+  static void onEvent(bufferevent *Side, short What, void *Self) {
+    if ((What & BEV_EVENT_CONNECTED) != 0)
+      return;
+    const auto Guard = static_cast<relay *>(Self)->shared_from_this();
+    const std::size_t Index = Guard->indexOf(Side);
+    if ((What & BEV_EVENT_ERROR) != 0 && !Guard->Silenced)
+      return Guard->end(/*Reset=*/true);
+    if (!Guard->Closed)
+      Guard->Closed = Index;
+    Guard->pass(Index);
+  }
+
+  friend class loopback_proxy;
+  loopback_proxy &Owner;
+  std::array<std::unique_ptr<bufferevent, releaser<bufferevent_free>>, 2> Sides;
+  proxy_harm Harm = proxy_harm::None;
+  bool Silenced = false;
+  std::size_t Delayed = 0; ///< parts that are under way
+  std::optional<std::size_t> Closed; ///< side that has ended first
+};
+
+loopback_proxy::loopback_proxy(event_base *Base, std::uint16_t Target)
+    : Base(Base), Target(Target) {
+  sockaddr_in Address = loopback(0);
+  Listener.reset(evconnlistener_new_bind(
+      Base, &loopback_proxy::onAccept, this, LEV_OPT_CLOSE_ON_FREE, -1,
+      reinterpret_cast<sockaddr *>(&Address), sizeof(Address)));
+  if (!Listener)
+    return;
+  socklen_t Length = sizeof(Address);
+  getsockname(evconnlistener_get_fd(Listener.get()),
+              reinterpret_cast<sockaddr *>(&Address), &Length);
+  Port = ntohs(Address.sin_port);
+}
+
+loopback_proxy::~loopback_proxy() {
+  while (!Relays.empty()) {
+    const auto Relay = *Relays.begin();
+    Relay->end(/*Reset=*/false);
+  }
+}
+
+void loopback_proxy::setHarm(proxy_harm Value) {
+  Harm = Value;
+  const std::vector<std::shared_ptr<relay>> Open(Relays.begin(), Relays.end());
+  for (const auto &Relay : Open)
+    Relay->setHarm(Value, /*IsNew=*/false);
+}
+
+void loopback_proxy::onAccept(evconnlistener *, evutil_socket_t Socket,
+                              sockaddr *, int, void *Self) {
+  auto *Proxy = static_cast<loopback_proxy *>(Self);
+  const auto Relay = std::make_shared<relay>(*Proxy, Socket);
+  Proxy->Relays.insert(Relay);
+  Relay->start();
+}
+
+} // namespace ebonyvale
