Gateway: a stream that cannot go on is broken off; a second SIGTERM cuts nothing; the soak that found both

Change: an answer that is no stream counts as a lost attempt once a stream has begun. Test first: a_stream_that_cannot_go_on_is_never_whole. Change: only a second SIGINT does. Test: a_second_stop_cuts_nothing_either, seen to fail with the old behaviour. The soak (tests/soak): gateways as processes; store, upstreams and callers around them; a relay that delays, resets, cuts one way or silences connections; SIGTERM, SIGKILL, SIGSTOP and restarts in series; faults of the store; keys and versions. A judge of its own with tests holds what callers and upstreams saw against the promises. Clocks are not stepped: that needs rights the soak does not have.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -47,10 +47,19 @@
   return 0;
 }
 
-void onSignal(evutil_socket_t, short, void *Gateway) {
+void onTerm(evutil_socket_t, short, void *Gateway) {
   static_cast<gateway_task *>(Gateway)->stop();
 }
 
+/// Somebody at a terminal who asks twice does not want to wait.
+void onInterrupt(evutil_socket_t, short, void *Task) {
+  auto *Gateway = static_cast<gateway_task *>(Task);
+  if (Gateway->stopping())
+    Gateway->stopNow();
+  else
+    Gateway->stop();
+}
+
 int runGateway(const gateway_settings &Settings,
                const options::variables_map &Values) {
   std::signal(SIGPIPE, SIG_IGN);
@@ -74,9 +83,9 @@
   std::ostringstream Ports;
   Gateway.writePorts(Ports);
   writePortsFile(Values, Ports.str());
-  const event_ptr Term(evsignal_new(Base.get(), SIGTERM, &onSignal, &Gateway));
+  const event_ptr Term(evsignal_new(Base.get(), SIGTERM, &onTerm, &Gateway));
   const event_ptr Interrupt(
-      evsignal_new(Base.get(), SIGINT, &onSignal, &Gateway));
+      evsignal_new(Base.get(), SIGINT, &onInterrupt, &Gateway));
   event_add(Term.get(), nullptr);
   event_add(Interrupt.get(), nullptr);
   event_base_dispatch(Base.get());
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -157,12 +157,9 @@
 void gateway_task::onUpstreams() { Weights.onUpstreams(); }
 
 void gateway_task::stop() {
-  if (StopRequested) {
-    Core.log().warn(event_category::Process, "stopped_at_once",
-                    {{"open_requests", Core.openRequests()}});
-    event_base_loopbreak(Base);
-    return;
-  }
+  if (StopRequested)
+    return Core.log().info(event_category::Process, "stopping_already",
+                           {{"open_requests", Core.openRequests()}});
   StopRequested = readBootClock();
   Core.setLeaving();
   Callers.closeAfterAnswers();
@@ -173,6 +170,12 @@
   StopTimer.startPeriodic(StopTick);
 }
 
+void gateway_task::stopNow() {
+  Core.log().warn(event_category::Process, "stopped_at_once",
+                  {{"open_requests", Core.openRequests()}});
+  event_base_loopbreak(Base);
+}
+
 void gateway_task::onStopTick() {
   const span_ns Waited = readBootClock() - *StopRequested;
   const span_ns Grace =
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -36,8 +36,12 @@
   /// Opens the listeners and starts to follow the store.
   std::optional<failure> start();
 
-  /// Begins a graceful stop; a second call ends it at once.
+  /// Begins a graceful stop; further calls change nothing.
   void stop();
+  bool stopping() const { return StopRequested.has_value(); }
+
+  /// Ends at once, whatever that cuts.
+  void stopNow();
 
   /// "name port" lines for the listeners.
   void writePorts(std::ostream &Out) const;
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -342,7 +342,11 @@
       return follow(attempt_end::NotMeant, "other_weights");
     return follow(attempt_end::NotRun, "not_run");
   }
-  if (Answer.Status >= FirstServerError && !Streaming)
+  // The caller has a part of another upstream's stream, which this answer does
+  // not continue.
+  if (Streaming && Answer.Status != StatusOk)
+    return follow(attempt_end::Lost, "not_a_stream");
+  if (Answer.Status >= FirstServerError)
     return follow(attempt_end::ServerError, "server_error");
   if (Streaming) {
     deliver(Splitter.rest());
--- a/tests/gateway/forward_session_test.cpp
+++ b/tests/gateway/forward_session_test.cpp
@@ -66,6 +66,23 @@
   cr_assert(Sealed == (Result.Status == 200 || Result.Status == 500));
 }
 
+/// Found by the soak: the upstream that was to go on with a stream failed, and
+/// the part before it looked like the whole.
+Test(forward_session, a_stream_that_cannot_go_on_is_never_whole) {
+  for (const int Broken : {0, 1}) {
+    gateway_fixture Gateway;
+    Gateway.Upstreams[Broken]->Act = BreakStream;
+    Gateway.Upstreams[1 - Broken]->Act = Error;
+    for (int Index = 0; Index < 4; ++Index) {
+      const caller_result Result =
+          Gateway.ask({.Path = "/stream-on/" + std::to_string(Index),
+                       .Id = "id-" + std::to_string(Index)});
+      cr_assert(Result.Status != 200 || !Result.Whole, "'%s' as a whole",
+                Result.Body.c_str());
+    }
+  }
+}
+
 Test(forward_session, a_broken_stream_goes_on_elsewhere_whole_and_in_order) {
   // Which of the two is asked first is the scheduler's choice.
   for (const int Broken : {0, 1}) {
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -1,7 +1,8 @@
 #include "gateway/gateway_fixture.h"
 
+#include "platform/routing_document.h"
+
 #include <criterion/criterion.h>
-#include <spdlog/fmt/fmt.h>
 
 #include <csignal>
 #include <sstream>
@@ -101,27 +102,7 @@
 
 void gateway_fixture::configure(int Version, const std::string &Keys,
                                 double Rate) {
-  const auto Route = [](const char *Path, const char *Kind, int Attempts,
-                        bool Resumable, bool Open) {
-    return fmt::format(
-        R"({{"name":"{0}","hostname":"h.example","prefix":"/{0}/",)"
-        R"("routeType":"{1}","timeoutMs":4000,"targetLatencyMs":500,)"
-        R"("backend":"s","maxAttempts":{2},"resumable":{3},"anonymous":{4}}})",
-        Path, Kind, Attempts, Resumable, Open);
-  };
-  Store.put(
-      "op/config",
-      fmt::format(R"({{"version":{},"routes":[{},{},{},{},{}],"services":[)"
-                  R"({{"name":"s"}}],"limits":{{"headerBytes":16384,)"
-                  R"("bodyBytes":1000,"headerTimeoutMs":3000,)"
-                  R"("idleTimeoutMs":5000}},"tenants":[{{"name":"t",)"
-                  R"("apiKeys":[{}],"unit":"tokens","uncachedTokens":200,)"
-                  R"("ratePerS":{},"burst":{}}}]}})",
-                  Version, Route("read", "safe", 2, false, false),
-                  Route("order", "unsafe", 2, false, false),
-                  Route("stream-on", "streaming", 2, true, false),
-                  Route("stream-once", "streaming", 2, false, false),
-                  Route("open", "safe", 2, false, true), Keys, Rate, Rate));
+  Store.put("op/config", routingDocument(Version, Keys, Rate));
 }
 
 void gateway_fixture::begin(const caller_ask &Ask) {
@@ -157,6 +138,8 @@
 
 bool gateway_fixture::over() const { return Present->Over; }
 
+const caller_result &gateway_fixture::result() const { return Present->Result; }
+
 void gateway_fixture::leave() { std::exchange(Exchange, nullptr)->cancel(); }
 
 caller_result gateway_fixture::ask(const caller_ask &Ask) {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -65,6 +65,8 @@
   /// Asks without waiting.
   void begin(const caller_ask &Ask);
   bool over() const;
+  /// What the caller that began last has got.
+  const caller_result &result() const;
   /// The caller closes its connection.
   void leave();
 
--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -247,6 +247,23 @@
   cr_assert(Spendable <= 0.1 * Part + 1, "%.0f of %.0f", Spendable, Part);
 }
 
+/// Whoever stops processes may do so twice.
+Test(gateway_task, a_second_stop_cuts_nothing_either) {
+  gateway_fixture Gateway;
+  for (auto &Upstream : Gateway.Upstreams)
+    Upstream->Delay = 100ms;
+  Gateway.begin({.Path = "/order/1"});
+  cr_assert(Gateway.waitFor([&] { return runs(Gateway) == 1; }));
+  Gateway.stop();
+  callLater(Gateway.Base.get(), [&] { Gateway.stop(); });
+  while (!Gateway.over()) {
+    event_base_loop(Gateway.Base.get(), EVLOOP_ONCE);
+    cr_assert(!event_base_got_break(Gateway.Base.get()),
+              "the second stop ended the process");
+  }
+  cr_assert(Gateway.result().Status == 200 && Gateway.result().Whole);
+}
+
 Test(gateway_task, a_planned_stop_cuts_nothing) {
   gateway_fixture Gateway;
   for (auto &Upstream : Gateway.Upstreams)
--- a/tests/platform/upstream_stand_in.cpp
+++ b/tests/platform/upstream_stand_in.cpp
@@ -65,8 +65,11 @@
   Headers.add("Ebonyvale-Request-Id", RequestId);
   const auto Expected = Request.Head.Headers.find("Ebonyvale-Expect-Version");
   const bool OtherWeights = Expected && *Expected != std::to_string(Weights);
-  if (Act == upstream_act::OtherProcess || OtherWeights) {
-    Headers.add("Ebonyvale-Instance-Id", OtherWeights ? Id : "i-other");
+  const auto Meant = Request.Head.Headers.find("Ebonyvale-Expect-Instance");
+  const bool OtherProcess = Meant && *Meant != Id;
+  if (Act == upstream_act::OtherProcess || OtherProcess || OtherWeights) {
+    Headers.add("Ebonyvale-Instance-Id",
+                Act == upstream_act::OtherProcess ? "i-other" : Id);
     return Link->answer(421, Headers, "");
   }
   if (Act == upstream_act::Full) {
--- a/tests/soak/loopback_proxy.cpp
+++ b/tests/soak/loopback_proxy.cpp
@@ -3,6 +3,7 @@
 #include "net/timer.h"
 
 #include <array>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,17 +35,16 @@
 class loopback_proxy::relay : public std::enable_shared_from_this<relay> {
 public:
   relay(loopback_proxy &Owner, evutil_socket_t Client) : Owner(Owner) {
-    Sides[0].reset(bufferevent_socket_new(Owner.Base, Client,
-                                          BEV_OPT_CLOSE_ON_FREE));
+    Sides[0].reset(
+        bufferevent_socket_new(Owner.Base, Client, BEV_OPT_CLOSE_ON_FREE));
     Sides[1].reset(
         bufferevent_socket_new(Owner.Base, -1, BEV_OPT_CLOSE_ON_FREE));
   }
 
   void start() {
     sockaddr_in Server = loopback(Owner.Target);
-    bufferevent_socket_connect(Sides[1].get(),
-                               reinterpret_cast<sockaddr *>(&Server),
-                               sizeof(Server));
+    bufferevent_socket_connect(
+        Sides[1].get(), reinterpret_cast<sockaddr *>(&Server), sizeof(Server));
     for (auto &Side : Sides) {
       bufferevent_setcb(Side.get(), &relay::onReadable, &relay::onWritten,
                         &relay::onEvent, this);
@@ -71,20 +71,21 @@
   /// Passes on what the side \p From has sent, as far as it may.
   void pass(std::size_t From) {
     const auto Guard = shared_from_this();
-    const bool Held =
-        Silenced || (From == 0 && Harm == proxy_harm::CutThere) ||
-        (From == 1 && Harm == proxy_harm::CutBack);
+    const bool Held = Silenced || (From == 0 && Harm == proxy_harm::CutThere) ||
+                      (From == 1 && Harm == proxy_harm::CutBack);
     if (Held || !Sides[0])
       return;
     evbuffer *Input = bufferevent_get_input(Sides[From].get());
     const std::size_t Length = evbuffer_get_length(Input);
-    if (Length > 0 && Harm == proxy_harm::Delay) {
+    // What comes behind delayed bytes waits for them.
+    const bool Waits = Harm == proxy_harm::Delay || Delayed[From] > 0;
+    if (Length > 0 && Waits) {
       std::vector<char> Bytes(Length);
       evbuffer_remove(Input, Bytes.data(), Length);
-      ++Delayed;
+      ++Delayed[From];
       callAfter(Owner.Base, DelayTime,
                 [Self = Guard, From, Bytes = std::move(Bytes)] {
-                  --Self->Delayed;
+                  --Self->Delayed[From];
                   if (!Self->Sides[0])
                     return;
                   bufferevent_write(Self->Sides[1 - From].get(), Bytes.data(),
@@ -99,12 +100,13 @@
 
   /// After one side has closed, once all that it sent has been passed on.
   void endIfDone() {
-    if (!Sides[0] || !Closed || Delayed > 0 || Silenced)
+    if (!Sides[0] || !Closed || Delayed[0] + Delayed[1] > 0 || Silenced)
       return;
     const bool HoldsBack =
         evbuffer_get_length(bufferevent_get_input(Sides[*Closed].get())) > 0;
-    const bool Unsent = evbuffer_get_length(bufferevent_get_output(
-                            Sides[1 - *Closed].get())) > 0;
+    const bool Unsent =
+        evbuffer_get_length(bufferevent_get_output(Sides[1 - *Closed].get())) >
+        0;
     if (!HoldsBack && !Unsent)
       end(/*Reset=*/false);
   }
@@ -144,8 +146,8 @@
   std::array<std::unique_ptr<bufferevent, releaser<bufferevent_free>>, 2> Sides;
   proxy_harm Harm = proxy_harm::None;
   bool Silenced = false;
-  std::size_t Delayed = 0; ///< parts that are under way
-  std::optional<std::size_t> Closed; ///< side that has ended first
+  std::array<std::size_t, 2> Delayed{}; ///< parts under way, by their sender
+  std::optional<std::size_t> Closed;    ///< side that has ended first
 };
 
 loopback_proxy::loopback_proxy(event_base *Base, std::uint16_t Target)
--- a/tests/soak/loopback_proxy.h
+++ b/tests/soak/loopback_proxy.h
@@ -18,11 +18,11 @@
 /// What is done to connections.
 enum class proxy_harm {
   None,
-  Delay,     ///< bytes pass `DelayTime` later
-  Reset,     ///< open connections are reset, new ones too
-  CutThere,  ///< nothing passes towards the server; it passes after the harm
-  CutBack,   ///< nothing passes towards the client; it passes after the harm
-  Silence,   ///< open connections go silent for good; new ones work
+  Delay,    ///< bytes pass `DelayTime` later
+  Reset,    ///< open connections are reset, new ones too
+  CutThere, ///< nothing passes towards the server; it passes after the harm
+  CutBack,  ///< nothing passes towards the client; it passes after the harm
+  Silence,  ///< open connections go silent for good; new ones work
 };
 inline constexpr int ProxyHarms = 6;
 
--- /dev/null
+++ b/tests/soak/soak_world.h
@@ -0,0 +1,97 @@
+/// \file
+/// One run of the soak: gateways as processes, and around them, in this
+/// process, the platform's store, upstreams, callers and whatever harms them.
+#ifndef EBONYVALE_TESTS_SOAK_SOAK_WORLD_H
+#define EBONYVALE_TESTS_SOAK_SOAK_WORLD_H
+
+#include "fakes/fleet_store_stand_in.h"
+#include "net/client_link.h"
+#include "platform/store_server.h"
+#include "platform/upstream_stand_in.h"
+#include "soak/daemon_process.h"
+#include "soak/loopback_proxy.h"
+#include "soak/promise_judge.h"
+#include "soak/soak_plan.h"
+
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace ebonyvale {
+
+/// How a run is made.
+struct soak_options {
+  std::string Daemon; ///< path of ebonyvaled
+  std::uint32_t Seed = 1;
+  soak_size Size;
+  std::filesystem::path Folder; ///< for settings and logs
+  /// Bounds of time are judged too; not where the machine may be overloaded.
+  bool JudgeTimes = false;
+};
+
+/// What came of a run.
+struct soak_result {
+  std::vector<std::string> Broken;
+  std::size_t Asked = 0;
+  std::map<int, std::size_t> Answers;
+};
+
+/// Plays one plan.
+class soak_world {
+public:
+  explicit soak_world(const soak_options &Options);
+  ~soak_world();
+
+  soak_result run();
+
+private:
+  struct gateway;
+  struct upstream;
+  class caller;
+
+  std::string writeSettings(const gateway &Gateway) const;
+  void startGateway(gateway &Gateway);
+  void tick();
+  void takePorts(gateway &Gateway);
+  void configure();
+  void apply(const soak_event &Event);
+  void kill(gateway &Gateway);
+  void applyToGateway(const soak_event &Event, gateway &Gateway);
+  void applyToUpstream(const soak_event &Event, upstream &Upstream);
+  void later(span_ns After, std::function<void()> Action);
+  void harm(loopback_proxy &Proxy, const soak_event &Event);
+  void list(upstream &Upstream, bool Draining);
+  void startUpstream(upstream &Upstream);
+  bool waitFor(const std::function<bool()> &Done, span_ns Most);
+  void ask(caller &Caller);
+  void recover();
+
+  soak_options Options;
+  std::mt19937 Random;
+  event_base_ptr Base;
+  fleet_store_stand_in Store;
+  client_links Links;
+  promise_judge Judge;
+  std::vector<std::unique_ptr<gateway>> Gateways;
+  std::vector<std::unique_ptr<upstream>> Upstreams;
+  /// Those that were replaced; requests may still be on their way to them.
+  std::vector<std::unique_ptr<upstream_stand_in>> Replaced;
+  std::vector<std::unique_ptr<caller>> Callers;
+  std::vector<std::string> Keys; ///< in force; the first one always is
+  std::size_t KeysMade = 0;
+  int Version = 0;
+  std::int64_t Weights = 1;
+  std::size_t LastId = 0;
+  bool Asking = false;
+  bool Recovering = false;
+  std::vector<std::string> Broken; ///< besides what the judge found
+  instant LastTick;
+  timer TickTimer;
+};
+
+} // namespace ebonyvale
+
+#endif
