Soak: gateways do not inherit the sockets of what surrounds them

A relay's dump showed four connections where the callers held more: the gateways started after a kill had inherited the relay's sockets, so that closing them ended nothing. A fault of the soak, not of the gateway. Change: a child keeps its standard streams only.

--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -31,6 +31,8 @@
   posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, LogFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, Mode);
   posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  // Sockets of this process that a child held too would not end when closed.
+  posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
   std::vector<char *> Words{Program.data()};
   for (std::string &Argument : Arguments)
     Words.push_back(Argument.data());
