Limits: a part fills from the start of its process on; the relay keeps order

A new process accrued nothing for 1.1 s, the time for which its own ledger holds what it lends; but what a predecessor lent was taken from the predecessor's part, which is gone.

--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -247,6 +247,20 @@
   cr_assert(Spendable <= 0.1 * Part + 1, "%.0f of %.0f", Spendable, Part);
 }
 
+/// After all have been killed at once, callers who keep their limits are not
+/// refused: a part fills from the start of its process on.
+Test(gateway_task, a_restarted_instance_accrues_at_once) {
+  gateway_fixture Gateway;
+  const auto Second = Gateway.startAnother("i-2");
+  cr_assert(
+      Gateway.waitFor([&] { return Second->core().ready(readBootClock()); }));
+  const instant Ready = readBootClock();
+  const double Before = Second->core().shares().available("t", Ready);
+  // A million tokens a second, over two instances.
+  const double Later = Second->core().shares().available("t", Ready + 100ms);
+  cr_assert(Later - Before >= 0.5 * 1e5, "%.0f, then %.0f", Before, Later);
+}
+
 /// Whoever stops processes may do so twice.
 Test(gateway_task, a_second_stop_cuts_nothing_either) {
   gateway_fixture Gateway;
--- a/tests/soak/loopback_proxy.cpp
+++ b/tests/soak/loopback_proxy.cpp
@@ -3,6 +3,7 @@
 #include "net/timer.h"
 
 #include <array>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -78,29 +79,33 @@
     evbuffer *Input = bufferevent_get_input(Sides[From].get());
     const std::size_t Length = evbuffer_get_length(Input);
     // What comes behind delayed bytes waits for them.
-    const bool Waits = Harm == proxy_harm::Delay || Delayed[From] > 0;
+    const bool Waits = Harm == proxy_harm::Delay || !Delayed[From].empty();
     if (Length > 0 && Waits) {
       std::vector<char> Bytes(Length);
       evbuffer_remove(Input, Bytes.data(), Length);
-      ++Delayed[From];
-      callAfter(Owner.Base, DelayTime,
-                [Self = Guard, From, Bytes = std::move(Bytes)] {
-                  --Self->Delayed[From];
-                  if (!Self->Sides[0])
-                    return;
-                  bufferevent_write(Self->Sides[1 - From].get(), Bytes.data(),
-                                    Bytes.size());
-                  Self->endIfDone();
-                });
+      Delayed[From].push_back(std::move(Bytes));
+      callAfter(Owner.Base, DelayTime, [Guard, From] { Guard->release(From); });
     } else if (Length > 0) {
       bufferevent_write_buffer(Sides[1 - From].get(), Input);
     }
     endIfDone();
   }
 
+  /// Passes on the oldest delayed bytes; timers of one instant may fire in any
+  /// order.
+  void release(std::size_t From) {
+    const std::vector<char> Bytes = std::move(Delayed[From].front());
+    Delayed[From].pop_front();
+    if (!Sides[0])
+      return;
+    bufferevent_write(Sides[1 - From].get(), Bytes.data(), Bytes.size());
+    endIfDone();
+  }
+
   /// After one side has closed, once all that it sent has been passed on.
   void endIfDone() {
-    if (!Sides[0] || !Closed || Delayed[0] + Delayed[1] > 0 || Silenced)
+    if (!Sides[0] || !Closed || !Delayed[0].empty() || !Delayed[1].empty() ||
+        Silenced)
       return;
     const bool HoldsBack =
         evbuffer_get_length(bufferevent_get_input(Sides[*Closed].get())) > 0;
@@ -146,8 +151,8 @@
   std::array<std::unique_ptr<bufferevent, releaser<bufferevent_free>>, 2> Sides;
   proxy_harm Harm = proxy_harm::None;
   bool Silenced = false;
-  std::array<std::size_t, 2> Delayed{}; ///< parts under way, by their sender
-  std::optional<std::size_t> Closed;    ///< side that has ended first
+  std::array<std::deque<std::vector<char>>, 2> Delayed; ///< by their sender
+  std::optional<std::size_t> Closed; ///< side that has ended first
 };
 
 loopback_proxy::loopback_proxy(event_base *Base, std::uint16_t Target)
