--- a/src/decisions/process/evidence.h
+++ b/src/decisions/process/evidence.h
@@ -10,6 +10,9 @@
 
 namespace ebonyvale {
 
+/// Shown where nothing has been proved yet.
+inline constexpr span_ns UnknownAge = std::chrono::milliseconds(-1);
+
 /// Terms of trust in what was read from the store.
 struct evidence_terms {
   /// A withdrawn key must not run a request sent later than this.
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -246,7 +246,7 @@
             {"reference", Kept.Reference},
             {"detail", Kept.Detail},
             {"version", Kept.ConfigurationVersion},
-            {"evidence_age_ms", Age.value_or(span_ns(-1))},
+            {"evidence_age_ms", Age.value_or(UnknownAge)},
             {"retry_after_ms", RetryAfter}});
 }
 
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -221,7 +221,7 @@
                    {"weights", Chosen.Weights.value_or(-1)},
                    {"left_ms", Attempt.TimeLeft},
                    {"version", Routing->Version},
-                   {"evidence_age_ms", Age.value_or(span_ns(-1))}});
+                   {"evidence_age_ms", Age.value_or(UnknownAge)}});
   Exchange = Core.links().start(Out, *this);
 }
 
