--- a/src/common/instant.h
+++ b/src/common/instant.h
@@ -45,6 +45,17 @@
   return span_ns(static_cast<std::int64_t>(Seconds * NanosPerSecond));
 }
 
+/// Converts a span to milliseconds.
+inline double toMs(span_ns Span) {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
+
+/// Converts milliseconds to a span, rounding towards zero.
+inline span_ns fromMs(double Millis) {
+  constexpr double NanosPerMs = 1e6;
+  return span_ns(static_cast<std::int64_t>(Millis * NanosPerMs));
+}
+
 } // namespace ebonyvale
 
 #endif
--- a/src/decisions/process/upstream_estimate.cpp
+++ b/src/decisions/process/upstream_estimate.cpp
@@ -8,10 +8,6 @@
 namespace ebonyvale {
 namespace {
 
-double toMs(span_ns Span) {
-  return std::chrono::duration<double, std::milli>(Span).count();
-}
-
 std::string addressOf(const upstream_entry &Entry) {
   return fmt::format("{}:{}", Entry.Address, Entry.Port);
 }
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -9,15 +9,6 @@
 namespace ebonyvale {
 namespace {
 
-double toMs(span_ns Span) {
-  return std::chrono::duration<double, std::milli>(Span).count();
-}
-
-span_ns fromMs(double Millis) {
-  constexpr double NanosPerMs = 1e6;
-  return span_ns(static_cast<std::int64_t>(Millis * NanosPerMs));
-}
-
 /// Shortest advice to a refused caller.
 constexpr span_ns MinRetryAfter = std::chrono::milliseconds(50);
 /// Advice where no upstream is known at all.
--- a/src/gateway/connection/operator_answers.cpp
+++ b/src/gateway/connection/operator_answers.cpp
@@ -14,10 +14,6 @@
 constexpr int StatusBadRequest = 400;
 constexpr int StatusUnavailable = 503;
 
-double toMs(span_ns Span) {
-  return std::chrono::duration<double, std::milli>(Span).count();
-}
-
 void answerJson(server_link &Link, int Status, const json &Body) {
   header_list Headers;
   Headers.add("Content-Type", "application/json");
--- a/tests/decisions/process/fleet_play.cpp
+++ b/tests/decisions/process/fleet_play.cpp
@@ -23,10 +23,6 @@
 constexpr double OwnTokens = 2890;
 constexpr double CopyTokensPerMs = 880;
 
-span_ns fromMs(double Millis) {
-  return span_ns(static_cast<std::int64_t>(Millis * 1e6));
-}
-
 /// A cache whose least recently used parts yield to newer ones.
 class lru_cache {
 public:
--- a/tests/soak/promise_judge.cpp
+++ b/tests/soak/promise_judge.cpp
@@ -29,10 +29,6 @@
   return Body.substr(0, Shown);
 }
 
-double millis(span_ns Span) {
-  return std::chrono::duration<double, std::milli>(Span).count();
-}
-
 } // namespace
 
 void promise_judge::breach(std::string_view Id, const std::string &What) {
@@ -78,7 +74,7 @@
   if (Gone != Withdrawn.end() && Now - Gone->second > Bounds.Key + Allowance &&
       !Record.Asked.Path.starts_with("/open/"))
     breach(Id, fmt::format("run {:.0f} ms after its key was withdrawn",
-                           millis(Now - Gone->second)));
+                           toMs(Now - Gone->second)));
 }
 
 void promise_judge::onAnswer(std::string_view Id, const got_answer &Answer,
@@ -102,7 +98,7 @@
       Since != Added.end() && Record.Asked.At - Since->second < Bounds.Apply;
   if (Denied && KeyHolds && !IsNew)
     breach(Id, fmt::format("denied with {} {:.0f} ms after it was asked",
-                           Answer.Status, millis(Now - Record.Asked.At)));
+                           Answer.Status, toMs(Now - Record.Asked.At)));
   if (Answer.Status != StatusOk)
     return;
   if (!Answer.Sealed)
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -17,10 +17,6 @@
 constexpr std::array<double, SoakKinds> Weights{6, 6, 8, 8, 3, 10, 3, 3,
                                                 4, 4, 1, 5, 4, 4,  3};
 
-double millis(span_ns Span) {
-  return std::chrono::duration<double, std::milli>(Span).count();
-}
-
 } // namespace
 
 std::string_view soakKindName(soak_kind Kind) {
@@ -31,20 +27,16 @@
                                      const soak_size &Size) {
   std::mt19937 Random(Seed);
   std::discrete_distribution<int> Kind(Weights.begin(), Weights.end());
-  std::exponential_distribution<double> Gap(1 / millis(Size.Gap));
+  std::exponential_distribution<double> Gap(1 / toMs(Size.Gap));
   std::uniform_real_distribution<double> Lasting(100, 2500);
   std::uniform_int_distribution<int> Any(0, 1 << 20);
   std::vector<soak_event> Plan;
-  constexpr double NanosPerMs = 1e6;
-  const auto FromMs = [](double Millis) {
-    return span_ns(static_cast<std::int64_t>(Millis * NanosPerMs));
-  };
-  for (span_ns At = FromMs(Gap(Random)); At < Size.Length;
-       At += FromMs(Gap(Random))) {
+  for (span_ns At = fromMs(Gap(Random)); At < Size.Length;
+       At += fromMs(Gap(Random))) {
     soak_event Event;
     Event.Kind = static_cast<soak_kind>(Kind(Random));
     Event.At = At;
-    Event.For = FromMs(Lasting(Random));
+    Event.For = fromMs(Lasting(Random));
     Event.Which = static_cast<std::size_t>(Any(Random));
     Event.How = Any(Random);
     Plan.push_back(Event);
@@ -53,9 +45,9 @@
 }
 
 std::string describe(const soak_event &Event) {
-  return fmt::format("{:7.0f} ms  {} {} how {} for {:.0f} ms", millis(Event.At),
+  return fmt::format("{:7.0f} ms  {} {} how {} for {:.0f} ms", toMs(Event.At),
                      soakKindName(Event.Kind), Event.Which, Event.How,
-                     millis(Event.For));
+                     toMs(Event.For));
 }
 
 } // namespace ebonyvale
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -157,8 +157,7 @@
         Now - Request.At > CallerDeadline + AnswerSlack)
       World.Broken.push_back(fmt::format(
           "{} to gateway {}: ended with {} after {:.0f} ms", Request.Id,
-          Request.Gateway, Answer.Status,
-          std::chrono::duration<double, std::milli>(Now - Request.At).count()));
+          Request.Gateway, Answer.Status, toMs(Now - Request.At)));
     std::uniform_int_distribution<std::int64_t> Any(1, MaxCallerPauseMs);
     if (World.Asking)
       Pause.startOnce(std::chrono::milliseconds(Any(World.Random)));
