Soak: a key's bound is on when a request is sent

Change: where a link to upstreams was harmed since a request was asked, the time at which it was asked is judged; elsewhere, as before, the time at which it runs, which is stricter than the platform. Test: three cases, of which two must still be seen.

--- a/tests/soak/promise_judge.h
+++ b/tests/soak/promise_judge.h
@@ -57,6 +57,10 @@
   /// The operators took \p Key away; \p Now is when the store had it written.
   void onWithdrawn(const std::string &Key, instant Now);
 
+  /// Connections to upstreams may hold bytes back until \p Until: what was sent
+  /// in time may begin later.
+  void onUpstreamLinkHarmed(instant Until);
+
   /// The judge itself was held up until \p Now, \p By so much: what it sees now
   /// may be that old.
   void onHeldUp(span_ns By, instant Now);
@@ -87,6 +91,7 @@
   std::vector<instant> FirstRuns; ///< of requests that count for the team
   std::map<int, std::size_t> Answers;
   std::vector<std::string> Broken;
+  instant LinkHarmedUntil;
   instant HeldUpAt;
   span_ns HeldUpBy{0};
 };
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -413,6 +413,7 @@
   // connection to a gateway.
   switch (Event.Kind) {
   case soak_kind::UpstreamLink:
+    Judge.onUpstreamLinkHarmed(readBootClock() + Event.For);
     return harm(*Upstream.Proxy, Event);
   case soak_kind::Upstream: {
     // Up to `Hold`: another process at the address is a kind of its own, and
--- a/tests/soak_checks/promise_judge_test.cpp
+++ b/tests/soak_checks/promise_judge_test.cpp
@@ -106,6 +106,24 @@
   cr_assert(Judge.broken().size() == 1);
 }
 
+/// The bound is on when a request is sent: a cut link may deliver it later.
+Test(promise_judge, bytes_that_a_link_held_back_were_sent_before) {
+  promise_judge Judge(bounds());
+  Judge.onAsked({"early", "/read/", "key-1", 0, instant(1s)});
+  Judge.onWithdrawn("key-1", instant(1s));
+  Judge.onUpstreamLinkHarmed(instant(4s));
+  Judge.onRun("early", instant(4s));
+  cr_assert(Judge.broken().empty());
+  // Asked behind the bound it may not run, whatever the link does.
+  Judge.onAsked({"late", "/read/", "key-1", 0, instant(3s)});
+  Judge.onRun("late", instant(4s));
+  cr_assert(Judge.broken().size() == 1);
+  // Nor where no link was harmed since it was asked.
+  Judge.onAsked({"after", "/read/", "key-1", 0, instant(5s)});
+  Judge.onRun("after", instant(6s));
+  cr_assert(Judge.broken().size() == 2);
+}
+
 Test(promise_judge, a_new_key_may_be_unknown_for_a_while) {
   promise_judge Judge(bounds());
   Judge.onAdded("key-2", instant(1s));
