--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -21,6 +21,34 @@
   store_fault Fault;
 };
 
+/// Settings under which a claim on the weights is acted on at once.
+gateway_settings issuingSettings() {
+  gateway_settings Settings = gateway_fixture::quickSettings();
+  Settings.IssuerTermMs = 1;
+  return Settings;
+}
+
+const std::string &claimKey() {
+  static const std::string Key(weights_task::claimKey());
+  return Key;
+}
+
+/// Waits until an instance holds the claim.
+bool waitForClaim(gateway_fixture &Gateway) {
+  return Gateway.waitFor(
+      [&] { return Gateway.Store.model().get(claimKey()).has_value(); });
+}
+
+/// Names \p Version and waits until both upstreams have it.
+bool bringsWeights(gateway_fixture &Gateway, std::int64_t Version) {
+  Gateway.Store.put("op/version/m", R"({"model":"m","version":)" +
+                                        std::to_string(Version) + "}");
+  return Gateway.waitFor([&] {
+    return Gateway.Upstreams[0]->Weights == Version &&
+           Gateway.Upstreams[1]->Weights == Version;
+  });
+}
+
 int runs(const gateway_fixture &Gateway) {
   return Gateway.Upstreams[0]->runs() + Gateway.Upstreams[1]->runs();
 }
@@ -117,51 +145,33 @@
 }
 
 Test(gateway_task, new_weights_are_brought_to_all_engines) {
-  gateway_settings Settings = gateway_fixture::quickSettings();
-  Settings.IssuerTermMs = 1;
-  gateway_fixture Gateway(Settings);
-  Gateway.Store.put("op/version/m", R"({"model":"m","version":2})");
-  cr_assert(Gateway.waitFor([&] {
-    return Gateway.Upstreams[0]->Weights == 2 &&
-           Gateway.Upstreams[1]->Weights == 2;
-  }));
+  gateway_fixture Gateway(issuingSettings());
+  cr_assert(bringsWeights(Gateway, 2));
 }
 
 /// The write of the claim is done and its answer lost.
 Test(gateway_task, a_lost_answer_to_the_claim_is_read_back) {
-  gateway_settings Settings = gateway_fixture::quickSettings();
-  Settings.IssuerTermMs = 1;
-  gateway_fixture Gateway(Settings);
-  const std::string Claim(weights_task::claimKey());
-  cr_assert(Gateway.waitFor(
-      [&] { return Gateway.Store.model().get(Claim).has_value(); }));
+  gateway_fixture Gateway(issuingSettings());
+  cr_assert(waitForClaim(Gateway));
   Gateway.Store.setFault(store_fault::LosesWrites);
   // Somebody removes the claim; it is taken again without an answer.
-  Gateway.Store.erase(Claim);
-  cr_assert(Gateway.waitFor(
-      [&] { return Gateway.Store.model().get(Claim).has_value(); }));
+  Gateway.Store.erase(claimKey());
+  cr_assert(waitForClaim(Gateway));
   Gateway.Store.setFault(store_fault::None);
-  Gateway.Store.put("op/version/m", R"({"model":"m","version":3})");
-  cr_assert(Gateway.waitFor([&] {
-    return Gateway.Upstreams[0]->Weights == 3 &&
-           Gateway.Upstreams[1]->Weights == 3;
-  }));
+  cr_assert(bringsWeights(Gateway, 3));
 }
 
 /// A claim whose answer was lost may be written seconds later, when another
 /// instance has long taken over.
 Test(gateway_task, a_late_claim_displaces_nobody) {
-  gateway_settings Settings = gateway_fixture::quickSettings();
-  Settings.IssuerTermMs = 1;
-  gateway_fixture Gateway(Settings);
-  const std::string Claim(weights_task::claimKey());
-  const auto Holder = [&] { return Gateway.Store.model().get(Claim); };
+  gateway_fixture Gateway(issuingSettings());
+  const auto Holder = [&] { return Gateway.Store.model().get(claimKey()); };
   cr_assert(Gateway.waitFor([&] { return Holder().has_value(); }));
   Gateway.Store.setFault(store_fault::LateWrites);
-  Gateway.Store.erase(Claim);
+  Gateway.Store.erase(claimKey());
   // Long enough for an attempt to claim to be under way.
   runLoopFor(Gateway.Base.get(), fleet_store_stand_in::LateBy / 2);
-  Gateway.Store.put(Claim, "i-9");
+  Gateway.Store.put(claimKey(), "i-9");
   Gateway.Store.put("op/version/m", R"({"model":"m","version":2})");
   runLoopFor(Gateway.Base.get(), fleet_store_stand_in::LateBy * 3);
   cr_assert(Holder()->Value == "i-9");
@@ -170,22 +180,13 @@
 
 /// All writes of a new instance are late: it takes up its work all the same.
 Test(gateway_task, a_late_claim_is_found_and_used) {
-  gateway_settings Settings = gateway_fixture::quickSettings();
-  Settings.IssuerTermMs = 1;
-  gateway_fixture Gateway(Settings);
-  const std::string Claim(weights_task::claimKey());
-  cr_assert(Gateway.waitFor(
-      [&] { return Gateway.Store.model().get(Claim).has_value(); }));
+  gateway_fixture Gateway(issuingSettings());
+  cr_assert(waitForClaim(Gateway));
   Gateway.Store.setFault(store_fault::LateWrites);
-  Gateway.Store.erase(Claim);
-  cr_assert(Gateway.waitFor(
-      [&] { return Gateway.Store.model().get(Claim).has_value(); }));
+  Gateway.Store.erase(claimKey());
+  cr_assert(waitForClaim(Gateway));
   Gateway.Store.setFault(store_fault::None);
-  Gateway.Store.put("op/version/m", R"({"model":"m","version":2})");
-  cr_assert(Gateway.waitFor([&] {
-    return Gateway.Upstreams[0]->Weights == 2 &&
-           Gateway.Upstreams[1]->Weights == 2;
-  }));
+  cr_assert(bringsWeights(Gateway, 2));
 }
 
 /// A watch that says nothing hides no withdrawn key: plain reads prove it.
@@ -214,17 +215,13 @@
 }
 
 Test(gateway_task, another_instances_claim_is_left_alone) {
-  gateway_settings Settings = gateway_fixture::quickSettings();
-  Settings.IssuerTermMs = 1;
-  gateway_fixture Gateway(Settings);
-  const std::string Claim(weights_task::claimKey());
-  cr_assert(Gateway.waitFor(
-      [&] { return Gateway.Store.model().get(Claim).has_value(); }));
-  Gateway.Store.put(Claim, "i-9");
+  gateway_fixture Gateway(issuingSettings());
+  cr_assert(waitForClaim(Gateway));
+  Gateway.Store.put(claimKey(), "i-9");
   Gateway.Store.put("op/version/m", R"({"model":"m","version":2})");
   runLoopFor(Gateway.Base.get(), 600ms);
   cr_assert(Gateway.Upstreams[0]->Weights == 1);
-  cr_assert(Gateway.Store.model().get(Claim)->Value == "i-9");
+  cr_assert(Gateway.Store.model().get(claimKey())->Value == "i-9");
 }
 
 /// After all have been restarted each reads the routing document before it has
