Soak: a gateway with its relays has a file of its own; one maker of requests

Change: soak_gateway takes the process, its settings, ports and relays, and the bounds that settings and judge share. Requests of the last part of a run have a deadline and a body too, as all others.

--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <fstream>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -21,14 +20,6 @@
 constexpr span_ns CallerDeadline = 1500ms;
 /// Above the deadline, until a caller closes a connection that stays silent.
 constexpr span_ns CallerPatience = 1000ms;
-/// Bounds of the gateways, shorter than the platform's so that a run meets
-/// them.
-constexpr std::int64_t KeyBoundMs = 1500;
-constexpr std::int64_t ApplyBoundMs = 800;
-constexpr std::int64_t StopGraceMs = 6000;
-/// Of the team; callers ask for somewhat more.
-constexpr double TeamRate = 30'000;
-constexpr double LimitSlack = 20'000;
 /// After all troubles: serving again within it (recovery of the platform's
 /// sheets), and without a bound on time at the latest after the second one.
 constexpr span_ns RecoveryBound = 12s;
@@ -41,50 +32,8 @@
 /// After it the platform's balancer sends nothing new to a stopping instance.
 constexpr span_ns BalancerTime = 2s;
 
-promise_bounds bounds() {
-  promise_bounds Bounds;
-  Bounds.Key = std::chrono::milliseconds(KeyBoundMs);
-  Bounds.Apply = std::chrono::milliseconds(ApplyBoundMs);
-  Bounds.Rate = TeamRate;
-  Bounds.Burst = TeamRate;
-  Bounds.Slack = LimitSlack;
-  Bounds.RequestTokens = PlainTokens;
-  return Bounds;
-}
-
 } // namespace
 
-struct soak_world::gateway {
-  gateway(soak_world &World, std::size_t Index)
-      : Index(Index), Name(fmt::format("g-{}", Index)), View(World.Store, Name),
-        Server(World.Base.get(), View),
-        StoreProxy(World.Base.get(), Server.port()),
-        CallerProxy(World.Base.get(), 0),
-        PortsFile((World.Options.Folder / (Name + ".ports")).string()) {}
-
-  std::size_t Index;
-  std::string Name;
-  fleet_store_client View;
-  store_server Server;
-  loopback_proxy StoreProxy;
-  loopback_proxy CallerProxy;
-  std::string PortsFile;
-  std::unique_ptr<daemon_process> Process;
-  bool Listening = false;
-  instant StoppingSince; ///< of the planned stop; none before one
-  instant RestartAt;
-  /// Last instant at which something else than a planned stop was done to it.
-  instant HarmedAt;
-  unsigned Pauses = 0; ///< that overlap
-  unsigned Harms = 0;  ///< of it or its callers' connections, at present
-
-  /// Whether something else than a planned stop may have cost an answer to a
-  /// request of the instant \p Asked.
-  bool harmedSince(instant Asked) const {
-    return Harms > 0 || HarmedAt >= Asked;
-  }
-};
-
 struct soak_world::upstream {
   std::string Id;
   std::unique_ptr<upstream_stand_in> Process;
@@ -151,7 +100,7 @@
     Answer.SaysNotRun = Answer.Body.find(R"("ran":"no")") != std::string::npos;
     const instant Now = readBootClock();
     World.Judge.onAnswer(Request.Id, Answer, Now);
-    const gateway &Gateway = *World.Gateways[Request.Gateway];
+    const soak_gateway &Gateway = *World.Gateways[Request.Gateway];
     const bool Harmed = Gateway.harmedSince(Request.At);
     if (World.Options.JudgeTimes && !Harmed &&
         Now - Request.At > CallerDeadline + AnswerSlack)
@@ -165,7 +114,7 @@
 
   /// A planned stop alone must not cut what a gateway has begun.
   void judgeCut(const exchange_loss &Loss) {
-    const gateway &Gateway = *World.Gateways[Request.Gateway];
+    const soak_gateway &Gateway = *World.Gateways[Request.Gateway];
     const instant Now = readBootClock();
     const bool Idle = Loss.ReusedConnection && Now - Request.At < IdleRace;
     const bool Unanswered =
@@ -184,7 +133,7 @@
 
 soak_world::soak_world(const soak_options &Given)
     : Options(Given), Random(Given.Seed), Base(event_base_new()),
-      Store(Base.get()), Links(Base.get(), {}), Judge(bounds()),
+      Store(Base.get()), Links(Base.get(), {}), Judge(soakBounds()),
       TickTimer(Base.get(), [this] { tick(); }) {
   Keys.push_back("key-0");
   Keys.push_back("key-1");
@@ -199,15 +148,9 @@
   }
   configure();
   for (std::size_t Index = 0; Index < Options.Size.Gateways; ++Index) {
-    Gateways.push_back(std::make_unique<gateway>(*this, Index));
-    gateway &Gateway = *Gateways.back();
-    Gateway.Process = std::make_unique<daemon_process>(
-        Options.Daemon,
-        std::vector<std::string>{"--gateway", "--settings",
-                                 writeSettings(Gateway), "--ports",
-                                 Gateway.PortsFile},
-        (Options.Folder / (Gateway.Name + ".log")).string());
-    startGateway(Gateway);
+    Gateways.push_back(std::make_unique<soak_gateway>(
+        Base.get(), Store, Options.Daemon, Options.Folder, Index));
+    startGateway(*Gateways.back());
   }
   for (std::size_t Index = 0; Index < Options.Size.Callers; ++Index)
     Callers.push_back(std::make_unique<caller>(*this));
@@ -219,41 +162,11 @@
       Caller->Exchange->cancel();
 }
 
-std::string soak_world::writeSettings(const gateway &Gateway) const {
-  const std::filesystem::path Path = Options.Folder / (Gateway.Name + ".toml");
-  std::ofstream(Path) << fmt::format(
-      "[instance]\nname = \"{}\"\ndomain = \"z\"\ndomains = [\"z=r\"]\n"
-      "[listen]\ncallers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
-      "peers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n"
-      "[store]\nendpoint = \"127.0.0.1:{}\"\ncall_timeout_ms = 200\n"
-      "lease_ms = 1000\nrefusal_interval_ms = 500\n"
-      "[bounds]\nkey_ms = {}\napply_ms = {}\nissuer_ms = 500\n"
-      "weights_ms = 4000\n[stop]\ngrace_ms = {}\n"
-      "[limits]\nexcess_percent = 10\nslack = {:.0f}\n",
-      Gateway.Name, Gateway.StoreProxy.port(), KeyBoundMs, ApplyBoundMs,
-      StopGraceMs, LimitSlack);
-  return Path.string();
-}
-
-void soak_world::startGateway(gateway &Gateway) {
-  std::filesystem::remove(Gateway.PortsFile);
-  Gateway.Listening = false;
-  Gateway.StoppingSince = {};
-  Gateway.CallerProxy.setTarget(0);
-  if (!Gateway.Process->start())
+void soak_world::startGateway(soak_gateway &Gateway) {
+  if (!Gateway.start())
     Broken.push_back(Options.Daemon + " cannot be started");
 }
 
-void soak_world::takePorts(gateway &Gateway) {
-  std::ifstream File(Gateway.PortsFile);
-  std::string Name;
-  std::uint16_t Port = 0;
-  if (!(File >> Name >> Port) || Port == 0)
-    return;
-  Gateway.Listening = true;
-  Gateway.CallerProxy.setTarget(Port);
-}
-
 void soak_world::startUpstream(upstream &Upstream) {
   if (Upstream.Process)
     Replaced.push_back(std::move(Upstream.Process));
@@ -279,7 +192,7 @@
   std::string Quoted;
   for (const std::string &Key : Keys)
     Quoted += fmt::format("{}\"{}\"", Quoted.empty() ? "" : ",", Key);
-  Store.put("op/config", routingDocument(++Version, Quoted, TeamRate));
+  Store.put("op/config", routingDocument(++Version, Quoted, soakBounds().Rate));
 }
 
 void soak_world::tick() {
@@ -290,7 +203,7 @@
   for (const auto &Gateway : Gateways) {
     if (Gateway->Process->running()) {
       if (!Gateway->Listening)
-        takePorts(*Gateway);
+        Gateway->takePorts();
       continue;
     }
     // The platform starts a process again after a short while.
@@ -321,7 +234,7 @@
 void soak_world::apply(const soak_event &Event) {
   if (Recovering)
     return;
-  gateway &Gateway = *Gateways[Event.Which % Gateways.size()];
+  soak_gateway &Gateway = *Gateways[Event.Which % Gateways.size()];
   upstream &Upstream = *Upstreams[Event.Which % Upstreams.size()];
   switch (Event.Kind) {
   case soak_kind::CallerLink:
@@ -340,7 +253,7 @@
     return Store.forgetHistory();
   case soak_kind::KillAll:
     for (const auto &Each : Gateways)
-      kill(*Each);
+      Each->kill();
     return;
   case soak_kind::Withdraw:
     if (Keys.size() > 1) {
@@ -364,14 +277,8 @@
   }
 }
 
-void soak_world::kill(gateway &Gateway) {
-  Gateway.HarmedAt = readBootClock();
-  Gateway.Listening = false;
-  std::filesystem::remove(Gateway.PortsFile);
-  Gateway.Process->signal(SIGKILL);
-}
-
-void soak_world::applyToGateway(const soak_event &Event, gateway &Gateway) {
+void soak_world::applyToGateway(const soak_event &Event,
+                                soak_gateway &Gateway) {
   if (Event.Kind == soak_kind::Terminate) {
     if (Gateway.StoppingSince == instant{})
       Gateway.StoppingSince = readBootClock();
@@ -390,7 +297,7 @@
   }
   Gateway.HarmedAt = readBootClock();
   if (Event.Kind == soak_kind::Kill)
-    return kill(Gateway);
+    return Gateway.kill();
   ++Gateway.Harms;
   if (Event.Kind == soak_kind::CallerLink) {
     harm(Gateway.CallerProxy, Event);
@@ -443,6 +350,23 @@
   }
 }
 
+client_request soak_world::requestFor(const asked_request &Asked) const {
+  client_request Request;
+  Request.Server = {"127.0.0.1", Gateways[Asked.Gateway]->CallerProxy.port()};
+  Request.Method = "POST";
+  Request.Target = Asked.Path + Asked.Id;
+  Request.Headers.add("Host", "h.example");
+  Request.Headers.add("Ebonyvale-Request-Id", Asked.Id);
+  Request.Headers.add(
+      "Ebonyvale-Deadline-Ms",
+      std::to_string(
+          std::chrono::duration_cast<std::chrono::milliseconds>(CallerDeadline)
+              .count()));
+  Request.Headers.add("Authorization", "Bearer " + Asked.Key);
+  Request.Body = "the body";
+  return Request;
+}
+
 void soak_world::ask(caller &Caller) {
   if (!Asking)
     return;
@@ -462,20 +386,7 @@
   Asked.At = readBootClock();
   if (std::ranges::find(Keys, Asked.Key) == Keys.end() || Any(Random) % 2 == 0)
     Asked.Key = Any(Random) % 4 == 0 ? Asked.Key : Keys.front();
-  client_request Request;
-  Request.Server = {"127.0.0.1", Gateways[Which]->CallerProxy.port()};
-  Request.Method = "POST";
-  Request.Target = Asked.Path + Asked.Id;
-  Request.Headers.add("Host", "h.example");
-  Request.Headers.add("Ebonyvale-Request-Id", Asked.Id);
-  Request.Headers.add(
-      "Ebonyvale-Deadline-Ms",
-      std::to_string(
-          std::chrono::duration_cast<std::chrono::milliseconds>(CallerDeadline)
-              .count()));
-  Request.Headers.add("Authorization", "Bearer " + Asked.Key);
-  Request.Body = "the body";
-  Caller.send(Request, Asked);
+  Caller.send(requestFor(Asked), Asked);
 }
 
 bool soak_world::waitFor(const std::function<bool()> &Done, span_ns Most) {
@@ -514,14 +425,8 @@
       caller &Caller = *Callers.front();
       asked_request Asked{fmt::format("r-{}", ++LastId), "/read/", Keys.front(),
                           Gateway->Index, readBootClock()};
-      client_request Request;
-      Request.Server = {"127.0.0.1", Gateway->CallerProxy.port()};
-      Request.Method = "POST";
-      Request.Target = Asked.Path + Asked.Id;
+      client_request Request = requestFor(Asked);
       Request.FreshLink = true;
-      Request.Headers.add("Host", "h.example");
-      Request.Headers.add("Ebonyvale-Request-Id", Asked.Id);
-      Request.Headers.add("Authorization", "Bearer " + Asked.Key);
       Caller.send(Request, Asked);
       waitFor([&Caller] { return !Caller.Busy; }, RecoveryPatience);
       Served = Caller.Answer.Status == 200 && Caller.Answer.Whole;
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -6,11 +6,10 @@
 
 #include "fakes/fleet_store_stand_in.h"
 #include "net/client_link.h"
-#include "platform/store_server.h"
 #include "platform/upstream_stand_in.h"
-#include "soak/daemon_process.h"
 #include "soak/loopback_proxy.h"
 #include "soak/promise_judge.h"
+#include "soak/soak_gateway.h"
 #include "soak/soak_plan.h"
 
 #include <filesystem>
@@ -48,24 +47,21 @@
   soak_result run();
 
 private:
-  struct gateway;
   struct upstream;
   class caller;
 
-  std::string writeSettings(const gateway &Gateway) const;
-  void startGateway(gateway &Gateway);
+  void startGateway(soak_gateway &Gateway);
   void tick();
-  void takePorts(gateway &Gateway);
   void configure();
   void apply(const soak_event &Event);
-  void kill(gateway &Gateway);
-  void applyToGateway(const soak_event &Event, gateway &Gateway);
+  void applyToGateway(const soak_event &Event, soak_gateway &Gateway);
   void applyToUpstream(const soak_event &Event, upstream &Upstream);
   void later(span_ns After, std::function<void()> Action);
   void harm(loopback_proxy &Proxy, const soak_event &Event);
   void list(upstream &Upstream, bool Draining);
   void startUpstream(upstream &Upstream);
   bool waitFor(const std::function<bool()> &Done, span_ns Most);
+  client_request requestFor(const asked_request &Asked) const;
   void ask(caller &Caller);
   void recover();
 
@@ -75,7 +71,7 @@
   fleet_store_stand_in Store;
   client_links Links;
   promise_judge Judge;
-  std::vector<std::unique_ptr<gateway>> Gateways;
+  std::vector<std::unique_ptr<soak_gateway>> Gateways;
   std::vector<std::unique_ptr<upstream>> Upstreams;
   /// Those that were replaced; requests may still be on their way to them.
   std::vector<std::unique_ptr<upstream_stand_in>> Replaced;
