One registry behind the metrics of daemons and gateways

Change: metric_registry in src/telemetry; both classes keep their own metrics and buckets. The names of all metrics were compared and are the same.

--- a/src/daemon/process/metrics.cpp
+++ b/src/daemon/process/metrics.cpp
@@ -1,7 +1,5 @@
 #include "daemon/process/metrics.h"
 
-#include <prometheus/text_serializer.h>
-
 namespace ebonyvale {
 namespace {
 
@@ -12,12 +10,7 @@
 } // namespace
 
 metrics::metrics()
-    : Registry(std::make_shared<prometheus::Registry>()),
-      Refusals(prometheus::BuildCounter()
-                   .Name("ebonyvale_refusals_total")
-                   .Help("Refusals by kind and team.")
-                   .Register(*Registry)),
-      Requests(addCounter("ebonyvale_requests_total", "Requests received.")),
+    : Requests(addCounter("ebonyvale_requests_total", "Requests received.")),
       Answered(
           addCounter("ebonyvale_answers_total", "Answers delivered whole.")),
       CallersGone(addCounter("ebonyvale_callers_gone_total",
@@ -47,37 +40,7 @@
       FirstTokenSeconds(
           addHistogram("ebonyvale_first_token_seconds",
                        "Time from a request to the first piece of its "
-                       "answer.")) {}
-
-void metrics::onRefusal(error_kind Kind, const std::string &Team) {
-  Refusals.Add({{"kind", std::string(errorRow(Kind).Name)}, {"team", Team}})
-      .Increment();
-}
-
-std::string metrics::text() const {
-  return prometheus::TextSerializer().Serialize(Registry->Collect());
-}
-
-prometheus::Counter &metrics::addCounter(const char *Name, const char *Help) {
-  return prometheus::BuildCounter()
-      .Name(Name)
-      .Help(Help)
-      .Register(*Registry)
-      .Add({});
-}
-
-prometheus::Gauge &metrics::addGauge(const char *Name, const char *Help) {
-  return prometheus::BuildGauge().Name(Name).Help(Help).Register(*Registry).Add(
-      {});
-}
-
-prometheus::Histogram &metrics::addHistogram(const char *Name,
-                                             const char *Help) {
-  return prometheus::BuildHistogram()
-      .Name(Name)
-      .Help(Help)
-      .Register(*Registry)
-      .Add({}, SecondsBuckets);
-}
+                       "answer.",
+                       SecondsBuckets)) {}
 
 } // namespace ebonyvale
