Settings: take every figure of the contract as the platform states it

Cause: the template repeated two figures of the contract (retry ratio, quota excess), turned seconds into ms with three zeros behind them, and integer settings rejected a fraction: on a contract with a fractional retry slack every gateway ended at start.

Change: fields of a real number, and integer fields that round to the safe side (bounds and allowances down, minimum waits up); seconds stay seconds (stop.grace_s, retries.window_s); retries.ratio, limits.excess and bounds.transit_ms come from the contract; a figure that is not stated leaves the default. Intervals of store calls have a minimum, so that a bound of zero causes no continuous calls. The margin of the key bound follows the stated transit time plus 100 ms (before: 300 ms always).

The quota window needs no setting: a share is a token bucket, which holds for any window. The engines' prefill speed is stated nowhere at run time and stays a setting.

--- a/src/common/field_table.cpp
+++ b/src/common/field_table.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <numeric>
+#include <optional>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -56,15 +58,44 @@
     return {};
   }
   std::string operator()(std::int64_t *Target, std::int64_t Value) const {
-    if (Value < Rule.Min)
+    return assignInRange(*Target, Value);
+  }
+  std::string operator()(double *Target, double Value) const {
+    return assignInRange(*Target, Value);
+  }
+
+private:
+  template <typename Number>
+  std::string assignInRange(Number &Target, Number Value) const {
+    if (Value < static_cast<Number>(Rule.Min))
       return fmt::format("must be at least {} {}", Rule.Min, Rule.Unit);
-    if (Value > Rule.Max)
+    if (Value > static_cast<Number>(Rule.Max))
       return fmt::format("must be at most {} {}", Rule.Max, Rule.Unit);
-    *Target = Value;
+    Target = Value;
     return {};
   }
 };
 
+/// Returns the integer that \p Node stands for under \p Rounding, or nothing
+/// if there is none.
+std::optional<std::int64_t> integerOf(const toml::node &Node,
+                                      rounding Rounding) {
+  if (const auto *Whole = Node.as_integer())
+    return Whole->get();
+  const auto *Fraction = Node.as_floating_point();
+  if (!Fraction || Rounding == rounding::Reject)
+    return std::nullopt;
+  const double Rounded = Rounding == rounding::Down
+                             ? std::floor(Fraction->get())
+                             : std::ceil(Fraction->get());
+  // 2^63 is the smallest double above the range of the integer. The comparison
+  // is false for NaN.
+  constexpr double Limit = 9223372036854775808.0;
+  if (!(Rounded >= -Limit && Rounded < Limit))
+    return std::nullopt;
+  return static_cast<std::int64_t>(Rounded);
+}
+
 /// Checks the type and value of \p Node and stores it in \p Field. Returns why
 /// the value is invalid, or an empty string.
 std::string assignNode(const toml::node &Node, const bound_field &Field) {
@@ -75,9 +106,16 @@
     return "must be a string";
   }
   if (auto *const *Number = std::get_if<std::int64_t *>(&Field.Value)) {
-    if (const auto *Value = Node.as_integer())
-      return Assign(*Number, Value->get());
-    return "must be an integer";
+    if (const auto Value = integerOf(Node, Field.Rule->Rounding))
+      return Assign(*Number, *Value);
+    return Field.Rule->Rounding == rounding::Reject ? "must be an integer"
+                                                    : "must be a number";
+  }
+  if (auto *const *Number = std::get_if<double *>(&Field.Value)) {
+    const auto Value = Node.value<double>();
+    if (Value && std::isfinite(*Value))
+      return Assign(*Number, *Value);
+    return "must be a number";
   }
   if (auto *const *Flag = std::get_if<bool *>(&Field.Value)) {
     const auto *Value = Node.as_boolean();
@@ -152,6 +190,9 @@
   std::string operator()(const std::int64_t *Number) const {
     return fmt::format("{}", *Number);
   }
+  std::string operator()(const double *Number) const {
+    return fmt::format("{}", *Number);
+  }
   std::string operator()(const bool *Flag) const {
     return *Flag ? "true" : "false";
   }
--- a/src/common/field_table.h
+++ b/src/common/field_table.h
@@ -23,13 +23,21 @@
 
 namespace ebonyvale {
 
+/// How an integer field takes a number with a fraction.
+enum class rounding {
+  Reject, ///< a fraction is an error
+  Down,   ///< for upper bounds and allowances
+  Up,     ///< for minimum waits
+};
+
 /// Constraints on a field's value and its description for users.
 struct field_rule {
   std::string_view Name;        ///< dotted path within the document
   std::string_view Description; ///< one sentence
   std::string_view Unit;        ///< unit of a number; empty if it has none
-  std::int64_t Min = 0;         ///< smallest allowed integer
+  std::int64_t Min = 0;         ///< smallest allowed number
   std::int64_t Max = std::numeric_limits<std::int64_t>::max();
+  rounding Rounding = rounding::Reject; ///< integer fields only
   bool Required = false;
   bool Secret = false;      ///< redacted by `writeFields`
   std::string_view Choices; ///< allowed words, separated by '|'
@@ -37,9 +45,9 @@
 
 /// Pointer to the member of `Record` that holds a field's value.
 template <typename Record>
-using field_member =
-    std::variant<std::string Record::*, std::int64_t Record::*, bool Record::*,
-                 std::vector<std::string> Record::*>;
+using field_member = std::variant<std::string Record::*, std::int64_t Record::*,
+                                  double Record::*, bool Record::*,
+                                  std::vector<std::string> Record::*>;
 
 /// Declares one field of `Record`.
 template <typename Record> struct field {
@@ -48,8 +56,8 @@
 };
 
 /// Pointer to the value of one field in one record.
-using field_value = std::variant<std::string *, std::int64_t *, bool *,
-                                 std::vector<std::string> *>;
+using field_value = std::variant<std::string *, std::int64_t *, double *,
+                                 bool *, std::vector<std::string> *>;
 
 /// A field's rule and the value it applies to.
 struct bound_field {
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -23,6 +23,9 @@
 /// learns of a version, plus the network time to an upstream.
 constexpr span_ns WeightsMargin = std::chrono::milliseconds(2000);
 
+/// Longest delay between the check of a key and the send of the request.
+constexpr span_ns LateTimerMargin = std::chrono::milliseconds(100);
+
 quota_ledger_options ledgerOptions() {
   quota_ledger_options Options;
   Options.StartFraction = StartFraction;
@@ -49,6 +52,8 @@
 freshness_options freshnessOptionsOf(const gateway_settings &Settings) {
   freshness_options Options;
   Options.MaxKeyAge = std::chrono::milliseconds(Settings.KeyBoundMs);
+  Options.KeyAgeMargin =
+      std::chrono::milliseconds(Settings.TransitMs) + LateTimerMargin;
   Options.MaxApplyDelay = std::chrono::milliseconds(Settings.ApplyBoundMs);
   return Options;
 }
@@ -73,9 +78,9 @@
       Shares(ledgerOptions(), Started, Boot), Crashes(crash_tracker_options{}),
       Refusals(Settings.InstanceName, Boot,
                refusal_log_options{.Records = 2000}),
-      RetryOptions{static_cast<double>(Settings.RetryPercent) / 100,
+      RetryOptions{Settings.RetryRatio,
                    static_cast<double>(Settings.RetrySlack),
-                   std::chrono::milliseconds(Settings.RetryWindowMs)},
+                   fromSeconds(Settings.RetryWindowSeconds)},
       ShareTimer(Base, [this] {
         execute(Shares.onTick(readBootClock()));
         armShareTimer();
@@ -128,10 +133,7 @@
 /// Returns the quota share of \p Team. Operators tolerate, over all instances
 /// and for any window, (rate x window + burst) x (1 + excess) + slack.
 team_limits gateway_core::limitsOf(const team_entry &Team) const {
-  constexpr double Percent = 0.01;
-  const double Factor =
-      1 + UsedExcessFraction * Percent *
-              static_cast<double>(Settings.LimitExcessPercent);
+  const double Factor = 1 + UsedExcessFraction * Settings.LimitExcess;
   const double Slack =
       UsedSlackFraction * static_cast<double>(Settings.LimitSlackTokens);
   const double Instances =
--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::int64_t MaxMs = 3'600'000;
+/// Largest bound that a contract may state; still far from overflow in ns.
+constexpr std::int64_t MaxBoundMs = 1'000'000'000;
+constexpr std::int64_t MaxBoundSeconds = 1'000'000;
 constexpr std::int64_t MaxCount = 1'000'000'000;
 
 using setting = field<gateway_settings>;
@@ -26,10 +29,37 @@
           .Max = MaxMs};
 }
 
+/// A bound in ms that the platform states, possibly zero or with a fraction.
+constexpr field_rule bound(std::string_view Name, std::string_view Description,
+                           rounding Rounding = rounding::Down) {
+  return {.Name = Name,
+          .Description = Description,
+          .Unit = "ms",
+          .Max = MaxBoundMs,
+          .Rounding = Rounding};
+}
+
+constexpr field_rule seconds(std::string_view Name,
+                             std::string_view Description) {
+  return {.Name = Name,
+          .Description = Description,
+          .Unit = "s",
+          .Max = MaxBoundSeconds};
+}
+
+constexpr field_rule ratio(std::string_view Name,
+                           std::string_view Description) {
+  return {.Name = Name, .Description = Description, .Max = MaxCount};
+}
+
 constexpr field_rule count(std::string_view Name, std::string_view Description,
-                           std::string_view Unit) {
-  return {
-      .Name = Name, .Description = Description, .Unit = Unit, .Max = MaxCount};
+                           std::string_view Unit,
+                           rounding Rounding = rounding::Reject) {
+  return {.Name = Name,
+          .Description = Description,
+          .Unit = Unit,
+          .Max = MaxCount,
+          .Rounding = Rounding};
 }
 
 const std::array Fields{
@@ -70,34 +100,39 @@
                    "Minimum time between two writes of refusals; longer in a "
                    "large fleet."),
             &gateway_settings::RefusalIntervalMs},
-    setting{
-        millis("bounds.key_ms",
-               "Time after which requests with a withdrawn key are refused."),
-        &gateway_settings::KeyBoundMs},
-    setting{millis("bounds.apply_ms",
-                   "Time within which an accepted version is in force."),
+    setting{bound("bounds.key_ms",
+                  "Time after which requests with a withdrawn key are "
+                  "refused."),
+            &gateway_settings::KeyBoundMs},
+    setting{bound("bounds.apply_ms",
+                  "Time within which an accepted version is in force."),
             &gateway_settings::ApplyBoundMs},
-    setting{millis("bounds.issuer_ms",
-                   "Minimum time between orders of two issuers."),
+    setting{bound("bounds.transit_ms",
+                  "Longest time of a message on its way to an upstream.",
+                  rounding::Up),
+            &gateway_settings::TransitMs},
+    setting{bound("bounds.issuer_ms",
+                  "Minimum time between orders of two issuers.", rounding::Up),
             &gateway_settings::IssuerHandoverMs},
-    setting{millis("bounds.weights_ms",
-                   "Time after which no request starts on outdated weights."),
+    setting{bound("bounds.weights_ms",
+                  "Time after which no request starts on outdated weights."),
             &gateway_settings::WeightsBoundMs},
-    setting{millis("stop.grace_ms", "Time from SIGTERM to a forced exit."),
-            &gateway_settings::StopGraceMs},
-    setting{count("retries.percent", "Retries allowed for 100 requests.", ""),
-            &gateway_settings::RetryPercent},
+    setting{seconds("stop.grace_s", "Time from SIGTERM to a forced exit."),
+            &gateway_settings::StopGraceSeconds},
+    setting{ratio("retries.ratio", "Retries allowed for each request."),
+            &gateway_settings::RetryRatio},
     setting{count("retries.slack",
-                  "Additional retries in a window, fleet-wide.", "requests"),
+                  "Additional retries in a window, fleet-wide.", "requests",
+                  rounding::Down),
             &gateway_settings::RetrySlack},
-    setting{millis("retries.window_ms", "Window of the retry budget."),
-            &gateway_settings::RetryWindowMs},
-    setting{count("limits.excess_percent",
-                  "Tolerated excess over a team's limit.", "percent"),
-            &gateway_settings::LimitExcessPercent},
+    setting{seconds("retries.window_s", "Window of the retry budget."),
+            &gateway_settings::RetryWindowSeconds},
+    setting{ratio("limits.excess",
+                  "Tolerated excess over a team's limit, as a fraction of it."),
+            &gateway_settings::LimitExcess},
     setting{count("limits.slack",
                   "Additional tolerated excess in a window, fleet-wide.",
-                  "tokens"),
+                  "tokens", rounding::Down),
             &gateway_settings::LimitSlackTokens},
     setting{{.Name = "engines.prefill_tokens_per_ms",
              .Description = "Prefill speed of an engine.",
@@ -142,6 +177,14 @@
         &gateway_settings::LogLinesPerSecond},
 };
 
+/// Returns \p Millis as an interval of store calls. It is not below a minimum,
+/// so that a bound near zero causes no continuous calls.
+span_ns storeInterval(double Millis) {
+  constexpr double MinMillis = 50;
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(std::max(MinMillis, Millis)));
+}
+
 } // namespace
 
 std::span<const field<gateway_settings>> gatewaySettingFields() {
@@ -163,8 +206,8 @@
   constexpr double FractionOfBound = 0.24;
   if (Settings.StoreWatchPauseMs > 0)
     return std::chrono::milliseconds(Settings.StoreWatchPauseMs);
-  return std::chrono::milliseconds(static_cast<std::int64_t>(
-      FractionOfBound * static_cast<double>(Settings.ApplyBoundMs)));
+  return storeInterval(FractionOfBound *
+                       static_cast<double>(Settings.ApplyBoundMs));
 }
 
 span_ns readInterval(const gateway_settings &Settings) {
@@ -175,7 +218,7 @@
   const double Millis = std::min(
       FractionOfApplyBound * static_cast<double>(Settings.ApplyBoundMs),
       FractionOfKeyBound * static_cast<double>(Settings.KeyBoundMs));
-  return std::chrono::milliseconds(static_cast<std::int64_t>(Millis));
+  return storeInterval(Millis);
 }
 
 std::map<std::string, std::string>
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -17,7 +17,8 @@
 namespace ebonyvale {
 
 /// Values of the settings. The command line overrides the file, which overrides
-/// the defaults. Durations are in ms, endpoints have the form "IP:PORT".
+/// the defaults. Durations are in ms unless named otherwise; endpoints have the
+/// form "IP:PORT".
 struct gateway_settings {
   std::string InstanceName = "instance-1";
   std::string Domain = "local";
@@ -37,14 +38,15 @@
 
   std::int64_t KeyBoundMs = 5000;
   std::int64_t ApplyBoundMs = 2500;
+  std::int64_t TransitMs = 200;
   std::int64_t IssuerHandoverMs = 3000;
   std::int64_t WeightsBoundMs = 10000;
-  std::int64_t StopGraceMs = 8000;
+  double StopGraceSeconds = 8;
 
-  std::int64_t RetryPercent = 20;
+  double RetryRatio = 0.2;
   std::int64_t RetrySlack = 50;
-  std::int64_t RetryWindowMs = 10000;
-  std::int64_t LimitExcessPercent = 10;
+  double RetryWindowSeconds = 10;
+  double LimitExcess = 0.1;
   std::int64_t LimitSlackTokens = 0;
 
   std::int64_t PrefillTokensPerMs = 80;
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -180,7 +180,7 @@
 void gateway_task::onStopTick() {
   const span_ns Waited = readBootClock() - *StopRequested;
   const span_ns Grace =
-      std::chrono::milliseconds(Core.settings().StopGraceMs) - ForcedEndMargin;
+      fromSeconds(Core.settings().StopGraceSeconds) - ForcedEndMargin;
   if (Waited < BalancerLag)
     return;
   Callers.stopListening();
--- a/tests/common/field_table_test.cpp
+++ b/tests/common/field_table_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <criterion/parameterized.h>
 
 #include <array>
 
@@ -12,12 +13,29 @@
 struct sample {
   std::string Name;
   std::int64_t Rate = 1;
+  std::int64_t Allowance = 0;
+  std::int64_t Wait = 0;
+  double Ratio = 0;
 };
 
 const std::array SampleFields{
     field<sample>{{.Name = "limits.name", .Required = true}, &sample::Name},
     field<sample>{{.Name = "limits.rate", .Unit = "tokens/s", .Min = 1},
                   &sample::Rate},
+    field<sample>{
+        {.Name = "limits.allowance", .Max = 1000, .Rounding = rounding::Down},
+        &sample::Allowance},
+    field<sample>{{.Name = "limits.wait", .Rounding = rounding::Up},
+                  &sample::Wait},
+    field<sample>{{.Name = "limits.ratio", .Max = 1}, &sample::Ratio},
+};
+
+struct number_row {
+  char Line[32];
+  char Problem[32]; ///< empty: none
+  std::int64_t Allowance = 0;
+  std::int64_t Wait = 0;
+  double Ratio = 0;
 };
 
 problem_list readSample(std::string_view Text, sample &Target) {
@@ -66,3 +84,37 @@
   cr_assert(Copy.Name == Value.Name);
   cr_assert(Copy.Rate == Value.Rate);
 }
+
+ParameterizedTestParameters(field_table, numbers_with_fractions) {
+  static number_row Rows[] = {
+      {"rate = 1.5", "must be an integer"},
+      {"allowance = 7", "", 7},
+      {"allowance = 7.9", "", 7},
+      {"allowance = 1001", "must be at most 1000 "},
+      {"allowance = -0.5", "must be at least 0 "},
+      {"allowance = inf", "must be a number"},
+      {"allowance = nan", "must be a number"},
+      {"allowance = 1e19", "must be a number"},
+      {"allowance = \"7\"", "must be a number"},
+      {"wait = 7.1", "", 0, 8},
+      {"ratio = 0.25", "", 0, 0, 0.25},
+      {"ratio = 1", "", 0, 0, 1},
+      {"ratio = 1.01", "must be at most 1 "},
+      {"ratio = nan", "must be a number"},
+      {"ratio = true", "must be a number"},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(number_row *Row, field_table, numbers_with_fractions) {
+  sample Value;
+  const problem_list Problems = readSample(
+      std::string("[limits]\nname = \"a\"\n") + Row->Line + "\n", Value);
+  cr_assert(Problems.empty() == std::string_view(Row->Problem).empty());
+  if (!Problems.empty())
+    cr_assert(Problems[0].Reason == Row->Problem, "%s",
+              Problems[0].Reason.c_str());
+  cr_assert(Value.Allowance == Row->Allowance);
+  cr_assert(Value.Wait == Row->Wait);
+  cr_assert(Value.Ratio == Row->Ratio);
+}
--- a/tests/soak/soak_gateway.cpp
+++ b/tests/soak/soak_gateway.cpp
@@ -14,7 +14,7 @@
 /// that a run reaches them.
 constexpr std::int64_t KeyBoundMs = 1500;
 constexpr std::int64_t ApplyBoundMs = 800;
-constexpr std::int64_t StopGraceMs = 6000;
+constexpr std::int64_t StopGraceSeconds = 6;
 /// Rate of the team, in tokens per second. Callers demand slightly more.
 constexpr double TeamRate = 30'000;
 constexpr double LimitSlack = 20'000;
@@ -56,9 +56,9 @@
       "[store]\nendpoint = \"127.0.0.1:{}\"\ncall_timeout_ms = 200\n"
       "lease_ms = 1000\nrefusal_interval_ms = 500\n"
       "[bounds]\nkey_ms = {}\napply_ms = {}\nissuer_ms = 500\n"
-      "weights_ms = 4000\n[stop]\ngrace_ms = {}\n"
-      "[limits]\nexcess_percent = 10\nslack = {:.0f}\n",
-      Name, StoreProxy.port(), KeyBoundMs, ApplyBoundMs, StopGraceMs,
+      "weights_ms = 4000\n[stop]\ngrace_s = {}\n"
+      "[limits]\nexcess = 0.1\nslack = {:.0f}\n",
+      Name, StoreProxy.port(), KeyBoundMs, ApplyBoundMs, StopGraceSeconds,
       LimitSlack);
   return Path.string();
 }
