Store: instances of a failure domain follow the store through one of them

Change: the first instance of a domain by name follows the store; the others poll it over the peers' socket for changes, operators' documents and the age of its last read. The age counts from the poll, so a late response or a process that stood still never makes it look newer, and it is taken over only by an instance whose documents are at least as new. Each instance decides by itself (change_source): a peer that is silent or out of date is avoided for 5 s, after three the store is followed. Changes are kept for 20 s (change_log); a gap leads to a new listing. Documents over 1 KB are read from the store. The roster keeps its peers instead of copying them at each use.

Gateways over real sockets: few calls, keys, upstreams, gap, loss of the followed peer, freshness of the own configuration.

--- /dev/null
+++ b/src/decisions/process/change_source.cpp
@@ -0,0 +1,67 @@
+#include "decisions/process/change_source.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ebonyvale {
+
+void change_source::setPeers(const std::vector<std::string> &Names) {
+  Candidates.clear();
+  for (const std::string &Name : Names)
+    if (Name < Self)
+      Candidates.push_back(Name);
+  std::ranges::sort(Candidates);
+  if (Candidates.size() > Options.MaxCandidates)
+    Candidates.resize(Options.MaxCandidates);
+}
+
+std::optional<std::string_view> change_source::choose(instant Now) const {
+  const auto Usable = [&](const std::string &Peer) {
+    const auto Avoided = AvoidUntil.find(Peer);
+    return Avoided == AvoidUntil.end() || Now >= Avoided->second;
+  };
+  const auto Found = std::ranges::find_if(Candidates, Usable);
+  if (Found == Candidates.end())
+    return std::nullopt;
+  return std::string_view(*Found);
+}
+
+const change_source::poll &change_source::startPoll(std::string_view Peer,
+                                                    instant Now) {
+  return Pending.emplace(std::string(Peer), ++LastNumber, Now);
+}
+
+std::optional<instant> change_source::onResponse(std::string_view Peer,
+                                                 std::uint64_t Number,
+                                                 std::optional<span_ns> ReadAge,
+                                                 instant Now) {
+  if (!Pending || Pending->Peer != Peer || Pending->Number != Number)
+    return std::nullopt;
+  const poll Answered = *std::exchange(Pending, std::nullopt);
+  LostPolls = 0;
+  // The response was made after the poll was sent, so the peer's read is at
+  // most `ReadAge` older than the poll, however long the response took.
+  if (!ReadAge || Now - (Answered.SentAt - *ReadAge) > Options.MaxReadAge) {
+    avoid(Peer, Now);
+    return std::nullopt;
+  }
+  AvoidUntil.erase(std::string(Peer));
+  return Answered.SentAt - *ReadAge;
+}
+
+void change_source::onTimeout(instant Now) {
+  if (!Pending)
+    return;
+  const poll Lost = *std::exchange(Pending, std::nullopt);
+  if (++LostPolls >= Options.MaxLostPolls)
+    avoid(Lost.Peer, Now);
+}
+
+void change_source::avoid(std::string_view Peer, instant Now) {
+  LostPolls = 0;
+  AvoidUntil.insert_or_assign(std::string(Peer), Now + Options.AvoidTime);
+  std::erase_if(AvoidUntil,
+                [Now](const auto &Entry) { return Now >= Entry.second; });
+}
+
+} // namespace ebonyvale
--- a/src/decisions/process/instance_roster.cpp
+++ b/src/decisions/process/instance_roster.cpp
@@ -10,6 +10,7 @@
   Found->second.Entry = Entry;
   if (New)
     Found->second.AbsentSince = Now;
+  updatePeer(Name);
 }
 
 void instance_roster::removeEntry(std::string_view Name) {
@@ -20,6 +21,7 @@
 
 void instance_roster::putPresence(std::string_view Name, instant) {
   Instances[std::string(Name)].HasPresence = true;
+  updatePeer(Name);
 }
 
 void instance_roster::removePresence(std::string_view Name, instant Now) {
@@ -28,6 +30,26 @@
     return;
   Found->second.HasPresence = false;
   Found->second.AbsentSince = Now;
+  updatePeer(Name);
+}
+
+void instance_roster::updatePeer(std::string_view Name) {
+  const auto Found = Instances.find(Name);
+  const bool IsPeer = Found != Instances.end() && Found->second.HasPresence &&
+                      Found->second.Entry && Name != Self;
+  const auto Known = Peers.find(Name);
+  if (!IsPeer) {
+    if (Known == Peers.end())
+      return;
+    Peers.erase(Known);
+  } else if (Known == Peers.end()) {
+    Peers.emplace(Name, *Found->second.Entry);
+  } else if (Known->second != *Found->second.Entry) {
+    Known->second = *Found->second.Entry;
+  } else {
+    return;
+  }
+  ++Generation;
 }
 
 std::size_t instance_roster::quotaShareCount(instant Now,
@@ -46,15 +68,6 @@
   return SelfCounted ? Count : Count + 1;
 }
 
-std::vector<std::pair<std::string, instance_endpoint>>
-instance_roster::peers() const {
-  std::vector<std::pair<std::string, instance_endpoint>> Found;
-  for (const auto &[Name, State] : Instances)
-    if (State.HasPresence && State.Entry && Name != Self)
-      Found.emplace_back(Name, *State.Entry);
-  return Found;
-}
-
 std::vector<std::string> instance_roster::staleEntries(instant Now) const {
   std::vector<std::string> Names;
   for (const auto &[Name, State] : Instances)
--- a/src/decisions/process/instance_roster.h
+++ b/src/decisions/process/instance_roster.h
@@ -55,7 +55,12 @@
   std::size_t quotaShareCount(instant Now, instant Started) const;
 
   /// Returns the other instances that have an entry and a presence, by name.
-  std::vector<std::pair<std::string, instance_endpoint>> peers() const;
+  const std::map<std::string, instance_endpoint, std::less<>> &peers() const {
+    return Peers;
+  }
+
+  /// Returns a number that increases with every change of the peers.
+  std::uint64_t generation() const { return Generation; }
 
   /// Returns the names of other instances without a presence for
   /// `StaleEntryAge` or longer.
@@ -68,8 +73,13 @@
     instant AbsentSince; ///< valid without a presence
   };
 
+  /// Updates `Peers` after a change of the instance \p Name.
+  void updatePeer(std::string_view Name);
+
   std::string Self;
   std::map<std::string, state, std::less<>> Instances;
+  std::map<std::string, instance_endpoint, std::less<>> Peers;
+  std::uint64_t Generation = 1;
 };
 
 } // namespace ebonyvale
--- a/src/fakes/fake_fleet_store.cpp
+++ b/src/fakes/fake_fleet_store.cpp
@@ -94,6 +94,7 @@
 void fake_fleet_store_client::list(const std::string &Prefix,
                                    items_callback Callback) {
   items_callback Done = whileAlive(std::move(Callback));
+  ++Store.Calls[Instance];
   store_items Found;
   Found.SentAt = readBootClock();
   const store_fault Fault = Store.faultFor(Instance);
@@ -114,6 +115,7 @@
 void fake_fleet_store_client::watch(const std::string &Prefix,
                                     std::int64_t Revision, span_ns Wait,
                                     items_callback Done) {
+  ++Store.Calls[Instance];
   Store.Watches.push_back({Instance, Prefix, Revision, readBootClock() + Wait,
                            whileAlive(std::move(Done))});
 }
--- a/src/fakes/fake_fleet_store.h
+++ b/src/fakes/fake_fleet_store.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -53,6 +54,11 @@
 
   /// Returns the number of successful list calls.
   std::size_t listCalls() const { return ListCalls; }
+  /// Returns the number of list and watch calls of \p Instance.
+  std::size_t callsOf(const std::string &Instance) const {
+    const auto Found = Calls.find(Instance);
+    return Found == Calls.end() ? 0 : Found->second;
+  }
 
 private:
   friend class fake_fleet_store_client;
@@ -77,6 +83,7 @@
   std::list<pending_watch> Watches;
   std::int64_t CompactRevision = 0;
   std::size_t ListCalls = 0;
+  std::map<std::string, std::size_t> Calls;
   timer Tick;
 };
 
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -55,6 +55,81 @@
           Message.at("l"), Message.at("r"), Message.at("m")};
 }
 
+std::int64_t millis(span_ns Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
+
+/// Values of the store are bytes, and a removed item has none.
+json encodeItem(const store_item &Item) {
+  if (Item.Removed)
+    return {Item.Key, Item.Revision};
+  return {Item.Key, Item.Revision,
+          json::binary({Item.Value.begin(), Item.Value.end()})};
+}
+
+std::string decodeBytes(const json &Value) {
+  const auto &Bytes = Value.get_binary();
+  return {Bytes.begin(), Bytes.end()};
+}
+
+json encodeChanges(const change_response &Response) {
+  json Documents = json::array();
+  for (const operator_document &Document : Response.Documents) {
+    json Entry{Document.Key, Document.Revision};
+    if (Document.Value)
+      Entry.push_back(
+          json::binary({Document.Value->begin(), Document.Value->end()}));
+    Documents.push_back(std::move(Entry));
+  }
+  json Message{
+      {"k", "changes"}, {"n", Response.Number}, {"o", std::move(Documents)}};
+  if (Response.ReadAge) {
+    // Rounded up: a read must not seem newer than it is.
+    Message["a"] = millis(*Response.ReadAge) + 1;
+  }
+  const change_batch &Changes = Response.Changes;
+  if (Changes.HasGap) {
+    Message["g"] = Changes.GapKind == listing_kind::AfterOutage;
+    return Message;
+  }
+  json Items = json::array();
+  for (const store_item &Item : Changes.Items)
+    Items.push_back(encodeItem(Item));
+  Message["i"] = std::move(Items);
+  Message["r"] = Changes.Revision;
+  Message["m"] = Changes.HasMore;
+  return Message;
+}
+
+change_response decodeChanges(const json &Message) {
+  change_response Response;
+  Response.Number = Message.at("n");
+  if (const auto Age = Message.find("a"); Age != Message.end())
+    Response.ReadAge = std::chrono::milliseconds(Age->get<std::int64_t>());
+  for (const json &Entry : Message.at("o")) {
+    operator_document Document{Entry.at(0), Entry.at(1), std::nullopt};
+    if (Entry.size() > 2)
+      Document.Value = decodeBytes(Entry.at(2));
+    Response.Documents.push_back(std::move(Document));
+  }
+  change_batch &Changes = Response.Changes;
+  if (const auto Gap = Message.find("g"); Gap != Message.end()) {
+    Changes.HasGap = true;
+    Changes.GapKind =
+        Gap->get<bool>() ? listing_kind::AfterOutage : listing_kind::Continuous;
+    return Response;
+  }
+  for (const json &Entry : Message.at("i")) {
+    const bool Removed = Entry.size() <= 2;
+    Changes.Items.push_back({Entry.at(0),
+                             Removed ? "" : decodeBytes(Entry.at(2)),
+                             Entry.at(1), Removed});
+  }
+  Changes.Revision = Message.at("r");
+  Changes.HasMore = Message.at("m");
+  return Response;
+}
+
 } // namespace
 
 peer_gossip::peer_gossip(gateway_core &Core)
@@ -115,9 +190,9 @@
 }
 
 void peer_gossip::sendTo(const std::string &Peer, const json &Message) {
-  for (const auto &[Name, Entry] : Core.roster().peers())
-    if (Name == Peer)
-      return sendBytes(Entry, encode(Message));
+  const auto &Peers = Core.roster().peers();
+  if (const auto Found = Peers.find(Peer); Found != Peers.end())
+    sendBytes(Found->second, encode(Message));
 }
 
 void peer_gossip::sendToAll(const json &Message) {
@@ -145,9 +220,17 @@
 }
 
 void peer_gossip::sendPause(const std::string &Upstream, span_ns For) {
-  const auto Millis =
-      std::chrono::duration_cast<std::chrono::milliseconds>(For).count();
-  sendToAll({{"k", "pause"}, {"u", Upstream}, {"ms", Millis}});
+  sendToAll({{"k", "pause"}, {"u", Upstream}, {"ms", millis(For)}});
+}
+
+void peer_gossip::sendChangePoll(const std::string &Peer,
+                                 const change_poll &Poll) {
+  sendTo(Peer, {{"k", "poll"}, {"n", Poll.Number}, {"r", Poll.Revision}});
+}
+
+void peer_gossip::sendChanges(const std::string &Peer,
+                              const change_response &Response) {
+  sendTo(Peer, encodeChanges(Response));
 }
 
 void peer_gossip::sendWeights(const std::string &Upstream,
@@ -156,7 +239,7 @@
 }
 
 void peer_gossip::sendLoad() {
-  const auto Peers = Core.roster().peers();
+  const auto &Peers = Core.roster().peers();
   if (Peers.empty())
     return;
   // Each change is sent to every peer twice, since a datagram may be lost.
@@ -182,16 +265,21 @@
   for (const weights_announcement &Announcement :
        Core.scheduler().recentAnnouncements(Now))
     Weights.push_back({Announcement.Model, Announcement.Version,
-                       std::chrono::duration_cast<std::chrono::milliseconds>(
-                           Now - Announcement.LearnedAt)
-                           .count()});
+                       millis(Now - Announcement.LearnedAt)});
   const json Message{{"k", "load"},
                      {"l", std::move(Listed)},
                      {"h", std::move(Hints)},
                      {"w", std::move(Weights)}};
   const std::vector<std::uint8_t> Bytes = encode(Message);
-  for (std::size_t Sent = 0; Sent < std::min(LoadFanOut, Peers.size()); ++Sent)
-    sendBytes(Peers[NextPeer++ % Peers.size()].second, Bytes);
+  auto Next = Peers.upper_bound(LastPeer);
+  for (std::size_t Sent = 0; Sent < std::min(LoadFanOut, Peers.size());
+       ++Sent) {
+    if (Next == Peers.end())
+      Next = Peers.begin();
+    sendBytes(Next->second, Bytes);
+    LastPeer = Next->first;
+    ++Next;
+  }
 }
 
 void peer_gossip::onReadable(evutil_socket_t Socket, short, void *Self) {
@@ -234,6 +322,13 @@
                      Announcement.at(2).get<std::int64_t>())});
     for (const json &Hint : Message.at("h"))
       Core.scheduler().onPeerHint({Hint.at(0), Hint.at(1)});
+  } else if (Kind == "poll") {
+    if (Core.changeExchange())
+      Core.changeExchange()->onChangePoll(From,
+                                          {Message.at("n"), Message.at("r")});
+  } else if (Kind == "changes") {
+    if (Core.changeExchange())
+      Core.changeExchange()->onChangeResponse(From, decodeChanges(Message));
   } else if (Kind == "ask") {
     sendTo(From, encodeLendResponse(Core.shares().onLendRequest(
                      From, decodeLendRequest(Message), Now)));
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -1,6 +1,7 @@
 /// \file
 /// UDP messages between instances: upstream load, token loans, upstreams lost
-/// while running a request, upstream pauses and new weights.
+/// while running a request, upstream pauses, new weights and changes of the
+/// store.
 #ifndef EBONYVALE_GATEWAY_CONNECTION_PEER_GOSSIP_H
 #define EBONYVALE_GATEWAY_CONNECTION_PEER_GOSSIP_H
 
@@ -33,6 +34,10 @@
                       const lend_return &Return) override;
   void sendLoss(request_fingerprint Request, engine_id Upstream) override;
   void sendPause(const std::string &Upstream, span_ns For) override;
+  void sendChangePoll(const std::string &Peer,
+                      const change_poll &Poll) override;
+  void sendChanges(const std::string &Peer,
+                   const change_response &Response) override;
   void sendWeights(const std::string &Upstream, const std::string &Model,
                    std::int64_t Version) override;
 
@@ -52,7 +57,7 @@
   event_ptr Readable;
   timer LoadTimer;
   bool IdleSent = false;    ///< the last load message listed no load
-  std::size_t NextPeer = 0; ///< next receiver in the round robin over peers
+  std::string LastPeer;     ///< last receiver in the round robin over peers
 };
 
 } // namespace ebonyvale
--- /dev/null
+++ b/src/gateway/process/change_exchange.h
@@ -0,0 +1,50 @@
+/// \file
+/// Messages by which instances of a failure domain follow the store together.
+#ifndef EBONYVALE_GATEWAY_PROCESS_CHANGE_EXCHANGE_H
+#define EBONYVALE_GATEWAY_PROCESS_CHANGE_EXCHANGE_H
+
+#include "decisions/process/change_log.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ebonyvale {
+
+/// Asks a peer for the changes after a revision.
+struct change_poll {
+  std::uint64_t Number = 0; ///< repeated in the response
+  std::int64_t Revision = 0;
+};
+
+/// Newest revision of an operators' document that an instance has handled.
+struct operator_document {
+  std::string Key;
+  std::int64_t Revision = 0;
+  std::optional<std::string> Value; ///< absent if it is too large to send
+};
+
+/// Response to a poll.
+struct change_response {
+  std::uint64_t Number = 0;
+  /// Age of the sender's last read of the operators' documents; absent before
+  /// the first one.
+  std::optional<span_ns> ReadAge;
+  std::vector<operator_document> Documents;
+  change_batch Changes;
+};
+
+/// Receives the messages of peers.
+class change_exchange {
+public:
+  virtual ~change_exchange() = default;
+  virtual void onChangePoll(const std::string &From,
+                            const change_poll &Poll) = 0;
+  virtual void onChangeResponse(const std::string &From,
+                                const change_response &Response) = 0;
+};
+
+} // namespace ebonyvale
+
+#endif
--- /dev/null
+++ b/src/gateway/process/change_relay.cpp
@@ -0,0 +1,85 @@
+#include "gateway/process/change_relay.h"
+
+namespace ebonyvale {
+namespace {
+
+/// Size of the changes in one response, so that it fits into a datagram.
+constexpr std::size_t MaxBatchBytes = 8 * 1024;
+
+change_source_options sourceOptions(const gateway_settings &Settings) {
+  change_source_options Options;
+  Options.MaxReadAge = maxReadAge(Settings);
+  return Options;
+}
+
+} // namespace
+
+change_relay::change_relay(gateway_core &Core, change_receiver &Receiver)
+    : Core(Core), Receiver(Receiver),
+      Source(Core.settings().InstanceName, sourceOptions(Core.settings())),
+      ResponseTimer(Core.base(), [this] {
+        Source.onTimeout(readBootClock());
+        this->Receiver.onPollFailed();
+      }) {
+  Core.setChangeExchange(this);
+}
+
+change_relay::~change_relay() { Core.setChangeExchange(nullptr); }
+
+/// Passes the peers of the own failure domain to the source, after a change.
+void change_relay::updatePeers() {
+  const instance_roster &Roster = Core.roster();
+  if (PeersGeneration == Roster.generation())
+    return;
+  PeersGeneration = Roster.generation();
+  std::vector<std::string> Names;
+  for (const auto &[Name, Entry] : Roster.peers())
+    if (Entry.Domain == Core.settings().Domain)
+      Names.push_back(Name);
+  Source.setPeers(Names);
+}
+
+bool change_relay::followsPeer(instant Now) {
+  updatePeers();
+  const auto Chosen = Core.messenger() ? Source.choose(Now) : std::nullopt;
+  const std::string_view Name = Chosen.value_or(std::string_view());
+  if (Name != Followed) {
+    Core.log().info(event_category::Store, "follows",
+                    {{"peer", Name}, {"before", Followed}});
+    Followed = Name;
+  }
+  return Chosen.has_value();
+}
+
+bool change_relay::poll(std::int64_t Revision) {
+  const instant Now = readBootClock();
+  if (!followsPeer(Now))
+    return false;
+  const auto &Poll = Source.startPoll(Followed, Now);
+  ResponseTimer.startOnce(change_source_options{}.ResponseTimeout);
+  Core.messenger()->sendChangePoll(Followed, {Poll.Number, Revision});
+  return true;
+}
+
+void change_relay::onChangePoll(const std::string &From,
+                                const change_poll &Poll) {
+  const auto Age = Core.configFreshness().age(readBootClock());
+  Core.messenger()->sendChanges(From,
+                                {Poll.Number, Age, Receiver.operatorDocuments(),
+                                 Log.since(Poll.Revision, MaxBatchBytes)});
+}
+
+void change_relay::onChangeResponse(const std::string &From,
+                                    const change_response &Response) {
+  const auto &Pending = Source.pending();
+  if (!Pending || Pending->Peer != From || Pending->Number != Response.Number)
+    return;
+  ResponseTimer.stop();
+  const auto ReadAt = Source.onResponse(From, Response.Number, Response.ReadAge,
+                                        readBootClock());
+  if (ReadAt)
+    return Receiver.onRelayed(Response, *ReadAt);
+  Receiver.onPollFailed();
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/src/gateway/process/change_relay.h
@@ -0,0 +1,66 @@
+/// \file
+/// Follows the store through a peer of the failure domain, and answers the
+/// polls of peers that follow this instance.
+#ifndef EBONYVALE_GATEWAY_PROCESS_CHANGE_RELAY_H
+#define EBONYVALE_GATEWAY_PROCESS_CHANGE_RELAY_H
+
+#include "decisions/process/change_log.h"
+#include "decisions/process/change_source.h"
+#include "gateway/process/change_exchange.h"
+#include "gateway/process/gateway_core.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ebonyvale {
+
+/// State of the store that a relay passes on, and that it updates from peers.
+class change_receiver {
+public:
+  virtual ~change_receiver() = default;
+  /// Returns the operators' documents that were handled.
+  virtual std::vector<operator_document> operatorDocuments() const = 0;
+  /// Handles the response of the peer that is followed. The peer has read the
+  /// operators' documents at \p ReadAt or later.
+  virtual void onRelayed(const change_response &Response, instant ReadAt) = 0;
+  /// A poll was lost, or the peer is out of date.
+  virtual void onPollFailed() = 0;
+};
+
+/// Polls at most one peer at a time.
+class change_relay final : public change_exchange {
+public:
+  change_relay(gateway_core &Core, change_receiver &Receiver);
+  ~change_relay() override;
+
+  /// The changes that this instance has received, from the store or a peer.
+  change_log &log() { return Log; }
+
+  /// Returns whether this instance follows a peer and not the store.
+  bool followsPeer(instant Now);
+
+  /// Polls the followed peer for the changes after \p Revision. The receiver is
+  /// called once with the outcome. Returns false if there is no such peer.
+  bool poll(std::int64_t Revision);
+
+  // change_exchange
+  void onChangePoll(const std::string &From, const change_poll &Poll) override;
+  void onChangeResponse(const std::string &From,
+                        const change_response &Response) override;
+
+private:
+  void updatePeers();
+
+  gateway_core &Core;
+  change_receiver &Receiver;
+  change_log Log;
+  change_source Source;
+  std::uint64_t PeersGeneration = 0;
+  std::string Followed; ///< empty: the store
+  timer ResponseTimer;
+};
+
+} // namespace ebonyvale
+
+#endif
--- a/src/gateway/process/fleet_store.h
+++ b/src/gateway/process/fleet_store.h
@@ -5,6 +5,7 @@
 #define EBONYVALE_GATEWAY_PROCESS_FLEET_STORE_H
 
 #include "common/instant.h"
+#include "decisions/process/store_item.h"
 
 #include <cstdint>
 #include <functional>
@@ -28,14 +29,6 @@
 /// Returns the name of \p Status for logs and metrics.
 std::string_view storeStatusName(store_status Status);
 
-/// A key with its value, or the removal of a key.
-struct store_item {
-  std::string Key;
-  std::string Value;
-  std::int64_t Revision = 0; ///< of the last change
-  bool Removed = false;
-};
-
 /// Result of a read or a watch.
 struct store_items {
   store_status Status = store_status::NoAnswer;
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -13,6 +13,7 @@
 #include "decisions/process/refusal_log.h"
 #include "decisions/process/upstream_directory.h"
 #include "decisions/process/upstream_scheduler.h"
+#include "gateway/process/change_exchange.h"
 #include "gateway/process/event_log.h"
 #include "gateway/process/fleet_protocol.h"
 #include "gateway/process/gateway_metrics.h"
@@ -50,6 +51,12 @@
   /// Asks all peers to send \p Upstream no new requests for \p For; zero ends
   /// the pause.
   virtual void sendPause(const std::string &Upstream, span_ns For) = 0;
+  /// Polls \p Peer for changes of the store.
+  virtual void sendChangePoll(const std::string &Peer,
+                              const change_poll &Poll) = 0;
+  /// Answers a poll of \p Peer.
+  virtual void sendChanges(const std::string &Peer,
+                           const change_response &Response) = 0;
   /// Reports to all peers that \p Upstream has loaded new weights.
   virtual void sendWeights(const std::string &Upstream,
                            const std::string &Model, std::int64_t Version) = 0;
@@ -112,6 +119,9 @@
   void setMessenger(peer_messenger *Target) { Messenger = Target; }
   peer_messenger *messenger() { return Messenger; }
 
+  void setChangeExchange(change_exchange *Target) { Changes = Target; }
+  change_exchange *changeExchange() { return Changes; }
+
   /// Returns a request number that is unique in the process.
   std::uint64_t nextRequestNumber() { return ++LastNumber; }
   void requestStarted() { Metrics.OpenRequests.Set(double(++Open)); }
@@ -190,6 +200,7 @@
   std::uint64_t LastNumber = 0;
   std::size_t Open = 0;
   peer_messenger *Messenger = nullptr;
+  change_exchange *Changes = nullptr;
   std::uint16_t PeerPort = 0;
   timer ShareTimer;
   bool Leaving = false;
--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -221,6 +221,19 @@
   return storeInterval(Millis);
 }
 
+span_ns maxReadAge(const gateway_settings &Settings) {
+  constexpr double FractionOfBound = 0.2;
+  const auto Bound = std::min(Settings.ApplyBoundMs, Settings.KeyBoundMs);
+  return readInterval(Settings) +
+         storeInterval(FractionOfBound * static_cast<double>(Bound));
+}
+
+span_ns pollInterval(const gateway_settings &Settings) {
+  constexpr double FractionOfBound = 0.1;
+  return storeInterval(FractionOfBound *
+                       static_cast<double>(Settings.ApplyBoundMs));
+}
+
 std::map<std::string, std::string>
 regionsOf(const std::vector<std::string> &Domains) {
   std::map<std::string, std::string> Regions;
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -81,6 +81,14 @@
 /// bound.
 span_ns readInterval(const gateway_settings &Settings);
 
+/// Returns the largest age of the last read of the operators' documents, by the
+/// store or through a peer, at which an instance still relies on its peers.
+span_ns maxReadAge(const gateway_settings &Settings);
+
+/// Returns the time between two polls of the peer that is followed in place of
+/// the store.
+span_ns pollInterval(const gateway_settings &Settings);
+
 /// Parses "domain=region" entries into a map from domain to region.
 std::map<std::string, std::string>
 regionsOf(const std::vector<std::string> &Domains);
--- a/src/gateway/process/membership_task.cpp
+++ b/src/gateway/process/membership_task.cpp
@@ -154,9 +154,12 @@
     if (std::string_view(Item.Key).starts_with(PresencePrefix))
       Live.insert(std::string_view(Item.Key).substr(PresencePrefix.size()));
   }
+  std::vector<std::string> Gone;
   for (const auto &[Name, Entry] : Core.roster().peers())
     if (!Live.contains(Name))
-      Core.roster().removePresence(Name, readBootClock());
+      Gone.push_back(Name);
+  for (const std::string &Name : Gone)
+    Core.roster().removePresence(Name, readBootClock());
   Core.onRosterKnown(readBootClock());
 }
 
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -1,6 +1,7 @@
 #include "gateway/process/store_follower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ebonyvale {
 namespace {
@@ -12,6 +13,9 @@
 constexpr span_ns MaxBackOff = std::chrono::milliseconds(1200);
 /// Interval at which expired entries are dropped from the directory.
 constexpr span_ns ExpiryCheckInterval = std::chrono::milliseconds(250);
+/// Largest document of the operators that is passed on to peers. They read a
+/// larger one from the store.
+constexpr std::size_t MaxRelayedBytes = 1024;
 
 } // namespace
 
@@ -19,11 +23,12 @@
                                std::string FleetPrefix,
                                follower_observer &Observer)
     : Core(Core), Store(Store), FleetPrefix(std::move(FleetPrefix)),
-      Observer(Observer), ReadTimer(Core.base(), [this] { readOperators(); }),
+      Observer(Observer), Relay(Core, *this),
+      ReadTimer(Core.base(), [this] { checkReadAge(); }),
       WatchTimer(Core.base(),
                  [this] {
                    if (Listed)
-                     watch();
+                     follow();
                    else
                      listAll();
                  }),
@@ -70,12 +75,36 @@
   return Base + Base * (Core.boot() % JitterSteps) / JitterSteps / 2;
 }
 
+void store_follower::follow() {
+  if (!Relay.poll(Revision))
+    watch();
+}
+
+span_ns store_follower::nextRead(instant Now) {
+  const auto Age = Core.configFreshness().age(Now);
+  if (!Age)
+    return span_ns(0);
+  const span_ns MaxAge = Relay.followsPeer(Now) ? maxReadAge(Core.settings())
+                                                : readInterval(Core.settings());
+  return std::max(MaxAge - *Age, span_ns(0));
+}
+
+void store_follower::checkReadAge() {
+  const span_ns Pause = nextRead(readBootClock());
+  if (Pause > span_ns(0))
+    return ReadTimer.startOnce(Pause);
+  readOperators();
+}
+
 void store_follower::readOperators() {
+  if (std::exchange(Reading, true))
+    return;
   Store.list(Core.protocols().Documents.operatorPrefix(),
              [this](const store_items &Items) { onOperators(Items); });
 }
 
 void store_follower::onOperators(const store_items &Items) {
+  Reading = false;
   recordCall("read_operators", Items.Status);
   if (Items.Status != store_status::Ok) {
     ReadTimer.startOnce(backOff());
@@ -85,7 +114,7 @@
     handleOperatorItem(Item);
   // The read counts as confirmation only once its documents are applied.
   Core.configFreshness().onRead(Items.SentAt);
-  ReadTimer.startOnce(readInterval(Core.settings()));
+  ReadTimer.startOnce(nextRead(readBootClock()));
 }
 
 void store_follower::listAll() {
@@ -117,6 +146,7 @@
                    {"revision", Items.Revision},
                    {"after_outage", OutageSinceListing}});
   OutageSinceListing = false;
+  Relay.log().restart(Items.Revision, Kind);
   Core.directory().setAll(std::move(Entries), Kind, readBootClock());
   Revision = Items.Revision;
   Core.onDirectoryChanged();
@@ -133,7 +163,7 @@
   }
   Observer.onFleetListing(Items);
   Listed = true;
-  watch();
+  follow();
 }
 
 void store_follower::watch() {
@@ -152,15 +182,71 @@
     WatchTimer.startOnce(backOff());
     return;
   }
+  applyChanges(Changes.Items, Changes.Revision);
+  WatchTimer.startOnce(watchPause(Core.settings()));
+}
+
+void store_follower::applyChanges(std::span<const store_item> Items,
+                                  std::int64_t NewRevision) {
   const std::uint64_t Generation = Core.directory().generation();
-  for (const store_item &Item : Changes.Items)
+  const instant Now = readBootClock();
+  for (const store_item &Item : Items) {
     handleItem(Item);
-  Revision = std::max(Revision, Changes.Revision);
+    if (Core.protocols().Documents.kindOf(Item.Key) ==
+            document_kind::Upstream ||
+        Item.Key.starts_with(FleetPrefix))
+      Relay.log().append(Item, Now);
+  }
+  Revision = std::max(Revision, NewRevision);
+  Relay.log().advance(Revision, Now);
   if (Core.directory().generation() != Generation) {
     Core.onDirectoryChanged();
     Observer.onUpstreamsChanged();
   }
-  WatchTimer.startOnce(watchPause(Core.settings()));
+}
+
+std::vector<operator_document> store_follower::operatorDocuments() const {
+  std::vector<operator_document> Documents;
+  for (const auto &[Key, State] : OperatorStates)
+    Documents.push_back({Key, State.Revision, State.Value});
+  return Documents;
+}
+
+void store_follower::onRelayed(const change_response &Response,
+                               instant ReadAt) {
+  bool IsCurrent = true;
+  for (const operator_document &Document : Response.Documents) {
+    if (Document.Value)
+      handleOperatorItem(
+          {Document.Key, *Document.Value, Document.Revision, false});
+    const auto Known = OperatorStates.find(Document.Key);
+    if (Known == OperatorStates.end() ||
+        Known->second.Revision < Document.Revision)
+      IsCurrent = false;
+  }
+  // The peer's read confirms this instance's configuration only if it is at
+  // least as new.
+  if (IsCurrent)
+    Core.configFreshness().onRead(ReadAt);
+  else
+    readOperators();
+  const change_batch &Changes = Response.Changes;
+  if (Changes.HasGap) {
+    if (Changes.GapKind == listing_kind::AfterOutage)
+      OutageSinceListing = true;
+    Listed = false;
+    return listAll();
+  }
+  applyChanges(Changes.Items, Changes.Revision);
+  if (Changes.HasMore)
+    return follow();
+  WatchTimer.startOnce(pollInterval(Core.settings()));
+}
+
+void store_follower::onPollFailed() {
+  // An instance that changes to the store reads it at the store's pace.
+  checkReadAge();
+  follow();
 }
 
 void store_follower::handleItem(const store_item &Item) {
@@ -174,10 +260,13 @@
 }
 
 void store_follower::handleOperatorItem(const store_item &Item) {
-  std::int64_t &HandledRevision = OperatorRevisions[Item.Key];
-  if (Item.Removed || Item.Revision <= HandledRevision)
+  operator_state &State = OperatorStates[Item.Key];
+  if (Item.Removed || Item.Revision <= State.Revision)
     return;
-  HandledRevision = Item.Revision;
+  State.Revision = Item.Revision;
+  State.Value.reset();
+  if (Item.Value.size() <= MaxRelayedBytes)
+    State.Value = Item.Value;
   const document_reader &Documents = Core.protocols().Documents;
   const instant Now = readBootClock();
   if (Documents.kindOf(Item.Key) == document_kind::Routing) {
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -4,11 +4,15 @@
 #ifndef EBONYVALE_GATEWAY_PROCESS_STORE_FOLLOWER_H
 #define EBONYVALE_GATEWAY_PROCESS_STORE_FOLLOWER_H
 
+#include "gateway/process/change_relay.h"
 #include "gateway/process/fleet_store.h"
 #include "gateway/process/gateway_core.h"
 
 #include <map>
+#include <optional>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace ebonyvale {
 
@@ -29,7 +33,9 @@
 /// Runs two loops: a watch over all keys, paused between calls to batch
 /// changes, and reads of the operators' documents. Only reads refresh the
 /// freshness of the configuration, since a watch may miss changes silently.
-class store_follower {
+/// While a peer of the failure domain can be followed, polls of that peer
+/// replace both loops.
+class store_follower final : public change_receiver {
 public:
   store_follower(gateway_core &Core, fleet_store &Store,
                  std::string FleetPrefix, follower_observer &Observer);
@@ -40,7 +46,24 @@
   /// Returns whether the last call got a response from the store.
   bool connected() const { return Connected; }
 
+  // change_receiver
+  std::vector<operator_document> operatorDocuments() const override;
+  void onRelayed(const change_response &Response, instant ReadAt) override;
+  void onPollFailed() override;
+
 private:
+  /// A handled document of the operators.
+  struct operator_state {
+    std::int64_t Revision = 0;
+    std::optional<std::string> Value; ///< absent if too large to pass on
+  };
+
+  /// Gets the next changes from the followed peer or from the store.
+  void follow();
+  /// Reads the operators' documents if the last read is too old.
+  void checkReadAge();
+  /// Returns the time from \p Now to the next read.
+  span_ns nextRead(instant Now);
   void readOperators();
   void onOperators(const store_items &Items);
   void listAll();
@@ -48,6 +71,9 @@
   void onFleetListing(const store_items &Items);
   void watch();
   void onChanges(const store_items &Changes);
+  /// Handles \p Items, which are all changes up to \p NewRevision.
+  void applyChanges(std::span<const store_item> Items,
+                    std::int64_t NewRevision);
   void handleItem(const store_item &Item);
   void handleOperatorItem(const store_item &Item);
   void handleUpstream(const store_item &Item);
@@ -68,8 +94,9 @@
   bool AnyCallRecorded = false;
   bool OutageSinceListing = false;
   unsigned Failures = 0; ///< in a row
-  /// Revision of the last handled operator item, by key.
-  std::map<std::string, std::int64_t> OperatorRevisions;
+  bool Reading = false;  ///< a read of the operators' documents is in flight
+  std::map<std::string, operator_state> OperatorStates; ///< by key
+  change_relay Relay;
   timer ReadTimer;
   timer WatchTimer;
   timer ExpiryTimer;
--- /dev/null
+++ b/tests/gateway/change_relay_test.cpp
@@ -0,0 +1,150 @@
+// Two gateways of one failure domain, of which the second follows the first and
+// not the store.
+#include "gateway/gateway_fixture.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace ebonyvale;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The fixture's gateway "i-1", and "i-2", which has begun to follow it.
+struct gateway_pair {
+  gateway_pair() : Second(First.startGatewayInstance("i-2")) {
+    cr_assert(First.waitFor([this] {
+      return Second->core().ready(readBootClock()) &&
+             Second->core().roster().peers().size() == 1 &&
+             First.core().roster().peers().size() == 1;
+    }));
+    waitForCalls("i-1", 10);
+  }
+
+  /// Waits until \p Instance has made \p Count more calls to the store.
+  void waitForCalls(const std::string &Instance, std::size_t Count) {
+    const std::size_t Before = First.Store.callsOf(Instance);
+    cr_assert(First.waitFor(
+        [&] { return First.Store.callsOf(Instance) >= Before + Count; }));
+  }
+  bool secondGetsVersion(std::uint64_t Version) {
+    return First.waitFor(
+        [&] { return Second->core().routing()->Version == Version; });
+  }
+  bool secondIsFresh() const {
+    return Second->core().configFreshness().isFreshForKeys(
+        readBootClock(), Second->core().freshnessOptions());
+  }
+
+  gateway_fixture First;
+  std::unique_ptr<gateway_task> Second;
+};
+
+struct key_count_row {
+  std::size_t Keys;
+};
+
+enum class loss_of_first { Killed, CutFromStore, TurnedAway };
+
+struct loss_row {
+  loss_of_first Loss;
+};
+
+} // namespace
+
+Test(change_relay, a_follower_makes_few_store_calls) {
+  gateway_pair Pair;
+  const std::size_t Before = Pair.First.Store.callsOf("i-2");
+  constexpr std::size_t Calls = 60;
+  Pair.waitForCalls("i-1", Calls);
+  const std::size_t Made = Pair.First.Store.callsOf("i-2") - Before;
+  cr_assert(Made <= Calls / 10, "%zu", Made);
+  cr_assert(Pair.secondIsFresh());
+}
+
+ParameterizedTestParameters(change_relay, a_withdrawn_key_reaches_a_follower) {
+  // The first configuration fits into a message, the second does not.
+  static key_count_row Rows[] = {{1}, {200}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(key_count_row *Row, change_relay,
+                  a_withdrawn_key_reaches_a_follower) {
+  gateway_pair Pair;
+  std::string Keys = "\"key-2\"";
+  for (std::size_t Index = 1; Index < Row->Keys; ++Index)
+    Keys += ",\"other-" + std::to_string(Index) + "\"";
+  Pair.First.configure(2, Keys);
+  cr_assert(Pair.secondGetsVersion(2));
+  cr_assert(Pair.First.waitFor([&] { return Pair.secondIsFresh(); }));
+}
+
+Test(change_relay, changes_of_upstreams_reach_a_follower) {
+  gateway_pair Pair;
+  const upstream_directory &Directory = Pair.Second->core().directory();
+  fake_upstream &Upstream = *Pair.First.Upstreams[0];
+  Pair.First.Store.put(Upstream.key(), Upstream.entry("s", /*Draining=*/true));
+  cr_assert(Pair.First.waitFor([&] {
+    const upstream_entry *Entry = Directory.find("u-1");
+    return Entry && Entry->Draining;
+  }));
+  Pair.First.Store.erase(Upstream.key());
+  cr_assert(Pair.First.waitFor([&] { return !Directory.find("u-1"); }));
+}
+
+/// The peer's history is gone too, so the follower lists the store.
+Test(change_relay, a_gap_leads_to_a_new_listing) {
+  gateway_pair Pair;
+  Pair.First.Store.setFault(store_fault::EmptyWatches, "i-1");
+  fake_upstream &Upstream = *Pair.First.Upstreams[0];
+  Pair.First.Store.erase(Upstream.key());
+  runLoopFor(Pair.First.Base.get(), 50ms);
+  Pair.First.Store.compactHistory();
+  Pair.First.Store.setFault(store_fault::None, "i-1");
+  cr_assert(Pair.First.waitFor(
+      [&] { return !Pair.Second->core().directory().find("u-1"); }));
+}
+
+ParameterizedTestParameters(change_relay, a_follower_survives_its_peer) {
+  static loss_row Rows[] = {{loss_of_first::Killed},
+                            {loss_of_first::CutFromStore},
+                            {loss_of_first::TurnedAway}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(loss_row *Row, change_relay, a_follower_survives_its_peer) {
+  gateway_pair Pair;
+  if (Row->Loss == loss_of_first::Killed)
+    Pair.First.kill();
+  else
+    Pair.First.Store.setFault(Row->Loss == loss_of_first::CutFromStore
+                                  ? store_fault::Down
+                                  : store_fault::Refuses,
+                              "i-1");
+  Pair.First.configure(2, "\"key-2\"");
+  cr_assert(Pair.secondGetsVersion(2));
+  Pair.First.Store.put("servers/u-1", "{}");
+  cr_assert(Pair.First.waitFor([&] {
+    return !Pair.Second->core().directory().find("u-1") && Pair.secondIsFresh();
+  }));
+}
+
+/// A follower must not take over the freshness of a peer whose configuration it
+/// could not read.
+Test(change_relay, freshness_is_that_of_the_own_configuration) {
+  gateway_pair Pair;
+  Pair.First.Store.setFault(store_fault::Down, "i-2");
+  std::string Keys = "\"key-2\"";
+  for (std::size_t Index = 1; Index < 200; ++Index)
+    Keys += ",\"other-" + std::to_string(Index) + "\"";
+  Pair.First.configure(2, Keys);
+  cr_assert(Pair.First.waitFor(
+      [&] { return Pair.First.core().routing()->Version == 2; }));
+  const instant Changed = readBootClock();
+  Pair.waitForCalls("i-1", 30);
+  cr_assert(Pair.Second->core().routing()->Version == 1);
+  const instant Now = readBootClock();
+  cr_assert(Pair.Second->core().configFreshness().age(Now) >= Now - Changed);
+  Pair.First.Store.setFault(store_fault::None, "i-2");
+  cr_assert(Pair.secondGetsVersion(2));
+}
