--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -56,8 +56,8 @@
   evutil_socket_t Socket = -1;
   event_ptr Readable;
   timer LoadTimer;
-  bool IdleSent = false;    ///< the last load message listed no load
-  std::string LastPeer;     ///< last receiver in the round robin over peers
+  bool IdleSent = false; ///< the last load message listed no load
+  std::string LastPeer;  ///< last receiver in the round robin over peers
 };
 
 } // namespace ebonyvale
