Weights: instances try a free claim one after the other

Cause: when the issuer's claim became free, every instance that watched the store wrote it at once; one write succeeded, and each of the others read the claim back. At the start of 295 instances that is about 590 calls.

Change: an instance waits 200 ms for each peer before it by name, at most 2 s. The stand-in of the store grants no lease while it is down.

--- a/src/decisions/process/instance_roster.h
+++ b/src/decisions/process/instance_roster.h
@@ -7,6 +7,7 @@
 #include "common/instant.h"
 
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <string>
@@ -59,6 +60,12 @@
     return Peers;
   }
 
+  /// Returns the number of peers whose names are before this instance's.
+  std::size_t rank() const {
+    return static_cast<std::size_t>(
+        std::distance(Peers.begin(), Peers.lower_bound(Self)));
+  }
+
   /// Returns a number that increases with every change of the peers.
   std::uint64_t generation() const { return Generation; }
 
--- a/src/fakes/fake_fleet_store.cpp
+++ b/src/fakes/fake_fleet_store.cpp
@@ -158,6 +158,7 @@
                                      result_callback Done) {
   store_result Result;
   Result.SentAt = readBootClock();
+  ++Store.Commits;
   const store_fault Fault = Store.faultFor(Instance);
   if (Fault == store_fault::DelayedWrites)
     callAfter(Store.Base, fake_fleet_store::WriteDelay,
@@ -173,9 +174,12 @@
                                          result_callback Done) {
   store_result Result;
   Result.SentAt = readBootClock();
-  Result.Status = store_status::Ok;
-  Result.LeaseDuration = Duration;
-  Result.Lease = Store.Model.grantLease(Duration, Result.SentAt);
+  const store_fault Fault = Store.faultFor(Instance);
+  if (Fault != store_fault::Down && Fault != store_fault::Refuses) {
+    Result.Status = store_status::Ok;
+    Result.LeaseDuration = Duration;
+    Result.Lease = Store.Model.grantLease(Duration, Result.SentAt);
+  }
   respond(Result, /*IsWrite=*/true, std::move(Done));
 }
 
--- a/src/fakes/fake_fleet_store.h
+++ b/src/fakes/fake_fleet_store.h
@@ -54,6 +54,8 @@
 
   /// Returns the number of successful list calls.
   std::size_t listCalls() const { return ListCalls; }
+  /// Returns the number of commits of all instances.
+  std::size_t commits() const { return Commits; }
   /// Returns the number of list and watch calls of \p Instance.
   std::size_t callsOf(const std::string &Instance) const {
     const auto Found = Calls.find(Instance);
@@ -83,6 +85,7 @@
   std::list<pending_watch> Watches;
   std::int64_t CompactRevision = 0;
   std::size_t ListCalls = 0;
+  std::size_t Commits = 0;
   std::map<std::string, std::size_t> Calls;
   timer Tick;
 };
--- a/src/gateway/version/weights_task.cpp
+++ b/src/gateway/version/weights_task.cpp
@@ -1,5 +1,6 @@
 #include "gateway/version/weights_task.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ebonyvale {
@@ -14,6 +15,10 @@
 constexpr span_ns IssuerMargin = std::chrono::milliseconds(200);
 /// Time from a failed read of the claim to the next one.
 constexpr span_ns ReadRetryPause = std::chrono::milliseconds(500);
+/// Time between the attempts of two instances to take a free claim, and the
+/// longest time that an instance leaves to those before it.
+constexpr span_ns ClaimStagger = std::chrono::milliseconds(200);
+constexpr span_ns MaxClaimDelay = std::chrono::milliseconds(2000);
 /// Longest response body that is kept.
 constexpr std::size_t MaxResponseBytes = 256 * 1024;
 
@@ -136,6 +141,12 @@
   const bool Free =
       ClaimHolder.empty() || ClaimHolder == Core.settings().InstanceName;
   if (Claiming || !ClaimKnown || !Free || Lease == 0 || Core.leaving())
+    return FreeSince.reset();
+  if (!FreeSince)
+    FreeSince = Now;
+  const span_ns Delay =
+      ClaimStagger * static_cast<std::int64_t>(Core.roster().rank());
+  if (Now - *FreeSince < std::min<span_ns>(Delay, MaxClaimDelay))
     return;
   Claiming = true;
   store_commit Commit;
--- a/src/gateway/version/weights_task.h
+++ b/src/gateway/version/weights_task.h
@@ -53,7 +53,8 @@
 
   /// Returns whether this process wrote the claim and its lease is still valid.
   bool holdsClaim(instant Now) const;
-  /// Writes the claim if no other instance holds it.
+  /// Writes the claim if no other instance holds it. Instances try one after
+  /// the other by name, so that a free claim does not cause a write of each.
   void tryClaim(instant Now);
   void readClaim();
   void onTick();
@@ -68,10 +69,11 @@
   fleet_store &Store;
   membership_task &Membership;
   weights_rollout Rollout;
-  std::string ClaimHolder;        ///< as last read; empty: no claim
-  std::int64_t ClaimRevision = 0; ///< as last read; 0: no claim
-  bool ClaimKnown = false;        ///< false until it has been read
-  bool Claiming = false;          ///< a write of the claim is in flight
+  std::string ClaimHolder;          ///< as last read; empty: no claim
+  std::int64_t ClaimRevision = 0;   ///< as last read; 0: no claim
+  std::optional<instant> FreeSince; ///< when no holder was first seen
+  bool ClaimKnown = false;          ///< false until it has been read
+  bool Claiming = false;            ///< a write of the claim is in flight
   /// Fencing token: revision of the claim that this process wrote; 0: none.
   std::int64_t FencingToken = 0;
   std::int64_t ClaimLease = 0;        ///< lease that the claim is attached to
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -77,9 +77,11 @@
 }
 
 std::unique_ptr<gateway_task>
-gateway_fixture::startGatewayInstance(const std::string &Name) {
+gateway_fixture::startGatewayInstance(const std::string &Name,
+                                      const std::string &Domain) {
   InstanceSettings.push_back(std::make_unique<gateway_settings>(Settings));
   InstanceSettings.back()->InstanceName = Name;
+  InstanceSettings.back()->Domain = Domain;
   auto Started = std::make_unique<gateway_task>(
       Base.get(), *InstanceSettings.back(),
       platform_protocols{Documents, Callers, Messages},
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -56,7 +56,9 @@
   caller_response getAsOperator(const std::string &Target);
 
   /// Starts another instance on the same store.
-  std::unique_ptr<gateway_task> startGatewayInstance(const std::string &Name);
+  std::unique_ptr<gateway_task>
+  startGatewayInstance(const std::string &Name,
+                       const std::string &Domain = "z");
   /// Directs later operator requests to \p Other.
   void setOperatorTarget(const gateway_task &Other);
   /// Destroys the gateway without a graceful stop; the store keeps what it
--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -6,6 +6,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <memory>
+#include <string>
+#include <vector>
 
 using namespace ebonyvale;
 using namespace std::chrono_literals;
@@ -165,6 +168,30 @@
   cr_assert(rolloutReaches(Gateway, 2));
 }
 
+/// A claim that becomes free must not cause a write of each instance.
+Test(gateway_task, few_instances_compete_for_a_free_claim) {
+  gateway_fixture Gateway(issuingSettings());
+  std::vector<std::unique_ptr<gateway_task>> Others;
+  constexpr std::size_t Count = 9;
+  // One in each failure domain: each of them watches the store.
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Others.push_back(Gateway.startGatewayInstance(
+        "i-1" + std::to_string(Index), "d-" + std::to_string(Index)));
+  const auto AllKnown = [&] {
+    return std::ranges::all_of(Others, [&](const auto &Other) {
+      return Other->core().roster().peers().size() == Count;
+    });
+  };
+  cr_assert(Gateway.waitFor(AllKnown));
+  cr_assert(waitForClaim(Gateway));
+  const std::size_t Before = Gateway.Store.commits();
+  Gateway.Store.erase(claimKey());
+  cr_assert(waitForClaim(Gateway));
+  runLoopFor(Gateway.Base.get(), 300ms);
+  cr_assert(Gateway.Store.commits() - Before <= 3, "%zu",
+            Gateway.Store.commits() - Before);
+}
+
 /// The claim is written, but the response to the write is lost.
 Test(gateway_task, a_claim_with_a_lost_response_is_read_back) {
   gateway_fixture Gateway(issuingSettings());
