Tools: read responses of any form

Cause: 'limits' iterated over a temporary and aborted on a daemon with a team; an "error" that is no object, a missing list or a field of another type threw out of ebonyvalectl and out of the load tool.

Change: the temporary is named; ctl reports an unexpected response and ends with its exit code for refusals; the load tool counts such a stream as incomplete.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -52,6 +52,13 @@
   return Result;
 }
 
+/// Returns the object "error" of a response, or an empty object if the response
+/// has none.
+json errorOf(const json &Body) {
+  const auto Error = Body.is_object() ? Body.find("error") : Body.end();
+  return Error != Body.end() && Error->is_object() ? *Error : json::object();
+}
+
 /// Prints why a request failed and returns its exit code.
 exit_code reportError(const instance_result &Result, std::ostream &Err) {
   if (Result.Code == exit_code::Usage)
@@ -59,9 +66,7 @@
   if (Result.Code == exit_code::Unreachable)
     Err << Result.Admin << ": cannot be reached\n";
   if (Result.Code == exit_code::Refused) {
-    const json Error = Result.Body.is_object()
-                           ? Result.Body.value("error", json::object())
-                           : json::object();
+    const json Error = errorOf(Result.Body);
     Err << Result.Admin << ": " << Error.value("kind", "unreadable response")
         << ": " << Error.value("message", "") << "\n";
     const std::string Detail = Error.value("detail", "");
@@ -204,8 +209,8 @@
 exit_code limits(const ctl_options &Options, const arguments &,
                  std::ostream &Out, std::ostream &Err) {
   return queryAll(Options, "/status", Out, Err, [&](const json &Body) {
-    for (const auto &[Name, Team] :
-         Body.value("teams", json::object()).items()) {
+    const json Teams = Body.value("teams", json::object());
+    for (const auto &[Name, Team] : Teams.items()) {
       if (!Options.Team.empty() && Options.Team != Name)
         continue;
       Out << fmt::format(
@@ -222,7 +227,7 @@
 exit_code upstreams(const ctl_options &Options, const arguments &,
                     std::ostream &Out, std::ostream &Err) {
   return queryAll(Options, "/upstreams", Out, Err, [&Out](const json &Body) {
-    for (const json &Entry : Body["upstreams"])
+    for (const json &Entry : Body.at("upstreams"))
       Out << fmt::format("{:<20} {}:{}  {}  {}  {} in flight, {:.0f} ms "
                          "queued\n",
                          Entry.value("name", ""), Entry.value("address", ""),
@@ -263,9 +268,9 @@
         fmt::format("&{}={}", Name, Timestamp->time_since_epoch().count());
   }
   return queryAll(Options, Target, Out, Err, [&Out](const json &Body) {
-    for (const json &Entry : Body["refusals"])
+    for (const json &Entry : Body.at("refusals"))
       printRefusal(Out, Entry);
-    for (const json &Count : Body["counts"])
+    for (const json &Count : Body.at("counts"))
       if (Count.value("total", 0) != Count.value("kept", 0))
         Out << fmt::format(
             "minute {} team '{}' {}: {} in total, {} with details\n",
@@ -402,9 +407,15 @@
         !std::ranges::equal(NameWords,
                             std::span(Words).first(NameWords.size())))
       continue;
-    return Command.Run(
-        Options, {std::next(Words.begin(), std::ssize(NameWords)), Words.end()},
-        Out, Err);
+    try {
+      return Command.Run(
+          Options,
+          {std::next(Words.begin(), std::ssize(NameWords)), Words.end()}, Out,
+          Err);
+    } catch (const json::exception &Problem) {
+      Err << "unexpected response: " << Problem.what() << "\n";
+      return exit_code::Refused;
+    }
   }
   Err << "unknown command; see ebonyvalectl --help\n";
   return exit_code::Usage;
--- a/src/load/load_generator.cpp
+++ b/src/load/load_generator.cpp
@@ -29,6 +29,17 @@
 
 } // namespace
 
+std::string refusalKind(std::string_view Body) {
+  const json Refusal = json::parse(Body, nullptr, false);
+  const auto Error =
+      Refusal.is_object() ? Refusal.find("error") : Refusal.end();
+  if (Error == Refusal.end() || !Error->is_object())
+    return "unreadable";
+  const auto Kind = Error->find("kind");
+  return Kind != Error->end() && Kind->is_string() ? Kind->get<std::string>()
+                                                   : "unreadable";
+}
+
 /// One request in flight; checks its response.
 class load_generator::call final : public exchange_observer {
 public:
@@ -69,12 +80,10 @@
   void onComplete() override {
     Exchange.reset();
     if (Status != StatusOk) {
-      const json Body = json::parse(ErrorBody, nullptr, false);
-      Outcome.Refusal = Body.is_object() && Body.contains("error")
-                            ? Body["error"].value("kind", "unreadable")
-                            : "unreadable";
+      Outcome.Refusal = refusalKind(ErrorBody);
     }
-    Outcome.Completed = SawEnd && TokenCount == Owner.Settings.ResponseTokens;
+    Outcome.Completed =
+        SawEnd && !Unreadable && TokenCount == Owner.Settings.ResponseTokens;
     end();
   }
 
@@ -92,12 +101,16 @@
     const json Body = json::parse(Event.Data, nullptr, false);
     if (!Body.is_object() || !Body.contains("choices"))
       return;
-    for (const json &Choice : Body["choices"])
-      countToken(Choice["delta"].value("content", ""));
-    if (const auto Usage = Body.find("usage"); Usage != Body.end()) {
-      Outcome.PromptTokens = Usage->value("prompt_tokens", 0.0);
-      Outcome.CachedTokens = Usage->value(
-          "/prompt_tokens_details/cached_tokens"_json_pointer, 0.0);
+    try {
+      for (const json &Choice : Body.at("choices"))
+        countToken(Choice.at("delta").value("content", ""));
+      if (const auto Usage = Body.find("usage"); Usage != Body.end()) {
+        Outcome.PromptTokens = Usage->value("prompt_tokens", 0.0);
+        Outcome.CachedTokens = Usage->value(
+            "/prompt_tokens_details/cached_tokens"_json_pointer, 0.0);
+      }
+    } catch (const json::exception &) {
+      Unreadable = true;
     }
   }
 
@@ -127,6 +140,7 @@
   std::string ErrorBody; ///< body of a response that is not 200
   sse_splitter Splitter;
   bool SawEnd = false;
+  bool Unreadable = false;     ///< an event had an unexpected form
   std::int64_t TokenCount = 0; ///< non-empty deltas, each one token
   std::shared_ptr<upstream_exchange> Exchange;
 };
--- a/src/load/load_generator.h
+++ b/src/load/load_generator.h
@@ -13,10 +13,15 @@
 #include <map>
 #include <memory>
 #include <ostream>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace ebonyvale {
 
+/// Returns the error kind in the body of a refusal, or "unreadable".
+std::string refusalKind(std::string_view Body);
+
 /// Sends requests with open-loop arrivals: each request is sent when it is due,
 /// regardless of how many are still in flight.
 class load_generator {
