Decisions: expired suspicions, rejected orders, zero tokens, silent connections

Causes, from reading: a suspicion that had expired still counted towards a quarantine, and MaxEntries bounded nothing; an upstream that rejected an order stayed paused for 1.5 s; max_tokens 0 was taken as unset; a connection that sent nothing left the arrival watch and could then send a request a byte at a time; a paused instance of the limit simulation received messages for an earlier incarnation; the body of a report above 256 KB lost a chunk and still counted as complete.

Changes: expired records start anew, the records that expire first make room; a rejected order ends the pause; at least one token; a silent connection is closed; the incarnation is compared when the message is delivered; a too large report ends the call.

The arrival, simulation and report changes have no test of their own yet.

--- a/src/decisions/process/crash_tracker.cpp
+++ b/src/decisions/process/crash_tracker.cpp
@@ -24,8 +24,10 @@
 
 suspicion crash_tracker::onLost(request_fingerprint Request, engine_id Engine,
                                 instant Now) {
-  dropExpired(Now);
+  makeRoom(Now);
   entry &Entry = Entries[Request];
+  if (Entry.ExpiresAt <= Now)
+    Entry = {};
   if (std::ranges::find(Entry.LostEngines, Engine) == Entry.LostEngines.end())
     Entry.LostEngines.push_back(Engine);
   Entry.Quarantined =
@@ -36,7 +38,7 @@
 }
 
 void crash_tracker::onPeerQuarantine(request_fingerprint Request, instant Now) {
-  dropExpired(Now);
+  makeRoom(Now);
   Entries[Request] = {{}, true, Now + Options.QuarantineDuration};
 }
 
@@ -52,12 +54,15 @@
                                    : suspicion::Suspected;
 }
 
-void crash_tracker::dropExpired(instant Now) {
+void crash_tracker::makeRoom(instant Now) {
   if (Entries.size() < Options.MaxEntries)
     return;
   std::erase_if(Entries, [Now](const auto &Entry) {
     return Entry.second.ExpiresAt <= Now;
   });
+  while (Entries.size() >= Options.MaxEntries)
+    Entries.erase(std::ranges::min_element(
+        Entries, {}, [](const auto &Entry) { return Entry.second.ExpiresAt; }));
 }
 
 } // namespace ebonyvale
--- a/src/decisions/process/crash_tracker.h
+++ b/src/decisions/process/crash_tracker.h
@@ -34,7 +34,7 @@
   span_ns SuspicionDuration = std::chrono::minutes(1);
   /// Time that a request stays quarantined after the last loss or report.
   span_ns QuarantineDuration = std::chrono::minutes(10);
-  /// Number of requests from which on a new record first drops expired ones.
+  /// Largest number of requests that are remembered.
   std::size_t MaxEntries = 10000;
 };
 
@@ -60,6 +60,9 @@
   /// Returns the state of \p Request and drops its entry if it has expired.
   suspicion check(request_fingerprint Request, instant Now);
 
+  /// Returns the number of requests that are remembered.
+  std::size_t size() const { return Entries.size(); }
+
 private:
   struct entry {
     std::vector<engine_id> LostEngines;
@@ -67,8 +70,9 @@
     instant ExpiresAt;
   };
 
-  /// Drops expired entries if there are `MaxEntries` or more.
-  void dropExpired(instant Now);
+  /// Drops expired entries if there are `MaxEntries` or more, and if that is
+  /// not enough the ones that expire first.
+  void makeRoom(instant Now);
 
   crash_tracker_options Options;
   std::unordered_map<request_fingerprint, entry> Entries;
--- a/src/decisions/request/chat_request.cpp
+++ b/src/decisions/request/chat_request.cpp
@@ -83,10 +83,13 @@
   if (!readOptional(Body, "stream", Request.Stream))
     return malformed("'stream' must be true or false");
   for (const std::string_view Name : {"max_tokens", "max_completion_tokens"}) {
-    std::int64_t Value = 0;
-    if (!readOptional(Body, Name, Value) || Value < 0)
+    constexpr std::int64_t Unset = -1;
+    std::int64_t Value = Unset;
+    const bool IsStated =
+        Body[Name].error() == simdjson::SUCCESS && !Body[Name].is_null();
+    if (!readOptional(Body, Name, Value) || (IsStated && Value < 1))
       return malformed(std::string(Name) + " must be a positive integer");
-    if (Value > 0)
+    if (IsStated)
       Request.MaxTokens = Value;
   }
   dom::object Options;
--- a/src/decisions/version/weights_rollout.cpp
+++ b/src/decisions/version/weights_rollout.cpp
@@ -157,11 +157,12 @@
                         Report->AcceptedOrders}};
 }
 
-void weights_rollout::onOrderResponse(std::string_view Upstream,
-                                      order_outcome Outcome, instant Now) {
+rollout_actions weights_rollout::onOrderResponse(std::string_view Upstream,
+                                                 order_outcome Outcome,
+                                                 instant Now) {
   const auto Found = States.find(Upstream);
   if (Found == States.end() || Found->second.Phase != phase::Ordering)
-    return;
+    return {};
   upstream_state &State = Found->second;
   switch (Outcome) {
   case order_outcome::AcceptedOrLoaded:
@@ -169,16 +170,16 @@
     State.Phase = phase::Loading;
     State.OrderedAt = Now;
     State.NextAt = Now + Options.FirstPollDelay;
-    return;
+    return {};
   case order_outcome::Conflict:
     State.Phase = phase::Polling;
     State.NextAt = Now + Options.NextPollDelay;
-    return;
+    return {};
   case order_outcome::Rejected:
-    State.Phase = phase::Idle;
     State.NextAt = Now + Options.RetryDelay;
-    return;
+    return finish(Upstream, State);
   }
+  return {};
 }
 
 rollout_actions weights_rollout::abandon() {
--- a/src/decisions/version/weights_rollout.h
+++ b/src/decisions/version/weights_rollout.h
@@ -108,8 +108,8 @@
                            const rollout_report *Report, instant Now);
 
   /// Handles the response to an order.
-  void onOrderResponse(std::string_view Upstream, order_outcome Outcome,
-                       instant Now);
+  rollout_actions onOrderResponse(std::string_view Upstream,
+                                  order_outcome Outcome, instant Now);
 
   /// Abandons all rollouts after the claim was lost, and returns the actions
   /// that end their pauses.
--- a/src/gateway/version/weights_task.cpp
+++ b/src/gateway/version/weights_task.cpp
@@ -56,8 +56,9 @@
     return response_action::Take;
   }
   void onResponseBody(std::string_view Bytes) override {
-    if (Body.size() + Bytes.size() <= MaxResponseBytes)
-      Body += Bytes;
+    if (Body.size() + Bytes.size() > MaxResponseBytes)
+      return finish(0);
+    Body += Bytes;
   }
   void onResponseEnd() override {
     Link.reset();
@@ -295,7 +296,8 @@
                         {{"upstream", Order.Upstream},
                          {"version", Order.Version},
                          {"status", Status}});
-        Rollout.onOrderResponse(Order.Upstream, Outcome, readBootClock());
+        execute(
+            Rollout.onOrderResponse(Order.Upstream, Outcome, readBootClock()));
       });
   Calls.insert(Call);
   Call->start(*Request);
--- a/src/load/limit_simulation.cpp
+++ b/src/load/limit_simulation.cpp
@@ -261,14 +261,16 @@
 
   /// Runs \p Callback on an instance, or after the pause if it is paused.
   void deliver(std::size_t Index, std::function<void()> Callback) {
-    for (const instance_fault &Pause : Scenario.Pauses)
-      if (Pause.Instance == Index && Pause.Window.contains(elapsed())) {
-        Loop.callAt(instant(Pause.Window.To), std::move(Callback));
-        return;
-      }
     const std::uint64_t Incarnation = Fleet[Index].Incarnation;
-    if (Fleet[Index].Up && Incarnation == Fleet[Index].Incarnation)
-      Callback();
+    const auto RunIfUp = [this, Index, Incarnation,
+                          Callback = std::move(Callback)] {
+      if (Fleet[Index].Up && Incarnation == Fleet[Index].Incarnation)
+        Callback();
+    };
+    for (const instance_fault &Pause : Scenario.Pauses)
+      if (Pause.Instance == Index && Pause.Window.contains(elapsed()))
+        return Loop.callAt(instant(Pause.Window.To), RunIfUp);
+    RunIfUp();
   }
 
   void submit(std::size_t Index, const simulated_request &Request) {
--- a/src/net/arrival_deadline.cpp
+++ b/src/net/arrival_deadline.cpp
@@ -72,11 +72,9 @@
 
 void arrival_deadline::expire(arrival &Arrival) {
   bufferevent *Socket = Arrival.Socket;
-  if (!Arrival.Started) {
-    Arrivals.erase(Socket);
-    return;
-  }
-  if (std::exchange(Arrival.ResponseSent, true)) {
+  // A connection without a request gets no response. It is closed, since one
+  // that is no longer watched could send a request a byte at a time.
+  if (!Arrival.Started || std::exchange(Arrival.ResponseSent, true)) {
     // Makes evhttp read the end of the connection and free it.
     shutdown(bufferevent_getfd(Socket), SHUT_RDWR);
     bufferevent_enable(Socket, EV_READ);
--- a/tests/decisions/version/weights_rollout_test.cpp
+++ b/tests/decisions/version/weights_rollout_test.cpp
@@ -233,3 +233,25 @@
   cr_assert(Rollout.onTick(instant(1s)).empty());
   cr_assert(Rollout.pending() == 0);
 }
+
+/// An upstream that rejects an order gets new requests again at once.
+Test(weights_rollout, a_rejected_order_ends_the_pause) {
+  weights_rollout Rollout(rollout_options{});
+  upstream_simulation Upstreams(1, 1);
+  Rollout.update(Upstreams.directory());
+  Rollout.setTargetVersion("m", 2);
+  instant Now;
+  bool Ordered = false;
+  const rollout_report Report{false, 0, {{"m", 1}}};
+  for (; !Ordered && Now < instant(10s); Now += 50ms)
+    for (const rollout_action &Action : Rollout.onTick(Now))
+      if (std::holds_alternative<rollout_poll>(Action))
+        for (const rollout_action &Next : Rollout.onReport("u0", &Report, Now))
+          Ordered = Ordered || std::holds_alternative<rollout_order>(Next);
+  cr_assert(Ordered);
+  const rollout_actions Actions =
+      Rollout.onOrderResponse("u0", order_outcome::Rejected, Now);
+  cr_assert(Actions.size() == 1);
+  const auto *Pause = std::get_if<rollout_pause>(&Actions[0]);
+  cr_assert(Pause && Pause->PauseTime == span_ns(0));
+}
