Gateway: secret of keys, refusals of a stop, count of dropped lines, back-off

Causes: the secret that keys are hashed with was the boot number, which is logged and stored, so hashed keys could be tried offline; a graceful stop during a write of refusals left later ones unwritten; the line that counts dropped lines could be dropped with its count; the reads and the watch shared one back-off, so a success of one reset the other's; a condition that was always true.

--- a/src/gateway/process/event_log.cpp
+++ b/src/gateway/process/event_log.cpp
@@ -69,6 +69,11 @@
   }
 
   std::uint64_t takeDropped() { return std::exchange(Dropped, 0); }
+  /// Returns whether a short line is certain not to be dropped.
+  bool hasRoom() const {
+    constexpr std::size_t ShortLineBytes = 512;
+    return Buffer.size() + ShortLineBytes <= MaxBufferedBytes;
+  }
 
 protected:
   void sink_it_(const spdlog::details::log_msg &Message) override {
@@ -153,9 +158,15 @@
 }
 
 void event_log::flush() {
-  const std::uint64_t Lines = std::exchange(Dropped, 0) + Sink->takeDropped();
-  if (Lines > 0)
-    warn(event_category::Process, "log_lines_dropped", {{"lines", Lines}});
+  Logger->flush();
+  // The count is kept until its own line cannot be dropped.
+  if (!Sink->hasRoom())
+    return;
+  Dropped += Sink->takeDropped();
+  if (Dropped == 0)
+    return;
+  warn(event_category::Process, "log_lines_dropped",
+       {{"lines", std::exchange(Dropped, 0)}});
   Logger->flush();
 }
 
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -66,9 +66,9 @@
 
 gateway_core::gateway_core(event_base *Base, const gateway_settings &Settings,
                            const platform_protocols &Protocols,
-                           std::uint64_t Boot)
+                           std::uint64_t Boot, std::string KeySecret)
     : Base(Base), Settings(Settings), Protocols(Protocols), Boot(Boot),
-      Started(readBootClock()), KeySecret(fmt::format("{:016x}", Boot)),
+      Started(readBootClock()), KeySecret(std::move(KeySecret)),
       Log(Base, Settings.LogLevel, Settings.LogLinesPerSecond),
       Links(Base, client_pool_options{}),
       Scheduler(schedulerOptions(Settings), Settings.Domain,
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -73,7 +73,8 @@
 class gateway_core {
 public:
   gateway_core(event_base *Base, const gateway_settings &Settings,
-               const platform_protocols &Protocols, std::uint64_t Boot);
+               const platform_protocols &Protocols, std::uint64_t Boot,
+               std::string KeySecret);
 
   event_base *base() const { return Base; }
   const gateway_settings &settings() const { return Settings; }
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -18,11 +18,18 @@
 /// cleanly.
 constexpr span_ns ForcedEndMargin = std::chrono::milliseconds(300);
 
-std::uint64_t makeBoot() {
+std::uint64_t randomNumber() {
   std::random_device Device;
   return (static_cast<std::uint64_t>(Device()) << 32) | Device();
 }
 
+/// Returns 256 random bits. The boot number does not serve as a secret, since
+/// it is logged and stored.
+std::string makeKeySecret() {
+  return fmt::format("{:016x}{:016x}{:016x}{:016x}", randomNumber(),
+                     randomNumber(), randomNumber(), randomNumber());
+}
+
 endpoint endpointOf(const std::string &Text) {
   return parseEndpoint(Text).value_or(endpoint{});
 }
@@ -32,7 +39,8 @@
 gateway_task::gateway_task(event_base *Base, const gateway_settings &Settings,
                            const platform_protocols &Protocols,
                            const store_factory &MakeStore)
-    : Base(Base), Core(Base, Settings, Protocols, makeBoot()),
+    : Base(Base),
+      Core(Base, Settings, Protocols, randomNumber(), makeKeySecret()),
       Store(MakeStore(Core.links(), endpointOf(Settings.StoreEndpoint),
                       std::chrono::milliseconds(Settings.StoreCallTimeoutMs))),
       Membership(Core, *Store), Weights(Core, *Store, Membership),
--- a/src/gateway/process/refusal_writer.cpp
+++ b/src/gateway/process/refusal_writer.cpp
@@ -42,6 +42,7 @@
 
 void refusal_writer::stop() {
   WriteTimer.stop();
+  Stopping = true;
   write();
 }
 
@@ -86,6 +87,9 @@
     }
     Pending.clear();
     ++*NextSlot;
+    // Refusals that were recorded during the call have no later write.
+    if (Stopping)
+      write();
   });
 }
 
--- a/src/gateway/process/refusal_writer.h
+++ b/src/gateway/process/refusal_writer.h
@@ -55,6 +55,7 @@
   std::optional<std::size_t> NextSlot; ///< unknown until the ring was read
   std::string Pending; ///< batch whose write is not acknowledged yet
   bool CallInFlight = false;
+  bool Stopping = false;
   timer WriteTimer;
 };
 
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -45,7 +45,8 @@
   ExpiryTimer.startPeriodic(ExpiryCheckInterval);
 }
 
-void store_follower::recordCall(std::string_view Call, store_status Status) {
+void store_follower::recordCall(std::string_view Call, store_status Status,
+                                unsigned &Failures) {
   Core.counters().onStoreCall(Call, storeStatusName(Status));
   const bool Reached =
       Status == store_status::Ok || Status == store_status::HistoryGone;
@@ -63,7 +64,7 @@
                     {{"call", Call}, {"status", storeStatusName(Status)}});
 }
 
-span_ns store_follower::backOff() {
+span_ns store_follower::backOff(unsigned Failures) const {
   constexpr unsigned MaxDoublings = 4;
   const unsigned Doublings =
       std::min(Failures > 0 ? Failures - 1 : 0, MaxDoublings);
@@ -105,9 +106,9 @@
 
 void store_follower::onOperators(const store_items &Items) {
   Reading = false;
-  recordCall("read_operators", Items.Status);
+  recordCall("read_operators", Items.Status, ReadFailures);
   if (Items.Status != store_status::Ok) {
-    ReadTimer.startOnce(backOff());
+    ReadTimer.startOnce(backOff(ReadFailures));
     return;
   }
   for (const store_item &Item : Items.Items)
@@ -123,9 +124,9 @@
 }
 
 void store_follower::onUpstreamListing(const store_items &Items) {
-  recordCall("list_upstreams", Items.Status);
+  recordCall("list_upstreams", Items.Status, WatchFailures);
   if (Items.Status != store_status::Ok) {
-    WatchTimer.startOnce(backOff());
+    WatchTimer.startOnce(backOff(WatchFailures));
     return;
   }
   const document_reader &Documents = Core.protocols().Documents;
@@ -156,9 +157,9 @@
 }
 
 void store_follower::onFleetListing(const store_items &Items) {
-  recordCall("list_own", Items.Status);
+  recordCall("list_own", Items.Status, WatchFailures);
   if (Items.Status != store_status::Ok) {
-    WatchTimer.startOnce(backOff());
+    WatchTimer.startOnce(backOff(WatchFailures));
     return;
   }
   Observer.onFleetListing(Items);
@@ -172,14 +173,14 @@
 }
 
 void store_follower::onChanges(const store_items &Changes) {
-  recordCall("watch", Changes.Status);
+  recordCall("watch", Changes.Status, WatchFailures);
   if (Changes.Status != store_status::Ok) {
-    // After an outage or a compacted history, changes may have been missed.
-    if (Changes.Status == store_status::HistoryGone || OutageSinceListing)
-      Listed = false;
+    // After an outage entries may have lapsed, and after a compacted history
+    // changes may have been missed.
+    Listed = false;
     if (Changes.Status == store_status::HistoryGone)
       return listAll();
-    WatchTimer.startOnce(backOff());
+    WatchTimer.startOnce(backOff(WatchFailures));
     return;
   }
   applyChanges(Changes.Items, Changes.Revision);
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -79,10 +79,13 @@
   void handleUpstream(const store_item &Item);
 
   /// Counts a call, and logs when the store becomes reachable or unreachable.
-  void recordCall(std::string_view Call, store_status Status);
+  /// \p Failures counts the failed calls of the loop.
+  void recordCall(std::string_view Call, store_status Status,
+                  unsigned &Failures);
 
-  /// Returns the pause before the next call after `Failures` failed calls.
-  span_ns backOff();
+  /// Returns the pause before the next call of a loop after \p Failures failed
+  /// calls.
+  span_ns backOff(unsigned Failures) const;
 
   gateway_core &Core;
   fleet_store &Store;
@@ -93,8 +96,9 @@
   bool Connected = false;
   bool AnyCallRecorded = false;
   bool OutageSinceListing = false;
-  unsigned Failures = 0; ///< in a row
-  bool Reading = false;  ///< a read of the operators' documents is in flight
+  unsigned ReadFailures = 0;  ///< of the operators' documents, in a row
+  unsigned WatchFailures = 0; ///< of listings and watches, in a row
+  bool Reading = false; ///< a read of the operators' documents is in flight
   std::map<std::string, operator_state> OperatorStates; ///< by key
   change_relay Relay;
   timer ReadTimer;
--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 #include <memory>
 #include <string>
 #include <vector>
@@ -368,3 +369,16 @@
   cr_assert(During.Status == 200);
   cr_assert(During.Headers.find("Connection") == "close");
 }
+
+/// The boot number is logged and stored, so keys hashed with it could be
+/// guessed offline.
+Test(gateway_task, the_key_secret_does_not_follow_from_the_boot_number) {
+  gateway_fixture Gateway;
+  const auto Second = Gateway.startGatewayInstance("i-2");
+  char Boot[17];
+  std::snprintf(Boot, sizeof(Boot), "%016lx", Gateway.core().boot());
+  const std::string_view Secret = Gateway.core().keySecret();
+  cr_assert(Secret.size() >= 64);
+  cr_assert(Secret.find(Boot) == std::string_view::npos);
+  cr_assert(Secret != Second->core().keySecret());
+}
--- a/tests/gateway/operator_handler_test.cpp
+++ b/tests/gateway/operator_handler_test.cpp
@@ -149,3 +149,21 @@
   Gateway.stop();
   cr_assert(Gateway.waitFor([&] { return itemCount(Gateway) == 1; }));
 }
+
+/// A refusal that is recorded while a batch is being written is written, too.
+Test(operator_handler, a_stop_during_a_write_writes_all_refusals) {
+  gateway_fixture Gateway(quickWriteSettings());
+  const auto Refuse = [&](const std::string &Team) {
+    refusal Refusal;
+    Refusal.Kind = error_kind::KeyUnknown;
+    Refusal.Team = Team;
+    Gateway.core().recordRefusal(std::move(Refusal), Team, 401, span_ns(0));
+  };
+  Refuse("first");
+  cr_assert(Gateway.waitFor([&] { return storedRefusals(Gateway) == 1; }));
+  Refuse("second");
+  Gateway.stop();
+  // The write of the second is in flight, since the loop has not run.
+  Refuse("third");
+  cr_assert(Gateway.waitFor([&] { return storedRefusals(Gateway) == 3; }));
+}
