Store: one instance of the fleet follows the store, the domains follow it

Change: the first instance of a domain follows the first one of the fleet; an instance may fall back on three of its own domain, two firsts of other domains, then the store. Since hardly any instance calls the store, that one watches and reads it twice as often. Timeouts and ages follow the tighter bound.

The expected watch pause in gateway_settings is half of what it was, as the pace is; the bounds there now include two polls and their timeouts.

--- a/src/decisions/process/change_source.cpp
+++ b/src/decisions/process/change_source.cpp
@@ -1,18 +1,31 @@
 #include "decisions/process/change_source.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace ebonyvale {
 
-void change_source::setPeers(const std::vector<std::string> &Names) {
-  Candidates.clear();
-  for (const std::string &Name : Names)
-    if (Name < Self)
-      Candidates.push_back(Name);
-  std::ranges::sort(Candidates);
-  if (Candidates.size() > Options.MaxCandidates)
-    Candidates.resize(Options.MaxCandidates);
+std::vector<std::string> followCandidates(
+    std::string_view Self, std::string_view Domain,
+    const std::map<std::string, instance_endpoint, std::less<>> &Peers) {
+  std::vector<std::string> Own;
+  std::map<std::string_view, std::string_view> FirstOf;
+  for (const auto &[Name, Entry] : Peers) {
+    if (Entry.Domain != Domain)
+      FirstOf.try_emplace(Entry.Domain, Name);
+    else if (Name < Self && Own.size() < MaxOwnCandidates)
+      Own.push_back(Name);
+  }
+  std::vector<std::string> Other;
+  for (const auto &[OtherDomain, Name] : FirstOf)
+    if (!Own.empty() || Name < Self)
+      Other.emplace_back(Name);
+  std::ranges::sort(Other);
+  if (Other.size() > MaxOtherCandidates)
+    Other.resize(MaxOtherCandidates);
+  Own.insert(Own.end(), Other.begin(), Other.end());
+  return Own;
 }
 
 std::optional<std::string_view> change_source::choose(instant Now) const {
--- a/src/decisions/process/change_source.h
+++ b/src/decisions/process/change_source.h
@@ -4,35 +4,46 @@
 #define EBONYVALE_DECISIONS_PROCESS_CHANGE_SOURCE_H
 
 #include "common/instant.h"
+#include "decisions/process/instance_roster.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace ebonyvale {
 
 struct change_source_options {
-  /// Time without a response after which a poll counts as lost.
-  span_ns ResponseTimeout = std::chrono::milliseconds(250);
   /// Lost polls in a row after which a peer is avoided.
   unsigned MaxLostPolls = 2;
   /// Largest age of a peer's last read of the store.
   span_ns MaxReadAge = std::chrono::milliseconds(2000);
   /// Time for which a peer is not polled after it was lost or out of date.
   span_ns AvoidTime = std::chrono::seconds(5);
-  /// Number of peers that an instance may follow: the first ones by name. If
-  /// all are avoided, it follows the store.
-  std::size_t MaxCandidates = 3;
 };
 
+/// Number of peers of the own failure domain, and of other domains, that an
+/// instance may follow.
+inline constexpr std::size_t MaxOwnCandidates = 3;
+inline constexpr std::size_t MaxOtherCandidates = 2;
+
+/// Returns the peers that \p Self may follow, the preferred one first: those
+/// before it by name of its failure domain \p Domain, then the first one of
+/// each other domain. The first instance of a domain follows only instances
+/// before it, so the first of all follows the store.
+std::vector<std::string> followCandidates(
+    std::string_view Self, std::string_view Domain,
+    const std::map<std::string, instance_endpoint, std::less<>> &Peers);
+
 /// Store calls are billed and limited for the whole fleet. So that their number
-/// does not grow with the fleet, the first instance of a failure domain by name
-/// follows the store and the others poll it. Each instance decides by itself
-/// from what its polls return; a peer that is silent, frozen or cut off from
-/// the store is replaced by the next one, and finally by the store itself.
+/// does not grow with the fleet, the first instance by name follows the store,
+/// the first one of each failure domain follows that instance, and the others
+/// follow the first one of their domain. Each instance decides by itself from
+/// what its polls return; a peer that is silent, frozen or cut off from the
+/// store is replaced by the next candidate, and finally by the store itself.
 ///
 /// Answers a load of hundreds of instances that follow one small set of
 /// documents.
@@ -45,11 +56,13 @@
     instant SentAt;
   };
 
-  change_source(std::string Self, const change_source_options &Options)
-      : Self(std::move(Self)), Options(Options) {}
+  explicit change_source(const change_source_options &Options)
+      : Options(Options) {}
 
-  /// Sets the other live instances of the failure domain.
-  void setPeers(const std::vector<std::string> &Names);
+  /// Sets the peers that may be followed, see `followCandidates`.
+  void setCandidates(std::vector<std::string> Names) {
+    Candidates = std::move(Names);
+  }
 
   /// Returns the peer to follow, or nothing for the store.
   std::optional<std::string_view> choose(instant Now) const;
@@ -75,9 +88,8 @@
 private:
   void avoid(std::string_view Peer, instant Now);
 
-  std::string Self;
   change_source_options Options;
-  std::vector<std::string> Candidates; ///< before this instance by name
+  std::vector<std::string> Candidates; ///< the preferred one first
   std::map<std::string, instant, std::less<>> AvoidUntil;
   std::optional<poll> Pending;
   unsigned LostPolls = 0; ///< in a row
--- a/src/gateway/process/change_relay.cpp
+++ b/src/gateway/process/change_relay.cpp
@@ -15,8 +15,7 @@
 } // namespace
 
 change_relay::change_relay(gateway_core &Core, change_receiver &Receiver)
-    : Core(Core), Receiver(Receiver),
-      Source(Core.settings().InstanceName, sourceOptions(Core.settings())),
+    : Core(Core), Receiver(Receiver), Source(sourceOptions(Core.settings())),
       ResponseTimer(Core.base(), [this] {
         Source.onTimeout(readBootClock());
         this->Receiver.onPollFailed();
@@ -26,17 +25,14 @@
 
 change_relay::~change_relay() { Core.setChangeExchange(nullptr); }
 
-/// Passes the peers of the own failure domain to the source, after a change.
+/// Passes the candidates to the source after a change of the peers.
 void change_relay::updatePeers() {
   const instance_roster &Roster = Core.roster();
   if (PeersGeneration == Roster.generation())
     return;
   PeersGeneration = Roster.generation();
-  std::vector<std::string> Names;
-  for (const auto &[Name, Entry] : Roster.peers())
-    if (Entry.Domain == Core.settings().Domain)
-      Names.push_back(Name);
-  Source.setPeers(Names);
+  Source.setCandidates(followCandidates(
+      Core.settings().InstanceName, Core.settings().Domain, Roster.peers()));
 }
 
 bool change_relay::followsPeer(instant Now) {
@@ -56,7 +52,7 @@
   if (!followsPeer(Now))
     return false;
   const auto &Poll = Source.startPoll(Followed, Now);
-  ResponseTimer.startOnce(change_source_options{}.ResponseTimeout);
+  ResponseTimer.startOnce(pollTimeout(Core.settings()));
   Core.messenger()->sendChangePoll(Followed, {Poll.Number, Revision});
   return true;
 }
--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -86,7 +86,7 @@
             &gateway_settings::StoreCallTimeoutMs},
     setting{millis("store.watch_pause_ms",
                    "Pause between two watch calls; changes within it arrive "
-                   "together. 0: about a quarter of bounds.apply_ms.",
+                   "together. 0: about an eighth of bounds.apply_ms.",
                    0),
             &gateway_settings::StoreWatchPauseMs},
     setting{millis("store.read_interval_ms",
@@ -185,6 +185,13 @@
       static_cast<std::int64_t>(std::max(MinMillis, Millis)));
 }
 
+/// Returns the smaller one of the bounds on the age of the configuration, in
+/// ms.
+double tighterBound(const gateway_settings &Settings) {
+  return static_cast<double>(
+      std::min(Settings.ApplyBoundMs, Settings.KeyBoundMs));
+}
+
 } // namespace
 
 std::span<const field<gateway_settings>> gatewaySettingFields() {
@@ -202,8 +209,9 @@
 }
 
 span_ns watchPause(const gateway_settings &Settings) {
-  // A failed call with its timeout and the next call still fit into the bound.
-  constexpr double FractionOfBound = 0.24;
+  // A failed call with its timeout, the next call and two polls of peers still
+  // fit into the bound.
+  constexpr double FractionOfBound = 0.12;
   if (Settings.StoreWatchPauseMs > 0)
     return std::chrono::milliseconds(Settings.StoreWatchPauseMs);
   return storeInterval(FractionOfBound *
@@ -211,8 +219,8 @@
 }
 
 span_ns readInterval(const gateway_settings &Settings) {
-  constexpr double FractionOfApplyBound = 0.6;
-  constexpr double FractionOfKeyBound = 0.48;
+  constexpr double FractionOfApplyBound = 0.3;
+  constexpr double FractionOfKeyBound = 0.24;
   if (Settings.StoreReadIntervalMs > 0)
     return std::chrono::milliseconds(Settings.StoreReadIntervalMs);
   const double Millis = std::min(
@@ -222,16 +230,19 @@
 }
 
 span_ns maxReadAge(const gateway_settings &Settings) {
-  constexpr double FractionOfBound = 0.2;
-  const auto Bound = std::min(Settings.ApplyBoundMs, Settings.KeyBoundMs);
+  constexpr double FractionOfBound = 0.3;
   return readInterval(Settings) +
-         storeInterval(FractionOfBound * static_cast<double>(Bound));
+         storeInterval(FractionOfBound * tighterBound(Settings));
 }
 
 span_ns pollInterval(const gateway_settings &Settings) {
   constexpr double FractionOfBound = 0.1;
-  return storeInterval(FractionOfBound *
-                       static_cast<double>(Settings.ApplyBoundMs));
+  return storeInterval(FractionOfBound * tighterBound(Settings));
+}
+
+span_ns pollTimeout(const gateway_settings &Settings) {
+  constexpr double FractionOfBound = 0.06;
+  return storeInterval(FractionOfBound * tighterBound(Settings));
 }
 
 std::map<std::string, std::string>
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -89,6 +89,9 @@
 /// the store.
 span_ns pollInterval(const gateway_settings &Settings);
 
+/// Returns the time without a response after which a poll counts as lost.
+span_ns pollTimeout(const gateway_settings &Settings);
+
 /// Parses "domain=region" entries into a map from domain to region.
 std::map<std::string, std::string>
 regionsOf(const std::vector<std::string> &Domains);
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Time after which the store ends a watch call without changes.
-constexpr span_ns WatchTimeout = std::chrono::milliseconds(2000);
+constexpr span_ns WatchTimeout = std::chrono::milliseconds(1000);
 /// Pause after the first failed call; doubles with each further failure.
 constexpr span_ns FirstBackOff = std::chrono::milliseconds(150);
 constexpr span_ns MaxBackOff = std::chrono::milliseconds(1200);
--- a/tests/decisions/process/change_source_test.cpp
+++ b/tests/decisions/process/change_source_test.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -22,10 +23,11 @@
 
 namespace {
 
-constexpr span_ns ReadInterval = 2400ms;
-constexpr span_ns MaxReadAge = 3200ms;
+constexpr span_ns ReadInterval = 1200ms;
+constexpr span_ns MaxReadAge = 2400ms;
 constexpr span_ns PollInterval = 400ms;
-constexpr span_ns WatchPause = 960ms;
+constexpr span_ns PollTimeout = 240ms;
+constexpr span_ns WatchPause = 480ms;
 constexpr span_ns ApplyBound = 4000ms;
 
 enum class fault {
@@ -87,16 +89,17 @@
       for (std::size_t Rank = 0; Rank < PerDomain; ++Rank)
         Instances.push_back(
             std::make_unique<played_instance>(*this, Domain, Rank));
-    std::vector<std::string> Names;
-    for (auto &Instance : Instances) {
-      Names.clear();
-      for (auto &Other : Instances)
-        if (Other->Domain == Instance->Domain && Other != Instance)
-          Names.push_back(Other->Name);
-      Instance->Source.setPeers(Names);
-    }
+    std::map<std::string, instance_endpoint, std::less<>> All;
+    for (auto &Instance : Instances)
+      All[Instance->Name].Domain = domainOf(*Instance);
+    for (auto &Instance : Instances)
+      Instance->Source.setCandidates(
+          followCandidates(Instance->Name, domainOf(*Instance), All));
   }
 
+  static std::string domainOf(const played_instance &Instance) {
+    return std::to_string(Instance.Domain);
+  }
   bool faulty() const { return Fault != fault::None && Loop.now() >= FaultAt; }
   bool isFirst(const played_instance &Instance) const {
     return Instance.Domain == 0 && Instance.Rank == 0;
@@ -158,7 +161,7 @@
 played_instance::played_instance(played_fleet &Fleet, std::size_t Domain,
                                  std::size_t Rank)
     : Fleet(Fleet), Domain(Domain), Rank(Rank), Name(nameOf(Domain, Rank)),
-      Source(Name, sourceOptions()) {}
+      Source(sourceOptions()) {}
 
 std::optional<span_ns> played_instance::age() const {
   if (!ReadAt)
@@ -209,7 +212,7 @@
     Fleet.Loop.callAfter(Fleet.delay(), [this, Target, Number] {
       Target->onPoll(*this, Number);
     });
-  Fleet.Loop.callAfter(sourceOptions().ResponseTimeout, [this, Number] {
+  Fleet.Loop.callAfter(PollTimeout, [this, Number] {
     if (!Source.pending() || Source.pending()->Number != Number)
       return;
     Source.onTimeout(Fleet.Loop.now());
@@ -248,11 +251,11 @@
 } // namespace
 
 ParameterizedTestParameters(change_source, many_instances_follow_one_store) {
-  // 300 instances that each follow the store make 420 calls a second.
+  // 300 instances that each follow the store make 840 calls a second.
   static fleet_row Rows[] = {
-      {fault::None, 42},      {fault::FirstFrozen, 42}, {fault::FirstCut, 42},
-      {fault::FirstSlow, 42}, {fault::ThreeCut, 100},   {fault::DomainCut, 150},
-      {fault::Loss, 100},     {fault::FirstKilled, 42},
+      {fault::None, 84},      {fault::FirstFrozen, 84}, {fault::FirstCut, 84},
+      {fault::FirstSlow, 84}, {fault::ThreeCut, 100},   {fault::DomainCut, 150},
+      {fault::Loss, 100},     {fault::FirstKilled, 84},
   };
   return criterion_test_params(Rows);
 }
@@ -309,25 +312,30 @@
 /// A process that stood still between a poll and its response must not take
 /// the response for new.
 Test(change_source, the_age_counts_from_the_poll) {
-  change_source Source("b", sourceOptions());
-  Source.setPeers({"a"});
+  change_source Source(sourceOptions());
+  Source.setCandidates({"a"});
   const std::uint64_t Number = Source.startPoll("a", instant(10s)).Number;
-  const auto Read = Source.onResponse("a", Number, 500ms, instant(12s));
+  const auto Read = Source.onResponse("a", Number, 500ms, instant(11800ms));
   cr_assert(Read && *Read == instant(9500ms));
 }
 
 Test(change_source, an_old_response_is_not_used) {
-  change_source Source("b", sourceOptions());
-  Source.setPeers({"a", "c"});
+  change_source Source(sourceOptions());
+  Source.setCandidates({"a"});
   const std::uint64_t Number = Source.startPoll("a", instant(10s)).Number;
   Source.onTimeout(instant(11s));
   cr_assert(!Source.onResponse("a", Number, 500ms, instant(11s)));
   const std::uint64_t Second = Source.startPoll("a", instant(11s)).Number;
   cr_assert(!Source.onResponse("a", Second, std::nullopt, instant(11s)));
-  cr_assert(!Source.choose(instant(12s)), "avoided, and c is not before b");
+  cr_assert(!Source.choose(instant(12s)));
   cr_assert(Source.choose(instant(17s)) == "a");
 }
 
+struct candidates_row {
+  char Self[8];
+  char Candidates[32];
+};
+
 struct batch_row {
   std::int64_t After;
   std::size_t Limit;
@@ -337,6 +345,30 @@
   bool HasGap;
 };
 
+ParameterizedTestParameters(change_source, candidates) {
+  // The letter is the failure domain.
+  static candidates_row Rows[] = {
+      {"a1", ""},      {"a2", "a1 b1 c1"},       {"a5", "a1 a2 a3 b1 c1"},
+      {"b1", "a1"},    {"b2", "b1 a1 c1"},       {"c1", "a1 b1"},
+      {"d1", "a1 b1"}, {"d4", "d1 d2 d3 a1 b1"},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(candidates_row *Row, change_source, candidates) {
+  std::map<std::string, instance_endpoint, std::less<>> Peers;
+  for (const char Domain : std::string("abcd"))
+    for (const char Rank : std::string("12345"))
+      Peers[std::string{Domain, Rank}].Domain = std::string{Domain};
+  const std::string Self = Row->Self;
+  Peers.erase(Self);
+  std::string Found;
+  for (const std::string &Name :
+       followCandidates(Self, Self.substr(0, 1), Peers))
+    Found += (Found.empty() ? "" : " ") + Name;
+  cr_assert(Found == Row->Candidates, "%s", Found.c_str());
+}
+
 ParameterizedTestParameters(change_log, batches) {
   static batch_row Rows[] = {
       {10, 10'000, 4, 20, false, false}, {12, 10'000, 2, 20, false, false},
--- a/tests/gateway/gateway_settings_test.cpp
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -4,6 +4,8 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <algorithm>
+
 using namespace ebonyvale;
 using namespace std::chrono_literals;
 
@@ -42,6 +44,14 @@
   cr_assert(readInterval(Settings) + Timeout < Key - Timeout);
   // A read keeps the configuration fresh until the next read.
   cr_assert(readInterval(Settings) < Apply);
+  // An instance that follows a peer, which follows a peer, has a fresh
+  // configuration between their reads, and still has time for one of its own.
+  cr_assert(readInterval(Settings) + 2 * pollInterval(Settings) <
+            maxReadAge(Settings));
+  cr_assert(maxReadAge(Settings) + Timeout < std::min(Apply, Key));
+  cr_assert(watchPause(Settings) + Timeout + 2 * pollInterval(Settings) +
+                4 * pollTimeout(Settings) <
+            Apply);
 }
 
 Test(gateway_settings, set_intervals_override_the_defaults) {
@@ -56,7 +66,7 @@
 Test(gateway_settings, looser_bounds_need_fewer_calls) {
   const gateway_settings Tight = settingsOf({2500, 5000});
   const gateway_settings Loose = settingsOf({4000, 5000});
-  cr_assert(watchPause(Tight) == 600ms);
+  cr_assert(watchPause(Tight) == 300ms);
   cr_assert(watchPause(Loose) > watchPause(Tight));
   cr_assert(readInterval(Loose) > readInterval(Tight));
 }
