Leases: one of 10 s for the presence, one of 2 s for the claim's holder only

Cause: each instance renewed its lease every 0.67 s, since the claim of the weights issuer hung on it.

Change: lease_keeper holds a lease; the presence has one of 10 s (a renewal every 3.3 s), the claim one of 2 s that is requested by an instance which is about to try a free claim and given back by one that does not get it. An instance that the store may no longer list does not take over a peer's freshness, since the others count it no longer and divide the limits without it. The stand-in of the store answers renewals with the lease's own duration.

Test: an instance whose lease has ended does not stay fresh on the word of its peer (fails without the check).

--- a/src/fakes/fake_fleet_store.cpp
+++ b/src/fakes/fake_fleet_store.cpp
@@ -179,6 +179,7 @@
     Result.Status = store_status::Ok;
     Result.LeaseDuration = Duration;
     Result.Lease = Store.Model.grantLease(Duration, Result.SentAt);
+    Store.LeaseDurations[Result.Lease] = Duration;
   }
   respond(Result, /*IsWrite=*/true, std::move(Done));
 }
@@ -193,7 +194,8 @@
   const bool Renewed =
       Reachable && Store.Model.renewLease(Lease, Result.SentAt);
   Result.Status = Renewed ? store_status::Ok : store_status::NotFound;
-  Result.LeaseDuration = std::chrono::seconds(2);
+  if (Renewed)
+    Result.LeaseDuration = Store.LeaseDurations[Lease];
   respond(Result, /*IsWrite=*/false, std::move(Done));
 }
 
--- a/src/fakes/fake_fleet_store.h
+++ b/src/fakes/fake_fleet_store.h
@@ -86,6 +86,7 @@
   std::int64_t CompactRevision = 0;
   std::size_t ListCalls = 0;
   std::size_t Commits = 0;
+  std::map<std::int64_t, span_ns> LeaseDurations; ///< by lease
   std::map<std::string, std::size_t> Calls;
   timer Tick;
 };
--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -94,8 +94,12 @@
                    "0: derived from bounds.apply_ms and bounds.key_ms.",
                    0),
             &gateway_settings::StoreReadIntervalMs},
-    setting{millis("store.lease_ms", "Duration of the instance's lease."),
+    setting{millis("store.lease_ms",
+                   "Duration of the lease of the instance's presence."),
             &gateway_settings::LeaseDurationMs},
+    setting{millis("store.claim_lease_ms",
+                   "Duration of the lease of the weights issuer's claim."),
+            &gateway_settings::ClaimLeaseMs},
     setting{millis("store.refusal_interval_ms",
                    "Minimum time between two writes of refusals; longer in a "
                    "large fleet."),
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -33,7 +33,8 @@
   std::int64_t StoreCallTimeoutMs = 700;
   std::int64_t StoreWatchPauseMs = 0;   ///< see `watchPause`
   std::int64_t StoreReadIntervalMs = 0; ///< see `readInterval`
-  std::int64_t LeaseDurationMs = 2000;
+  std::int64_t LeaseDurationMs = 10000;
+  std::int64_t ClaimLeaseMs = 2000;
   std::int64_t RefusalIntervalMs = 10000;
 
   std::int64_t KeyBoundMs = 5000;
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -43,7 +43,7 @@
       Core(Base, Settings, Protocols, randomNumber(), makeKeySecret()),
       Store(MakeStore(Core.links(), endpointOf(Settings.StoreEndpoint),
                       std::chrono::milliseconds(Settings.StoreCallTimeoutMs))),
-      Membership(Core, *Store), Weights(Core, *Store, Membership),
+      Membership(Core, *Store), Weights(Core, *Store),
       Follower(Core, *Store, std::string(FleetItemsPrefix), *this),
       Gossip(Core), Refusals(Core, *Store), Operators(Core, Weights, Refusals),
       Callers(Base, *this), ReadyLinks(Base, Operators),
@@ -163,6 +163,10 @@
   Weights.setTarget(Target);
 }
 
+bool gateway_task::isListed(instant Now) const {
+  return Membership.lease(Now) != 0;
+}
+
 void gateway_task::onUpstreamsChanged() { Weights.onUpstreamsChanged(); }
 
 void gateway_task::stop() {
@@ -176,6 +180,7 @@
                   {{"open_requests", Core.openRequests()}});
   Refusals.stop();
   Membership.leave();
+  Weights.leave();
   StopTimer.startPeriodic(StopTick);
 }
 
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -63,6 +63,7 @@
   void onFleetItem(const store_item &Item) override;
   void onFleetListing(const store_items &Items) override;
   void onWeightsTarget(const weights_target &Target) override;
+  bool isListed(instant Now) const override;
   void onUpstreamsChanged() override;
 
 private:
--- a/src/gateway/process/membership_task.cpp
+++ b/src/gateway/process/membership_task.cpp
@@ -12,10 +12,6 @@
 constexpr std::string_view EntriesPrefix = "ebonyvale/instances/";
 constexpr std::string_view PresencePrefix = "ebonyvale/alive/";
 
-/// Renewals per lease duration, so that a failed one does not expire the lease.
-constexpr int RenewalsPerLease = 3;
-/// Subtracted from the lease duration: the store's clock may run ahead by this.
-constexpr span_ns LeaseMargin = std::chrono::milliseconds(200);
 constexpr span_ns RetryPause = std::chrono::milliseconds(300);
 constexpr span_ns TickInterval = std::chrono::milliseconds(500);
 
@@ -37,53 +33,34 @@
           fmt::format("{}{}", EntriesPrefix, Core.settings().InstanceName)),
       PresenceKey(
           fmt::format("{}{}", PresencePrefix, Core.settings().InstanceName)),
-      LeaseTimer(Core.base(),
-                 [this] {
-                   if (Lease == 0)
-                     grant();
-                   else if (!Announced)
-                     announce();
-                   else
-                     renew();
-                 }),
+      Lease(Core, Store,
+            std::chrono::milliseconds(Core.settings().LeaseDurationMs),
+            "presence",
+            [this] {
+              Announced = false;
+              announce();
+            }),
+      AnnounceTimer(Core.base(), [this] { announce(); }),
       TickTimer(Core.base(), [this] { onTick(); }) {}
 
 void membership_task::start() {
-  grant();
+  Lease.start();
   TickTimer.startPeriodic(TickInterval);
 }
 
 void membership_task::leave() {
-  Leaving = true;
-  LeaseTimer.stop();
-  if (Lease != 0)
-    Store.endLease(std::exchange(Lease, 0), [](const store_result &) {});
+  AnnounceTimer.stop();
+  Lease.stop();
 }
 
 std::int64_t membership_task::lease(instant Now) const {
-  return Announced && Now < LeaseUntil ? Lease : 0;
-}
-
-void membership_task::retryLater() {
-  if (!Leaving)
-    LeaseTimer.startOnce(RetryPause);
-}
-
-void membership_task::grant() {
-  const span_ns LeaseDuration =
-      std::chrono::milliseconds(Core.settings().LeaseDurationMs);
-  Store.grantLease(LeaseDuration, [this](const store_result &Result) {
-    Core.counters().onStoreCall("grant", storeStatusName(Result.Status));
-    if (Leaving || Result.Status != store_status::Ok || Result.Lease == 0)
-      return retryLater();
-    Lease = Result.Lease;
-    LeaseUntil = Result.SentAt + Result.LeaseDuration - LeaseMargin;
-    Announced = false;
-    announce();
-  });
+  return Announced ? Lease.id(Now) : 0;
 }
 
 void membership_task::announce() {
+  const std::int64_t Id = Lease.id(readBootClock());
+  if (Id == 0)
+    return;
   const auto Peer = parseEndpoint(Core.settings().PeerEndpoint);
   const std::string Entry = nlohmann::json{
       {"address", Peer ? Peer->Address : ""},
@@ -92,39 +69,18 @@
       {"boot", Core.boot()}}.dump();
   store_commit Commit;
   Commit.Puts = {{EntryKey, Entry, 0},
-                 {PresenceKey, fmt::format("{}", Core.boot()), Lease}};
-  Store.commit(Commit, [this](const store_result &Result) {
+                 {PresenceKey, fmt::format("{}", Core.boot()), Id}};
+  Store.commit(Commit, [this, Id](const store_result &Result) {
     Core.counters().onStoreCall("announce", storeStatusName(Result.Status));
+    if (!Lease.isActive() || Id != Lease.id(readBootClock()))
+      return;
     if (Result.Status == store_status::NotFound)
-      Lease = 0;
+      return Lease.onExpired();
     Announced = Result.Status == store_status::Ok;
     if (!Announced)
-      return retryLater();
+      return AnnounceTimer.startOnce(RetryPause);
     Core.log().info(event_category::Peer, "instance_listed",
-                    {{"lease", Lease}, {"revision", Result.Revision}});
-    LeaseTimer.startOnce(
-        std::chrono::milliseconds(Core.settings().LeaseDurationMs) /
-        RenewalsPerLease);
-  });
-}
-
-void membership_task::renew() {
-  Store.renewLease(Lease, [this](const store_result &Result) {
-    Core.counters().onStoreCall("renew", storeStatusName(Result.Status));
-    if (Leaving)
-      return;
-    if (Result.Status == store_status::NotFound) {
-      Core.log().warn(event_category::Peer, "lease_lost", {{"lease", Lease}});
-      Lease = 0;
-      Announced = false;
-      return grant();
-    }
-    if (Result.Status != store_status::Ok)
-      return retryLater();
-    LeaseUntil = Result.SentAt + Result.LeaseDuration - LeaseMargin;
-    LeaseTimer.startOnce(
-        std::chrono::milliseconds(Core.settings().LeaseDurationMs) /
-        RenewalsPerLease);
+                    {{"lease", Id}, {"revision", Result.Revision}});
   });
 }
 
--- a/src/gateway/process/membership_task.h
+++ b/src/gateway/process/membership_task.h
@@ -6,6 +6,7 @@
 
 #include "gateway/process/fleet_store.h"
 #include "gateway/process/gateway_core.h"
+#include "gateway/process/lease_keeper.h"
 
 #include <string>
 
@@ -37,21 +38,16 @@
   void onListing(const store_items &Items);
 
 private:
-  void grant();
   void announce();
-  void renew();
-  void retryLater();
   void onTick();
 
   gateway_core &Core;
   fleet_store &Store;
   std::string EntryKey;
   std::string PresenceKey;
-  std::int64_t Lease = 0;
-  instant LeaseUntil;     ///< by this process's clock, less a margin
   bool Announced = false; ///< entry and presence are written
-  bool Leaving = false;
-  timer LeaseTimer; ///< next grant, announcement or renewal
+  lease_keeper Lease;
+  timer AnnounceTimer; ///< next attempt after a failed one
   timer TickTimer;
 };
 
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -226,11 +226,12 @@
       IsCurrent = false;
   }
   // The peer's read confirms this instance's configuration only if it is at
-  // least as new.
-  if (IsCurrent)
-    Core.configFreshness().onRead(ReadAt);
-  else
+  // least as new. An instance that the store no longer lists must not serve on
+  // the peer's word: its quota share is given to the others.
+  if (!IsCurrent)
     readOperators();
+  else if (Observer.isListed(readBootClock()))
+    Core.configFreshness().onRead(ReadAt);
   const change_batch &Changes = Response.Changes;
   if (Changes.HasGap) {
     if (Changes.GapKind == listing_kind::AfterOutage)
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -26,6 +26,9 @@
   virtual void onFleetListing(const store_items &Items) = 0;
   /// Operators have set the weights version of a model.
   virtual void onWeightsTarget(const weights_target &Target) = 0;
+  /// Returns whether the store certainly lists this instance, so that the
+  /// others count its quota share.
+  virtual bool isListed(instant Now) const = 0;
   /// The directory of upstreams has changed.
   virtual void onUpstreamsChanged() = 0;
 };
--- a/src/gateway/version/weights_task.cpp
+++ b/src/gateway/version/weights_task.cpp
@@ -87,9 +87,11 @@
   std::string Body;
 };
 
-weights_task::weights_task(gateway_core &Core, fleet_store &Store,
-                           membership_task &Membership)
-    : Core(Core), Store(Store), Membership(Membership),
+weights_task::weights_task(gateway_core &Core, fleet_store &Store)
+    : Core(Core), Store(Store),
+      Lease(Core, Store,
+            std::chrono::milliseconds(Core.settings().ClaimLeaseMs), "claim",
+            [] {}),
       Rollout(rolloutOptions(Core.settings())),
       TickTimer(Core.base(), [this] { onTick(); }) {}
 
@@ -99,6 +101,8 @@
 
 void weights_task::start() { TickTimer.startPeriodic(TickInterval); }
 
+void weights_task::leave() { Lease.stop(); }
+
 void weights_task::setTarget(const weights_target &Target) {
   Rollout.setTargetVersion(Target.Model, Target.Version);
 }
@@ -133,15 +137,17 @@
 }
 
 bool weights_task::holdsClaim(instant Now) const {
-  return FencingToken != 0 && Membership.lease(Now) == ClaimLease &&
-         ClaimLease != 0;
+  return FencingToken != 0 && ClaimLease != 0 && Lease.id(Now) == ClaimLease;
 }
 
 void weights_task::tryClaim(instant Now) {
-  const std::int64_t Lease = Membership.lease(Now);
   const bool Free =
       ClaimHolder.empty() || ClaimHolder == Core.settings().InstanceName;
-  if (Claiming || !ClaimKnown || !Free || Lease == 0 || Core.leaving())
+  if (Core.leaving() || (ClaimKnown && !Free)) {
+    FreeSince.reset();
+    return Lease.stop();
+  }
+  if (Claiming || !ClaimKnown)
     return FreeSince.reset();
   if (!FreeSince)
     FreeSince = Now;
@@ -149,14 +155,19 @@
       ClaimStagger * static_cast<std::int64_t>(Core.roster().rank());
   if (Now - *FreeSince < std::min<span_ns>(Delay, MaxClaimDelay))
     return;
+  Lease.start();
+  const std::int64_t Id = Lease.id(Now);
+  if (Id == 0)
+    return;
   Claiming = true;
   store_commit Commit;
   Commit.Conditions = {{std::string(claimKey()), ClaimRevision}};
-  Commit.Puts = {
-      {std::string(claimKey()), Core.settings().InstanceName, Lease}};
-  Store.commit(Commit, [this, Lease](const store_result &Result) {
+  Commit.Puts = {{std::string(claimKey()), Core.settings().InstanceName, Id}};
+  Store.commit(Commit, [this, Id](const store_result &Result) {
     Claiming = false;
     Core.counters().onStoreCall("claim", storeStatusName(Result.Status));
+    if (Result.Status == store_status::NotFound)
+      Lease.onExpired();
     if (Result.Status != store_status::Ok) {
       // Another instance wrote the claim first, or the outcome of this write is
       // unknown and it may still take effect.
@@ -164,11 +175,11 @@
       return;
     }
     FencingToken = Result.Revision;
-    ClaimLease = Lease;
+    ClaimLease = Id;
     ClaimRevision = FencingToken;
     ClaimHolder = Core.settings().InstanceName;
     Core.log().info(event_category::Weights, "claim_taken",
-                    {{"fence", FencingToken}, {"lease", Lease}});
+                    {{"fence", FencingToken}, {"lease", Id}});
   });
 }
 
--- a/src/gateway/version/weights_task.h
+++ b/src/gateway/version/weights_task.h
@@ -6,7 +6,7 @@
 #include "decisions/version/weights_rollout.h"
 #include "gateway/process/fleet_store.h"
 #include "gateway/process/gateway_core.h"
-#include "gateway/process/membership_task.h"
+#include "gateway/process/lease_keeper.h"
 
 #include <memory>
 #include <optional>
@@ -22,13 +22,15 @@
 /// new holder waits until no order of the previous one can still arrive.
 class weights_task {
 public:
-  weights_task(gateway_core &Core, fleet_store &Store,
-               membership_task &Membership);
+  weights_task(gateway_core &Core, fleet_store &Store);
   ~weights_task();
 
   /// Starts the periodic check of the claim and the rollout.
   void start();
 
+  /// Releases the claim if this instance holds it.
+  void leave();
+
   /// Returns the instance that holds the claim as last read, or an empty
   /// string.
   const std::string &claimHolder() const { return ClaimHolder; }
@@ -67,7 +69,7 @@
 
   gateway_core &Core;
   fleet_store &Store;
-  membership_task &Membership;
+  lease_keeper Lease; ///< active while this instance holds or tries the claim
   weights_rollout Rollout;
   std::string ClaimHolder;          ///< as last read; empty: no claim
   std::int64_t ClaimRevision = 0;   ///< as last read; 0: no claim
--- a/tests/gateway/change_relay_test.cpp
+++ b/tests/gateway/change_relay_test.cpp
@@ -12,7 +12,9 @@
 
 /// The fixture's gateway "i-1", and "i-2", which has begun to follow it.
 struct gateway_pair {
-  gateway_pair() : Second(First.startGatewayInstance("i-2")) {
+  explicit gateway_pair(
+      const gateway_settings &Settings = gateway_fixture::testSettings())
+      : First(Settings), Second(First.startGatewayInstance("i-2")) {
     cr_assert(First.waitFor([this] {
       return Second->core().ready(readBootClock()) &&
              Second->core().roster().peers().size() == 1 &&
@@ -148,3 +150,20 @@
   Pair.First.Store.setFault(store_fault::None, "i-2");
   cr_assert(Pair.secondGetsVersion(2));
 }
+
+/// The other instances share the quota of one that the store no longer lists,
+/// so it must stop to accept keys, though its peer knows the configuration.
+Test(change_relay, an_instance_that_is_not_listed_does_not_stay_fresh) {
+  gateway_settings Settings = gateway_fixture::testSettings();
+  Settings.KeyBoundMs = 800;
+  Settings.ApplyBoundMs = 800;
+  Settings.LeaseDurationMs = 1500;
+  gateway_pair Pair(Settings);
+  // The peer has not noticed the end of the presence and still responds.
+  Pair.First.Store.put("ebonyvale/alive/i-2", "");
+  Pair.First.Store.setFault(store_fault::Down, "i-2");
+  Pair.waitForCalls("i-1", 5);
+  cr_assert(Pair.First.waitFor([&] { return !Pair.secondIsFresh(); }));
+  Pair.First.Store.setFault(store_fault::None, "i-2");
+  cr_assert(Pair.First.waitFor([&] { return Pair.secondIsFresh(); }));
+}
--- a/tests/soak/soak_gateway.cpp
+++ b/tests/soak/soak_gateway.cpp
@@ -54,7 +54,7 @@
       "[listen]\ncallers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
       "peers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n"
       "[store]\nendpoint = \"127.0.0.1:{}\"\ncall_timeout_ms = 200\n"
-      "lease_ms = 1000\nrefusal_interval_ms = 500\n"
+      "lease_ms = 1000\nclaim_lease_ms = 1000\nrefusal_interval_ms = 500\n"
       "[bounds]\nkey_ms = {}\napply_ms = {}\nissuer_ms = 500\n"
       "weights_ms = 4000\n[stop]\ngrace_s = {}\n"
       "[limits]\nexcess = 0.1\nslack = {:.0f}\n",
