Store: peers pass on documents up to 16 KB; refusals are written every 30 s

Change: a poll states the operators' documents that its sender has; the response holds the newer ones, 16 KB in all. Refusals reach the store every 30 s; those of the last seconds before a kill are in the log, as before.

Test: followers get a configuration of 1, 200 and 4000 keys; the last one does not fit into a message and is read from the store.

--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -72,17 +72,32 @@
   return {Bytes.begin(), Bytes.end()};
 }
 
-json encodeChanges(const change_response &Response) {
-  json Documents = json::array();
-  for (const operator_document &Document : Response.Documents) {
+json encodeDocuments(std::span<const operator_document> Documents) {
+  json Listed = json::array();
+  for (const operator_document &Document : Documents) {
     json Entry{Document.Key, Document.Revision};
     if (Document.Value)
       Entry.push_back(
           json::binary({Document.Value->begin(), Document.Value->end()}));
-    Documents.push_back(std::move(Entry));
+    Listed.push_back(std::move(Entry));
+  }
+  return Listed;
+}
+
+std::vector<operator_document> decodeDocuments(const json &Listed) {
+  std::vector<operator_document> Documents;
+  for (const json &Entry : Listed) {
+    Documents.push_back({Entry.at(0), Entry.at(1), std::nullopt});
+    if (Entry.size() > 2)
+      Documents.back().Value = decodeBytes(Entry.at(2));
   }
-  json Message{
-      {"k", "changes"}, {"n", Response.Number}, {"o", std::move(Documents)}};
+  return Documents;
+}
+
+json encodeChanges(const change_response &Response) {
+  json Message{{"k", "changes"},
+               {"n", Response.Number},
+               {"o", encodeDocuments(Response.Documents)}};
   if (Response.ReadAge) {
     // Rounded up: a read must not seem newer than it is.
     Message["a"] = millis(*Response.ReadAge) + 1;
@@ -106,12 +121,7 @@
   Response.Number = Message.at("n");
   if (const auto Age = Message.find("a"); Age != Message.end())
     Response.ReadAge = std::chrono::milliseconds(Age->get<std::int64_t>());
-  for (const json &Entry : Message.at("o")) {
-    operator_document Document{Entry.at(0), Entry.at(1), std::nullopt};
-    if (Entry.size() > 2)
-      Document.Value = decodeBytes(Entry.at(2));
-    Response.Documents.push_back(std::move(Document));
-  }
+  Response.Documents = decodeDocuments(Message.at("o"));
   change_batch &Changes = Response.Changes;
   if (const auto Gap = Message.find("g"); Gap != Message.end()) {
     Changes.HasGap = true;
@@ -225,7 +235,10 @@
 
 void peer_gossip::sendChangePoll(const std::string &Peer,
                                  const change_poll &Poll) {
-  sendTo(Peer, {{"k", "poll"}, {"n", Poll.Number}, {"r", Poll.Revision}});
+  sendTo(Peer, {{"k", "poll"},
+                {"n", Poll.Number},
+                {"r", Poll.Revision},
+                {"o", encodeDocuments(Poll.Documents)}});
 }
 
 void peer_gossip::sendChanges(const std::string &Peer,
@@ -324,8 +337,9 @@
       Core.scheduler().onPeerHint({Hint.at(0), Hint.at(1)});
   } else if (Kind == "poll") {
     if (Core.changeExchange())
-      Core.changeExchange()->onChangePoll(From,
-                                          {Message.at("n"), Message.at("r")});
+      Core.changeExchange()->onChangePoll(
+          From,
+          {Message.at("n"), Message.at("r"), decodeDocuments(Message.at("o"))});
   } else if (Kind == "changes") {
     if (Core.changeExchange())
       Core.changeExchange()->onChangeResponse(From, decodeChanges(Message));
--- a/src/gateway/process/change_exchange.h
+++ b/src/gateway/process/change_exchange.h
@@ -12,17 +12,20 @@
 
 namespace ebonyvale {
 
-/// Asks a peer for the changes after a revision.
-struct change_poll {
-  std::uint64_t Number = 0; ///< repeated in the response
-  std::int64_t Revision = 0;
-};
-
 /// Newest revision of an operators' document that an instance has handled.
 struct operator_document {
   std::string Key;
   std::int64_t Revision = 0;
-  std::optional<std::string> Value; ///< absent if it is too large to send
+  /// Absent in polls, in responses to a peer that has it, and if it is too
+  /// large to send.
+  std::optional<std::string> Value;
+};
+
+/// Asks a peer for the changes after a revision.
+struct change_poll {
+  std::uint64_t Number = 0; ///< repeated in the response
+  std::int64_t Revision = 0;
+  std::vector<operator_document> Documents; ///< that the sender has
 };
 
 /// Response to a poll.
--- a/src/gateway/process/change_relay.cpp
+++ b/src/gateway/process/change_relay.cpp
@@ -53,16 +53,17 @@
     return false;
   const auto &Poll = Source.startPoll(Followed, Now);
   ResponseTimer.startOnce(pollTimeout(Core.settings()));
-  Core.messenger()->sendChangePoll(Followed, {Poll.Number, Revision});
+  Core.messenger()->sendChangePoll(
+      Followed, {Poll.Number, Revision, Receiver.operatorRevisions()});
   return true;
 }
 
 void change_relay::onChangePoll(const std::string &From,
                                 const change_poll &Poll) {
   const auto Age = Core.configFreshness().age(readBootClock());
-  Core.messenger()->sendChanges(From,
-                                {Poll.Number, Age, Receiver.operatorDocuments(),
-                                 Log.since(Poll.Revision, MaxBatchBytes)});
+  Core.messenger()->sendChanges(
+      From, {Poll.Number, Age, Receiver.operatorDocuments(Poll.Documents),
+             Log.since(Poll.Revision, MaxBatchBytes)});
 }
 
 void change_relay::onChangeResponse(const std::string &From,
--- a/src/gateway/process/change_relay.h
+++ b/src/gateway/process/change_relay.h
@@ -10,6 +10,7 @@
 #include "gateway/process/gateway_core.h"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -19,8 +20,12 @@
 class change_receiver {
 public:
   virtual ~change_receiver() = default;
-  /// Returns the operators' documents that were handled.
-  virtual std::vector<operator_document> operatorDocuments() const = 0;
+  /// Returns the operators' documents that were handled, with the values of
+  /// those that are newer than in \p Known.
+  virtual std::vector<operator_document>
+  operatorDocuments(std::span<const operator_document> Known) const = 0;
+  /// Returns the keys and revisions of the operators' documents.
+  virtual std::vector<operator_document> operatorRevisions() const = 0;
   /// Handles the response of the peer that is followed. The peer has read the
   /// operators' documents at \p ReadAt or later.
   virtual void onRelayed(const change_response &Response, instant ReadAt) = 0;
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -35,7 +35,7 @@
   std::int64_t StoreReadIntervalMs = 0; ///< see `readInterval`
   std::int64_t LeaseDurationMs = 10000;
   std::int64_t ClaimLeaseMs = 2000;
-  std::int64_t RefusalIntervalMs = 10000;
+  std::int64_t RefusalIntervalMs = 30000;
 
   std::int64_t KeyBoundMs = 5000;
   std::int64_t ApplyBoundMs = 2500;
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -13,9 +13,9 @@
 constexpr span_ns MaxBackOff = std::chrono::milliseconds(1200);
 /// Interval at which expired entries are dropped from the directory.
 constexpr span_ns ExpiryCheckInterval = std::chrono::milliseconds(250);
-/// Largest document of the operators that is passed on to peers. They read a
-/// larger one from the store.
-constexpr std::size_t MaxRelayedBytes = 1024;
+/// Size of the operators' documents in one response to a peer. Peers read
+/// larger ones from the store.
+constexpr std::size_t MaxRelayedBytes = 16 * 1024;
 
 } // namespace
 
@@ -206,10 +206,28 @@
   }
 }
 
-std::vector<operator_document> store_follower::operatorDocuments() const {
+std::vector<operator_document> store_follower::operatorRevisions() const {
   std::vector<operator_document> Documents;
   for (const auto &[Key, State] : OperatorStates)
-    Documents.push_back({Key, State.Revision, State.Value});
+    Documents.push_back({Key, State.Revision, std::nullopt});
+  return Documents;
+}
+
+std::vector<operator_document> store_follower::operatorDocuments(
+    std::span<const operator_document> Known) const {
+  std::vector<operator_document> Documents = operatorRevisions();
+  std::size_t Size = 0;
+  for (operator_document &Document : Documents) {
+    const auto Held =
+        std::ranges::find(Known, Document.Key, &operator_document::Key);
+    if (Held != Known.end() && Held->Revision >= Document.Revision)
+      continue;
+    const auto &Value = OperatorStates.find(Document.Key)->second.Value;
+    if (!Value || Size + Value->size() > MaxRelayedBytes)
+      continue;
+    Size += Value->size();
+    Document.Value = Value;
+  }
   return Documents;
 }
 
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -50,7 +50,9 @@
   bool connected() const { return Connected; }
 
   // change_receiver
-  std::vector<operator_document> operatorDocuments() const override;
+  std::vector<operator_document>
+  operatorDocuments(std::span<const operator_document> Known) const override;
+  std::vector<operator_document> operatorRevisions() const override;
   void onRelayed(const change_response &Response, instant ReadAt) override;
   void onPollFailed() override;
 
--- a/tests/gateway/change_relay_test.cpp
+++ b/tests/gateway/change_relay_test.cpp
@@ -65,8 +65,8 @@
 }
 
 ParameterizedTestParameters(change_relay, a_withdrawn_key_reaches_a_follower) {
-  // The first configuration fits into a message, the second does not.
-  static key_count_row Rows[] = {{1}, {200}};
+  // The last configuration does not fit into a message.
+  static key_count_row Rows[] = {{1}, {200}, {4000}};
   return criterion_test_params(Rows);
 }
 
@@ -137,7 +137,7 @@
   gateway_pair Pair;
   Pair.First.Store.setFault(store_fault::Down, "i-2");
   std::string Keys = "\"key-2\"";
-  for (std::size_t Index = 1; Index < 200; ++Index)
+  for (std::size_t Index = 1; Index < 4000; ++Index)
     Keys += ",\"other-" + std::to_string(Index) + "\"";
   Pair.First.configure(2, Keys);
   cr_assert(Pair.First.waitFor(
