Peers: loads go to the own failure domain, with what upstreams reported

Cause: each instance sent its loads to eight peers of any domain every 60 ms. In a fleet of 295 a change took 2.2 s to reach all, longer than a report is used (1.5 s), and hints on cached segments reached eight peers only.

Change: gossip_schedule sends to the peers of the domain in turn, and to eight of other domains in every 16th round; fleets of up to nine instances send to all as before. The messages hold what upstreams reported to the sender in the last rounds, so that the instances of a domain share it; it includes the load of other domains. Requests that an upstream reports beyond the known ones count with the mean memory of a request. Every peer gets the latest hints (256 are kept).

--- a/src/decisions/process/upstream_estimate.cpp
+++ b/src/decisions/process/upstream_estimate.cpp
@@ -69,10 +69,25 @@
          LeftRegion->second == RightRegion->second;
 }
 
+double upstream_scheduler::hiddenRequests(const upstream_state &State,
+                                          instant Now) const {
+  const span_ns Age = Now - State.LoadAt;
+  if (!UnknownPeers || !State.Load || Age > Options.LoadReportTtl)
+    return 0;
+  const std::int64_t Known = State.InFlight + State.Peers.inFlight();
+  const std::int64_t Reported = State.Load->Running + State.Load->Waiting;
+  // Requests end, so an older report tells less.
+  const double Weight = 1 - toMs(Age) / toMs(Options.LoadReportTtl);
+  return Weight *
+         static_cast<double>(std::max<std::int64_t>(0, Reported - Known));
+}
+
 /// Returns the engine memory that running requests of all instances hold, as of
 /// the last `updateBacklog`.
-double upstream_scheduler::heldTokens(const upstream_state &State) const {
-  return State.HeldTokens + State.Peers.heldTokens();
+double upstream_scheduler::heldTokens(const upstream_state &State,
+                                      instant Now) const {
+  return State.HeldTokens + State.Peers.heldTokens() +
+         hiddenRequests(State, Now) * MeanHeldTokens;
 }
 
 double upstream_scheduler::cacheTokens(const upstream_state &State) const {
@@ -81,9 +96,9 @@
 }
 
 double upstream_scheduler::memoryWaitMs(const upstream_state &State,
-                                        double Needed) const {
+                                        double Needed, instant Now) const {
   const double Capacity = cacheTokens(State);
-  const double Held = heldTokens(State);
+  const double Held = heldTokens(State, Now);
   const double Excess = Held + Needed - Options.UsableMemoryFraction * Capacity;
   if (Capacity <= 0 || Excess <= 0 || Held <= 0)
     return 0;
@@ -230,10 +245,10 @@
     Estimate.FirstChunkMs = Estimate.CostMs;
     return Estimate;
   }
-  Estimate.EngineHeldTokens = heldTokens(State);
+  Estimate.EngineHeldTokens = heldTokens(State, Now);
   // Memory held by running requests is not available to the cache.
   State.Segments.setCapacity(Options.CacheFraction * cacheTokens(State) -
-                             heldTokens(State));
+                             heldTokens(State, Now));
   const std::size_t Shared =
       Query.Segments.empty() ? 0 : Query.Segments.size() - 1;
   std::size_t CachedCount = 0;
@@ -262,7 +277,7 @@
   Estimate.HeldTokens = Query.PromptTokens + Query.ResponseTokens;
   Estimate.InsertedTokens =
       OwnTokens + Query.ResponseTokens + Estimate.MissedTokens;
-  const double Wait = memoryWaitMs(State, Estimate.HeldTokens);
+  const double Wait = memoryWaitMs(State, Estimate.HeldTokens, Now);
   Estimate.FirstChunkMs = Estimate.CostMs + Options.FirstTokenMs +
                           Estimate.PrefillMs + Estimate.Copy.DurationMs + Wait;
   Estimate.WaitMs = Estimate.BacklogMs + Estimate.LatenessMs + Wait;
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -167,6 +167,13 @@
   State->BacklogMs += Choice.PrefillMs;
   State->SentPrefillMs += Choice.PrefillMs;
   State->HeldTokens += Choice.HeldTokens;
+  if (Choice.HeldTokens > 0) {
+    constexpr double NewestWeight = 0.05;
+    MeanHeldTokens = MeanHeldTokens == 0
+                         ? Choice.HeldTokens
+                         : MeanHeldTokens + NewestWeight * (Choice.HeldTokens -
+                                                            MeanHeldTokens);
+  }
   State->InsertedTokens += Choice.InsertedTokens;
   State->Segments.onInserted(Choice.InsertedTokens);
   for (const prompt_segment &Segment : Query.Segments) {
@@ -274,6 +281,25 @@
     return;
   State->Load = Load;
   State->LoadAt = Now;
+  State->LoadIsOwn = true;
+}
+
+std::vector<upstream_load_report>
+upstream_scheduler::ownReportsSince(instant Since) const {
+  std::vector<upstream_load_report> Reports;
+  for (const auto &[Id, State] : States)
+    if (State.Load && State.LoadIsOwn && State.LoadAt >= Since)
+      Reports.push_back({Id, *State.Load, State.LoadAt});
+  return Reports;
+}
+
+void upstream_scheduler::onPeerReport(const upstream_load_report &Report) {
+  upstream_state *State = find(Report.Upstream);
+  if (!State || (State->Load && State->LoadAt >= Report.At))
+    return;
+  State->Load = Report.Load;
+  State->LoadAt = Report.At;
+  State->LoadIsOwn = false;
 }
 
 void upstream_scheduler::onFailure(std::string_view Upstream, instant Now) {
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -55,6 +55,13 @@
   std::int64_t Slots = 0;   ///< requests that can run at once
 };
 
+/// Load that an upstream has reported in a response to this instance.
+struct upstream_load_report {
+  std::string Upstream;
+  reported_load Load;
+  instant At;
+};
+
 /// Tells peers that a prefix segment is in use on an engine or a cache store.
 struct segment_hint {
   std::string Upstream; ///< id of the engine or address of the store
@@ -247,6 +254,15 @@
   /// that run its requests, or whose load has changed since \p Since.
   std::vector<peer_load> ownLoadsSince(instant Since) const;
 
+  /// Returns what upstreams have reported to this instance after \p Since.
+  std::vector<upstream_load_report> ownReportsSince(instant Since) const;
+  /// Records what an upstream has reported to a peer.
+  void onPeerReport(const upstream_load_report &Report);
+  /// Sets whether there are peers that do not report their loads to this
+  /// instance. Requests that an upstream reports beyond the known ones are then
+  /// theirs.
+  void setUnknownPeers(bool Exist) { UnknownPeers = Exist; }
+
   /// Returns all upstreams, ordered by id.
   std::vector<upstream_view> views(instant Now);
 
@@ -303,6 +319,7 @@
     double HeldTokens = 0; ///< memory of this instance's requests in flight
     std::optional<reported_load> Load;
     instant LoadAt;
+    bool LoadIsOwn = false; ///< reported to this instance, not to a peer
     peer_loads Peers;
     unsigned Failures = 0;
     instant AvoidUntil;
@@ -361,9 +378,12 @@
   upstream_state *find(std::string_view Upstream);
   double updateBacklog(upstream_state &State, instant Now) const;
   double latenessMs(const upstream_state &State, instant Now) const;
-  double heldTokens(const upstream_state &State) const;
+  double heldTokens(const upstream_state &State, instant Now) const;
+  /// Returns the expected number of requests of unknown peers.
+  double hiddenRequests(const upstream_state &State, instant Now) const;
   double cacheTokens(const upstream_state &State) const;
-  double memoryWaitMs(const upstream_state &State, double Needed) const;
+  double memoryWaitMs(const upstream_state &State, double Needed,
+                      instant Now) const;
   std::vector<segment_holder> holdersOf(const schedule_query &Query,
                                         instant Now) const;
   copy_plan planCopy(const upstream_state &Target, const schedule_query &Query,
@@ -408,6 +428,9 @@
       Announced;
   std::vector<cache_store> Stores;
   std::vector<segment_hint> Hints;
+  bool UnknownPeers = false;
+  /// Moving average of the memory that a request to an engine takes.
+  double MeanHeldTokens = 0;
   /// Numbers of the peers that have reported, by name.
   std::map<std::string, std::uint32_t, std::less<>> PeerNumbers;
 };
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -17,8 +17,8 @@
 constexpr int GossipVersion = 1;
 /// Receive buffer size; holds the load of some hundred upstreams.
 constexpr std::size_t MaxDatagramBytes = 32 * 1024;
-/// Number of peers that receive the load in each interval.
-constexpr std::size_t LoadFanOut = 8;
+/// Hints that are kept for peers which have not been sent them yet.
+constexpr std::size_t MaxHints = 256;
 
 json encodeLendRequest(const lend_request &Request) {
   return {{"k", "ask"},
@@ -143,7 +143,8 @@
 } // namespace
 
 peer_gossip::peer_gossip(gateway_core &Core)
-    : Core(Core), LoadTimer(Core.base(), [this] { sendLoad(); }) {
+    : Core(Core), LoadTimer(Core.base(), [this] { sendLoad(); }),
+      Schedule(Core.settings().Domain) {
   Core.setMessenger(this);
 }
 
@@ -251,48 +252,68 @@
   sendToAll({{"k", "weights"}, {"u", Upstream}, {"m", Model}, {"n", Version}});
 }
 
+json peer_gossip::takeHintsFor(std::span<const std::string_view> Receivers) {
+  std::uint64_t Unsent = 0;
+  for (const std::string_view Name : Receivers) {
+    std::uint64_t &Sent = HintsSent[std::string(Name)];
+    Unsent = std::max(Unsent, HintsAdded - std::exchange(Sent, HintsAdded));
+  }
+  Unsent = std::min<std::uint64_t>(Unsent, Hints.size());
+  json Listed = json::array();
+  for (auto Hint = Hints.end() - static_cast<std::ptrdiff_t>(Unsent);
+       Hint != Hints.end(); ++Hint)
+    Listed.push_back({Hint->Upstream, Hint->Chain});
+  return Listed;
+}
+
 void peer_gossip::sendLoad() {
   const auto &Peers = Core.roster().peers();
   if (Peers.empty())
     return;
+  Core.scheduler().setUnknownPeers(Peers.size() > gossip_schedule::FanOut);
   // Each change is sent to every peer twice, since a datagram may be lost.
   constexpr std::size_t SendsPerChange = 2;
-  const std::size_t Rounds = (Peers.size() + LoadFanOut - 1) / LoadFanOut;
   const instant Now = readBootClock();
-  const auto Loads = Core.scheduler().ownLoadsSince(
-      Now - std::chrono::milliseconds(Core.settings().PeerIntervalMs) *
-                static_cast<std::int64_t>(SendsPerChange * Rounds));
-  json Listed = json::array();
-  for (const peer_load &Load : Loads)
-    Listed.push_back({Load.Upstream, Load.InFlight,
-                      static_cast<std::int64_t>(Load.SentPrefillMs),
-                      static_cast<std::int64_t>(Load.HeldTokens),
-                      static_cast<std::int64_t>(Load.InsertedTokens)});
-  json Hints = json::array();
-  for (const segment_hint &Hint : Core.scheduler().takeHints())
-    Hints.push_back({Hint.Upstream, Hint.Chain});
-  if (Listed.empty() && Hints.empty() && std::exchange(IdleSent, true))
+  const instant Since =
+      Now -
+      std::chrono::milliseconds(Core.settings().PeerIntervalMs) *
+          static_cast<std::int64_t>(SendsPerChange * Schedule.rounds(Peers));
+  json Loads = json::array();
+  for (const peer_load &Load : Core.scheduler().ownLoadsSince(Since))
+    Loads.push_back({Load.Upstream, Load.InFlight,
+                     static_cast<std::int64_t>(Load.SentPrefillMs),
+                     static_cast<std::int64_t>(Load.HeldTokens),
+                     static_cast<std::int64_t>(Load.InsertedTokens)});
+  json Reports = json::array();
+  for (const upstream_load_report &Report :
+       Core.scheduler().ownReportsSince(Since))
+    Reports.push_back({Report.Upstream, Report.Load.Running,
+                       Report.Load.Waiting, Report.Load.Slots,
+                       millis(Now - Report.At)});
+  for (segment_hint &Hint : Core.scheduler().takeHints()) {
+    Hints.push_back(std::move(Hint));
+    ++HintsAdded;
+  }
+  while (Hints.size() > MaxHints)
+    Hints.pop_front();
+  const auto Receivers = Schedule.next(Peers);
+  json NewHints = takeHintsFor(Receivers);
+  const bool IsIdle = Loads.empty() && Reports.empty() && NewHints.empty();
+  if (IsIdle && std::exchange(IdleSent, true))
     return;
-  IdleSent = Listed.empty();
+  IdleSent = IsIdle;
   json Weights = json::array();
   for (const weights_announcement &Announcement :
        Core.scheduler().recentAnnouncements(Now))
     Weights.push_back({Announcement.Model, Announcement.Version,
                        millis(Now - Announcement.LearnedAt)});
-  const json Message{{"k", "load"},
-                     {"l", std::move(Listed)},
-                     {"h", std::move(Hints)},
-                     {"w", std::move(Weights)}};
-  const std::vector<std::uint8_t> Bytes = encode(Message);
-  auto Next = Peers.upper_bound(LastPeer);
-  for (std::size_t Sent = 0; Sent < std::min(LoadFanOut, Peers.size());
-       ++Sent) {
-    if (Next == Peers.end())
-      Next = Peers.begin();
-    sendBytes(Next->second, Bytes);
-    LastPeer = Next->first;
-    ++Next;
-  }
+  const std::vector<std::uint8_t> Bytes = encode({{"k", "load"},
+                                                  {"l", std::move(Loads)},
+                                                  {"r", std::move(Reports)},
+                                                  {"h", std::move(NewHints)},
+                                                  {"w", std::move(Weights)}});
+  for (const std::string_view Name : Receivers)
+    sendBytes(Peers.find(Name)->second, Bytes);
 }
 
 void peer_gossip::onReadable(evutil_socket_t Socket, short, void *Self) {
@@ -328,6 +349,11 @@
       Loads.push_back({Listed.at(0), Listed.at(1), Listed.at(2), Listed.at(3),
                        Listed.at(4)});
     Core.scheduler().onPeerLoad(From, Loads, Now);
+    for (const json &Report : Message.at("r"))
+      Core.scheduler().onPeerReport(
+          {Report.at(0),
+           {Report.at(1), Report.at(2), Report.at(3)},
+           Now - std::chrono::milliseconds(Report.at(4).get<std::int64_t>())});
     for (const json &Announcement : Message.at("w"))
       Core.scheduler().onPeerAnnouncement(
           {Announcement.at(0), Announcement.at(1),
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -5,13 +5,17 @@
 #ifndef EBONYVALE_GATEWAY_CONNECTION_PEER_GOSSIP_H
 #define EBONYVALE_GATEWAY_CONNECTION_PEER_GOSSIP_H
 
+#include "decisions/process/gossip_schedule.h"
 #include "gateway/process/gateway_core.h"
 
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ebonyvale {
@@ -46,6 +50,8 @@
   void onDatagram(std::string_view Bytes);
   void handleMessage(const std::string &From, const nlohmann::json &Message);
   void sendLoad();
+  /// Returns the hints that some of \p Receivers have not been sent.
+  nlohmann::json takeHintsFor(std::span<const std::string_view> Receivers);
   std::vector<std::uint8_t> encode(nlohmann::json Message) const;
   void sendBytes(const instance_endpoint &Peer,
                  std::span<const std::uint8_t> Bytes);
@@ -56,8 +62,12 @@
   evutil_socket_t Socket = -1;
   event_ptr Readable;
   timer LoadTimer;
+  gossip_schedule Schedule;
+  std::deque<segment_hint> Hints; ///< the latest ones, the oldest first
+  std::uint64_t HintsAdded = 0;   ///< since the start
+  /// Value of `HintsAdded` at the last message to a peer, by its name.
+  std::map<std::string, std::uint64_t, std::less<>> HintsSent;
   bool IdleSent = false; ///< the last load message listed no load
-  std::string LastPeer;  ///< last receiver in the round robin over peers
 };
 
 } // namespace ebonyvale
--- a/tests/decisions/process/upstream_scheduler_test.cpp
+++ b/tests/decisions/process/upstream_scheduler_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -406,3 +407,38 @@
   Scheduler.onFailure("1", instant(4s));
   cr_assert(Scheduler.choose(queryOf(Prompt), instant(4410ms)).Choice);
 }
+
+/// What an upstream tells one instance of a domain counts for all of them.
+Test(upstream_scheduler, avoids_an_engine_that_reported_its_load_to_a_peer) {
+  auto Scheduler = schedulerOf({engineIn("1", "a"), engineIn("2", "a")});
+  const instant Now(10s);
+  Scheduler.onPeerReport({"1", {64, 20, 64}, Now});
+  cr_assert(Scheduler.choose(queryOf(Prompt), Now).Choice->Upstream == "2");
+  Scheduler.onPeerReport({"2", {64, 40, 64}, Now});
+  cr_assert(Scheduler.choose(queryOf(Prompt), Now).Choice->Upstream == "1");
+  // An older report replaces no newer one, and is passed on by its receiver
+  // only.
+  Scheduler.onPeerReport({"2", {0, 0, 64}, Now - 1ms});
+  cr_assert(Scheduler.choose(queryOf(Prompt), Now).Choice->Upstream == "1");
+  cr_assert(Scheduler.ownReportsSince(instant{}).empty());
+  Scheduler.onResponse("1", 10ms, reported_load{1, 0, 64}, Now);
+  cr_assert(Scheduler.ownReportsSince(instant{}).size() == 1);
+}
+
+/// In a large fleet, most requests of an engine are of instances that do not
+/// report to this one. Their memory follows from the engine's own report.
+Test(upstream_scheduler, counts_the_memory_of_requests_that_it_does_not_know) {
+  for (const bool Unknown : {false, true}) {
+    auto Scheduler = schedulerOf({engineIn("1", "a")});
+    Scheduler.setUnknownPeers(Unknown);
+    const instant Now(10s);
+    const auto First = Scheduler.choose(queryOf(Prompt), Now);
+    Scheduler.onSent(*First.Choice, queryOf(Prompt), Now);
+    Scheduler.onResponse("1", 10ms, reported_load{11, 0, 64}, Now);
+    const auto Next = Scheduler.choose(queryOf(Prompt), Now);
+    cr_assert(Next.Choice);
+    const double Expected = Unknown ? 11 * 9210 : 9210;
+    cr_assert(std::abs(Next.Choice->EngineHeldTokens - Expected) < 1, "%.0f",
+              Next.Choice->EngineHeldTokens);
+  }
+}
