Responses: bytes that are no answer are ended, in heads, bodies and refusals

Cause: interim responses, responses to other requests and their bodies, and the body of a response that states "not run" were read until the request's deadline, at any rate; a caller then got 504 for a request that had not run. An upstream whose response was given up (too large, events out of order) was not judged by it.

Change: an exchange reads at most 256 KB beyond twice the body that it delivers; after 64 KB or 100 ms of a refusal's body its head decides; a given up response counts as a failure of the upstream.

Test: thirteen forms without end over real sockets, at full rate and a byte now and then; six fail without the bounds (interim responses, another's body, others' responses, both refusals, and the bytes read). The others were ended by the parser's limits already.

--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -24,6 +24,10 @@
 constexpr std::size_t StreamBufferBytes = 64 * 1024;
 /// Longest response that is buffered until it is complete.
 constexpr std::size_t MaxBufferedBytes = 8 * 1024 * 1024;
+/// Bytes and time that are spent on the body of a response which states that
+/// the request was not run. Reading it to its end keeps the connection.
+constexpr std::size_t MaxRefusalBodyBytes = 64 * 1024;
+constexpr span_ns MaxRefusalBodyTime = std::chrono::milliseconds(100);
 /// Time reserved for a response to reach the caller before its deadline.
 constexpr span_ns ResponseMargin = std::chrono::milliseconds(10);
 
@@ -60,6 +64,7 @@
     : Core(Core), Observer(Observer), Caller(std::move(Caller)),
       Request(std::move(Request)), Routing(Core.routing()),
       ArrivedAt(readBootClock()), SessionNumber(Core.nextRequestNumber()),
+      RefusalTimer(Core.base(), [this] { onNotRun(); }),
       DeadlineTimer(Core.base(), [this] { onDeadline(); }) {
   Core.requestStarted();
 }
@@ -207,6 +212,7 @@
   Choice = Chosen;
   SentAt = Now;
   HeadReceived = false;
+  RefusalBodyBytes = 0;
   ResponseBody.clear();
   Splitter = {};
   Core.scheduler().onSent(Chosen, makeQuery(Now), Now);
@@ -260,13 +266,20 @@
     Observer.onUpstreamWeights(Choice->Upstream, ParsedRequest.Model,
                                *ResponseInfo.Weights);
   }
+  if (ResponseInfo.NotRun)
+    RefusalTimer.startOnce(MaxRefusalBodyTime);
   return response_action::Take;
 }
 
 void forward_session::onResponseBody(std::string_view Bytes) {
   const auto Guard = shared_from_this();
-  if (ResponseInfo.NotRun)
-    return; // onResponseEnd retries or refuses; this body is not forwarded
+  if (ResponseInfo.NotRun) {
+    // This body is not forwarded, and the head has told all that matters.
+    RefusalBodyBytes += Bytes.size();
+    if (RefusalBodyBytes > MaxRefusalBodyBytes)
+      onNotRun();
+    return;
+  }
   if (!Route->Streams || Response.Status != StatusOk) {
     ResponseBody += Bytes;
     if (ResponseBody.size() > MaxBufferedBytes)
@@ -285,6 +298,7 @@
   if (const auto Running = std::exchange(Exchange, nullptr))
     Running->cancel();
   ResponseBody.clear();
+  Core.scheduler().onFailure(Choice->Upstream, readBootClock());
   onAttemptEnd(attempt_outcome::Lost, Reason);
 }
 
@@ -340,21 +354,8 @@
 void forward_session::onResponseEnd() {
   const auto Guard = shared_from_this();
   Exchange.reset();
-  const instant Now = readBootClock();
-  if (ResponseInfo.NotRun) {
-    if (ResponseInfo.OtherProcess)
-      Core.scheduler().onReplaced(Choice->Upstream);
-    else if (ResponseInfo.OtherWeights)
-      Core.scheduler().onWeightsMismatch(Choice->Upstream, ParsedRequest.Model,
-                                         Now);
-    else
-      Core.scheduler().onFull(Choice->Upstream, Now);
-    if (ResponseInfo.OtherProcess)
-      return onAttemptEnd(attempt_outcome::WrongTarget, "other_process");
-    if (ResponseInfo.OtherWeights)
-      return onAttemptEnd(attempt_outcome::WrongTarget, "other_weights");
-    return onAttemptEnd(attempt_outcome::NotRun, "not_run");
-  }
+  if (ResponseInfo.NotRun)
+    return onNotRun();
   // The caller has received the beginning of another upstream's stream, which
   // this response does not continue.
   if (Streaming && Response.Status != StatusOk)
@@ -363,7 +364,7 @@
     return onAttemptEnd(attempt_outcome::ServerError, "server_error");
   if (Streaming) {
     deliver(Splitter.rest());
-    endAttempt(Now);
+    endAttempt(readBootClock());
     Caller->endStream();
     Core.counters().CompletedResponses.Increment();
     return finish("streamed");
@@ -371,6 +372,26 @@
   forwardResponse();
 }
 
+void forward_session::onNotRun() {
+  const auto Guard = shared_from_this();
+  RefusalTimer.stop();
+  if (const auto Running = std::exchange(Exchange, nullptr))
+    Running->cancel();
+  const instant Now = readBootClock();
+  if (ResponseInfo.OtherProcess)
+    Core.scheduler().onReplaced(Choice->Upstream);
+  else if (ResponseInfo.OtherWeights)
+    Core.scheduler().onWeightsMismatch(Choice->Upstream, ParsedRequest.Model,
+                                       Now);
+  else
+    Core.scheduler().onFull(Choice->Upstream, Now);
+  if (ResponseInfo.OtherProcess)
+    return onAttemptEnd(attempt_outcome::WrongTarget, "other_process");
+  if (ResponseInfo.OtherWeights)
+    return onAttemptEnd(attempt_outcome::WrongTarget, "other_weights");
+  onAttemptEnd(attempt_outcome::NotRun, "not_run");
+}
+
 void forward_session::forwardResponse() {
   endAttempt(readBootClock());
   recordFirstBytes();
@@ -399,6 +420,7 @@
 }
 
 void forward_session::endAttempt(instant Now) {
+  RefusalTimer.stop();
   if (Choice)
     Core.scheduler().onEnded(*Choice, Now);
 }
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -73,6 +73,8 @@
   void onAttemptEnd(attempt_outcome End, std::string_view Reason);
   /// Cancels the current attempt, whose response is unusable though not ended.
   void abortAttempt(std::string_view Reason);
+  /// Handles the response of an upstream that did not run the request.
+  void onNotRun();
   /// Ends without a successful response: refuses, or closes the connection if a
   /// response has begun.
   void fail(forward_decision Next, const forward_refusal &Reason);
@@ -116,7 +118,9 @@
   http_head Response;
   response_info ResponseInfo;
   bool HeadReceived = false;
-  std::string ResponseBody; ///< body of a response that is not streamed
+  std::size_t RefusalBodyBytes = 0; ///< of a response that states "not run"
+  timer RefusalTimer;               ///< ends the wait for the rest of it
+  std::string ResponseBody;         ///< body of a response that is not streamed
 
   // The response to the caller.
   bool Streaming = false;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -16,6 +16,10 @@
 
 /// Longest status line and headers of a response, far above what servers send.
 constexpr std::size_t MaxResponseHeadBytes = 64 * 1024;
+/// Most bytes that an exchange reads beyond twice the body that it delivers:
+/// heads, interim and skipped responses, framing of chunks and trailers. A
+/// server could send these without end.
+constexpr std::size_t MaxOverheadBytes = 256 * 1024;
 
 /// Returns the `timeout` parameter of the Keep-Alive header in seconds, or
 /// nothing if there is none.
@@ -78,6 +82,8 @@
   SkippingResponse = false;
   Reusable = false;
   SkippedResponse = false;
+  ReadBytes = 0;
+  BodyBytes = 0;
   ++Exchanges;
   Reader.reset(Request.Method == "HEAD");
   if (!Socket && !connect()) {
@@ -132,8 +138,10 @@
 }
 
 void client_connection::onMessageBody(std::string_view Bytes) {
-  if (Observer && !SkippingResponse)
-    Observer->onResponseBody(Bytes);
+  if (!Observer || SkippingResponse)
+    return;
+  BodyBytes += Bytes.size();
+  Observer->onResponseBody(Bytes);
 }
 
 void client_connection::read() {
@@ -158,6 +166,9 @@
     if (!Socket || !Observer)
       return;
     evbuffer_drain(Input, Used);
+    ReadBytes += Used;
+    if (ReadBytes > MaxOverheadBytes + 2 * BodyBytes)
+      return fail(loss_reason::InvalidResponse);
     if (Reader.state() == read_state::Complete)
       completeMessage();
     else if (Reader.state() != read_state::Reading)
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -124,6 +124,8 @@
   bool SkippingResponse = false; ///< the current response is being skipped
   bool Reusable = false; ///< the current response keeps the connection open
   bool SkippedResponse = false; ///< a response was skipped in this exchange
+  std::size_t ReadBytes = 0;    ///< in this exchange
+  std::size_t BodyBytes = 0;    ///< of those, delivered to the observer
   unsigned Responses = 0;       ///< response heads read on this connection
   unsigned Exchanges = 0;       ///< requests sent on this connection
   std::optional<std::int64_t> KeepAliveSeconds;
--- /dev/null
+++ b/tests/gateway/endless_response_test.cpp
@@ -0,0 +1,174 @@
+// Upstreams that send bytes without end, in a head or a body, at full rate or a
+// byte now and then, until the gateway closes the connection.
+#include "gateway/gateway_fixture.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <set>
+#include <string>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+
+using namespace ebonyvale;
+
+namespace {
+
+/// Answers each request with a beginning and then repeats a text without end.
+class endless_upstream {
+public:
+  endless_upstream(event_base *Base, std::string Beginning,
+                   std::string Repeated, bool Slow)
+      : Base(Base), Beginning(std::move(Beginning)),
+        Repeated(std::move(Repeated)), Slow(Slow) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Listener.reset(evconnlistener_new_bind(
+        Base, &endless_upstream::onAccept, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+        reinterpret_cast<sockaddr *>(&Address), sizeof(Address)));
+    socklen_t Length = sizeof(Address);
+    getsockname(evconnlistener_get_fd(Listener.get()),
+                reinterpret_cast<sockaddr *>(&Address), &Length);
+    Port = ntohs(Address.sin_port);
+  }
+  ~endless_upstream() {
+    for (bufferevent *Link : Links)
+      bufferevent_free(Link);
+  }
+
+  std::uint16_t Port = 0;
+  std::size_t Written = 0;
+  std::size_t Requests = 0;
+
+private:
+  static void onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *,
+                       int, void *Argument) {
+    auto *Self = static_cast<endless_upstream *>(Argument);
+    bufferevent *Link =
+        bufferevent_socket_new(Self->Base, Socket, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(Link, &onReadable, &onWritable, &onEvent, Argument);
+    bufferevent_enable(Link, EV_READ | EV_WRITE);
+    Self->Links.insert(Link);
+  }
+  static void onReadable(bufferevent *Link, void *Argument) {
+    auto *Self = static_cast<endless_upstream *>(Argument);
+    evbuffer *Input = bufferevent_get_input(Link);
+    evbuffer_drain(Input, evbuffer_get_length(Input));
+    ++Self->Requests;
+    Self->write(Link, Self->Beginning + Self->Repeated);
+  }
+  static void onWritable(bufferevent *Link, void *Argument) {
+    auto *Self = static_cast<endless_upstream *>(Argument);
+    if (Self->Requests == 0)
+      return;
+    if (!Self->Slow)
+      return Self->write(Link, Self->Repeated);
+    callAfter(Self->Base, std::chrono::milliseconds(5), [Self, Link] {
+      if (Self->Links.contains(Link))
+        Self->write(Link, Self->Repeated);
+    });
+  }
+  static void onEvent(bufferevent *Link, short, void *Argument) {
+    static_cast<endless_upstream *>(Argument)->Links.erase(Link);
+    bufferevent_free(Link);
+  }
+  void write(bufferevent *Link, const std::string &Text) {
+    Written += Text.size();
+    bufferevent_write(Link, Text.data(), Text.size());
+  }
+
+  event_base *Base;
+  std::string Beginning;
+  std::string Repeated;
+  bool Slow;
+  std::unique_ptr<evconnlistener, releaser<evconnlistener_free>> Listener;
+  std::set<bufferevent *> Links;
+};
+
+struct endless_row {
+  char Name[24];
+  char Beginning[128];
+  char Repeated[64];
+  std::size_t Count; ///< of the text in one write
+  bool Slow;
+  int Status; ///< of an at-most-once request
+};
+
+std::string repeat(std::string_view Text, std::size_t Count) {
+  std::string Out;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Out += Text;
+  return Out;
+}
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\nEbonyvale-Request-Id: id-1\r\n"
+#define REFUSAL_HEAD                                                           \
+  "HTTP/1.1 503 x\r\nEbonyvale-Request-Id: id-1\r\n"                           \
+  "Ebonyvale-Not-Executed: 1\r\n\r\n"
+
+constexpr int Unknown = 502; ///< may have run
+constexpr int NotRun = 503;
+
+} // namespace
+
+ParameterizedTestParameters(endless_response, each_form_is_ended) {
+  static endless_row Rows[] = {
+      {"status line", "HTTP/1.1 200 ", "x", 4096, false, Unknown},
+      {"header value", "HTTP/1.1 200 OK\r\nX: ", "x", 4096, false, Unknown},
+      {"headers", "HTTP/1.1 200 OK\r\n", "X: y\r\n", 1000, false, Unknown},
+      {"interim responses", "", "HTTP/1.1 102 x\r\n\r\n", 200, false, Unknown},
+      {"chunk extension", OK_HEAD "Transfer-Encoding: chunked\r\n\r\n1;", "x",
+       4096, false, Unknown},
+      {"chunks of one byte", OK_HEAD "Transfer-Encoding: chunked\r\n\r\n",
+       "1;xxxxxxxxxxxxxxxx\r\na\r\n", 200, false, Unknown},
+      {"trailers", OK_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+       "X: y\r\n", 1000, false, Unknown},
+      {"body", OK_HEAD "\r\n", "x", 65536, false, Unknown},
+      {"body of another", "HTTP/1.1 200 OK\r\nEbonyvale-Request-Id: z\r\n\r\n",
+       "x", 65536, false, Unknown},
+      {"responses of others", "",
+       "HTTP/1.1 204 x\r\nEbonyvale-Request-Id: z\r\n\r\n", 100, false,
+       Unknown},
+      {"no HTTP", "", "\x01\x02", 2048, false, Unknown},
+      {"refusal", REFUSAL_HEAD, "x", 65536, false, NotRun},
+      {"slow refusal", REFUSAL_HEAD, "x", 1, true, NotRun},
+  };
+  return criterion_test_params(Rows);
+}
+
+/// The caller gets a true response well before its deadline, which would be
+/// answered with 504, and the upstream is not used again at once.
+ParameterizedTest(endless_row *Row, endless_response, each_form_is_ended) {
+  gateway_fixture Gateway;
+  endless_upstream Endless(Gateway.Base.get(), Row->Beginning,
+                           repeat(Row->Repeated, Row->Count), Row->Slow);
+  Gateway.Store.erase(Gateway.Upstreams[1]->key());
+  Gateway.Store.put(
+      Gateway.Upstreams[0]->key(),
+      Gateway.Upstreams[0]->entryAt(Endless.Port, "s", /*Draining=*/false));
+  cr_assert(Gateway.waitFor([&] {
+    const upstream_entry *Entry = Gateway.core().directory().find("u-1");
+    return Entry && Entry->Port == Endless.Port &&
+           !Gateway.core().directory().find("u-2");
+  }));
+  const caller_response Response = Gateway.sendRequest({.Path = "/order/1"});
+  cr_assert(Response.Status == Row->Status, "%s: %d", Row->Name,
+            Response.Status);
+  cr_assert(Response.IsComplete);
+  cr_assert(Endless.Requests == 1, "an at-most-once request was repeated");
+  // What the gateway reads and the kernel's buffers hold.
+  constexpr std::size_t MaxBytes = 32 * 1024 * 1024;
+  cr_assert(Endless.Written < MaxBytes, "%zu", Endless.Written);
+  // Another upstream serves as before.
+  Gateway.Store.put(Gateway.Upstreams[1]->key(),
+                    Gateway.Upstreams[1]->entry("s"));
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.core().directory().find("u-2") != nullptr; }));
+  cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 200);
+}
