--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -408,6 +408,10 @@
   const instant Now = readBootClock();
   Core.counters().onUpstreamLoss(lossName(Loss.Reason));
   Core.scheduler().onFailure(Choice->Upstream, Now);
+  // The head of a response proves that the request was not run, whatever became
+  // of its body.
+  if (HeadReceived && ResponseInfo.NotRun)
+    return onNotRun();
   if (Loss.Stage == exchange_stage::NotSent)
     return onAttemptEnd(attempt_outcome::NotSent, lossName(Loss.Reason));
   // A reused connection that closes before a response head may have been idle
