Stop: a SIGTERM during the start is handled once the handler stands

Cause: a signal that arrived before the daemon had installed its handler ended it by the default action ("g-N ended with -15" in the soak).

Change: the daemon blocks SIGTERM and SIGINT first and unblocks them when it handles them; the soak starts its processes with SIGTERM blocked, so that none is lost before that.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -5,6 +5,7 @@
 #include "daemon/process/daemon_settings.h"
 #include "daemon/process/daemon_task.h"
 #include "daemon/process/logging.h"
+#include "daemon/process/stop_signals.h"
 #include "gateway/process/gateway_task.h"
 #include "platform/documents.h"
 #include "platform/messages.h"
@@ -41,6 +42,7 @@
     std::cerr << "ebonyvaled: " << Problem->Detail << "\n";
     return ExitFailure;
   }
+  unblockStopSignals();
   std::ostringstream Ports;
   Daemon.writePorts(Ports);
   writePortsFile(Values, Ports.str());
@@ -89,6 +91,7 @@
       evsignal_new(Base.get(), SIGINT, &onInterrupt, &Gateway));
   event_add(Term.get(), nullptr);
   event_add(Interrupt.get(), nullptr);
+  unblockStopSignals();
   event_base_dispatch(Base.get());
   return 0;
 }
@@ -117,6 +120,7 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  blockStopSignals();
   options::options_description Description(
       "ebonyvaled routes language-model traffic.\n\n"
       "  ebonyvaled --settings router.toml\n"
--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -34,13 +34,22 @@
   // A socket that the child inherits would stay open after this process closes
   // it.
   posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
+  // A stop signal between the fork and the start of the program stays pending.
+  sigset_t StopSignals;
+  sigemptyset(&StopSignals);
+  sigaddset(&StopSignals, SIGTERM);
+  posix_spawnattr_t Attributes;
+  posix_spawnattr_init(&Attributes);
+  posix_spawnattr_setsigmask(&Attributes, &StopSignals);
+  posix_spawnattr_setflags(&Attributes, POSIX_SPAWN_SETSIGMASK);
   std::vector<char *> Argv{Program.data()};
   for (std::string &Argument : Arguments)
     Argv.push_back(Argument.data());
   Argv.push_back(nullptr);
-  const int Error = posix_spawn(&Pid, Program.c_str(), &Actions, nullptr,
+  const int Error = posix_spawn(&Pid, Program.c_str(), &Actions, &Attributes,
                                 Argv.data(), environ);
   posix_spawn_file_actions_destroy(&Actions);
+  posix_spawnattr_destroy(&Attributes);
   if (Error != 0)
     Pid = 0;
   return Error == 0;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// ebonyvale-soak: runs gateway processes under randomly planned faults and
 /// checks the guarantees to callers and upstreams.
+#include "soak/early_stop.h"
 #include "soak/soak_environment.h"
 
 #include <boost/program_options.hpp>
@@ -48,6 +49,7 @@
   std::uint32_t Seeds = 1;
   double Seconds = 8;
   std::string Folder;
+  std::size_t EarlyStops = 0;
   options::options_description Description(
       "ebonyvale-soak --daemon build/ebonyvaled --seed 1 --seeds "
       "50\n\nOptions");
@@ -64,6 +66,8 @@
       "number of concurrent callers")(
       "folder", options::value(&Folder)->default_value("soak-logs"),
       "folder for settings and logs")(
+      "early-stops", options::value(&EarlyStops)->default_value(0),
+      "instead of seeds, stop this many gateways while they start")(
       "judge-times", options::bool_switch(&RunOptions.CheckTimes),
       "check time bounds too");
   options::variables_map Values;
@@ -80,6 +84,16 @@
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  if (EarlyStops > 0) {
+    const auto Root = std::filesystem::absolute(Folder) / "early-stops";
+    std::filesystem::create_directories(Root);
+    const auto Problems = stopEarly(RunOptions.Daemon, Root, EarlyStops);
+    for (const std::string &Problem : Problems)
+      std::cout << Problem << "\n";
+    std::cout << fmt::format("{} of {} early stops failed\n", Problems.size(),
+                             EarlyStops);
+    return Problems.empty() ? 0 : 1;
+  }
   RunOptions.Size.Length = fromSeconds(Seconds);
   std::uint32_t Failed = 0;
   for (std::uint32_t Index = 0; Index < Seeds; ++Index, ++RunOptions.Seed)
