Settings: a changed file is taken in while requests run

Cause: SIGHUP and a changed file took effect at the next start only.

Change: settings_watcher reads the file after SIGHUP, and when its time, size or inode have changed (looked at once a second). Bounds, grace, retries, tolerances and the pace of store calls are replaced in place; what is computed from them is computed anew. Other changes are named in the log. A file with an error changes nothing.

Test: valid, partly valid, invalid and torn files; a change without a signal; a quota share is not refilled by a changed tolerance.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include "daemon/process/logging.h"
 #include "daemon/process/stop_signals.h"
 #include "gateway/process/gateway_task.h"
+#include "gateway/process/settings_watcher.h"
 #include "platform/documents.h"
 #include "platform/messages.h"
 #include "platform/store_client.h"
@@ -63,11 +64,16 @@
     Gateway->stop();
 }
 
-int runGateway(const gateway_settings &Settings,
+void onHangup(evutil_socket_t, short, void *Argument) {
+  static_cast<settings_watcher *>(Argument)->reload();
+}
+
+int runGateway(const gateway_settings &Loaded,
                const options::variables_map &Values) {
   std::signal(SIGPIPE, SIG_IGN);
-  // Settings are loaded at startup only, so SIGHUP has nothing to reload.
+  // Until the handler is installed; the file is read at the start anyway.
   std::signal(SIGHUP, SIG_IGN);
+  gateway_settings Settings = Loaded;
   raiseDescriptorLimit();
   const platform::documents Documents;
   const platform::caller_messages Callers;
@@ -91,6 +97,12 @@
       evsignal_new(Base.get(), SIGINT, &onInterrupt, &Gateway));
   event_add(Term.get(), nullptr);
   event_add(Interrupt.get(), nullptr);
+  settings_watcher Watcher(
+      Base.get(), Gateway.core().log(), settingsFile(Values),
+      settingOverrides(Values), Settings,
+      [&Gateway] { Gateway.core().onSettingsChanged(readBootClock()); });
+  const event_ptr Hangup(evsignal_new(Base.get(), SIGHUP, &onHangup, &Watcher));
+  event_add(Hangup.get(), nullptr);
   unblockStopSignals();
   event_base_dispatch(Base.get());
   return 0;
--- a/src/decisions/process/change_source.h
+++ b/src/decisions/process/change_source.h
@@ -64,6 +64,9 @@
     Candidates = std::move(Names);
   }
 
+  /// Changes the largest age of a peer's last read.
+  void setMaxReadAge(span_ns Age) { Options.MaxReadAge = Age; }
+
   /// Returns the peer to follow, or nothing for the store.
   std::optional<std::string_view> choose(instant Now) const;
 
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -219,6 +219,9 @@
   upstream_scheduler(schedule_options Options, std::string Domain,
                      const std::map<std::string, std::string> &RegionOfDomain);
 
+  /// Changes the age from which on outdated weights are not used.
+  void setMaxOldWeightsAge(span_ns Age) { Options.MaxOldWeightsAge = Age; }
+
   /// Applies the discovered upstreams. Drops upstreams that are no longer
   /// listed and the state of earlier incarnations.
   void update(const upstream_directory &Directory);
--- a/src/gateway/process/change_relay.cpp
+++ b/src/gateway/process/change_relay.cpp
@@ -49,6 +49,7 @@
 
 bool change_relay::poll(std::int64_t Revision) {
   const instant Now = readBootClock();
+  Source.setMaxReadAge(maxReadAge(Core.settings()));
   if (!followsPeer(Now))
     return false;
   const auto &Poll = Source.startPoll(Followed, Now);
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -49,6 +49,11 @@
   return Options;
 }
 
+retry_options retryOptionsOf(const gateway_settings &Settings) {
+  return {Settings.RetryRatio, static_cast<double>(Settings.RetrySlack),
+          fromSeconds(Settings.RetryWindowSeconds)};
+}
+
 freshness_options freshnessOptionsOf(const gateway_settings &Settings) {
   freshness_options Options;
   Options.MaxKeyAge = std::chrono::milliseconds(Settings.KeyBoundMs);
@@ -78,10 +83,7 @@
       Shares(ledgerOptions(), Started, Boot), Crashes(crash_tracker_options{}),
       Refusals(Settings.InstanceName, Boot,
                refusal_log_options{.Records = 2000}),
-      RetryOptions{Settings.RetryRatio,
-                   static_cast<double>(Settings.RetrySlack),
-                   fromSeconds(Settings.RetryWindowSeconds)},
-      ShareTimer(Base, [this] {
+      RetryOptions(retryOptionsOf(Settings)), ShareTimer(Base, [this] {
         execute(Shares.onTick(readBootClock()));
         armShareTimer();
       }) {}
@@ -128,6 +130,15 @@
   Scheduler.setCacheStores(Stores);
 }
 
+void gateway_core::onSettingsChanged(instant Now) {
+  FreshnessOptions = freshnessOptionsOf(Settings);
+  RetryOptions = retryOptionsOf(Settings);
+  Scheduler.setMaxOldWeightsAge(schedulerOptions(Settings).MaxOldWeightsAge);
+  // Quota shares are computed anew; what the instance holds of them stays.
+  DividedBy = 0;
+  updateShares(Now);
+}
+
 void gateway_core::onDirectoryChanged() { Scheduler.update(Directory); }
 
 /// Returns the quota share of \p Team. Operators tolerate, over all instances
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -105,6 +105,9 @@
   /// Brings \p Table into force if its version is newer than the one in force.
   void setRouting(routing_table Table, instant Now);
 
+  /// Applies the settings after a change at run time.
+  void onSettingsChanged(instant Now);
+
   /// Updates the scheduler after a change of the directory.
   void onDirectoryChanged();
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -80,6 +80,8 @@
   void stop() { Gateway->stop(); }
   bool stopped() const { return Stopped; }
   gateway_core &core() { return Gateway->core(); }
+  /// Returns the settings of the gateway, which reads them in place.
+  gateway_settings &settings() { return *InstanceSettings.front(); }
 
   event_base_ptr Base{event_base_new()};
   fake_fleet_store Store{Base.get()};
