Peers: no hint is passed on in a small fleet

Cause: where every message goes to all peers, the first instances of the domains passed hints of other domains on to all, and received them again from each other without end.

Change: hints are passed on only in fleets whose messages stay within the domain.

--- a/src/decisions/process/hint_exchange.cpp
+++ b/src/decisions/process/hint_exchange.cpp
@@ -31,6 +31,9 @@
 void hint_exchange::onPeerHints(std::string_view From,
                                 std::span<const segment_hint> Hints,
                                 const gossip_schedule::peer_map &Peers) {
+  // In a small fleet, the sender has sent them to all.
+  if (Peers.size() <= gossip_schedule::FanOut)
+    return;
   const auto Sender = Peers.find(From);
   if (Sender == Peers.end() || !isFirst(Peers))
     return;
--- a/tests/decisions/process/hint_exchange_test.cpp
+++ b/tests/decisions/process/hint_exchange_test.cpp
@@ -51,6 +51,7 @@
     return Count;
   }
 
+  std::size_t HintsSent = 0; ///< to all receivers
   std::size_t HintsBetweenDomains = 0;
 
 private:
@@ -72,6 +73,7 @@
       for (const auto &To : Members) {
         if (To->Name != Name)
           continue;
+        HintsSent += Hints.size();
         if (To->Domain != From.Domain)
           HintsBetweenDomains += Hints.size();
         for (const segment_hint &Hint : Hints)
@@ -125,3 +127,24 @@
   cr_assert(Fleet.HintsBetweenDomains < Hints * 6, "%zu",
             Fleet.HintsBetweenDomains);
 }
+
+/// Nobody passes a hint on that its sender has sent to all.
+Test(hint_exchange, a_small_fleet_gets_each_hint_once) {
+  played_fleet Fleet(3, 3);
+  Fleet.addHint(0, 7);
+  for (int Round = 0; Round < 100; ++Round)
+    Fleet.round();
+  cr_assert(Fleet.HintsSent == 8, "%zu", Fleet.HintsSent);
+}
+
+/// Hints die out once every instance has them.
+Test(hint_exchange, hints_are_not_passed_on_without_end) {
+  played_fleet Fleet(6, 12);
+  Fleet.addHint(40, 7);
+  for (int Round = 0; Round < 50; ++Round)
+    Fleet.round();
+  const std::size_t Sent = Fleet.HintsSent;
+  for (int Round = 0; Round < 50; ++Round)
+    Fleet.round();
+  cr_assert(Fleet.HintsSent == Sent, "%zu more", Fleet.HintsSent - Sent);
+}
