Responses: tests of slow and of stalled streams

A slow stream is delivered whole on both kinds of route; a stream that sends a byte now and then ends by its deadline, not as complete, and is closed at the upstream. Both held before; they had no test.

--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -42,6 +42,9 @@
       bufferevent_free(Link);
   }
 
+  /// Returns the number of open connections.
+  std::size_t open() const { return Links.size(); }
+
   std::uint16_t Port = 0;
   std::size_t Written = 0;
   std::size_t Requests = 0;
@@ -142,12 +145,8 @@
   return criterion_test_params(Rows);
 }
 
-/// The caller gets a true response well before its deadline, which would be
-/// answered with 504, and the upstream is not used again at once.
-ParameterizedTest(endless_row *Row, endless_response, each_form_is_ended) {
-  gateway_fixture Gateway;
-  endless_upstream Endless(Gateway.Base.get(), Row->Beginning,
-                           repeat(Row->Repeated, Row->Count), Row->Slow);
+/// Makes \p Endless the only upstream of \p Gateway.
+static void useOnly(gateway_fixture &Gateway, const endless_upstream &Endless) {
   Gateway.Store.erase(Gateway.Upstreams[1]->key());
   Gateway.Store.put(
       Gateway.Upstreams[0]->key(),
@@ -157,6 +156,15 @@
     return Entry && Entry->Port == Endless.Port &&
            !Gateway.core().directory().find("u-2");
   }));
+}
+
+/// The caller gets a true response well before its deadline, which would be
+/// answered with 504, and the upstream is not used again at once.
+ParameterizedTest(endless_row *Row, endless_response, each_form_is_ended) {
+  gateway_fixture Gateway;
+  endless_upstream Endless(Gateway.Base.get(), Row->Beginning,
+                           repeat(Row->Repeated, Row->Count), Row->Slow);
+  useOnly(Gateway, Endless);
   const caller_response Response = Gateway.sendRequest({.Path = "/order/1"});
   cr_assert(Response.Status == Row->Status, "%s: %d", Row->Name,
             Response.Status);
@@ -172,3 +180,36 @@
       [&] { return Gateway.core().directory().find("u-2") != nullptr; }));
   cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 200);
 }
+
+struct stalled_row {
+  char Path[24];
+  char Beginning[24];
+  char Repeated[24];
+};
+
+ParameterizedTestParameters(endless_response, a_stalled_stream_ends) {
+  static stalled_row Rows[] = {
+      {"/stream-once/1", "id: 1\ndata: x\n\n", ":"},
+      {"/stream-on/1", "id: 1\ndata: x\n\n", ":"},
+      {"/stream-on/1", "id: 1\ndata: x\n\n", ": alive\n\n"},
+      {"/stream-on/1", "", "x"},
+  };
+  return criterion_test_params(Rows);
+}
+
+/// A stream that sends a byte now and then ends by the request's deadline, not
+/// as complete, and is given up at the upstream too.
+ParameterizedTest(stalled_row *Row, endless_response, a_stalled_stream_ends) {
+  gateway_fixture Gateway;
+  endless_upstream Endless(
+      Gateway.Base.get(),
+      std::string(OK_HEAD "Content-Type: text/event-stream\r\n\r\n") +
+          Row->Beginning,
+      Row->Repeated, /*Slow=*/true);
+  useOnly(Gateway, Endless);
+  const caller_response Response =
+      Gateway.sendRequest({.Path = Row->Path, .DeadlineMs = "600"});
+  cr_assert(!Response.IsComplete || Response.Status == 504, "%d",
+            Response.Status);
+  cr_assert(Gateway.waitFor([&] { return Endless.open() == 0; }));
+}
--- a/tests/gateway/forward_session_test.cpp
+++ b/tests/gateway/forward_session_test.cpp
@@ -180,3 +180,15 @@
   const int Runs = Gateway.Upstreams[0]->runs() + Gateway.Upstreams[1]->runs();
   cr_assert(Limited > 0 && Runs + Limited == 12, "%d and %d", Limited, Runs);
 }
+
+/// A slow upstream is sound as long as it sends its events in time.
+Test(forward_session, a_slow_stream_is_delivered_whole) {
+  gateway_fixture Gateway;
+  for (auto &Upstream : Gateway.Upstreams)
+    Upstream->EventInterval = std::chrono::milliseconds(120);
+  for (const char *Path : {"/stream-on/1", "/stream-once/1"}) {
+    const caller_response Response = Gateway.sendRequest({.Path = Path});
+    cr_assert(Response.Status == 200 && Response.IsComplete, "%s", Path);
+    cr_assert(Response.Body == fake_upstream::events(0), "%s", Path);
+  }
+}
