Store: thousands of changing upstreams cause no gap and few updates

Suspected from reading, not traced: while upstreams start, their entries change with every heartbeat; the changes exceed the 256 KB that are kept, so that followers list the store again and again, and each batch of 8 KB updates all upstreams of the scheduler and of the rollout.

Change: the log keeps the last change of each key (2 MB); the other parts learn of a changed directory once for a sequence of batches; a batch has 12 KB. Two findings of the linter are mended.

--- a/src/decisions/process/change_log.h
+++ b/src/decisions/process/change_log.h
@@ -8,9 +8,11 @@
 #include "decisions/process/store_item.h"
 #include "decisions/process/upstream_directory.h"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace ebonyvale {
@@ -26,13 +28,14 @@
   bool HasMore = false;      ///< later changes did not fit into the batch
 };
 
-/// Keeps changes for a limited time and size.
+/// Keeps the last change of each key, for a limited time and size. Earlier
+/// changes of a key are dropped, since its last one replaces them.
 class change_log {
 public:
   /// Time for which a change is kept. Peers poll far more often.
   static constexpr span_ns MaxAge = std::chrono::seconds(20);
   /// Total size of the changes kept.
-  static constexpr std::size_t MaxBytes = 256 * 1024;
+  static constexpr std::size_t MaxBytes = 2 * 1024 * 1024;
 
   /// Drops all changes; the log continues after \p Revision. \p Kind tells
   /// whether changes were missed in an outage of the store.
@@ -52,16 +55,25 @@
   std::int64_t revision() const { return End; }
 
 private:
+  /// Order of the changes; several may share the revision of one write.
+  struct position {
+    std::int64_t Revision = 0;
+    std::uint64_t Number = 0;
+    auto operator<=>(const position &) const = default;
+  };
   struct entry {
     store_item Item;
     instant At;
   };
 
   void dropOld(instant Now);
+  void erase(std::map<position, entry>::iterator Entry);
 
-  std::deque<entry> Entries;
+  std::map<position, entry> Entries;
+  std::map<std::string, position, std::less<>> Last; ///< by key
+  std::uint64_t Appended = 0;
   std::size_t Bytes = 0;
-  std::int64_t Begin = 0; ///< `Entries` has all changes after it
+  std::int64_t Begin = 0; ///< the log reaches back to it
   std::int64_t End = 0;
   listing_kind Kind = listing_kind::Continuous;
 };
--- a/src/decisions/process/change_source.cpp
+++ b/src/decisions/process/change_source.cpp
@@ -41,7 +41,7 @@
 
 const change_source::poll &change_source::startPoll(std::string_view Peer,
                                                     instant Now) {
-  return Pending.emplace(std::string(Peer), ++LastNumber, Now);
+  return Pending.emplace(poll{std::string(Peer), ++LastNumber, Now});
 }
 
 std::optional<instant> change_source::onResponse(std::string_view Peer,
--- a/src/decisions/process/hint_exchange.cpp
+++ b/src/decisions/process/hint_exchange.cpp
@@ -13,7 +13,7 @@
     Queue.pop_front();
 }
 
-void hint_exchange::addOwn(std::vector<segment_hint> Hints) {
+void hint_exchange::addOwn(std::span<const segment_hint> Hints) {
   for (const segment_hint &Hint : Hints) {
     append(Local, Hint);
     append(Outbound, Hint);
--- a/src/decisions/process/hint_exchange.h
+++ b/src/decisions/process/hint_exchange.h
@@ -32,7 +32,7 @@
       : Self(std::move(Self)), Domain(std::move(Domain)) {}
 
   /// Adds hints of this instance.
-  void addOwn(std::vector<segment_hint> Hints);
+  void addOwn(std::span<const segment_hint> Hints);
 
   /// Handles hints of the peer \p From. Hints from another domain are passed on
   /// in the own one, others are collected for the other domains.
--- a/src/gateway/process/change_relay.cpp
+++ b/src/gateway/process/change_relay.cpp
@@ -3,8 +3,9 @@
 namespace ebonyvale {
 namespace {
 
-/// Size of the changes in one response, so that it fits into a datagram.
-constexpr std::size_t MaxBatchBytes = 8 * 1024;
+/// Size of the changes in one response. Together with the operators' documents
+/// it fits into a datagram.
+constexpr std::size_t MaxBatchBytes = 12 * 1024;
 
 change_source_options sourceOptions(const gateway_settings &Settings) {
   change_source_options Options;
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -33,10 +33,8 @@
                      listAll();
                  }),
       ExpiryTimer(Core.base(), [this] {
-        if (!this->Core.directory().expire(readBootClock()))
-          return;
-        this->Core.onDirectoryChanged();
-        this->Observer.onUpstreamsChanged();
+        if (this->Core.directory().expire(readBootClock()))
+          notifyOfDirectory();
       }) {}
 
 void store_follower::start() {
@@ -150,8 +148,7 @@
   Relay.log().restart(Items.Revision, Kind);
   Core.directory().setAll(std::move(Entries), Kind, readBootClock());
   Revision = Items.Revision;
-  Core.onDirectoryChanged();
-  Observer.onUpstreamsChanged();
+  notifyOfDirectory();
   Store.list(FleetPrefix,
              [this](const store_items &Fleet) { onFleetListing(Fleet); });
 }
@@ -184,12 +181,12 @@
     return;
   }
   applyChanges(Changes.Items, Changes.Revision);
+  notifyOfDirectory();
   WatchTimer.startOnce(watchPause(Core.settings()));
 }
 
 void store_follower::applyChanges(std::span<const store_item> Items,
                                   std::int64_t NewRevision) {
-  const std::uint64_t Generation = Core.directory().generation();
   const instant Now = readBootClock();
   for (const store_item &Item : Items) {
     handleItem(Item);
@@ -200,10 +197,14 @@
   }
   Revision = std::max(Revision, NewRevision);
   Relay.log().advance(Revision, Now);
-  if (Core.directory().generation() != Generation) {
-    Core.onDirectoryChanged();
-    Observer.onUpstreamsChanged();
-  }
+}
+
+void store_follower::notifyOfDirectory() {
+  const std::uint64_t Generation = Core.directory().generation();
+  if (std::exchange(NotifiedGeneration, Generation) == Generation)
+    return;
+  Core.onDirectoryChanged();
+  Observer.onUpstreamsChanged();
 }
 
 std::vector<operator_document> store_follower::operatorRevisions() const {
@@ -260,6 +261,7 @@
   applyChanges(Changes.Items, Changes.Revision);
   if (Changes.HasMore)
     return follow();
+  notifyOfDirectory();
   WatchTimer.startOnce(pollInterval(Core.settings()));
 }
 
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -82,6 +82,9 @@
   void handleItem(const store_item &Item);
   void handleOperatorItem(const store_item &Item);
   void handleUpstream(const store_item &Item);
+  /// Tells the other parts about changes of the directory. Each of them visits
+  /// all upstreams, so this is done once for a sequence of batches.
+  void notifyOfDirectory();
 
   /// Counts a call, and logs when the store becomes reachable or unreachable.
   /// \p Failures counts the failed calls of the loop.
@@ -103,6 +106,8 @@
   bool OutageSinceListing = false;
   unsigned ReadFailures = 0;  ///< of the operators' documents, in a row
   unsigned WatchFailures = 0; ///< of listings and watches, in a row
+  /// Generation of the directory of which the other parts know.
+  std::uint64_t NotifiedGeneration = 0;
   bool Reading = false; ///< a read of the operators' documents is in flight
   std::map<std::string, operator_state> OperatorStates; ///< by key
   change_relay Relay;
