--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -247,9 +247,9 @@
   // The peer's read confirms this instance's configuration only if it is at
   // least as new. An instance that the store no longer lists must not serve on
   // the peer's word: its quota share is given to the others.
-  if (!IsCurrent)
-    readOperators();
-  else if (Observer.isListed(readBootClock()))
+  if (!IsCurrent && ReadFailures == 0)
+    readOperators(); // otherwise the back-off of the failed read applies
+  else if (IsCurrent && Observer.isListed(readBootClock()))
     Core.configFreshness().onRead(ReadAt);
   const change_batch &Changes = Response.Changes;
   if (Changes.HasGap) {
