--- a/src/decisions/process/change_log.cpp
+++ b/src/decisions/process/change_log.cpp
@@ -49,7 +49,7 @@
       return;
     // A reader that has only some changes of a revision must not continue
     // behind the dropped one.
-    Begin = Oldest->first.Revision;
+    Begin = Oldest->first.first;
     Kind = listing_kind::Continuous;
     erase(Oldest);
   }
--- a/src/decisions/process/change_log.h
+++ b/src/decisions/process/change_log.h
@@ -8,11 +8,11 @@
 #include "decisions/process/store_item.h"
 #include "decisions/process/upstream_directory.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ebonyvale {
@@ -55,12 +55,9 @@
   std::int64_t revision() const { return End; }
 
 private:
-  /// Order of the changes; several may share the revision of one write.
-  struct position {
-    std::int64_t Revision = 0;
-    std::uint64_t Number = 0;
-    auto operator<=>(const position &) const = default;
-  };
+  /// Revision of a change and its number in the log: several changes may share
+  /// the revision of one write.
+  using position = std::pair<std::int64_t, std::uint64_t>;
   struct entry {
     store_item Item;
     instant At;
