Peers: messages of an earlier release are read in full

Cause: the list of upstreams' reports is new in load messages; one without it was dropped behind the loads, with its hints and announced versions. During an upgrade both forms are sent.

Change: an absent list is empty. An earlier release ignores polls and hints of other domains, so that newer instances follow the store until their candidates are upgraded.

Test: a message of an earlier release (its announced version was lost before); thirteen malformed messages leave the gateway serving.

--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -377,7 +377,8 @@
       Loads.push_back({Listed.at(0), Listed.at(1), Listed.at(2), Listed.at(3),
                        Listed.at(4)});
     Core.scheduler().onPeerLoad(From, Loads, Now);
-    for (const json &Report : Message.at("r"))
+    // Absent in messages of instances that run an earlier release.
+    for (const json &Report : Message.value("r", json::array()))
       Core.scheduler().onPeerReport(
           {Report.at(0),
            {Report.at(1), Report.at(2), Report.at(3)},
