Gateway: no request is sent to an upstream that the directory lacks

Cause: since the scheduler learned of a changed directory after a sequence of batches. A request in between was scheduled to an upstream that was gone, and the look-up of its address dereferenced null.

Change: the scheduler takes over the directory before each choice, if it has changed.

Test: a request between a removal and its announcement; crashed before, is served by the other upstream now. One between a drain and its announcement is refused.

--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -1,6 +1,7 @@
 #include "gateway/process/gateway_core.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -139,7 +140,11 @@
   updateShares(Now);
 }
 
-void gateway_core::onDirectoryChanged() { Scheduler.update(Directory); }
+void gateway_core::updateScheduler() {
+  const std::uint64_t Generation = Directory.generation();
+  if (std::exchange(ScheduledGeneration, Generation) != Generation)
+    Scheduler.update(Directory);
+}
 
 /// Returns the quota share of \p Team. Operators tolerate, over all instances
 /// and for any window, (rate x window + burst) x (1 + excess) + slack.
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -108,8 +108,9 @@
   /// Applies the settings after a change at run time.
   void onSettingsChanged(instant Now);
 
-  /// Updates the scheduler after a change of the directory.
-  void onDirectoryChanged();
+  /// Updates the scheduler if the directory has changed. To be called before a
+  /// choice: the scheduler must know no upstream that the directory lacks.
+  void updateScheduler();
 
   /// Computes the quota shares once the other instances were read from the
   /// store. Before that this instance has none, since their size depends on the
@@ -188,6 +189,8 @@
   routing_table_ptr Routing;
   upstream_directory Directory;
   upstream_scheduler Scheduler;
+  /// Generation of the directory that the scheduler knows.
+  std::uint64_t ScheduledGeneration = 0;
   instance_roster Roster;
   freshness ConfigFreshness;
   freshness_options FreshnessOptions;
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -203,7 +203,7 @@
   const std::uint64_t Generation = Core.directory().generation();
   if (std::exchange(NotifiedGeneration, Generation) == Generation)
     return;
-  Core.onDirectoryChanged();
+  Core.updateScheduler();
   Observer.onUpstreamsChanged();
 }
 
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -172,6 +172,7 @@
   if (Team && Core.routing() != Routing &&
       !Core.routing()->findTeam(hashKey(Core.keySecret(), ParsedRequest.Key)))
     return fail(Flow.failureDecision(), {error_kind::KeyWithdrawn, ""});
+  Core.updateScheduler();
   const schedule_outcome Outcome = Core.scheduler().choose(makeQuery(Now), Now);
   if (!Outcome.Choice)
     return fail(Flow.failureDecision(),
--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -164,6 +164,25 @@
   cr_assert(Gateway.Upstreams[1]->runs() == 1);
 }
 
+/// The rest of the instance learns of a changed directory after a sequence of
+/// changes. A request in between must not be sent to an upstream that is gone
+/// or leaving.
+Test(gateway_task, a_request_within_changes_uses_the_current_directory) {
+  gateway_fixture Gateway;
+  upstream_directory &Directory = Gateway.core().directory();
+  Directory.remove("u-1");
+  for (int Index = 0; Index < 4; ++Index)
+    cr_assert(Gateway
+                  .sendRequest(
+                      {.Path = "/read/1", .Id = "a-" + std::to_string(Index)})
+                  .Status == 200);
+  cr_assert(Gateway.Upstreams[1]->runs() == 4);
+  upstream_entry Leaving = *Directory.find("u-2");
+  Leaving.Draining = true;
+  Directory.put("u-2", Leaving);
+  cr_assert(Gateway.sendRequest({.Path = "/read/1", .Id = "b"}).Status == 503);
+}
+
 Test(gateway_task, a_rollout_reaches_all_engines) {
   gateway_fixture Gateway(issuingSettings());
   cr_assert(rolloutReaches(Gateway, 2));
