Divide the scheduler and the forward session by what they decide

Change: weights of engines and responses of upstreams have files of their own; functions are moved as they were.

Also the test that lacked. Its cause: a follower that lacked a document of its peer asked the store for it at each poll while the store turned it away.

--- a/src/decisions/process/upstream_estimate.cpp
+++ b/src/decisions/process/upstream_estimate.cpp
@@ -14,12 +14,6 @@
 
 } // namespace
 
-std::uint64_t upstream_scheduler::weightsHash(std::int64_t Version) {
-  // Fibonacci hashing spreads small numbers over all bits.
-  constexpr std::uint64_t Multiplier = 0x9e3779b97f4a7c15;
-  return static_cast<std::uint64_t>(Version) * Multiplier;
-}
-
 double upstream_scheduler::updateBacklog(upstream_state &State,
                                          instant Now) const {
   State.BacklogMs =
@@ -105,15 +99,6 @@
   return Options.MemoryWaitMs * Excess / Capacity;
 }
 
-std::optional<std::int64_t>
-upstream_scheduler::weightsOf(const upstream_state &State,
-                              std::string_view Model) {
-  const auto Found = State.Weights.find(Model);
-  if (Found == State.Weights.end())
-    return std::nullopt;
-  return Found->second;
-}
-
 double upstream_scheduler::copyFactor(std::string_view From,
                                       std::string_view To) const {
   if (From == To)
@@ -296,43 +281,4 @@
   return Estimate;
 }
 
-/// Returns the fraction of \p Usable with the newest weights or unknown
-/// weights.
-double upstream_scheduler::updatedFraction(
-    std::string_view Model, std::span<upstream_state *const> Usable) const {
-  const auto Versions = Announced.find(Model);
-  if (Versions == Announced.end() || Versions->second.empty() || Usable.empty())
-    return 0;
-  const std::int64_t Newest = Versions->second.back().Version;
-  const auto Updated =
-      std::ranges::count_if(Usable, [&](const upstream_state *State) {
-        const auto Held = weightsOf(*State, Model);
-        return !Held || *Held >= Newest;
-      });
-  return static_cast<double>(Updated) / static_cast<double>(Usable.size());
-}
-
-/// Returns the cost of using outdated weights, 0 if they are current or
-/// unknown, or nothing if they are too old to be used.
-std::optional<double> upstream_scheduler::oldWeightsCostMs(
-    const upstream_state &State, std::string_view Model, double UpdatedFraction,
-    instant Now) const {
-  const auto Versions = Announced.find(Model);
-  const auto Held = weightsOf(State, Model);
-  if (Versions == Announced.end() || !Held)
-    return 0;
-  // Versions are in ascending order, so the first newer one is the oldest.
-  for (const weights_announcement &Newer : Versions->second) {
-    if (Newer.Version <= *Held)
-      continue;
-    const span_ns Age = Now - Newer.LearnedAt;
-    if (Age > Options.MaxOldWeightsAge)
-      return std::nullopt;
-    return Age > Options.OldWeightsGrace
-               ? Options.OldWeightsMs * UpdatedFraction
-               : 0;
-  }
-  return 0;
-}
-
 } // namespace ebonyvale
--- /dev/null
+++ b/src/gateway/request/forward_response.cpp
@@ -0,0 +1,221 @@
+// The responses of upstreams: which of them count, and their way to the caller.
+#include "gateway/request/forward_session.h"
+
+#include <charconv>
+#include <utility>
+
+namespace ebonyvale {
+namespace {
+
+/// Unsent bytes to the caller above which reading from the upstream is paused.
+constexpr std::size_t StreamBufferBytes = 64 * 1024;
+/// Longest response that is buffered until it is complete.
+constexpr std::size_t MaxBufferedBytes = 8 * 1024 * 1024;
+/// Bytes and time that are spent on the body of a response which states that
+/// the request was not run. Reading it to its end keeps the connection.
+constexpr std::size_t MaxRefusalBodyBytes = 64 * 1024;
+constexpr span_ns MaxRefusalBodyTime = std::chrono::milliseconds(100);
+constexpr int FirstServerError = 500;
+constexpr int StatusOk = 200;
+
+std::string_view lossName(loss_reason Reason) {
+  switch (Reason) {
+  case loss_reason::ConnectFailed:
+    return "connect_failed";
+  case loss_reason::ConnectTimeout:
+    return "connect_timeout";
+  case loss_reason::Closed:
+    return "closed";
+  case loss_reason::Reset:
+    return "reset";
+  case loss_reason::InvalidResponse:
+    break;
+  }
+  return "not_http";
+}
+
+} // namespace
+
+response_action forward_session::onResponseHead(const http_head &Head,
+                                                bool FirstOnConnection) {
+  const instant Now = readBootClock();
+  ResponseInfo =
+      Core.protocols().Upstreams.readResponse(Head, Choice->Upstream);
+  // A response without a request id is accepted only if it is the first on its
+  // connection. Otherwise it may belong to an earlier request.
+  const bool HasId = !ResponseInfo.RequestId.empty();
+  if (HasId ? ResponseInfo.RequestId != ParsedRequest.Id : !FirstOnConnection) {
+    Core.log().warn(event_category::Request, "answer_crossed",
+                    {{"id", ParsedRequest.Id},
+                     {"upstream", Choice->Upstream},
+                     {"answer_id", ResponseInfo.RequestId}});
+    return response_action::Skip;
+  }
+  HeadReceived = true;
+  Response = Head;
+  Core.scheduler().onResponse(Choice->Upstream, Now - SentAt, ResponseInfo.Load,
+                              Now);
+  if (ResponseInfo.Weights && !ParsedRequest.Model.empty()) {
+    Core.scheduler().onWeights(Choice->Upstream, ParsedRequest.Model,
+                               *ResponseInfo.Weights);
+    Observer.onUpstreamWeights(Choice->Upstream, ParsedRequest.Model,
+                               *ResponseInfo.Weights);
+  }
+  if (ResponseInfo.NotRun)
+    RefusalTimer.startOnce(MaxRefusalBodyTime);
+  return response_action::Take;
+}
+
+void forward_session::onResponseBody(std::string_view Bytes) {
+  const auto Guard = shared_from_this();
+  if (ResponseInfo.NotRun) {
+    // This body is not forwarded, and the head has told all that matters.
+    RefusalBodyBytes += Bytes.size();
+    if (RefusalBodyBytes > MaxRefusalBodyBytes)
+      onNotRun();
+    return;
+  }
+  if (!Route->Streams || Response.Status != StatusOk) {
+    ResponseBody += Bytes;
+    if (ResponseBody.size() > MaxBufferedBytes)
+      abortAttempt("answer_too_large");
+    return;
+  }
+  if (!Streaming)
+    beginStream();
+  if (!ForwardWholeEvents)
+    return deliver(Bytes);
+  if (!deliverEvents(Bytes))
+    abortAttempt("events_out_of_order");
+}
+
+void forward_session::abortAttempt(std::string_view Reason) {
+  if (const auto Running = std::exchange(Exchange, nullptr))
+    Running->cancel();
+  ResponseBody.clear();
+  Core.scheduler().onFailure(Choice->Upstream, readBootClock());
+  onAttemptEnd(attempt_outcome::Lost, Reason);
+}
+
+void forward_session::beginStream() {
+  Streaming = true;
+  ForwardWholeEvents = Route->Resumable;
+  Caller->beginStream(Response.Status, Core.protocols().Callers.responseHeaders(
+                                           Response.Headers));
+}
+
+bool forward_session::deliverEvents(std::string_view Bytes) {
+  std::string Out;
+  for (const sse_event &Event : Splitter.feed(Bytes)) {
+    if (!Event.Id.empty()) {
+      std::int64_t Id = 0;
+      const auto [End, Error] = std::from_chars(
+          Event.Id.data(), Event.Id.data() + Event.Id.size(), Id);
+      if (Error != std::errc() || (LastEvent && Id <= *LastEvent))
+        return false;
+      LastEvent = Id;
+    }
+    if (const auto Weights = Core.protocols().Upstreams.eventWeights(Event.Raw))
+      Core.scheduler().onWeights(Choice->Upstream, ParsedRequest.Model,
+                                 *Weights);
+    Out += Event.Raw;
+  }
+  if (Splitter.overflowed())
+    return false;
+  deliver(Out);
+  return true;
+}
+
+void forward_session::deliver(std::string_view Bytes) {
+  if (Bytes.empty())
+    return;
+  recordFirstBytes();
+  Flow.onDelivered();
+  Caller->writeChunk(Bytes);
+  if (Caller->unsentBytes() > StreamBufferBytes && Exchange)
+    Exchange->pauseReading();
+}
+
+void forward_session::recordFirstBytes() {
+  if (std::exchange(FirstBytesSeen, true))
+    return;
+  FirstBytesAt = readBootClock();
+  if (Choice)
+    Core.scheduler().onFirstChunk(*Choice, FirstBytesAt - SentAt, FirstBytesAt);
+  Core.counters().FirstChunkSeconds.Observe(
+      toSeconds(FirstBytesAt - ArrivedAt));
+}
+
+void forward_session::onResponseEnd() {
+  const auto Guard = shared_from_this();
+  Exchange.reset();
+  if (ResponseInfo.NotRun)
+    return onNotRun();
+  // The caller has received the beginning of another upstream's stream, which
+  // this response does not continue.
+  if (Streaming && Response.Status != StatusOk)
+    return onAttemptEnd(attempt_outcome::Lost, "not_a_stream");
+  if (Response.Status >= FirstServerError)
+    return onAttemptEnd(attempt_outcome::ServerError, "server_error");
+  if (Streaming) {
+    deliver(Splitter.rest());
+    endAttempt(readBootClock());
+    Caller->endStream();
+    Core.counters().CompletedResponses.Increment();
+    return finish("streamed");
+  }
+  forwardResponse();
+}
+
+void forward_session::onNotRun() {
+  const auto Guard = shared_from_this();
+  RefusalTimer.stop();
+  if (const auto Running = std::exchange(Exchange, nullptr))
+    Running->cancel();
+  const instant Now = readBootClock();
+  if (ResponseInfo.OtherProcess)
+    Core.scheduler().onReplaced(Choice->Upstream);
+  else if (ResponseInfo.OtherWeights)
+    Core.scheduler().onWeightsMismatch(Choice->Upstream, ParsedRequest.Model,
+                                       Now);
+  else
+    Core.scheduler().onFull(Choice->Upstream, Now);
+  if (ResponseInfo.OtherProcess)
+    return onAttemptEnd(attempt_outcome::WrongTarget, "other_process");
+  if (ResponseInfo.OtherWeights)
+    return onAttemptEnd(attempt_outcome::WrongTarget, "other_weights");
+  onAttemptEnd(attempt_outcome::NotRun, "not_run");
+}
+
+void forward_session::forwardResponse() {
+  endAttempt(readBootClock());
+  recordFirstBytes();
+  Caller->writeResponse(
+      Response.Status,
+      Core.protocols().Callers.responseHeaders(Response.Headers), ResponseBody);
+  Core.counters().CompletedResponses.Increment();
+  finish("answered");
+}
+
+void forward_session::onResponseLost(const exchange_loss &Loss) {
+  const auto Guard = shared_from_this();
+  Exchange.reset();
+  const instant Now = readBootClock();
+  Core.counters().onUpstreamLoss(lossName(Loss.Reason));
+  Core.scheduler().onFailure(Choice->Upstream, Now);
+  // The head of a response proves that the request was not run, whatever became
+  // of its body.
+  if (HeadReceived && ResponseInfo.NotRun)
+    return onNotRun();
+  if (Loss.Stage == exchange_stage::NotSent)
+    return onAttemptEnd(attempt_outcome::NotSent, lossName(Loss.Reason));
+  // A reused connection that closes before a response head may have been idle
+  // too long; that does not suggest that the request crashed the upstream.
+  const bool MayBeCrash = Loss.Reason != loss_reason::InvalidResponse &&
+                          !(Loss.ReusedConnection && !HeadReceived);
+  if (MayBeCrash)
+    Core.reportLoss(Fingerprint, Choice->Upstream, Now);
+  onAttemptEnd(attempt_outcome::Lost, lossName(Loss.Reason));
+}
+
+} // namespace ebonyvale
--- a/tests/gateway/change_relay_test.cpp
+++ b/tests/gateway/change_relay_test.cpp
@@ -167,3 +167,23 @@
   Pair.First.Store.setFault(store_fault::None, "i-2");
   cr_assert(Pair.First.waitFor([&] { return Pair.secondIsFresh(); }));
 }
+
+/// A follower that lacks a document of its peer must not ask the store for it
+/// at each poll while the store turns it away.
+Test(change_relay, a_refused_read_keeps_its_back_off) {
+  gateway_settings Settings = gateway_fixture::testSettings();
+  Settings.ApplyBoundMs = 500; // a poll every 50 ms
+  gateway_pair Pair(Settings);
+  Pair.First.Store.setFault(store_fault::Refuses, "i-2");
+  std::string Keys = "\"key-2\"";
+  for (std::size_t Index = 1; Index < 4000; ++Index)
+    Keys += ",\"other-" + std::to_string(Index) + "\"";
+  Pair.First.configure(2, Keys);
+  cr_assert(Pair.First.waitFor(
+      [&] { return Pair.First.core().routing()->Version == 2; }));
+  const std::size_t Before = Pair.First.Store.callsOf("i-2");
+  constexpr std::size_t Calls = 60;
+  Pair.waitForCalls("i-1", Calls);
+  const std::size_t Made = Pair.First.Store.callsOf("i-2") - Before;
+  cr_assert(Made <= Calls / 3, "%zu", Made);
+}
