Weights: a restarted instance learns of versions whose age no peer knows

An instance that starts between two versions knows the age of the later one only, and sent only that. A restarted one then took the later version for the first that an engine on version 2 lacked.

Change: versions of assumed times are sent too, marked as such; one that the receiver does not know is taken with that time, a known one keeps its own.

Test: such a peer and a restarted instance; the outdated engine was used before, is refused now; an instance that knows both ages keeps them.

--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -292,7 +292,8 @@
                           bool FoundAtStart, instant Now);
 
   /// Returns the versions announced recently, for peers that have started
-  /// since.
+  /// since. Those of assumed times are among them: without them, a peer would
+  /// take a later version for the first one that an engine lacks.
   std::vector<weights_announcement> recentAnnouncements(instant Now) const;
   /// Records a version that a peer has learned of.
   void onPeerAnnouncement(const weights_announcement &Announcement);
--- a/src/decisions/process/upstream_weights.cpp
+++ b/src/decisions/process/upstream_weights.cpp
@@ -39,8 +39,7 @@
   std::vector<weights_announcement> Recent;
   for (const auto &[Model, Versions] : Announced)
     for (const weights_announcement &Weights : Versions)
-      if (!Weights.TimeAssumed &&
-          Now - Weights.LearnedAt < Options.WeightsGossipPeriod)
+      if (Now - Weights.LearnedAt < Options.WeightsGossipPeriod)
         Recent.push_back(Weights);
   return Recent;
 }
@@ -56,7 +55,7 @@
     Versions.insert(Position, Announcement);
     return;
   }
-  if (!Position->TimeAssumed)
+  if (!Position->TimeAssumed || Announcement.TimeAssumed)
     return;
   Position->LearnedAt = std::max(Position->LearnedAt, Announcement.LearnedAt);
   Position->TimeAssumed = false;
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -318,7 +318,8 @@
   for (const weights_announcement &Announcement :
        Core.scheduler().recentAnnouncements(Now))
     Weights.push_back({Announcement.Model, Announcement.Version,
-                       millis(Now - Announcement.LearnedAt)});
+                       millis(Now - Announcement.LearnedAt),
+                       Announcement.TimeAssumed});
   json Message{{"k", "load"},
                {"l", std::move(Loads)},
                {"r", std::move(Reports)},
@@ -387,7 +388,9 @@
       Core.scheduler().onPeerAnnouncement(
           {Announcement.at(0), Announcement.at(1),
            Now - std::chrono::milliseconds(
-                     Announcement.at(2).get<std::int64_t>())});
+                     Announcement.at(2).get<std::int64_t>()),
+           // Earlier releases send no assumed times.
+           Announcement.size() > 3 && Announcement.at(3).get<bool>()});
     handleHints(From, Message);
   } else if (Kind == "hints") {
     handleHints(From, Message);
