Wording and one listener for scripted upstreams

Cause: a reading of the whole change. Comments spoke of the failure domain where any peer may be followed; one quantity was called hidden and unknown; the simulations of tests were called played; two tests had the same code for a listener.

Change: wording, names, tests/net/loopback_listener.h. No statement of the product changed.

--- a/src/decisions/process/change_source.h
+++ b/src/decisions/process/change_source.h
@@ -30,10 +30,11 @@
 inline constexpr std::size_t MaxOwnCandidates = 3;
 inline constexpr std::size_t MaxOtherCandidates = 2;
 
-/// Returns the peers that \p Self may follow, the preferred one first: those
-/// before it by name of its failure domain \p Domain, then the first one of
-/// each other domain. The first instance of a domain follows only instances
-/// before it, so the first of all follows the store.
+/// Returns the peers that \p Self may follow, the preferred one first. These
+/// are the peers of its failure domain \p Domain with earlier names, then the
+/// first peer of each other domain. The first instance of a domain has no peer
+/// to prefer; it may follow the first ones of other domains with earlier names.
+/// So the first instance of the fleet follows the store.
 std::vector<std::string> followCandidates(
     std::string_view Self, std::string_view Domain,
     const std::map<std::string, instance_endpoint, std::less<>> &Peers);
@@ -45,8 +46,7 @@
 /// what its polls return; a peer that is silent, frozen or cut off from the
 /// store is replaced by the next candidate, and finally by the store itself.
 ///
-/// Answers a load of hundreds of instances that follow one small set of
-/// documents.
+/// The load it is for: hundreds of instances that need the same few documents.
 class change_source {
 public:
   /// A poll in flight.
--- a/src/decisions/process/upstream_estimate.cpp
+++ b/src/decisions/process/upstream_estimate.cpp
@@ -63,8 +63,8 @@
          LeftRegion->second == RightRegion->second;
 }
 
-double upstream_scheduler::hiddenRequests(const upstream_state &State,
-                                          instant Now) const {
+double upstream_scheduler::requestsOfUnknownPeers(const upstream_state &State,
+                                                  instant Now) const {
   const span_ns Age = Now - State.LoadAt;
   if (!UnknownPeers || !State.Load || Age > Options.LoadReportTtl)
     return 0;
@@ -81,7 +81,7 @@
 double upstream_scheduler::heldTokens(const upstream_state &State,
                                       instant Now) const {
   return State.HeldTokens + State.Peers.heldTokens() +
-         hiddenRequests(State, Now) * MeanHeldTokens;
+         requestsOfUnknownPeers(State, Now) * MeanHeldTokens;
 }
 
 double upstream_scheduler::cacheTokens(const upstream_state &State) const {
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -384,7 +384,7 @@
   double latenessMs(const upstream_state &State, instant Now) const;
   double heldTokens(const upstream_state &State, instant Now) const;
   /// Returns the expected number of requests of unknown peers.
-  double hiddenRequests(const upstream_state &State, instant Now) const;
+  double requestsOfUnknownPeers(const upstream_state &State, instant Now) const;
   double cacheTokens(const upstream_state &State) const;
   double memoryWaitMs(const upstream_state &State, double Needed,
                       instant Now) const;
--- a/src/gateway/process/change_exchange.h
+++ b/src/gateway/process/change_exchange.h
@@ -1,5 +1,5 @@
 /// \file
-/// Messages by which instances of a failure domain follow the store together.
+/// Messages by which instances follow the store through a peer.
 #ifndef EBONYVALE_GATEWAY_PROCESS_CHANGE_EXCHANGE_H
 #define EBONYVALE_GATEWAY_PROCESS_CHANGE_EXCHANGE_H
 
--- a/src/gateway/process/change_relay.h
+++ b/src/gateway/process/change_relay.h
@@ -1,6 +1,6 @@
 /// \file
-/// Follows the store through a peer of the failure domain, and answers the
-/// polls of peers that follow this instance.
+/// Follows the store through a peer, and answers the polls of peers that follow
+/// this instance.
 #ifndef EBONYVALE_GATEWAY_PROCESS_CHANGE_RELAY_H
 #define EBONYVALE_GATEWAY_PROCESS_CHANGE_RELAY_H
 
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -245,8 +245,8 @@
       IsCurrent = false;
   }
   // The peer's read confirms this instance's configuration only if it is at
-  // least as new. An instance that the store no longer lists must not serve on
-  // the peer's word: its quota share is given to the others.
+  // least as new. An instance that the store no longer lists must not rely on
+  // a peer's read: the others have taken over its quota share.
   if (!IsCurrent && ReadFailures == 0)
     readOperators(); // otherwise the back-off of the failed read applies
   else if (IsCurrent && Observer.isListed(readBootClock()))
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -36,8 +36,7 @@
 /// Runs two loops: a watch over all keys, paused between calls to batch
 /// changes, and reads of the operators' documents. Only reads refresh the
 /// freshness of the configuration, since a watch may miss changes silently.
-/// While a peer of the failure domain can be followed, polls of that peer
-/// replace both loops.
+/// While a peer can be followed, polls of that peer replace both loops.
 class store_follower final : public change_receiver {
 public:
   store_follower(gateway_core &Core, fleet_store &Store,
--- a/tests/decisions/process/change_source_test.cpp
+++ b/tests/decisions/process/change_source_test.cpp
@@ -32,7 +32,7 @@
 
 enum class fault {
   None,
-  FirstFrozen, ///< the first instance of the domain stands still
+  FirstFrozen, ///< the first instance of the domain is frozen
   FirstCut,    ///< it cannot reach the store
   FirstSlow,   ///< it responds after the timeout of a poll
   ThreeCut,    ///< the first three cannot reach the store
@@ -42,7 +42,7 @@
 };
 
 /// The store: a revision that rises, and the history of it.
-struct played_store {
+struct simulated_store {
   std::vector<std::pair<instant, std::int64_t>> History{{instant(), 1}};
   std::size_t Calls = 0;
 
@@ -56,23 +56,24 @@
   }
 };
 
-class played_fleet;
+class simulated_fleet;
 
 /// One instance, with the loops of the gateway's store follower.
-class played_instance {
+class simulated_instance {
 public:
-  played_instance(played_fleet &Fleet, std::size_t Domain, std::size_t Rank);
+  simulated_instance(simulated_fleet &Fleet, std::size_t Domain,
+                     std::size_t Rank);
 
   void start();
   void follow();
   void readIfOld();
-  void onPoll(played_instance &From, std::uint64_t Number);
+  void onPoll(simulated_instance &From, std::uint64_t Number);
   void onResponse(const std::string &From, std::uint64_t Number,
                   std::optional<span_ns> Age, std::int64_t PeerRevision);
 
   std::optional<span_ns> age() const;
 
-  played_fleet &Fleet;
+  simulated_fleet &Fleet;
   std::size_t Domain;
   std::size_t Rank;
   std::string Name;
@@ -81,14 +82,14 @@
   std::optional<instant> ReadAt; ///< its state is that of the store then
 };
 
-class played_fleet {
+class simulated_fleet {
 public:
-  played_fleet(std::size_t Domains, std::size_t PerDomain, fault Fault)
+  simulated_fleet(std::size_t Domains, std::size_t PerDomain, fault Fault)
       : Fault(Fault), Random(7) {
     for (std::size_t Domain = 0; Domain < Domains; ++Domain)
       for (std::size_t Rank = 0; Rank < PerDomain; ++Rank)
         Instances.push_back(
-            std::make_unique<played_instance>(*this, Domain, Rank));
+            std::make_unique<simulated_instance>(*this, Domain, Rank));
     std::map<std::string, instance_endpoint, std::less<>> All;
     for (auto &Instance : Instances)
       All[Instance->Name].Domain = domainOf(*Instance);
@@ -97,18 +98,18 @@
           followCandidates(Instance->Name, domainOf(*Instance), All));
   }
 
-  static std::string domainOf(const played_instance &Instance) {
+  static std::string domainOf(const simulated_instance &Instance) {
     return std::to_string(Instance.Domain);
   }
   bool faulty() const { return Fault != fault::None && Loop.now() >= FaultAt; }
-  bool isFirst(const played_instance &Instance) const {
+  bool isFirst(const simulated_instance &Instance) const {
     return Instance.Domain == 0 && Instance.Rank == 0;
   }
-  bool stands(const played_instance &Instance) const {
+  bool isFrozen(const simulated_instance &Instance) const {
     return faulty() && isFirst(Instance) &&
            (Fault == fault::FirstFrozen || Fault == fault::FirstKilled);
   }
-  bool reachesStore(const played_instance &Instance) const {
+  bool reachesStore(const simulated_instance &Instance) const {
     if (!faulty() || Instance.Domain != 0)
       return true;
     if (Fault == fault::FirstCut)
@@ -126,12 +127,12 @@
     return std::chrono::microseconds(
         std::uniform_int_distribution(1000, 20000)(Random));
   }
-  span_ns responseDelay(const played_instance &Instance) {
+  span_ns responseDelay(const simulated_instance &Instance) {
     const bool Slow =
         faulty() && Fault == fault::FirstSlow && isFirst(Instance);
     return delay() + (Slow ? span_ns(400ms) : span_ns(0));
   }
-  played_instance *find(std::string_view Name) {
+  simulated_instance *find(std::string_view Name) {
     for (auto &Instance : Instances)
       if (Instance->Name == Name)
         return Instance.get();
@@ -142,8 +143,8 @@
   fault Fault;
   std::mt19937 Random;
   virtual_loop Loop;
-  played_store Store;
-  std::vector<std::unique_ptr<played_instance>> Instances;
+  simulated_store Store;
+  std::vector<std::unique_ptr<simulated_instance>> Instances;
 };
 
 std::string nameOf(std::size_t Domain, std::size_t Rank) {
@@ -158,32 +159,32 @@
   return Options;
 }
 
-played_instance::played_instance(played_fleet &Fleet, std::size_t Domain,
-                                 std::size_t Rank)
+simulated_instance::simulated_instance(simulated_fleet &Fleet,
+                                       std::size_t Domain, std::size_t Rank)
     : Fleet(Fleet), Domain(Domain), Rank(Rank), Name(nameOf(Domain, Rank)),
       Source(sourceOptions()) {}
 
-std::optional<span_ns> played_instance::age() const {
+std::optional<span_ns> simulated_instance::age() const {
   if (!ReadAt)
     return std::nullopt;
   return Fleet.Loop.now() - *ReadAt;
 }
 
-void played_instance::start() {
+void simulated_instance::start() {
   follow();
   readIfOld();
 }
 
-void played_instance::readIfOld() {
+void simulated_instance::readIfOld() {
   const instant Now = Fleet.Loop.now();
-  if (Fleet.stands(*this))
+  if (Fleet.isFrozen(*this))
     return Fleet.Loop.callAfter(10ms, [this] { readIfOld(); });
   const span_ns MaxAge = Source.choose(Now) ? MaxReadAge : ReadInterval;
   if (age() && *age() < MaxAge)
     return Fleet.Loop.callAfter(MaxAge - *age(), [this] { readIfOld(); });
   ++Fleet.Store.Calls;
   Fleet.Loop.callAfter(Fleet.delay(), [this, SentAt = Now] {
-    if (Fleet.reachesStore(*this) && !Fleet.stands(*this)) {
+    if (Fleet.reachesStore(*this) && !Fleet.isFrozen(*this)) {
       Revision = Fleet.Store.revision();
       ReadAt = std::max(ReadAt.value_or(SentAt), SentAt);
       return readIfOld();
@@ -192,22 +193,22 @@
   });
 }
 
-void played_instance::follow() {
+void simulated_instance::follow() {
   const instant Now = Fleet.Loop.now();
-  if (Fleet.stands(*this))
+  if (Fleet.isFrozen(*this))
     return Fleet.Loop.callAfter(10ms, [this] { follow(); });
   const auto Peer = Source.choose(Now);
   if (!Peer) {
     ++Fleet.Store.Calls;
     Fleet.Loop.callAfter(Fleet.delay(), [this] {
-      if (Fleet.reachesStore(*this) && !Fleet.stands(*this))
+      if (Fleet.reachesStore(*this) && !Fleet.isFrozen(*this))
         Revision = Fleet.Store.revision();
       Fleet.Loop.callAfter(WatchPause, [this] { follow(); });
     });
     return;
   }
   const std::uint64_t Number = Source.startPoll(*Peer, Now).Number;
-  played_instance *Target = Fleet.find(*Peer);
+  simulated_instance *Target = Fleet.find(*Peer);
   if (!Fleet.loses())
     Fleet.Loop.callAfter(Fleet.delay(), [this, Target, Number] {
       Target->onPoll(*this, Number);
@@ -220,8 +221,9 @@
   });
 }
 
-void played_instance::onPoll(played_instance &From, std::uint64_t Number) {
-  if (Fleet.stands(*this) || Fleet.loses())
+void simulated_instance::onPoll(simulated_instance &From,
+                                std::uint64_t Number) {
+  if (Fleet.isFrozen(*this) || Fleet.loses())
     return;
   Fleet.Loop.callAfter(Fleet.responseDelay(*this),
                        [this, &From, Number, Age = age(), State = Revision] {
@@ -229,9 +231,10 @@
                        });
 }
 
-void played_instance::onResponse(const std::string &From, std::uint64_t Number,
-                                 std::optional<span_ns> Age,
-                                 std::int64_t PeerRevision) {
+void simulated_instance::onResponse(const std::string &From,
+                                    std::uint64_t Number,
+                                    std::optional<span_ns> Age,
+                                    std::int64_t PeerRevision) {
   if (!Source.pending() || Source.pending()->Number != Number)
     return;
   const auto Read = Source.onResponse(From, Number, Age, Fleet.Loop.now());
@@ -262,7 +265,7 @@
 
 ParameterizedTest(fleet_row *Row, change_source,
                   many_instances_follow_one_store) {
-  played_fleet Fleet(6, 50, Row->Fault);
+  simulated_fleet Fleet(6, 50, Row->Fault);
   // The state of the store changes every 1.3 seconds.
   std::function<void()> Change = [&] {
     Fleet.Store.History.emplace_back(Fleet.Loop.now(),
@@ -288,7 +291,7 @@
       // What an instance has is never older than it says.
       cr_assert(Instance->Revision >= Fleet.Store.revisionAt(*Instance->ReadAt),
                 "%s", Instance->Name.c_str());
-      if (Fleet.stands(*Instance) || !Fleet.reachesStore(*Instance) ||
+      if (Fleet.isFrozen(*Instance) || !Fleet.reachesStore(*Instance) ||
           Now < instant(5s))
         continue;
       ++Checks;
@@ -309,7 +312,7 @@
   cr_assert(Rate <= Row->MaxCalls, "%.1f calls/s", Rate);
 }
 
-/// A process that stood still between a poll and its response must not take
+/// A process that was frozen between a poll and its response must not take
 /// the response for new.
 Test(change_source, the_age_counts_from_the_poll) {
   change_source Source(sourceOptions());
--- a/tests/decisions/process/hint_exchange_test.cpp
+++ b/tests/decisions/process/hint_exchange_test.cpp
@@ -15,9 +15,9 @@
 namespace {
 
 /// Instances that exchange hints in rounds, without loss.
-class played_fleet {
+class simulated_fleet {
 public:
-  played_fleet(std::size_t Domains, std::size_t PerDomain) {
+  simulated_fleet(std::size_t Domains, std::size_t PerDomain) {
     for (std::size_t Domain = 0; Domain < Domains; ++Domain)
       for (std::size_t Rank = 0; Rank < PerDomain; ++Rank)
         Members.push_back(std::make_unique<member>(
@@ -102,7 +102,7 @@
 ParameterizedTest(fleet_row *Row, hint_exchange, reaches_every_instance) {
   const std::size_t Count = Row->Domains * Row->PerDomain;
   for (const std::size_t Origin : {std::size_t{0}, Count / 2, Count - 1}) {
-    played_fleet Fleet(Row->Domains, Row->PerDomain);
+    simulated_fleet Fleet(Row->Domains, Row->PerDomain);
     Fleet.addHint(Origin, 7);
     for (std::size_t Round = 0; Round < Row->MaxRounds; ++Round)
       Fleet.round();
@@ -112,7 +112,7 @@
 
 /// If every instance sent to all, a hint would cross to 250 receivers.
 Test(hint_exchange, crosses_between_domains_once) {
-  played_fleet Fleet(6, 50);
+  simulated_fleet Fleet(6, 50);
   constexpr std::size_t Hints = 200;
   for (std::uint64_t Chain = 0; Chain < Hints; ++Chain) {
     Fleet.addHint(Chain % 300, Chain);
@@ -131,7 +131,7 @@
 
 /// Nobody passes a hint on that its sender has sent to all.
 Test(hint_exchange, a_small_fleet_gets_each_hint_once) {
-  played_fleet Fleet(3, 3);
+  simulated_fleet Fleet(3, 3);
   Fleet.addHint(0, 7);
   for (int Round = 0; Round < 100; ++Round)
     Fleet.round();
@@ -140,7 +140,7 @@
 
 /// Hints die out once every instance has them.
 Test(hint_exchange, hints_are_not_passed_on_without_end) {
-  played_fleet Fleet(6, 12);
+  simulated_fleet Fleet(6, 12);
   Fleet.addHint(40, 7);
   for (int Round = 0; Round < 50; ++Round)
     Fleet.round();
--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -1,6 +1,7 @@
 // Upstreams that send bytes without end, in a head or a body, at full rate or a
 // byte now and then, until the gateway closes the connection.
 #include "gateway/gateway_fixture.h"
+#include "net/loopback_listener.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -8,11 +9,8 @@
 #include <set>
 #include <string>
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
 
 using namespace ebonyvale;
 
@@ -25,17 +23,7 @@
                    std::string Repeated, bool Slow)
       : Base(Base), Beginning(std::move(Beginning)),
         Repeated(std::move(Repeated)), Slow(Slow) {
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    Listener.reset(evconnlistener_new_bind(
-        Base, &endless_upstream::onAccept, this,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-        reinterpret_cast<sockaddr *>(&Address), sizeof(Address)));
-    socklen_t Length = sizeof(Address);
-    getsockname(evconnlistener_get_fd(Listener.get()),
-                reinterpret_cast<sockaddr *>(&Address), &Length);
-    Port = ntohs(Address.sin_port);
+    Listener = listenOnLoopback(Base, &endless_upstream::onAccept, this, Port);
   }
   ~endless_upstream() {
     for (bufferevent *Link : Links)
@@ -90,7 +78,7 @@
   std::string Beginning;
   std::string Repeated;
   bool Slow;
-  std::unique_ptr<evconnlistener, releaser<evconnlistener_free>> Listener;
+  listener_ptr Listener;
   std::set<bufferevent *> Links;
 };
 
--- a/tests/net/scripted_server.cpp
+++ b/tests/net/scripted_server.cpp
@@ -1,6 +1,5 @@
 #include "net/scripted_server.h"
 
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -51,17 +50,7 @@
 scripted_server::scripted_server(event_base *Base,
                                  std::function<void(peer &)> OnReceived)
     : Base(Base), OnReceived(std::move(OnReceived)) {
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  Listener.reset(evconnlistener_new_bind(
-      Base, &scripted_server::onAccept, this,
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-      reinterpret_cast<sockaddr *>(&Address), sizeof(Address)));
-  socklen_t Length = sizeof(Address);
-  getsockname(evconnlistener_get_fd(Listener.get()),
-              reinterpret_cast<sockaddr *>(&Address), &Length);
-  Port = ntohs(Address.sin_port);
+  Listener = listenOnLoopback(Base, &scripted_server::onAccept, this, Port);
 }
 
 void scripted_server::onAccept(evconnlistener *, evutil_socket_t Socket,
--- a/tests/net/scripted_server.h
+++ b/tests/net/scripted_server.h
@@ -4,6 +4,7 @@
 #define EBONYVALE_TESTS_NET_SCRIPTED_SERVER_H
 
 #include "net/event_handles.h"
+#include "net/loopback_listener.h"
 #include "net/upstream_exchange.h"
 
 #include <functional>
@@ -12,7 +13,6 @@
 #include <vector>
 
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
 
 namespace ebonyvale {
 
@@ -55,7 +55,7 @@
                        int, void *Self);
   event_base *Base;
   std::function<void(peer &)> OnReceived;
-  std::unique_ptr<evconnlistener, releaser<evconnlistener_free>> Listener;
+  listener_ptr Listener;
   std::uint16_t Port = 0;
 };
 
