--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -133,26 +133,13 @@
   return criterion_test_params(Rows);
 }
 
-/// Makes \p Endless the only upstream of \p Gateway.
-static void useOnly(gateway_fixture &Gateway, const endless_upstream &Endless) {
-  Gateway.Store.erase(Gateway.Upstreams[1]->key());
-  Gateway.Store.put(
-      Gateway.Upstreams[0]->key(),
-      Gateway.Upstreams[0]->entryAt(Endless.Port, "s", /*Draining=*/false));
-  cr_assert(Gateway.waitFor([&] {
-    const upstream_entry *Entry = Gateway.core().directory().find("u-1");
-    return Entry && Entry->Port == Endless.Port &&
-           !Gateway.core().directory().find("u-2");
-  }));
-}
-
 /// The caller gets a true response well before its deadline, which would be
 /// answered with 504, and the upstream is not used again at once.
 ParameterizedTest(endless_row *Row, endless_response, each_form_is_ended) {
   gateway_fixture Gateway;
   endless_upstream Endless(Gateway.Base.get(), Row->Beginning,
                            repeat(Row->Repeated, Row->Count), Row->Slow);
-  useOnly(Gateway, Endless);
+  Gateway.useOnlyUpstream(Endless.Port);
   const caller_response Response = Gateway.sendRequest({.Path = "/order/1"});
   cr_assert(Response.Status == Row->Status, "%s: %d", Row->Name,
             Response.Status);
@@ -194,7 +181,7 @@
       std::string(OK_HEAD "Content-Type: text/event-stream\r\n\r\n") +
           Row->Beginning,
       Row->Repeated, /*Slow=*/true);
-  useOnly(Gateway, Endless);
+  Gateway.useOnlyUpstream(Endless.Port);
   const caller_response Response =
       Gateway.sendRequest({.Path = Row->Path, .DeadlineMs = "600"});
   cr_assert(!Response.IsComplete || Response.Status == 504, "%d",
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -108,6 +108,16 @@
   Store.put("op/config", routingDocument(Version, Keys, Rate));
 }
 
+void gateway_fixture::useOnlyUpstream(std::uint16_t Port) {
+  Store.erase(Upstreams[1]->key());
+  Store.put(Upstreams[0]->key(),
+            Upstreams[0]->entryAt(Port, "s", /*Draining=*/false));
+  cr_assert(waitFor([&] {
+    const upstream_entry *Entry = core().directory().find("u-1");
+    return Entry && Entry->Port == Port && !core().directory().find("u-2");
+  }));
+}
+
 void gateway_fixture::startRequest(const caller_options &Options) {
   client_request Request;
   Request.Server = {"127.0.0.1", Port};
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -49,6 +49,10 @@
   void configure(int Version, const std::string &Keys = "\"key-1\"",
                  double Rate = 1e6);
 
+  /// Makes the server at \p Port the only upstream, "u-1", and waits until the
+  /// gateway knows it.
+  void useOnlyUpstream(std::uint16_t Port);
+
   /// Sends a request and waits until it is done.
   caller_response sendRequest(const caller_options &Options);
 
--- a/tests/gateway/late_copy_test.cpp
+++ b/tests/gateway/late_copy_test.cpp
@@ -48,19 +48,6 @@
   return Request.substr(At, Request.find('\r', At) - At);
 }
 
-/// Makes \p Server the only upstream of \p Gateway.
-void useOnly(gateway_fixture &Gateway, const scripted_server &Server) {
-  const std::uint16_t Port = Server.address().Port;
-  Gateway.Store.erase(Gateway.Upstreams[1]->key());
-  Gateway.Store.put(Gateway.Upstreams[0]->key(),
-                    Gateway.Upstreams[0]->entryAt(Port, "s", false));
-  cr_assert(Gateway.waitFor([&] {
-    const upstream_entry *Entry = Gateway.core().directory().find("u-1");
-    return Entry && Entry->Port == Port &&
-           !Gateway.core().directory().find("u-2");
-  }));
-}
-
 } // namespace
 
 ParameterizedTestParameters(late_copy, never_answers_another_request) {
@@ -98,7 +85,7 @@
     else
       Peer.send(Response);
   });
-  useOnly(Gateway, Server);
+  Gateway.useOnlyUpstream(Server.address().Port);
   cr_assert(Gateway.sendRequest({.Path = "/order/1", .Id = "first"}).Body ==
             "body of first");
   if (Row->Time == copy_time::WhileIdle)
@@ -125,7 +112,7 @@
               "Ebonyvale-Not-Executed: 1\r\nContent-Length: 9\r\n\r\nfull");
     Peer.reset();
   });
-  useOnly(Gateway, Server);
+  Gateway.useOnlyUpstream(Server.address().Port);
   const caller_response Response = Gateway.sendRequest({.Path = "/order/1"});
   cr_assert(Response.Status == 503, "%d", Response.Status);
   cr_assert(Response.Headers.find("Retry-After"));
@@ -165,7 +152,7 @@
     else
       Peer.close();
   });
-  useOnly(Gateway, Server);
+  Gateway.useOnlyUpstream(Server.address().Port);
   const caller_response Response = Gateway.sendRequest({.Path = "/order/1"});
   cr_assert(Response.Status == 502, "%s: %d", Row->Name, Response.Status);
   cr_assert(!Response.Headers.find("Retry-After"));
