Streams that end within an event are broken off, not complete

Cause: a response without length and without chunks ends with its connection, and the system of a crashed process closes that in order. The session took the end of the message for the end of the stream; nothing looked at what the stream itself says about its end. Fix: the end of a stream counts only between two events; a stream without an event proves nothing if only the connection marks its end. Otherwise the attempt is lost, like after a reset: resumed where the route allows it, broken off visibly elsewhere, and the upstream is suspected of a crash.

--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -34,6 +34,13 @@
   return "not_http";
 }
 
+/// Returns whether the body of \p Response consists of events. Without a
+/// content type, that of a streaming route does.
+bool hasEvents(const http_head &Response) {
+  const auto Type = Response.Headers.find("Content-Type");
+  return !Type || Type->starts_with("text/event-stream");
+}
+
 } // namespace
 
 response_action forward_session::onResponseHead(const http_head &Head,
@@ -158,6 +165,8 @@
     return onAttemptEnd(attempt_outcome::Lost, "not_a_stream");
   if (Response.Status >= FirstServerError)
     return onAttemptEnd(attempt_outcome::ServerError, "server_error");
+  if (isBrokenStream())
+    return loseAttempt("incomplete_stream", /*MayBeCrash=*/true);
   if (Streaming) {
     deliver(Splitter.rest());
     endAttempt(readBootClock());
@@ -168,6 +177,24 @@
   forwardResponse();
 }
 
+bool forward_session::isBrokenStream() const {
+  if (!Route->Streams || Response.Status != StatusOk || !hasEvents(Response))
+    return false;
+  // The system of an upstream that crashes closes its connections in order. If
+  // only the end of the connection marks the end of the response, a stream
+  // without an event proves nothing.
+  return Boundaries.insideEvent() || (!Streaming && Response.CloseDelimited);
+}
+
+void forward_session::loseAttempt(std::string_view Reason, bool MayBeCrash) {
+  const instant Now = readBootClock();
+  Core.counters().onUpstreamLoss(Reason);
+  Core.scheduler().onFailure(Choice->Upstream, Now);
+  if (MayBeCrash)
+    Core.reportLoss(Fingerprint, Choice->Upstream, Now);
+  onAttemptEnd(attempt_outcome::Lost, Reason);
+}
+
 void forward_session::onNotRun() {
   const auto Guard = shared_from_this();
   RefusalTimer.stop();
@@ -201,22 +228,21 @@
 void forward_session::onResponseLost(const exchange_loss &Loss) {
   const auto Guard = shared_from_this();
   Exchange.reset();
-  const instant Now = readBootClock();
-  Core.counters().onUpstreamLoss(lossName(Loss.Reason));
-  Core.scheduler().onFailure(Choice->Upstream, Now);
-  // The head of a response proves that the request was not run, whatever became
-  // of its body.
-  if (HeadReceived && ResponseInfo.NotRun)
-    return onNotRun();
-  if (Loss.Stage == exchange_stage::NotSent)
+  const bool Refused = HeadReceived && ResponseInfo.NotRun;
+  if (Refused || Loss.Stage == exchange_stage::NotSent) {
+    Core.counters().onUpstreamLoss(lossName(Loss.Reason));
+    Core.scheduler().onFailure(Choice->Upstream, readBootClock());
+    // The head of a response proves that the request was not run, whatever
+    // became of its body.
+    if (Refused)
+      return onNotRun();
     return onAttemptEnd(attempt_outcome::NotSent, lossName(Loss.Reason));
+  }
   // A reused connection that closes before a response head may have been idle
   // too long; that does not suggest that the request crashed the upstream.
   const bool MayBeCrash = Loss.Reason != loss_reason::InvalidResponse &&
                           !(Loss.ReusedConnection && !HeadReceived);
-  if (MayBeCrash)
-    Core.reportLoss(Fingerprint, Choice->Upstream, Now);
-  onAttemptEnd(attempt_outcome::Lost, lossName(Loss.Reason));
+  loseAttempt(lossName(Loss.Reason), MayBeCrash);
 }
 
 } // namespace ebonyvale
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -73,6 +73,12 @@
   void onAttemptEnd(attempt_outcome End, std::string_view Reason);
   /// Cancels the current attempt, whose response is unusable though not ended.
   void abortAttempt(std::string_view Reason);
+  /// Returns whether the current response, whose end was read, is a stream that
+  /// its upstream broke off.
+  bool isBrokenStream() const;
+  /// Handles a response that was lost after the request was sent. \p MayBeCrash
+  /// tells whether the request may have crashed the upstream.
+  void loseAttempt(std::string_view Reason, bool MayBeCrash);
   /// Handles the response of an upstream that did not run the request.
   void onNotRun();
   /// Ends without a successful response: refuses, or closes the connection if a
--- a/tests/platform/fake_upstream.cpp
+++ b/tests/platform/fake_upstream.cpp
@@ -105,7 +105,8 @@
   if (Behavior == upstream_behavior::Error)
     return Link->writeResponse(500, Headers, "failed");
   if (Behavior == upstream_behavior::OversizedResponse)
-    return Link->writeResponse(200, Headers, std::string(OversizedBytes, 'x'));
+    return Link->writeResponse(
+        200, Headers, "data: " + std::string(OversizedBytes, 'x') + "\n\n");
   if (Path.find("stream") == std::string_view::npos)
     return Link->writeResponse(
         200, Headers,
