Daemon: a chat response that ends within its document is not complete

Streams were safe, since they need their last event; responses that are not streamed were not. Fix: a 200 that is not one whole JSON document is a lost attempt, retried as any other. Test: broken_response, 10 rows; 'chat, cut, closed' and 'chat, no body' failed before. Rows of plain upstreams with a reset, a short length or without a last chunk passed before. A plain response without a length that breaks off in order cannot be told from a whole one.

--- a/src/daemon/request/engine_protocol.cpp
+++ b/src/daemon/request/engine_protocol.cpp
@@ -101,6 +101,11 @@
   return Result;
 }
 
+bool isWholeDocument(std::string_view Body) {
+  simdjson::dom::element Root;
+  return parse(Body, Root);
+}
+
 bool isUsageOnly(std::string_view Json) {
   simdjson::dom::element Root;
   simdjson::dom::array Choices;
--- a/src/daemon/request/engine_protocol.h
+++ b/src/daemon/request/engine_protocol.h
@@ -64,6 +64,9 @@
 /// event. Returns nothing when there is none.
 std::optional<engine_usage> readUsage(std::string_view Json);
 
+/// Returns whether \p Body is one whole JSON document.
+bool isWholeDocument(std::string_view Body);
+
 /// Returns whether a stream event has an empty `choices` array, as the event
 /// that reports the usage does.
 bool isUsageOnly(std::string_view Json);
--- a/src/daemon/request/model_session.cpp
+++ b/src/daemon/request/model_session.cpp
@@ -197,6 +197,12 @@
     succeed();
     return;
   }
+  // A response without a length ends with its connection, which the system of
+  // an engine that crashes closes in order too.
+  if (Head.Status == StatusOk && !isWholeDocument(ResponseBody)) {
+    failAttempt(exchange_stage::Responding);
+    return;
+  }
   sendBufferedResponse();
 }
 
--- /dev/null
+++ b/tests/daemon/request/broken_response_test.cpp
@@ -0,0 +1,74 @@
+// Responses that an upstream breaks off, whatever marks their end, are never
+// passed on as complete.
+#include "daemon/router_fixture.h"
+#include "net/scripted_server.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <string>
+
+#include <spdlog/fmt/fmt.h>
+
+using namespace ebonyvale;
+
+namespace {
+
+struct response_row {
+  char Name[32];
+  char Path[24];
+  char Response[96]; ///< after the status line
+  bool Resets;       ///< the connection ends with a reset
+  bool IsComplete;
+};
+
+#define CHAT "/v1/chat/completions"
+#define WHOLE "{\"choices\":[]}"
+#define HALF "{\"choices\":["
+
+} // namespace
+
+ParameterizedTestParameters(broken_response, is_never_passed_on_as_complete) {
+  static response_row Rows[] = {
+      {"chat, whole", CHAT, "\r\n" WHOLE, false, true},
+      {"chat, whole, length", CHAT, "Content-Length: 14\r\n\r\n" WHOLE, false,
+       true},
+      {"chat, cut, closed", CHAT, "\r\n" HALF, false, false},
+      {"chat, cut, reset", CHAT, "\r\n" HALF, true, false},
+      {"chat, no body", CHAT, "\r\n", false, false},
+      {"chat, short of its length", CHAT, "Content-Length: 14\r\n\r\n" HALF,
+       false, false},
+      {"plain, whole", "/orders/1", "\r\nwhole", false, true},
+      {"plain, reset", "/orders/1", "\r\nwho", true, false},
+      {"plain, short of its length", "/orders/1",
+       "Content-Length: 5\r\n\r\nwho", false, false},
+      {"plain, no last chunk", "/orders/1",
+       "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n", false, false},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(response_row *Row, broken_response,
+                  is_never_passed_on_as_complete) {
+  router_fixture Router;
+  scripted_server Server(Router.Base.get(), [&](scripted_server::peer &Peer) {
+    if (Peer.Received.find("\r\n\r\n") == std::string::npos)
+      return;
+    Peer.Received.clear();
+    Peer.send(std::string("HTTP/1.1 200 OK\r\n") + Row->Response);
+    if (Row->Resets)
+      Peer.reset();
+    else
+      Peer.close();
+  });
+  for (const char *Name : {"engine-1", "application-1"})
+    Router.applyNote(
+        fmt::format("id = \"{}\"\n[[changed.upstream]]\nname = \"{}\"\n"
+                    "port = {}\n",
+                    Name, Name, Server.address().Port));
+  const client_response Response = Router.call(
+      {.Path = Row->Path, .Body = chatBody("hello", /*Stream=*/false)});
+  const bool PassedAsComplete = Response.Status == 200 && Response.Completed;
+  cr_assert(PassedAsComplete == Row->IsComplete, "%s: %d '%s'", Row->Name,
+            Response.Status, Response.Body.c_str());
+}
