Store client: a grant or commit whose response breaks off has no answer

Instances could hold lease 0 or revision 0: a success without a whole body, whose end only the closed connection marks, counted as an answer. Listings and watches already need their members. A renewal and the end of a lease have nothing but their status.

--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -129,6 +129,30 @@
   cr_assert(Found->Status == store_status::NoAnswer);
 }
 
+/// A store that crashes closes its connections in order, which ends a response
+/// without a length.
+Test(store_client, a_response_that_breaks_off_counts_as_none) {
+  constexpr const char *Head = "HTTP/1.1 200 x\r\n\r\n";
+  for (const char *Body : {"", R"({"lease")", R"({"revision":)", "{}"}) {
+    const event_base_ptr Base(event_base_new());
+    scripted_server Server(Base.get(), [&](scripted_server::peer &Peer) {
+      Peer.send(std::string(Head) + Body);
+      Peer.close();
+    });
+    client_connection_pool Links(Base.get(), {});
+    platform::store_client Client(Links, Server.address(), NoTimeout);
+    std::vector<store_status> Found;
+    const auto OnResult = [&](const store_result &Result) {
+      Found.push_back(Result.Status);
+    };
+    Client.grantLease(2s, OnResult);
+    Client.commit({}, OnResult);
+    cr_assert(runLoopUntil(Base.get(), [&] { return Found.size() == 2; }));
+    for (const store_status Status : Found)
+      cr_assert(Status == store_status::NoAnswer, "'%s'", Body);
+  }
+}
+
 Test(store_client, leases_are_granted_renewed_and_ended) {
   fixture Store({makeResponse(200, R"({"lease":5,"ttlMs":2000})"),
                  makeResponse(200, R"({"ttlMs":2000})"),
