--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -82,6 +82,7 @@
       onNotRun();
     return;
   }
+  BodyReceived = BodyReceived || !Bytes.empty();
   if (!Route->Streams || Response.Status != StatusOk) {
     ResponseBody += Bytes;
     if (ResponseBody.size() > MaxBufferedBytes)
@@ -228,6 +229,7 @@
 void forward_session::onResponseLost(const exchange_loss &Loss) {
   const auto Guard = shared_from_this();
   Exchange.reset();
+  ReusedConnection = Loss.ReusedConnection;
   const bool Refused = HeadReceived && ResponseInfo.NotRun;
   if (Refused || Loss.Stage == exchange_stage::NotSent) {
     Core.counters().onUpstreamLoss(lossName(Loss.Reason));
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request/forward_session.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include <spdlog/fmt/fmt.h>
@@ -28,6 +29,17 @@
   return static_cast<double>(XXH3_64bits(Id.data(), Id.size())) / Range;
 }
 
+/// Returns the names of \p Segments for the log, separated by commas.
+std::string segmentNames(std::span<const named_segment> Segments) {
+  constexpr std::size_t MaxLength = 200;
+  std::string Names;
+  for (const named_segment &Segment : Segments)
+    Names += (Names.empty() ? "" : ",") + Segment.Name;
+  if (Names.size() > MaxLength)
+    Names.resize(MaxLength);
+  return Names;
+}
+
 } // namespace
 
 forward_session::forward_session(gateway_core &Core, session_observer &Observer,
@@ -185,6 +197,8 @@
   Choice = Chosen;
   SentAt = Now;
   HeadReceived = false;
+  BodyReceived = false;
+  ReusedConnection = false;
   RefusalBodyBytes = 0;
   ResponseBody.clear();
   Splitter = {};
@@ -241,6 +255,9 @@
                    {"attempt", Flow.attempts()},
                    {"reason", Reason},
                    {"status", HeadReceived ? Response.Status : 0},
+                   {"body", BodyReceived},
+                   {"reused", ReusedConnection},
+                   {"segments", segmentNames(ParsedRequest.Segments)},
                    {"after_ms", Now - SentAt},
                    {"again", Next == forward_decision::RetryElsewhere}});
   if (Next == forward_decision::RetryElsewhere) {
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -124,6 +124,8 @@
   http_head Response;
   response_info ResponseInfo;
   bool HeadReceived = false;
+  bool BodyReceived = false;        ///< of this attempt, at least a byte
+  bool ReusedConnection = false;    ///< that was lost in this attempt
   std::size_t RefusalBodyBytes = 0; ///< of a response that states "not run"
   timer RefusalTimer;               ///< ends the wait for the rest of it
   std::string ResponseBody;         ///< body of a response that is not streamed
