--- /dev/null
+++ b/tests/gateway/crashing_segment_test.cpp
@@ -0,0 +1,101 @@
+// Prompts with a segment that crashes each upstream which begins to respond.
+#include "gateway/gateway_fixture.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <spdlog/fmt/fmt.h>
+
+using namespace ebonyvale;
+
+namespace {
+
+/// Crashes of the fleet after which at most `MaxLater` requests with the
+/// segment may reach an upstream.
+constexpr std::size_t KnownCrashes = 5;
+constexpr std::size_t MaxLater = 3;
+
+/// Lists each upstream that has crashed since the last call as a new process.
+void restartCrashed(gateway_fixture &Gateway, gateway_task *Other,
+                    std::vector<std::size_t> &Seen) {
+  for (std::size_t Index = 0; Index < Gateway.Upstreams.size(); ++Index) {
+    fake_upstream &Upstream = *Gateway.Upstreams[Index];
+    if (std::exchange(Seen[Index], Upstream.Crashes) == Upstream.Crashes)
+      continue;
+    Gateway.Store.erase(Upstream.key());
+    const std::string Id = fmt::format("u-{}-{}", Index, Upstream.Crashes);
+    Upstream.restartAs(Id);
+    Gateway.Store.put(Upstream.key(), Upstream.entry("s"));
+    cr_assert(Gateway.waitFor([&] {
+      return Gateway.core().directory().find(Id) &&
+             (!Other || Other->core().directory().find(Id));
+    }));
+  }
+}
+
+struct crashing_row {
+  char Name[32];
+  char Crashing[48]; ///< segments of a prompt that crashes, after the first
+  int Instances;
+};
+
+} // namespace
+
+ParameterizedTestParameters(crashing_segment, reaches_few_upstreams) {
+  static crashing_row Rows[] = {
+      {"second segment", "dead:100,", 1},
+      {"third segment", "b:100,dead:100,", 1},
+      {"before a shared one", "dead:100,b:100,", 1},
+      {"at two instances", "b:100,dead:100,", 2},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(crashing_row *Row, crashing_segment, reaches_few_upstreams) {
+  gateway_fixture Gateway;
+  std::unique_ptr<gateway_task> Other;
+  if (Row->Instances > 1) {
+    Other = Gateway.startGatewayInstance("i-2");
+    cr_assert(Gateway.waitFor([&] {
+      return Other->core().ready(readBootClock()) &&
+             !Other->core().roster().peers().empty() &&
+             !Gateway.core().roster().peers().empty();
+    }));
+  }
+  for (const auto &Upstream : Gateway.Upstreams)
+    Upstream->CrashingSegment = "dead";
+  std::vector<std::size_t> Seen(Gateway.Upstreams.size());
+  constexpr int Requests = 16;
+  constexpr int SoundRequests = 6; ///< for each that crashes
+  int Number = 0;
+  // No two requests are alike.
+  const auto Send = [&](int Number, const std::string &Segments) {
+    return Gateway
+        .sendRequest({.Path = fmt::format("/stream-on/{}", Number),
+                      .Id = fmt::format("id-{}", Number),
+                      .Segments = Segments})
+        .Status;
+  };
+  for (int Index = 0; Index < Requests; ++Index) {
+    if (Other && Index == Requests / 2)
+      Gateway.setCallerTarget(*Other);
+    // Sound requests share the key, the first segment and all others.
+    for (int Sound = 0; Sound < SoundRequests; ++Sound) {
+      const std::string Segments = fmt::format(
+          "a:500,{}:100,own-{}:20", Sound % 2 == 0 ? "b" : "c", ++Number);
+      cr_assert(Send(Number, Segments) == 200, "%s: %s", Row->Name,
+                Segments.c_str());
+    }
+    ++Number;
+    Send(Number, fmt::format("a:500,{}own-{}:20", Row->Crashing, Number));
+    restartCrashed(Gateway, Other.get(), Seen);
+  }
+  const std::size_t Crashes =
+      Gateway.Upstreams[0]->Crashes + Gateway.Upstreams[1]->Crashes;
+  cr_assert(Crashes >= 1 && Crashes <= KnownCrashes + MaxLater,
+            "%s: %zu crashes", Row->Name, Crashes);
+}
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -76,6 +76,10 @@
   OperatorPort = portsOf(Other).second;
 }
 
+void gateway_fixture::setCallerTarget(const gateway_task &Other) {
+  Port = portsOf(Other).first;
+}
+
 std::unique_ptr<gateway_task>
 gateway_fixture::startGatewayInstance(const std::string &Name,
                                       const std::string &Domain) {
@@ -131,6 +135,10 @@
     Request.Headers.add("Authorization", "Bearer " + Options.Key);
   if (!Options.ResumeAfter.empty())
     Request.Headers.add("Last-Event-Id", Options.ResumeAfter);
+  if (!Options.Segments.empty()) {
+    Request.Headers.add("Ebonyvale-Model", "m");
+    Request.Headers.add("Ebonyvale-Prompt-Prefix", Options.Segments);
+  }
   Request.Body = "the body";
   Current = std::make_unique<caller>();
   Exchange = Links.start(Request, *Current);
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -33,6 +33,7 @@
   std::string Method = "POST";
   std::string DeadlineMs = "4000";
   std::string ResumeAfter;
+  std::string Segments; ///< of the prompt, as in the platform's header
 };
 
 /// One gateway with two upstreams of the service "s".
@@ -65,6 +66,8 @@
                        const std::string &Domain = "z");
   /// Directs later operator requests to \p Other.
   void setOperatorTarget(const gateway_task &Other);
+  /// Directs later requests of callers to \p Other.
+  void setCallerTarget(const gateway_task &Other);
   /// Destroys the gateway without a graceful stop; the store keeps what it
   /// wrote.
   void kill() { Gateway.reset(); }
--- a/tests/platform/fake_upstream.cpp
+++ b/tests/platform/fake_upstream.cpp
@@ -100,6 +100,14 @@
     Held.push_back(Link);
     return;
   }
+  const auto Segments =
+      Request.Head.Headers.find("Ebonyvale-Prompt-Prefix").value_or("");
+  if (!CrashingSegment.empty() &&
+      Segments.find(CrashingSegment) != std::string_view::npos) {
+    ++Crashes;
+    Link->beginStream(200, Headers);
+    return Link->abortResponse();
+  }
   if (Behavior == upstream_behavior::DropResponse)
     return Link->abortResponse();
   if (Behavior == upstream_behavior::Error)
--- a/tests/platform/fake_upstream.h
+++ b/tests/platform/fake_upstream.h
@@ -38,6 +38,8 @@
   std::string entryAt(std::uint16_t Port, std::string_view Service,
                       bool Draining) const;
   std::string key() const { return "servers/" + Id; }
+  /// Continues as a new process at the same address.
+  void restartAs(std::string NewId) { Id = std::move(NewId); }
 
   void onRequest(const std::shared_ptr<server_connection> &Link,
                  http_request Request) override;
@@ -54,6 +56,10 @@
   std::size_t Conflicts = 0;
   /// Time from running a request to its response.
   span_ns Delay{0};
+  /// Name of a prompt segment on which the upstream crashes when it begins to
+  /// respond; empty: none.
+  std::string CrashingSegment;
+  std::size_t Crashes = 0; ///< on that segment
   /// Time between two events of a stream; 0 sends all at once.
   span_ns EventInterval{0};
   /// Called with each request that runs.
