Quarantine prompt segments that crash the upstreams which run them

Cause: suspicion was bound to whole requests. The fingerprint covers team, target and body, and no two of these requests are alike. Change: losses before the response has begun are counted by segment, on all instances. Each weighs as much as it is unlikely for requests without the segment; crashes at the same time count once; a complete response clears its segments, and a segment that was served lately needs twice the crashes. Suspected segments are not retried and pass one request a second; three unlikely crashes quarantine the segment for a minute, then longer. Load messages tell new instances. Why it works: an innocent segment is served sooner or later, the crashing one never.

--- a/src/decisions/request/sse_events.cpp
+++ b/src/decisions/request/sse_events.cpp
@@ -84,7 +84,7 @@
       continue;
     if (Byte == '\n' || Byte == '\r') {
       if (Position == line_position::Start)
-        HasOpenEvent = false;
+        SawEvent = std::exchange(HasOpenEvent, false) || SawEvent;
       Position = line_position::Start;
     } else if (Position == line_position::Start) {
       Position = Byte == ':' ? line_position::Comment : line_position::Field;
--- a/src/decisions/request/sse_events.h
+++ b/src/decisions/request/sse_events.h
@@ -59,11 +59,15 @@
     return HasOpenEvent || Position != line_position::Start;
   }
 
+  /// Returns whether an event has ended.
+  bool sawEvent() const { return SawEvent; }
+
 private:
   enum class line_position { Start, Comment, Field };
 
   line_position Position = line_position::Start;
   bool HasOpenEvent = false;
+  bool SawEvent = false;
   bool LastWasReturn = false; ///< a following newline belongs to the same end
 };
 
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -67,6 +67,27 @@
           json::binary({Item.Value.begin(), Item.Value.end()})};
 }
 
+json encodeLosses(std::span<const segment_loss> Losses) {
+  json Listed = json::array();
+  for (const segment_loss &Loss : Losses)
+    Listed.push_back({Loss.Segment, Loss.Chance});
+  return Listed;
+}
+
+std::vector<segment_loss> decodeLosses(const json &Listed) {
+  std::vector<segment_loss> Losses;
+  for (const json &Loss : Listed)
+    Losses.push_back({Loss.at(0), Loss.at(1)});
+  return Losses;
+}
+
+json encodeQuarantined(std::span<const quarantined_segment> Segments) {
+  json Listed = json::array();
+  for (const quarantined_segment &Segment : Segments)
+    Listed.push_back({Segment.Segment, millis(Segment.Left)});
+  return Listed;
+}
+
 std::string decodeBytes(const json &Value) {
   const auto &Bytes = Value.get_binary();
   return {Bytes.begin(), Bytes.end()};
@@ -241,8 +262,16 @@
                 {"c", Return.Closed}});
 }
 
-void peer_gossip::sendLoss(request_fingerprint Request, engine_id Upstream) {
-  sendToAll({{"k", "loss"}, {"q", Request}, {"u", Upstream}});
+void peer_gossip::sendLoss(request_fingerprint Request, engine_id Upstream,
+                           std::span<const segment_loss> Losses) {
+  json Message{{"k", "loss"}, {"q", Request}, {"u", Upstream}};
+  if (!Losses.empty())
+    Message["s"] = encodeLosses(Losses);
+  sendToAll(Message);
+}
+
+void peer_gossip::sendSound(std::span<const segment_id> Segments) {
+  sendToAll({{"k", "sound"}, {"s", Segments}});
 }
 
 void peer_gossip::sendPause(const std::string &Upstream, span_ns For) {
@@ -325,6 +354,9 @@
                {"r", std::move(Reports)},
                {"h", std::move(NewHints)},
                {"w", std::move(Weights)}};
+  if (const auto Quarantined = Core.segments().quarantined(Now);
+      !Quarantined.empty())
+    Message["x"] = encodeQuarantined(Quarantined);
   const auto SendTo = [&](std::span<const std::string_view> Names) {
     if (Names.empty())
       return;
@@ -369,6 +401,19 @@
   Hints.onPeerHints(From, Received, Core.roster().peers());
 }
 
+void peer_gossip::handleQuarantined(const std::string &From,
+                                    const json &Listed) {
+  std::vector<quarantined_segment> Segments;
+  for (const json &Entry : Listed)
+    Segments.push_back({Entry.at(0), std::chrono::milliseconds(
+                                         Entry.at(1).get<std::int64_t>())});
+  const auto Sound =
+      Core.segments().onPeerQuarantine(Segments, readBootClock());
+  Core.logQuarantinedSegments();
+  if (!Sound.empty())
+    sendTo(From, {{"k", "sound"}, {"s", Sound}});
+}
+
 void peer_gossip::handleMessage(const std::string &From, const json &Message) {
   const std::string Kind = Message.at("k");
   const instant Now = readBootClock();
@@ -392,6 +437,8 @@
            // Earlier releases send no assumed times.
            Announcement.size() > 3 && Announcement.at(3).get<bool>()});
     handleHints(From, Message);
+    if (const auto Listed = Message.find("x"); Listed != Message.end())
+      handleQuarantined(From, *Listed);
   } else if (Kind == "hints") {
     handleHints(From, Message);
   } else if (Kind == "poll") {
@@ -414,6 +461,14 @@
         Now);
   } else if (Kind == "loss") {
     Core.crashes().onLost(Message.at("q"), Message.at("u"), Now);
+    // Absent in messages of earlier releases and if the response had begun.
+    if (const auto Losses = Message.find("s"); Losses != Message.end()) {
+      Core.segments().onPeerLost(decodeLosses(*Losses), Message.at("u"), Now);
+      Core.logQuarantinedSegments();
+    }
+  } else if (Kind == "sound") {
+    Core.segments().onPeerCompleted(
+        Message.at("s").get<std::vector<segment_id>>(), Now);
   } else if (Kind == "weights") {
     Core.scheduler().onWeights(Message.at("u").get<std::string>(),
                                Message.at("m").get<std::string>(),
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -35,7 +35,9 @@
                        const lend_request &Request) override;
   void sendLendReturn(const std::string &Peer,
                       const lend_return &Return) override;
-  void sendLoss(request_fingerprint Request, engine_id Upstream) override;
+  void sendLoss(request_fingerprint Request, engine_id Upstream,
+                std::span<const segment_loss> Losses) override;
+  void sendSound(std::span<const segment_id> Segments) override;
   void sendPause(const std::string &Upstream, span_ns For) override;
   void sendChangePoll(const std::string &Peer,
                       const change_poll &Poll) override;
@@ -49,6 +51,7 @@
   void onDatagram(std::string_view Bytes);
   void handleMessage(const std::string &From, const nlohmann::json &Message);
   void handleHints(const std::string &From, const nlohmann::json &Message);
+  void handleQuarantined(const std::string &From, const nlohmann::json &Listed);
   void sendLoad();
   /// Sends the hints of the failure domain to other domains, if this instance
   /// is the one that does.
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -82,6 +82,7 @@
       Roster(Settings.InstanceName),
       FreshnessOptions(freshnessOptionsOf(Settings)),
       Shares(ledgerOptions(), Started, Boot), Crashes(crash_tracker_options{}),
+      Segments(segment_quarantine_options{}),
       Refusals(Settings.InstanceName, Boot,
                refusal_log_options{.Records = 2000}),
       RetryOptions(retryOptionsOf(Settings)), ShareTimer(Base, [this] {
@@ -242,14 +243,35 @@
 }
 
 void gateway_core::reportLoss(request_fingerprint Request,
-                              std::string_view Upstream, instant Now) {
+                              std::string_view Upstream,
+                              std::span<const segment_id> RequestSegments,
+                              std::optional<loss_stage> Stage, instant Now) {
   const engine_id Number = upstreamHash(Upstream);
   if (Crashes.onLost(Request, Number, Now) == suspicion::Quarantined)
     Log.warn(event_category::Request, "request_quarantined",
              {{"fingerprint", fmt::format("{:016x}", Request)},
               {"upstream", Upstream}});
+  std::vector<segment_loss> Losses;
+  if (Stage && !RequestSegments.empty())
+    Losses = Segments.onLost(RequestSegments, Number, *Stage, Now);
+  logQuarantinedSegments();
   if (Messenger)
-    Messenger->sendLoss(Request, Number);
+    Messenger->sendLoss(Request, Number, Losses);
+}
+
+void gateway_core::reportCompletion(std::span<const segment_id> RequestSegments,
+                                    instant Now) {
+  const auto Suspected = Segments.onCompleted(RequestSegments, Now);
+  if (Messenger && !Suspected.empty())
+    Messenger->sendSound(Suspected);
+}
+
+void gateway_core::logQuarantinedSegments() {
+  for (const segment_id Segment : Segments.takeNew()) {
+    Metrics.SegmentsQuarantined.Increment();
+    Log.warn(event_category::Request, "segment_quarantined",
+             {{"segment", fmt::format("{:016x}", Segment)}});
+  }
 }
 
 void gateway_core::recordRefusal(refusal Refusal, std::string_view RequestId,
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -11,6 +11,7 @@
 #include "decisions/process/quota_ledger.h"
 #include "decisions/process/refusal_aggregator.h"
 #include "decisions/process/refusal_log.h"
+#include "decisions/process/segment_quarantine.h"
 #include "decisions/process/upstream_directory.h"
 #include "decisions/process/upstream_scheduler.h"
 #include "gateway/process/change_exchange.h"
@@ -47,7 +48,12 @@
   virtual void sendLendReturn(const std::string &Peer,
                               const lend_return &Return) = 0;
   /// Reports to all peers that \p Upstream was lost while it ran \p Request.
-  virtual void sendLoss(request_fingerprint Request, engine_id Upstream) = 0;
+  /// \p Losses are those of its prompt's segments if the response had not
+  /// begun.
+  virtual void sendLoss(request_fingerprint Request, engine_id Upstream,
+                        std::span<const segment_loss> Losses) = 0;
+  /// Reports to all peers that a request with \p Segments was run completely.
+  virtual void sendSound(std::span<const segment_id> Segments) = 0;
   /// Asks all peers to send \p Upstream no new requests for \p For; zero ends
   /// the pause.
   virtual void sendPause(const std::string &Upstream, span_ns For) = 0;
@@ -90,6 +96,7 @@
   const freshness_options &freshnessOptions() const { return FreshnessOptions; }
   quota_ledger &shares() { return Shares; }
   crash_tracker &crashes() { return Crashes; }
+  segment_quarantine &segments() { return Segments; }
   refusal_log &refusals() { return Refusals; }
   /// Returns the refusals that are not written to the store yet.
   refusal_aggregator &unwrittenRefusals() { return UnwrittenRefusals; }
@@ -151,9 +158,18 @@
   bool takeRetry(std::string_view Service, instant Now);
 
   /// Records that \p Upstream was lost while it may have run \p Request, and
-  /// reports it to the peers.
+  /// reports it to the peers. \p Segments are those of its prompt, and \p Stage
+  /// is given if the response had not begun.
   void reportLoss(request_fingerprint Request, std::string_view Upstream,
-                  instant Now);
+                  std::span<const segment_id> Segments,
+                  std::optional<loss_stage> Stage, instant Now);
+
+  /// Records that a request with the prompt segments \p Segments was run
+  /// completely, and reports it to the peers if one was suspected.
+  void reportCompletion(std::span<const segment_id> Segments, instant Now);
+
+  /// Logs the segments that have been quarantined since the last call.
+  void logQuarantinedSegments();
 
   /// Records, counts and logs a refusal.
   void recordRefusal(refusal Refusal, std::string_view RequestId, int Status,
@@ -196,6 +212,7 @@
   freshness_options FreshnessOptions;
   quota_ledger Shares;
   crash_tracker Crashes;
+  segment_quarantine Segments;
   refusal_log Refusals;
   refusal_aggregator UnwrittenRefusals;
   retry_options RetryOptions;
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -25,6 +25,9 @@
                          "Attempts after the first one.")),
       StreamsResumed(addCounter("ebonyvale_streams_resumed_total",
                                 "Streams resumed at another upstream.")),
+      SegmentsQuarantined(addCounter(
+          "ebonyvale_segments_quarantined_total",
+          "Prompt segments quarantined since they crash upstreams.")),
       OrdersSent(addCounter("ebonyvale_weights_orders_total",
                             "Orders to load weights sent to upstreams.")),
       OpenRequests(addGauge("ebonyvale_open_requests", "Requests in flight.")),
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -30,6 +30,7 @@
   prometheus::Counter &CallersGone;
   prometheus::Counter &Retries;
   prometheus::Counter &StreamsResumed;
+  prometheus::Counter &SegmentsQuarantined;
   prometheus::Counter &OrdersSent;
   prometheus::Gauge &OpenRequests;
   prometheus::Gauge &RoutingVersion;
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -84,6 +84,7 @@
   }
   BodyReceived = BodyReceived || !Bytes.empty();
   if (!Route->Streams || Response.Status != StatusOk) {
+    recordResponseBegun();
     ResponseBody += Bytes;
     if (ResponseBody.size() > MaxBufferedBytes)
       abortAttempt("answer_too_large");
@@ -92,12 +93,19 @@
   if (!Streaming)
     beginStream();
   Boundaries.feed(Bytes);
+  if (Boundaries.sawEvent())
+    recordResponseBegun();
   if (!ForwardWholeEvents)
     return deliver(Bytes);
   if (!deliverEvents(Bytes))
     abortAttempt("events_out_of_order");
 }
 
+void forward_session::recordResponseBegun() {
+  if (!std::exchange(ResponseBegun, true) && !Segments.empty())
+    Core.segments().onBodyBegun(readBootClock());
+}
+
 void forward_session::abortAttempt(std::string_view Reason) {
   if (const auto Running = std::exchange(Exchange, nullptr))
     Running->cancel();
@@ -173,6 +181,7 @@
     endAttempt(readBootClock());
     Caller->endStream();
     Core.counters().CompletedResponses.Increment();
+    Core.reportCompletion(Segments, readBootClock());
     return finish("streamed");
   }
   forwardResponse();
@@ -187,12 +196,18 @@
   return Boundaries.insideEvent() || (!Streaming && Response.CloseDelimited);
 }
 
+std::optional<loss_stage> forward_session::lossStage() const {
+  if (ResponseBegun)
+    return std::nullopt;
+  return HeadReceived ? loss_stage::Begun : loss_stage::Waiting;
+}
+
 void forward_session::loseAttempt(std::string_view Reason, bool MayBeCrash) {
   const instant Now = readBootClock();
   Core.counters().onUpstreamLoss(Reason);
   Core.scheduler().onFailure(Choice->Upstream, Now);
   if (MayBeCrash)
-    Core.reportLoss(Fingerprint, Choice->Upstream, Now);
+    Core.reportLoss(Fingerprint, Choice->Upstream, Segments, lossStage(), Now);
   onAttemptEnd(attempt_outcome::Lost, Reason);
 }
 
@@ -223,6 +238,8 @@
       Response.Status,
       Core.protocols().Callers.responseHeaders(Response.Headers), ResponseBody);
   Core.counters().CompletedResponses.Increment();
+  if (Response.Status == StatusOk)
+    Core.reportCompletion(Segments, readBootClock());
   finish("answered");
 }
 
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -100,11 +100,24 @@
   Fingerprint = fingerprintOf(
       "", fmt::format("{} {}", Team ? Team->Name : "", Request.Head.Target),
       Request.Body);
+  Segments = segmentIds(ParsedRequest.Model, ParsedRequest.Segments);
+  if (auto Refusal = quarantine(Core.segments().blockedFor(Segments, Now), Now))
+    return Refusal;
+  CacheScope = cacheScope(Team, ParsedRequest);
+  PromptSegments = promptSegments(CacheScope, ParsedRequest);
+  return std::nullopt;
+}
+
+std::optional<forward_refusal>
+forward_session::quarantine(std::optional<span_ns> SegmentsBlockedFor,
+                            instant Now) const {
   if (Core.crashes().check(Fingerprint, Now) == suspicion::Quarantined)
     return forward_refusal{error_kind::RequestQuarantined, "",
                            QuarantineRetryAfter};
-  CacheScope = cacheScope(Team, ParsedRequest);
-  PromptSegments = promptSegments(CacheScope, ParsedRequest);
+  if (SegmentsBlockedFor)
+    return forward_refusal{error_kind::RequestQuarantined,
+                           "a prompt segment crashed several upstreams",
+                           *SegmentsBlockedFor};
   return std::nullopt;
 }
 
@@ -151,6 +164,8 @@
                 {error_kind::NotReady,
                  "the configuration is too old to accept keys",
                  NotReadyRetryAfter});
+  if (auto Refusal = quarantine(Core.segments().tryPass(Segments, Now), Now))
+    return fail(Flow.failureDecision(), *Refusal);
   // A request admitted under an older configuration needs a key that is valid
   // in the current one.
   if (Team && Core.routing() != Routing &&
@@ -198,6 +213,7 @@
   SentAt = Now;
   HeadReceived = false;
   BodyReceived = false;
+  ResponseBegun = false;
   ReusedConnection = false;
   RefusalBodyBytes = 0;
   ResponseBody.clear();
@@ -241,7 +257,8 @@
   endAttempt(Now);
   Tried.push_back(Choice->Upstream);
   const bool Quarantined =
-      Core.crashes().check(Fingerprint, Now) == suspicion::Quarantined;
+      Core.crashes().check(Fingerprint, Now) == suspicion::Quarantined ||
+      Core.segments().isSuspected(Segments, Now);
   // takeRetry spends a retry of the budget, so it is called only if another
   // attempt is allowed at all.
   const bool MayRetry =
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -79,6 +79,13 @@
   /// Handles a response that was lost after the request was sent. \p MayBeCrash
   /// tells whether the request may have crashed the upstream.
   void loseAttempt(std::string_view Reason, bool MayBeCrash);
+  /// Returns how far the lost attempt had come, or nothing if a part of the
+  /// response had arrived.
+  std::optional<loss_stage> lossStage() const;
+  /// Returns why the request must not be sent to an upstream: it crashes those
+  /// that run it, or a segment of its prompt does.
+  std::optional<forward_refusal>
+  quarantine(std::optional<span_ns> SegmentsBlockedFor, instant Now) const;
   /// Handles the response of an upstream that did not run the request.
   void onNotRun();
   /// Ends without a successful response: refuses, or closes the connection if a
@@ -91,6 +98,8 @@
   /// not follow the last one delivered or is too long.
   bool deliverEvents(std::string_view Bytes);
   void deliver(std::string_view Bytes);
+  /// Records once in each attempt that its response has begun.
+  void recordResponseBegun();
   /// Records the time to the first bytes of the response, once.
   void recordFirstBytes();
   void finish(std::string_view Outcome);
@@ -108,6 +117,7 @@
   std::string Service;
   std::string CacheScope;
   std::vector<prompt_segment> PromptSegments;
+  std::vector<segment_id> Segments; ///< of the prompt, whatever precedes them
   request_fingerprint Fingerprint = 0;
   instant ArrivedAt;
   instant Deadline;
@@ -125,6 +135,7 @@
   response_info ResponseInfo;
   bool HeadReceived = false;
   bool BodyReceived = false;        ///< of this attempt, at least a byte
+  bool ResponseBegun = false;       ///< an event, or a byte of another body
   bool ReusedConnection = false;    ///< that was lost in this attempt
   std::size_t RefusalBodyBytes = 0; ///< of a response that states "not run"
   timer RefusalTimer;               ///< ends the wait for the rest of it
--- a/tests/gateway/crashing_segment_test.cpp
+++ b/tests/gateway/crashing_segment_test.cpp
@@ -93,6 +93,8 @@
     ++Number;
     Send(Number, fmt::format("a:500,{}own-{}:20", Row->Crashing, Number));
     restartCrashed(Gateway, Other.get(), Seen);
+    // Crashes at the same time count as one outage.
+    runLoopFor(Gateway.Base.get(), segment_quarantine_options{}.OutageDuration);
   }
   const std::size_t Crashes =
       Gateway.Upstreams[0]->Crashes + Gateway.Upstreams[1]->Crashes;
