A loss on a reused connection counts as a crash unless it comes at once

Change: only a loss within 100 ms is taken for an idle timeout. Test: a_crash_on_a_reused_connection_counts, failed before.

--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -15,6 +15,9 @@
 /// the request was not run. Reading it to its end keeps the connection.
 constexpr std::size_t MaxRefusalBodyBytes = 64 * 1024;
 constexpr span_ns MaxRefusalBodyTime = std::chrono::milliseconds(100);
+/// Longest time after which the close of an idle connection arrives that the
+/// upstream had sent before it received the request; above a round trip.
+constexpr span_ns IdleCloseTime = std::chrono::milliseconds(100);
 constexpr int FirstServerError = 500;
 constexpr int StatusOk = 200;
 
@@ -257,10 +260,12 @@
       return onNotRun();
     return onAttemptEnd(attempt_outcome::NotSent, lossName(Loss.Reason));
   }
-  // A reused connection that closes before a response head may have been idle
-  // too long; that does not suggest that the request crashed the upstream.
-  const bool MayBeCrash = Loss.Reason != loss_reason::InvalidResponse &&
-                          !(Loss.ReusedConnection && !HeadReceived);
+  // A reused connection that closes at once may have been idle too long; that
+  // does not suggest that the request crashed the upstream.
+  const bool MayHaveBeenIdle = Loss.ReusedConnection && !HeadReceived &&
+                               readBootClock() - SentAt < IdleCloseTime;
+  const bool MayBeCrash =
+      Loss.Reason != loss_reason::InvalidResponse && !MayHaveBeenIdle;
   loseAttempt(lossName(Loss.Reason), MayBeCrash);
 }
 
--- a/tests/gateway/crashing_segment_test.cpp
+++ b/tests/gateway/crashing_segment_test.cpp
@@ -1,5 +1,6 @@
 // Prompts with a segment that crashes each upstream which begins to respond.
 #include "gateway/gateway_fixture.h"
+#include "net/scripted_server.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -101,3 +102,26 @@
   cr_assert(Crashes >= 1 && Crashes <= KnownCrashes + MaxLater,
             "%s: %zu crashes", Row->Name, Crashes);
 }
+
+/// An upstream that closes an idle connection does so soon after the request
+/// was sent on it. A later close may be a crash.
+Test(crashing_segment, a_crash_on_a_reused_connection_counts) {
+  gateway_fixture Gateway;
+  std::size_t Requests = 0;
+  scripted_server Server(Gateway.Base.get(), [&](scripted_server::peer &Peer) {
+    if (!Peer.Received.ends_with("the body"))
+      return;
+    Peer.Received.clear();
+    if (++Requests == 1)
+      return Peer.send("HTTP/1.1 200 OK\r\nEbonyvale-Request-Id: id-1\r\n"
+                       "Keep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n");
+    callAfter(Gateway.Base.get(), std::chrono::milliseconds(400),
+              [&Peer] { Peer.reset(); });
+  });
+  Gateway.useOnlyUpstream(Server.address().Port);
+  const caller_options Request{.Path = "/order/1", .Segments = "dead:100"};
+  cr_assert(Gateway.sendRequest(Request).Status == 200);
+  cr_assert(Gateway.sendRequest(Request).Status == 502);
+  cr_assert(Server.Peers.size() == 1, "the connection was not reused");
+  cr_assert(Gateway.core().crashes().size() == 1);
+}
