Segment quarantine: bounds on what callers and peers can list, and names

Found by reading the change: a prompt with thousands of segments would exceed a datagram and fill the table, so the first 64 are counted and at most 64 quarantined ones are listed; a suspected segment let its one request pass before an upstream was chosen, so a refusal for want of one used it up; a response to HEAD has no body and is no broken stream.

--- a/src/decisions/process/segment_quarantine.cpp
+++ b/src/decisions/process/segment_quarantine.cpp
@@ -23,9 +23,11 @@
 std::vector<segment_id> segmentIds(std::string_view Model,
                                    std::span<const named_segment> Segments) {
   const std::uint64_t Seed = XXH3_64bits(Model.data(), Model.size());
+  const auto Counted =
+      Segments.first(std::min(Segments.size(), MaxCountedSegments));
   std::vector<segment_id> Ids;
-  Ids.reserve(Segments.size());
-  for (const named_segment &Segment : Segments)
+  Ids.reserve(Counted.size());
+  for (const named_segment &Segment : Counted)
     Ids.push_back(
         XXH3_64bits_withSeed(Segment.Name.data(), Segment.Name.size(), Seed));
   return Ids;
@@ -233,7 +235,7 @@
 segment_quarantine::quarantined(instant Now) const {
   std::vector<quarantined_segment> Found;
   for (const auto &[Segment, Entry] : Entries)
-    if (Entry.QuarantinedUntil > Now)
+    if (Entry.QuarantinedUntil > Now && Found.size() < MaxCountedSegments)
       Found.push_back({Segment, Entry.QuarantinedUntil - Now});
   return Found;
 }
--- a/src/decisions/process/segment_quarantine.h
+++ b/src/decisions/process/segment_quarantine.h
@@ -29,10 +29,14 @@
 /// Hash of a model and the name of a prompt segment; the same on all instances.
 using segment_id = std::uint64_t;
 
-/// Returns the ids of \p Segments in prompts for \p Model.
+/// Returns the ids of \p Segments in prompts for \p Model, of the first
+/// `MaxCountedSegments` only: callers choose how many there are.
 std::vector<segment_id> segmentIds(std::string_view Model,
                                    std::span<const named_segment> Segments);
 
+/// Segments of one prompt that are counted, and quarantined ones in a message.
+inline constexpr std::size_t MaxCountedSegments = 64;
+
 /// How far an attempt had come when its upstream was lost.
 enum class loss_stage {
   Waiting, ///< without a response head; it may not have begun to run
@@ -130,7 +134,7 @@
   /// request with \p Segments crashes its upstream.
   bool isSuspected(std::span<const segment_id> Segments, instant Now) const;
 
-  /// Returns the quarantined segments.
+  /// Returns quarantined segments, at most `MaxCountedSegments`.
   std::vector<quarantined_segment> quarantined(instant Now) const;
 
   /// Returns the segments quarantined since the last call.
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -354,7 +354,7 @@
                {"r", std::move(Reports)},
                {"h", std::move(NewHints)},
                {"w", std::move(Weights)}};
-  if (const auto Quarantined = Core.segments().quarantined(Now);
+  if (const auto Quarantined = Core.segmentQuarantine().quarantined(Now);
       !Quarantined.empty())
     Message["x"] = encodeQuarantined(Quarantined);
   const auto SendTo = [&](std::span<const std::string_view> Names) {
@@ -408,7 +408,7 @@
     Segments.push_back({Entry.at(0), std::chrono::milliseconds(
                                          Entry.at(1).get<std::int64_t>())});
   const auto Sound =
-      Core.segments().onPeerQuarantine(Segments, readBootClock());
+      Core.segmentQuarantine().onPeerQuarantine(Segments, readBootClock());
   Core.logQuarantinedSegments();
   if (!Sound.empty())
     sendTo(From, {{"k", "sound"}, {"s", Sound}});
@@ -463,11 +463,12 @@
     Core.crashes().onLost(Message.at("q"), Message.at("u"), Now);
     // Absent in messages of earlier releases and if the response had begun.
     if (const auto Losses = Message.find("s"); Losses != Message.end()) {
-      Core.segments().onPeerLost(decodeLosses(*Losses), Message.at("u"), Now);
+      Core.segmentQuarantine().onPeerLost(decodeLosses(*Losses),
+                                          Message.at("u"), Now);
       Core.logQuarantinedSegments();
     }
   } else if (Kind == "sound") {
-    Core.segments().onPeerCompleted(
+    Core.segmentQuarantine().onPeerCompleted(
         Message.at("s").get<std::vector<segment_id>>(), Now);
   } else if (Kind == "weights") {
     Core.scheduler().onWeights(Message.at("u").get<std::string>(),
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -82,7 +82,7 @@
       Roster(Settings.InstanceName),
       FreshnessOptions(freshnessOptionsOf(Settings)),
       Shares(ledgerOptions(), Started, Boot), Crashes(crash_tracker_options{}),
-      Segments(segment_quarantine_options{}),
+      SegmentQuarantine(segment_quarantine_options{}),
       Refusals(Settings.InstanceName, Boot,
                refusal_log_options{.Records = 2000}),
       RetryOptions(retryOptionsOf(Settings)), ShareTimer(Base, [this] {
@@ -244,7 +244,7 @@
 
 void gateway_core::reportLoss(request_fingerprint Request,
                               std::string_view Upstream,
-                              std::span<const segment_id> RequestSegments,
+                              std::span<const segment_id> Segments,
                               std::optional<loss_stage> Stage, instant Now) {
   const engine_id Number = upstreamHash(Upstream);
   if (Crashes.onLost(Request, Number, Now) == suspicion::Quarantined)
@@ -252,22 +252,22 @@
              {{"fingerprint", fmt::format("{:016x}", Request)},
               {"upstream", Upstream}});
   std::vector<segment_loss> Losses;
-  if (Stage && !RequestSegments.empty())
-    Losses = Segments.onLost(RequestSegments, Number, *Stage, Now);
+  if (Stage && !Segments.empty())
+    Losses = SegmentQuarantine.onLost(Segments, Number, *Stage, Now);
   logQuarantinedSegments();
   if (Messenger)
     Messenger->sendLoss(Request, Number, Losses);
 }
 
-void gateway_core::reportCompletion(std::span<const segment_id> RequestSegments,
+void gateway_core::reportCompletion(std::span<const segment_id> Segments,
                                     instant Now) {
-  const auto Suspected = Segments.onCompleted(RequestSegments, Now);
+  const auto Suspected = SegmentQuarantine.onCompleted(Segments, Now);
   if (Messenger && !Suspected.empty())
     Messenger->sendSound(Suspected);
 }
 
 void gateway_core::logQuarantinedSegments() {
-  for (const segment_id Segment : Segments.takeNew()) {
+  for (const segment_id Segment : SegmentQuarantine.takeNew()) {
     Metrics.SegmentsQuarantined.Increment();
     Log.warn(event_category::Request, "segment_quarantined",
              {{"segment", fmt::format("{:016x}", Segment)}});
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -96,7 +96,7 @@
   const freshness_options &freshnessOptions() const { return FreshnessOptions; }
   quota_ledger &shares() { return Shares; }
   crash_tracker &crashes() { return Crashes; }
-  segment_quarantine &segments() { return Segments; }
+  segment_quarantine &segmentQuarantine() { return SegmentQuarantine; }
   refusal_log &refusals() { return Refusals; }
   /// Returns the refusals that are not written to the store yet.
   refusal_aggregator &unwrittenRefusals() { return UnwrittenRefusals; }
@@ -212,7 +212,7 @@
   freshness_options FreshnessOptions;
   quota_ledger Shares;
   crash_tracker Crashes;
-  segment_quarantine Segments;
+  segment_quarantine SegmentQuarantine;
   refusal_log Refusals;
   refusal_aggregator UnwrittenRefusals;
   retry_options RetryOptions;
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -106,7 +106,7 @@
 
 void forward_session::recordResponseBegun() {
   if (!std::exchange(ResponseBegun, true) && !Segments.empty())
-    Core.segments().onBodyBegun(readBootClock());
+    Core.segmentQuarantine().onBodyBegun(readBootClock());
 }
 
 void forward_session::abortAttempt(std::string_view Reason) {
@@ -196,7 +196,9 @@
   // The system of an upstream that crashes closes its connections in order. If
   // only the end of the connection marks the end of the response, a stream
   // without an event proves nothing.
-  return Boundaries.insideEvent() || (!Streaming && Response.CloseDelimited);
+  const bool LacksBody =
+      !Streaming && Response.CloseDelimited && Request.Head.Method != "HEAD";
+  return Boundaries.insideEvent() || LacksBody;
 }
 
 std::optional<loss_stage> forward_session::lossStage() const {
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -101,7 +101,8 @@
       "", fmt::format("{} {}", Team ? Team->Name : "", Request.Head.Target),
       Request.Body);
   Segments = segmentIds(ParsedRequest.Model, ParsedRequest.Segments);
-  if (auto Refusal = quarantine(Core.segments().blockedFor(Segments, Now), Now))
+  if (auto Refusal =
+          quarantine(Core.segmentQuarantine().blockedFor(Segments, Now), Now))
     return Refusal;
   CacheScope = cacheScope(Team, ParsedRequest);
   PromptSegments = promptSegments(CacheScope, ParsedRequest);
@@ -164,8 +165,6 @@
                 {error_kind::NotReady,
                  "the configuration is too old to accept keys",
                  NotReadyRetryAfter});
-  if (auto Refusal = quarantine(Core.segments().tryPass(Segments, Now), Now))
-    return fail(Flow.failureDecision(), *Refusal);
   // A request admitted under an older configuration needs a key that is valid
   // in the current one.
   if (Team && Core.routing() != Routing &&
@@ -177,6 +176,10 @@
     return fail(Flow.failureDecision(),
                 {Outcome.Refusal.Kind, fmt::format("service {}", Service),
                  Outcome.Refusal.RetryAfter});
+  // Asked last, since a suspected segment lets few requests pass.
+  if (const auto Refusal =
+          quarantine(Core.segmentQuarantine().tryPass(Segments, Now), Now))
+    return fail(Flow.failureDecision(), *Refusal);
   send(*Outcome.Choice, Now);
 }
 
@@ -258,7 +261,7 @@
   Tried.push_back(Choice->Upstream);
   const bool Quarantined =
       Core.crashes().check(Fingerprint, Now) == suspicion::Quarantined ||
-      Core.segments().isSuspected(Segments, Now);
+      Core.segmentQuarantine().isSuspected(Segments, Now);
   // takeRetry spends a retry of the budget, so it is called only if another
   // attempt is allowed at all.
   const bool MayRetry =
--- a/tests/decisions/process/segment_quarantine_test.cpp
+++ b/tests/decisions/process/segment_quarantine_test.cpp
@@ -347,6 +347,11 @@
   cr_assert(Sound.onPeerQuarantine(Reported, Now + 6s).empty());
 }
 
+Test(segment_quarantine, the_first_segments_of_a_prompt_are_counted) {
+  const std::vector<named_segment> Many(10000, {"s", 1});
+  cr_assert(segmentIds("m", Many).size() == MaxCountedSegments);
+}
+
 Test(segment_quarantine, the_number_of_segments_is_bounded) {
   segment_quarantine Quarantine({.MaxEntries = 100});
   const instant Now(10s);
--- a/tests/gateway/crashing_segment_test.cpp
+++ b/tests/gateway/crashing_segment_test.cpp
@@ -103,6 +103,33 @@
             "%s: %zu crashes", Row->Name, Crashes);
 }
 
+/// A restarted instance would let requests with the segment pass again.
+Test(crashing_segment, a_new_instance_learns_of_a_quarantine) {
+  gateway_fixture Gateway;
+  const named_segment Crashing[] = {{"dead", 100}};
+  const auto Ids = segmentIds("m", Crashing);
+  const quarantined_segment Quarantined[] = {{Ids[0], std::chrono::minutes(1)}};
+  Gateway.core().segmentQuarantine().onPeerQuarantine(Quarantined,
+                                                      readBootClock());
+  const auto Other = Gateway.startGatewayInstance("i-2");
+  int Number = 0;
+  cr_assert(Gateway.waitFor([&] {
+    // Load messages are sent only while there is load.
+    Gateway.sendRequest({.Path = "/read/1", .Id = fmt::format("{}", ++Number)});
+    return Other->core()
+        .segmentQuarantine()
+        .blockedFor(Ids, readBootClock())
+        .has_value();
+  }));
+  Gateway.setCallerTarget(*Other);
+  cr_assert(
+      Gateway.waitFor([&] { return Other->core().ready(readBootClock()); }));
+  const caller_response Response =
+      Gateway.sendRequest({.Path = "/stream-on/1", .Segments = "a:1,dead:100"});
+  cr_assert(Response.Status == 503, "%d", Response.Status);
+  cr_assert(Response.Headers.find("Retry-After"));
+}
+
 /// An upstream that closes an idle connection does so soon after the request
 /// was sent on it. A later close may be a crash.
 Test(crashing_segment, a_crash_on_a_reused_connection_counts) {
