Fuzz: the reader of upstreams' responses and the ends of streams

What is read must not depend on how the bytes are divided, and a head is bounded. Ten times as many inputs for each target.

--- a/tests/fuzz/fuzz_test.cpp
+++ b/tests/fuzz/fuzz_test.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::size_t Targets = 5;
-constexpr int InputsPerTarget = 20000;
+constexpr std::size_t Targets = 6;
+constexpr int InputsPerTarget = 200000;
 constexpr int MaxEdits = 6;
 
 /// Returns \p Text with up to `MaxEdits` random edits, each of which replaces,
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -7,7 +7,9 @@
 #include "decisions/request/prompt_pieces.h"
 #include "decisions/request/sse_events.h"
 #include "decisions/version/release_note.h"
+#include "net/http_message.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace ebonyvale {
@@ -71,6 +73,64 @@
   (void)parseInstanceList(Bytes);
 }
 
+/// Reads the responses of a connection and records what it is told.
+class response_recorder final : public message_sink {
+public:
+  /// Reads \p Bytes in pieces of \p PieceSize and then the end of the
+  /// connection. Returns a description of all responses.
+  std::string read(std::string_view Bytes, std::size_t PieceSize) {
+    for (std::size_t Offset = 0; Offset < Bytes.size(); Offset += PieceSize)
+      if (!feed(Bytes.substr(Offset, PieceSize)))
+        return Told + "|invalid";
+    return Told + (Reader.finishAtClose() ? "|ended" : "|open");
+  }
+
+  bool onMessageHead(http_head &Head) override {
+    Told += "|" + std::to_string(Head.Status) + std::string(framingName(Head));
+    for (const http_header &Field : Head.Headers.all())
+      Told += Field.Name + "=" + Field.Value + ";";
+    require(Told.size() < 2 * MaxHeadBytes + MaxInputBytes);
+    return true;
+  }
+  void onMessageBody(std::string_view Bytes) override { Told += Bytes; }
+
+  static constexpr std::size_t MaxHeadBytes = 4096;
+  static constexpr std::size_t MaxInputBytes = 64 * 1024;
+
+private:
+  bool feed(std::string_view Bytes) {
+    while (!Bytes.empty()) {
+      const std::size_t Used = Reader.feed(Bytes);
+      require(Used <= Bytes.size());
+      Bytes.remove_prefix(Used);
+      if (Reader.state() == read_state::Complete) {
+        Told += "|complete";
+        Reader.reset();
+      } else if (Reader.state() != read_state::Reading) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  std::string Told;
+  message_reader Reader{message_reader::side::Responses, *this, MaxHeadBytes};
+};
+
+void runResponses(std::string_view Bytes) {
+  // What is read must not depend on how the input is divided.
+  const std::string Whole =
+      response_recorder().read(Bytes, std::max<std::size_t>(Bytes.size(), 1));
+  require(response_recorder().read(Bytes, 1) == Whole);
+  event_boundary_tracker WholeTracker;
+  event_boundary_tracker ByteTracker;
+  WholeTracker.feed(Bytes);
+  for (std::size_t Offset = 0; Offset < Bytes.size(); ++Offset)
+    ByteTracker.feed(Bytes.substr(Offset, 1));
+  require(WholeTracker.insideEvent() == ByteTracker.insideEvent());
+  require(WholeTracker.sawEvent() == ByteTracker.sawEvent());
+}
+
 const std::string Note =
     "id = \"a\"\n[[added.failure_domain]]\nname = \"d\"\nregion = \"r\"\n"
     "[[added.team]]\nname = \"t\"\nrate = 10\nburst = 100\n"
@@ -91,6 +151,15 @@
       {"events",
        &runEvents,
        {"id: a:1\ndata: x\n\n: c\r\n\r\ndata:y\n\ndata", "\n\n\r\n\r\n:"}},
+      {"responses",
+       &runResponses,
+       {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 503 x\r\n"
+        "Retry-After: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 102 x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+        "\r\n\r\n3;x=y\r\nabc\r\n0\r\nTrailer: z\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nid: 1\r\ndata: x\r\n\r\nid: 2\nda",
+        "HTTP/1.1 200 OK\r\nX: " + std::string(5000, 'x'),
+        "HTTP/1.1 204 x\r\n\r\nHTTP/1.0 200 x\r\n\r\n"}},
       {"note", &runNote, {Note}},
       {"snapshot", &runSnapshot, {writeSnapshot(*applyNote({}, Note))}},
       {"peer_message",
--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -17,8 +17,9 @@
   std::vector<std::string> Corpus;
 };
 
-/// Returns the targets for the request parser, the event splitter, the release
-/// note parser, the snapshot reader and the peer messages.
+/// Returns the targets for the request parser, the event splitter, the reader
+/// of upstreams' responses, the release note parser, the snapshot reader and
+/// the peer messages.
 std::vector<fuzz_target> fuzzTargets();
 
 } // namespace ebonyvale
