Read the limits that upstreams name, log and count them

Cause: a response may state how many requests a second its upstream takes from all instances together. Change: the adapter reads the header, a malformed one changes nothing; limit_named and limit_unreadable are logged, and the gauge ebonyvale_limited_upstreams counts the upstreams with a limit. Nothing that is sent depends on it yet. Measured result: platform_tests pass, with a table of eight header values.

--- a/src/gateway/process/fleet_protocol.h
+++ b/src/gateway/process/fleet_protocol.h
@@ -107,6 +107,9 @@
   bool OtherProcess = false; ///< another process now uses the address
   bool OtherWeights = false; ///< refused: holds other weights than required
   std::optional<reported_load> Load;
+  bool NamesLimit = false; ///< states a limit, `Limit` unless it is malformed
+  /// Requests per second that the upstream takes from all instances together.
+  std::optional<double> Limit;
   std::optional<std::int64_t> Weights;
 };
 
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -274,6 +274,23 @@
   }
 }
 
+void gateway_core::onUpstreamLimit(std::string_view Upstream,
+                                   const response_info &Response, instant Now) {
+  // A malformed limit does not end the one that is known.
+  if (Response.NamesLimit && !Response.Limit)
+    return Log.warn(event_category::Upstream, "limit_unreadable",
+                    {{"upstream", Upstream}});
+  const auto Before = UpstreamLimits.limitOf(Upstream);
+  if (!UpstreamLimits.onResponse(Upstream, Response.Limit, Now))
+    return;
+  Metrics.LimitedUpstreams.Set(static_cast<double>(UpstreamLimits.size()));
+  constexpr double None = -1;
+  Log.info(event_category::Upstream, "limit_named",
+           {{"upstream", Upstream},
+            {"per_second", Response.Limit.value_or(None)},
+            {"before", Before.value_or(None)}});
+}
+
 void gateway_core::recordRefusal(refusal Refusal, std::string_view RequestId,
                                  int Status, span_ns RetryAfter) {
   Refusal.ConfigurationVersion = Routing ? Routing->Version : 0;
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -13,6 +13,7 @@
 #include "decisions/process/refusal_log.h"
 #include "decisions/process/segment_quarantine.h"
 #include "decisions/process/upstream_directory.h"
+#include "decisions/process/upstream_limits.h"
 #include "decisions/process/upstream_scheduler.h"
 #include "gateway/process/change_exchange.h"
 #include "gateway/process/event_log.h"
@@ -90,6 +91,7 @@
   client_connection_pool &links() { return Links; }
   upstream_directory &directory() { return Directory; }
   upstream_scheduler &scheduler() { return Scheduler; }
+  upstream_limits &upstreamLimits() { return UpstreamLimits; }
   instance_roster &roster() { return Roster; }
   const instance_roster &roster() const { return Roster; }
   freshness &configFreshness() { return ConfigFreshness; }
@@ -171,6 +173,10 @@
   /// Logs the segments that have been quarantined since the last call.
   void logQuarantinedSegments();
 
+  /// Records the limit that \p Response of \p Upstream names, if any.
+  void onUpstreamLimit(std::string_view Upstream, const response_info &Response,
+                       instant Now);
+
   /// Records, counts and logs a refusal.
   void recordRefusal(refusal Refusal, std::string_view RequestId, int Status,
                      span_ns RetryAfter);
@@ -205,6 +211,7 @@
   routing_table_ptr Routing;
   upstream_directory Directory;
   upstream_scheduler Scheduler;
+  upstream_limits UpstreamLimits;
   /// Generation of the directory that the scheduler knows.
   std::uint64_t ScheduledGeneration = 0;
   instance_roster Roster;
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -38,6 +38,8 @@
                                        "the configuration; -1 if none.")),
       Instances(addGauge("ebonyvale_instances",
                          "Instances that the limits are divided by.")),
+      LimitedUpstreams(addGauge("ebonyvale_limited_upstreams",
+                                "Upstreams that have named a limit.")),
       FirstChunkSeconds(addHistogram(
           "ebonyvale_first_part_seconds",
           "Time from a request to the first body chunk of its response.",
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -36,6 +36,7 @@
   prometheus::Gauge &RoutingVersion;
   prometheus::Gauge &ConfigurationAgeSeconds;
   prometheus::Gauge &Instances;
+  prometheus::Gauge &LimitedUpstreams;
   prometheus::Histogram &FirstChunkSeconds;
   prometheus::Histogram &ResponseSeconds;
 };
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -36,6 +36,12 @@
   bool OtherWeights;
 };
 
+struct limit_case {
+  char Value[32];
+  bool IsNumber;
+  double PerSecond;
+};
+
 } // namespace
 
 Test(platform_messages, a_request_is_parsed) {
@@ -163,6 +169,24 @@
   cr_assert(!Upstreams.eventWeights("id: 1\ndata: x\n\n"));
 }
 
+ParameterizedTestParameters(platform_messages, limits_in_responses) {
+  static limit_case Rows[] = {
+      {"1.8", true, 1.8}, {"0", true, 0},     {"25", true, 25},
+      {"-1", false, 0},   {"1.8x", false, 0}, {"1e400", false, 0},
+      {"inf", false, 0},  {"", false, 0},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(limit_case *Row, platform_messages, limits_in_responses) {
+  const response_info Info =
+      Upstreams.readResponse(headOf({{"Server-Limit", Row->Value}}), "i-1");
+  cr_assert(Info.NamesLimit);
+  cr_assert(Info.Limit.has_value() == Row->IsNumber, "%s", Row->Value);
+  cr_assert(Info.Limit.value_or(0) == Row->PerSecond, "%s", Row->Value);
+  cr_assert(!Upstreams.readResponse(headOf({}), "i-1").NamesLimit);
+}
+
 Test(platform_messages, orders_and_reports) {
   client_request Out;
   const std::string Body =
