Test: an upstream gets no more requests than the limit that it named

Cause: not mended yet. An upstream that names a limit gets as many requests as before, from one instance and from four.

--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -68,6 +68,8 @@
   void setOperatorTarget(const gateway_task &Other);
   /// Directs later requests of callers to \p Other.
   void setCallerTarget(const gateway_task &Other);
+  /// Directs later requests of callers to the first instance.
+  void targetFirst() { setCallerTarget(*Gateway); }
   /// Destroys the gateway without a graceful stop; the store keeps what it
   /// wrote.
   void kill() { Gateway.reset(); }
--- a/tests/platform/fake_upstream.cpp
+++ b/tests/platform/fake_upstream.cpp
@@ -62,6 +62,8 @@
   ReceivedRequests.push_back(Request);
   header_list Headers;
   Headers.add("Ebonyvale-Request-Id", RequestId);
+  if (Limit)
+    Headers.add("Server-Limit", fmt::format("{}", *Limit));
   const auto ExpectedWeights =
       Request.Head.Headers.find("Ebonyvale-Expect-Version");
   const bool OtherWeights =
--- a/tests/platform/fake_upstream.h
+++ b/tests/platform/fake_upstream.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,9 @@
   std::size_t Crashes = 0; ///< on that segment
   /// Time between two events of a stream; 0 sends all at once.
   span_ns EventInterval{0};
+  /// Requests per second that it takes from all instances together, as stated
+  /// in its responses; nothing: it names no limit.
+  std::optional<double> Limit;
   /// Called with each request that runs.
   std::function<void(const http_request &)> OnRun;
 
