Keep to the limits that upstreams name, over all instances

What callers saw: nothing yet. Reading it on each instance alone would not have been enough: eight instances would send eight times the limit. Change: upstream_limits keeps the limit of each upstream. A few instances, chosen by rendezvous hashing with the upstream's failure domain first, share it; each has a token bucket of one request, and the others send nothing there. News are sent to all peers at once and repeated with the load messages. A response that allows more counts from when its request was sent, as responses overtake each other. A limit below 0.25 a second is treated as 0.25, and one that nothing confirms for 30 s is forgotten, since only a response can tell that it has ended. Why it works: the number of instances that share a limit L is at most L + 2, so that 4 s bring at most 4 L + L + 2, below the 6 L + 5 that are allowed.

--- a/src/decisions/process/instance_roster.cpp
+++ b/src/decisions/process/instance_roster.cpp
@@ -54,18 +54,21 @@
 
 std::size_t instance_roster::quotaShareCount(instant Now,
                                              instant Started) const {
-  const bool Starting = Now - Started < StartupGrace;
-  const auto Counts = [&](const auto &Instance) {
-    const state &State = Instance.second;
-    return State.HasPresence || Starting ||
-           Now - State.AbsentSince < PresenceGrace;
-  };
-  const auto Count =
-      static_cast<std::size_t>(std::ranges::count_if(Instances, Counts));
   // This instance has a share even before its own entry has been read.
-  const auto OwnEntry = Instances.find(Self);
-  const bool SelfCounted = OwnEntry != Instances.end() && Counts(*OwnEntry);
-  return SelfCounted ? Count : Count + 1;
+  const auto Peers = std::ranges::count_if(Instances, [&](const auto &Listed) {
+    return Listed.first != Self && counts(Listed.second, Now, Started);
+  });
+  return static_cast<std::size_t>(Peers) + 1;
+}
+
+std::vector<std::pair<std::string_view, std::string_view>>
+instance_roster::countedPeers(instant Now, instant Started) const {
+  std::vector<std::pair<std::string_view, std::string_view>> Counted;
+  for (const auto &[Name, State] : Instances)
+    if (Name != Self && counts(State, Now, Started))
+      Counted.emplace_back(Name, State.Entry ? State.Entry->Domain
+                                             : std::string_view());
+  return Counted;
 }
 
 std::vector<std::string> instance_roster::staleEntries(instant Now) const {
--- a/src/decisions/process/instance_roster.h
+++ b/src/decisions/process/instance_roster.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace ebonyvale {
@@ -55,6 +56,12 @@
   /// \p Started is the start of this process.
   std::size_t quotaShareCount(instant Now, instant Started) const;
 
+  /// Returns the names and failure domains of the other instances that limits
+  /// are divided over, in the order of their names. The domain is empty where
+  /// it is not known.
+  std::vector<std::pair<std::string_view, std::string_view>>
+  countedPeers(instant Now, instant Started) const;
+
   /// Returns the other instances that have an entry and a presence, by name.
   const std::map<std::string, instance_endpoint, std::less<>> &peers() const {
     return Peers;
@@ -80,6 +87,12 @@
     instant AbsentSince; ///< valid without a presence
   };
 
+  /// Returns whether limits are divided over an instance in \p State.
+  static bool counts(const state &State, instant Now, instant Started) {
+    return State.HasPresence || Now - Started < StartupGrace ||
+           Now - State.AbsentSince < PresenceGrace;
+  }
+
   /// Updates `Peers` after a change of the instance \p Name.
   void updatePeer(std::string_view Name);
 
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -114,7 +114,10 @@
         oldWeightsCostMs(State, Query.Model, 0, Now);
     if (!Eligible)
       continue;
-    const instant Available = std::max(State.AvoidUntil, State.PausedUntil);
+    instant Available = std::max(State.AvoidUntil, State.PausedUntil);
+    if (Query.Limits)
+      Available = std::max(
+          Available, Query.Limits->availableAt(Id, State.Entry.Domain, Now));
     if (Now < Available)
       Set.AvailableAt = std::min(Set.AvailableAt, Available);
     else
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -16,6 +16,7 @@
 #include "decisions/process/cached_segments.h"
 #include "decisions/process/peer_loads.h"
 #include "decisions/process/upstream_directory.h"
+#include "decisions/process/upstream_limits.h"
 
 #include <cstdint>
 #include <map>
@@ -46,6 +47,7 @@
   span_ns TimeLeft{0};       ///< until the deadline
   span_ns Target{0};         ///< time to the first response chunk; 0 for none
   std::span<const std::string> Tried; ///< upstreams that are excluded
+  upstream_limits *Limits = nullptr;  ///< named by upstreams; null for none
 };
 
 /// Load of an upstream, as reported in a response.
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -88,6 +88,16 @@
   return Listed;
 }
 
+/// A limit that has ended has no number.
+json encodeLimits(std::span<const named_limit> Limits, instant Now) {
+  json Listed = json::array();
+  for (const named_limit &Limit : Limits)
+    Listed.push_back({Limit.Upstream,
+                      Limit.PerSecond ? json(*Limit.PerSecond) : json(),
+                      millis(Now - Limit.At)});
+  return Listed;
+}
+
 std::string decodeBytes(const json &Value) {
   const auto &Bytes = Value.get_binary();
   return {Bytes.begin(), Bytes.end()};
@@ -296,6 +306,11 @@
   sendToAll({{"k", "weights"}, {"u", Upstream}, {"m", Model}, {"n", Version}});
 }
 
+void peer_gossip::sendLimit(const named_limit &Limit) {
+  sendToAll(
+      {{"k", "limit"}, {"c", encodeLimits({&Limit, 1}, readBootClock())}});
+}
+
 void peer_gossip::sendDomainHints() {
   const auto &Peers = Core.roster().peers();
   const auto Receivers = Hints.otherDomains(Peers);
@@ -339,7 +354,9 @@
     sendDomainHints();
   const gossip_receivers Receivers = Schedule.next(Peers);
   json NewHints = encodeHints(Hints.takeFor(Receivers.Near));
-  const bool IsIdle = Loads.empty() && Reports.empty() && NewHints.empty();
+  const auto Limits = Core.upstreamLimits().ownSince(Since);
+  const bool IsIdle =
+      Loads.empty() && Reports.empty() && NewHints.empty() && Limits.empty();
   if (IsIdle && std::exchange(IdleSent, true))
     return;
   IdleSent = IsIdle;
@@ -357,6 +374,8 @@
   if (const auto Quarantined = Core.segmentQuarantine().quarantined(Now);
       !Quarantined.empty())
     Message["x"] = encodeQuarantined(Quarantined);
+  if (!Limits.empty())
+    Message["c"] = encodeLimits(Limits, Now);
   const auto SendTo = [&](std::span<const std::string_view> Names) {
     if (Names.empty())
       return;
@@ -401,6 +420,17 @@
   Hints.onPeerHints(From, Received, Core.roster().peers());
 }
 
+void peer_gossip::handleLimits(const json &Listed, instant Now) {
+  for (const json &Entry : Listed) {
+    named_limit Limit{
+        Entry.at(0), std::nullopt,
+        Now - std::chrono::milliseconds(Entry.at(2).get<std::int64_t>())};
+    if (!Entry.at(1).is_null())
+      Limit.PerSecond = Entry.at(1).get<double>();
+    Core.onPeerLimit(Limit, Now);
+  }
+}
+
 void peer_gossip::handleQuarantined(const std::string &From,
                                     const json &Listed) {
   std::vector<quarantined_segment> Segments;
@@ -439,6 +469,10 @@
     handleHints(From, Message);
     if (const auto Listed = Message.find("x"); Listed != Message.end())
       handleQuarantined(From, *Listed);
+    if (const auto Listed = Message.find("c"); Listed != Message.end())
+      handleLimits(*Listed, Now);
+  } else if (Kind == "limit") {
+    handleLimits(Message.at("c"), Now);
   } else if (Kind == "hints") {
     handleHints(From, Message);
   } else if (Kind == "poll") {
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -45,12 +45,14 @@
                    const change_response &Response) override;
   void sendWeights(const std::string &Upstream, const std::string &Model,
                    std::int64_t Version) override;
+  void sendLimit(const named_limit &Limit) override;
 
 private:
   static void onReadable(evutil_socket_t, short, void *Self);
   void onDatagram(std::string_view Bytes);
   void handleMessage(const std::string &From, const nlohmann::json &Message);
   void handleHints(const std::string &From, const nlohmann::json &Message);
+  void handleLimits(const nlohmann::json &Listed, instant Now);
   void handleQuarantined(const std::string &From, const nlohmann::json &Listed);
   void sendLoad();
   /// Sends the hints of the failure domain to other domains, if this instance
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -79,7 +79,7 @@
       Links(Base, client_pool_options{}),
       Scheduler(schedulerOptions(Settings), Settings.Domain,
                 regionsOf(Settings.Domains)),
-      Roster(Settings.InstanceName),
+      UpstreamLimits(Settings.InstanceName), Roster(Settings.InstanceName),
       FreshnessOptions(freshnessOptionsOf(Settings)),
       Shares(ledgerOptions(), Started, Boot), Crashes(crash_tracker_options{}),
       SegmentQuarantine(segment_quarantine_options{}),
@@ -174,6 +174,7 @@
     Log.info(event_category::Peer, "limits_divided",
              {{"instances", Count}, {"before", DividedBy}});
   DividedBy = Count;
+  updateUpstreamLimits(Now);
   std::vector<std::string> Names;
   for (const team_entry &Team : Routing->Teams) {
     if (Team.Rate <= 0)
@@ -275,20 +276,50 @@
 }
 
 void gateway_core::onUpstreamLimit(std::string_view Upstream,
-                                   const response_info &Response, instant Now) {
+                                   const response_info &Response,
+                                   instant SentAt, instant Now) {
   // A malformed limit does not end the one that is known.
   if (Response.NamesLimit && !Response.Limit)
     return Log.warn(event_category::Upstream, "limit_unreadable",
                     {{"upstream", Upstream}});
   const auto Before = UpstreamLimits.limitOf(Upstream);
-  if (!UpstreamLimits.onResponse(Upstream, Response.Limit, Now))
+  if (!UpstreamLimits.onResponse(Upstream, Response.Limit, SentAt, Now))
     return;
-  Metrics.LimitedUpstreams.Set(static_cast<double>(UpstreamLimits.size()));
+  onLimitChanged(Upstream, Before, /*FromPeer=*/false, Now);
+  if (!Messenger)
+    return;
+  for (const named_limit &Limit : UpstreamLimits.ownSince(Now))
+    if (Limit.Upstream == Upstream)
+      Messenger->sendLimit(Limit);
+}
+
+void gateway_core::onPeerLimit(const named_limit &Limit, instant Now) {
+  const auto Before = UpstreamLimits.limitOf(Limit.Upstream);
+  if (UpstreamLimits.onPeerLimit(Limit, Now))
+    onLimitChanged(Limit.Upstream, Before, /*FromPeer=*/true, Now);
+}
+
+void gateway_core::onLimitChanged(std::string_view Upstream,
+                                  std::optional<double> Before, bool FromPeer,
+                                  instant Now) {
+  updateUpstreamLimits(Now);
   constexpr double None = -1;
   Log.info(event_category::Upstream, "limit_named",
            {{"upstream", Upstream},
-            {"per_second", Response.Limit.value_or(None)},
-            {"before", Before.value_or(None)}});
+            {"per_second", UpstreamLimits.limitOf(Upstream).value_or(None)},
+            {"before", Before.value_or(None)},
+            {"from_peer", FromPeer}});
+}
+
+void gateway_core::updateUpstreamLimits(instant Now) {
+  if (!RosterKnown || UpstreamLimits.empty())
+    return;
+  UpstreamLimits.expire(Now);
+  Metrics.LimitedUpstreams.Set(static_cast<double>(UpstreamLimits.count()));
+  std::vector<limit_member> Members{{Settings.InstanceName, Settings.Domain}};
+  for (const auto &[Name, Domain] : Roster.countedPeers(Now, Started))
+    Members.push_back({std::string(Name), std::string(Domain)});
+  UpstreamLimits.setMembers(std::move(Members));
 }
 
 void gateway_core::recordRefusal(refusal Refusal, std::string_view RequestId,
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -67,6 +67,8 @@
   /// Reports to all peers that \p Upstream has loaded new weights.
   virtual void sendWeights(const std::string &Upstream,
                            const std::string &Model, std::int64_t Version) = 0;
+  /// Reports to all peers that an upstream has named a limit, or ended it.
+  virtual void sendLimit(const named_limit &Limit) = 0;
 };
 
 /// Adapters to the platform in use.
@@ -174,8 +176,14 @@
   void logQuarantinedSegments();
 
   /// Records the limit that \p Response of \p Upstream names, if any.
+  /// The request was sent at \p SentAt.
   void onUpstreamLimit(std::string_view Upstream, const response_info &Response,
-                       instant Now);
+                       instant SentAt, instant Now);
+  /// Records a limit that a peer has learned of.
+  void onPeerLimit(const named_limit &Limit, instant Now);
+  /// Passes the instances that share the limits of upstreams on, and forgets
+  /// limits that nothing confirms.
+  void updateUpstreamLimits(instant Now);
 
   /// Records, counts and logs a refusal.
   void recordRefusal(refusal Refusal, std::string_view RequestId, int Status,
@@ -193,6 +201,8 @@
   bool leaving() const { return Leaving; }
 
 private:
+  void onLimitChanged(std::string_view Upstream, std::optional<double> Before,
+                      bool FromPeer, instant Now);
   /// Executes the actions of the quota share ledger.
   void execute(const std::vector<quota_action> &Actions);
   void armShareTimer();
--- a/src/gateway/process/membership_task.cpp
+++ b/src/gateway/process/membership_task.cpp
@@ -122,6 +122,7 @@
 void membership_task::onTick() {
   const instant Now = readBootClock();
   Core.updateShares(Now);
+  Core.updateUpstreamLimits(Now);
   std::vector<std::string> Peers;
   for (const auto &[Name, Entry] : Core.roster().peers())
     Peers.push_back(Name);
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -65,7 +65,7 @@
   Response = Head;
   Core.scheduler().onResponse(Choice->Upstream, Now - SentAt, ResponseInfo.Load,
                               Now);
-  Core.onUpstreamLimit(Choice->Upstream, ResponseInfo, Now);
+  Core.onUpstreamLimit(Choice->Upstream, ResponseInfo, SentAt, Now);
   if (ResponseInfo.Weights && !ParsedRequest.Model.empty()) {
     Core.scheduler().onWeights(Choice->Upstream, ParsedRequest.Model,
                                *ResponseInfo.Weights);
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -149,6 +149,7 @@
   Query.TimeLeft = timeLeft(Now);
   Query.Target = Route->Target;
   Query.Tried = Tried;
+  Query.Limits = &Core.upstreamLimits();
   return Query;
 }
 
@@ -223,6 +224,7 @@
   Splitter = {};
   Boundaries = {};
   Core.scheduler().onSent(Chosen, makeQuery(Now), Now);
+  Core.upstreamLimits().onSent(Chosen.Upstream, Now);
   if (Flow.attempts() > 0)
     Core.counters().Retries.Increment();
   Flow.onSent();
