--- a/src/decisions/process/upstream_limits.cpp
+++ b/src/decisions/process/upstream_limits.cpp
@@ -24,9 +24,10 @@
 } // namespace
 
 std::size_t limitHolders(double PerSecond, std::size_t Members) {
-  constexpr double Extra = 2;
-  const double Holders =
-      std::min(PerSecond + Extra, static_cast<double>(Members));
+  constexpr double Extra = 3;
+  constexpr double HoldersPerLimit = 1.5;
+  const double Holders = std::min(HoldersPerLimit * PerSecond + Extra,
+                                  static_cast<double>(Members));
   return std::max<std::size_t>(1, static_cast<std::size_t>(Holders));
 }
 
