Soak: upstreams name limits, and the platform's rule is checked

Change: fake upstreams name limits that change and end, drawn apart from the other events of a seed, beside restarts, freezes and cuts of gateways; the checker applies the rule to what each upstream gets from gateways that had passed on a response with a limit.

--- a/tests/platform/fake_upstream.cpp
+++ b/tests/platform/fake_upstream.cpp
@@ -60,6 +60,8 @@
   const std::string RequestId(
       Request.Head.Headers.find("Ebonyvale-Request-Id").value_or(""));
   ReceivedRequests.push_back(Request);
+  if (OnArrival)
+    OnArrival(Request);
   header_list Headers;
   Headers.add("Ebonyvale-Request-Id", RequestId);
   if (Limit)
@@ -96,7 +98,7 @@
 void fake_upstream::respond(const std::shared_ptr<server_connection> &Link,
                             const http_request &Request, header_list Headers) {
   const std::string_view Path = targetPath(Request.Head.Target);
-  Headers.add("Ebonyvale-Server-Seal", "seal-" + Id);
+  Headers.add("Ebonyvale-Server-Seal", std::string(Seal) + Id);
   Headers.add("Ebonyvale-Weight-Versions", std::to_string(Weights));
   if (Behavior == upstream_behavior::Hold) {
     Held.push_back(Link);
--- a/tests/platform/fake_upstream.h
+++ b/tests/platform/fake_upstream.h
@@ -39,6 +39,7 @@
   std::string entryAt(std::uint16_t Port, std::string_view Service,
                       bool Draining) const;
   std::string key() const { return "servers/" + Id; }
+  const std::string &id() const { return Id; }
   /// Continues as a new process at the same address.
   void restartAs(std::string NewId) { Id = std::move(NewId); }
 
@@ -66,6 +67,8 @@
   /// Requests per second that it takes from all instances together, as stated
   /// in its responses; nothing: it names no limit.
   std::optional<double> Limit;
+  /// Called with each request that arrives, also one that is refused.
+  std::function<void(const http_request &)> OnArrival;
   /// Called with each request that runs.
   std::function<void(const http_request &)> OnRun;
 
@@ -75,6 +78,8 @@
   /// Returns the number of held requests whose connection is still open.
   std::size_t openHeldRequests() const;
 
+  /// Begins the value of the header that only upstreams add; the id follows.
+  static constexpr std::string_view Seal = "seal-";
   static constexpr int Events = 6; ///< of a complete stream
   /// Returns the bytes of the events after \p After up to \p Last.
   static std::string events(int After, int Last = Events);
--- a/tests/soak/guarantee_checker.h
+++ b/tests/soak/guarantee_checker.h
@@ -74,6 +74,9 @@
   /// has ended.
   void finish();
 
+  /// Returns the gateway that the request \p Id was sent to.
+  std::optional<std::size_t> gatewayOf(std::string_view Id) const;
+
   /// Returns the violations found so far, one line each.
   const std::vector<std::string> &violations() const { return Violations; }
   std::size_t requestCount() const { return Requests.size(); }
--- a/tests/soak/soak_environment.cpp
+++ b/tests/soak/soak_environment.cpp
@@ -70,6 +70,11 @@
     Response.Status = Head.Status;
     Response.FromUpstream =
         Head.Headers.find("Ebonyvale-Server-Seal").has_value();
+    const auto Seal = Head.Headers.find("Ebonyvale-Server-Seal");
+    if (Seal && Head.Headers.find("Server-Limit"))
+      Environment.LimitChecker.onPassedOn(
+          Seal->substr(fake_upstream::Seal.size()), Request.Gateway,
+          readBootClock());
     const auto Id = Head.Headers.find("Ebonyvale-Request-Id");
     if (Id && *Id != Request.Id)
       Environment.Violations.push_back(
@@ -188,6 +193,13 @@
   Upstream.Process->Weights = Weights;
   Upstream.Process->Delay = std::chrono::milliseconds(Delay(Random));
   Upstream.Process->EventInterval = std::chrono::milliseconds(Delay(Random));
+  Upstream.Process->OnArrival =
+      [this, Process = Upstream.Process.get()](const http_request &Request) {
+        const auto Gateway = Checker.gatewayOf(
+            Request.Head.Headers.find("Ebonyvale-Request-Id").value_or(""));
+        if (Gateway)
+          LimitChecker.onArrival(Process->id(), *Gateway, readBootClock());
+      };
   Upstream.Process->OnRun = [this](const http_request &Request) {
     Checker.onExecution(
         Request.Head.Headers.find("Ebonyvale-Request-Id").value_or(""),
@@ -196,6 +208,12 @@
   Upstream.Proxy->setTarget(Upstream.Process->port());
 }
 
+void soak_environment::nameLimit(fake_upstream &Process,
+                                 std::optional<double> PerSecond) {
+  Process.Limit = PerSecond;
+  LimitChecker.onLimit(Process.id(), PerSecond, readBootClock());
+}
+
 void soak_environment::publishUpstream(upstream &Upstream, bool Draining) {
   Store.put(Upstream.Process->key(),
             Upstream.Process->entryAt(Upstream.Proxy->port(), "s", Draining));
@@ -210,8 +228,10 @@
 
 void soak_environment::tick() {
   const instant Now = readBootClock();
-  if (LastTick != instant{} && Now - LastTick > TickInterval + TickTolerance)
+  if (LastTick != instant{} && Now - LastTick > TickInterval + TickTolerance) {
     Checker.onStall(Now - LastTick, Now);
+    LimitChecker.onStall(Now - LastTick);
+  }
   LastTick = Now;
   for (const auto &Gateway : Gateways) {
     if (Gateway->Process->running()) {
@@ -264,12 +284,15 @@
   case soak_event_kind::Upstream:
   case soak_event_kind::Replacement:
   case soak_event_kind::Draining:
+  case soak_event_kind::NamedLimit:
     return applyToUpstream(Event, Upstream);
   case soak_event_kind::Compaction:
     return Store.compactHistory();
   case soak_event_kind::KillAll:
-    for (const auto &Each : Gateways)
+    for (const auto &Each : Gateways) {
+      LimitChecker.onGatewayFault(Each->Index, readBootClock());
       Each->kill();
+    }
     return;
   case soak_event_kind::KeyWithdrawal:
     if (Keys.size() > 1) {
@@ -295,6 +318,11 @@
 
 void soak_environment::applyToGateway(const soak_event &Event,
                                       soak_gateway &Gateway) {
+  if (Event.Kind == soak_event_kind::Terminate ||
+      Event.Kind == soak_event_kind::Kill ||
+      Event.Kind == soak_event_kind::Pause)
+    LimitChecker.onGatewayFault(Gateway.Index,
+                                readBootClock() + Event.Duration);
   if (Event.Kind == soak_event_kind::Terminate) {
     if (Gateway.StoppingSince == instant{})
       Gateway.StoppingSince = readBootClock();
@@ -340,6 +368,8 @@
   switch (Event.Kind) {
   case soak_event_kind::UpstreamLink:
     Checker.onUpstreamLinkFault(readBootClock() + Event.Duration);
+    LimitChecker.onLinkFault(Upstream.Process->id(),
+                             readBootClock() + Event.Duration);
     return injectFault(*Upstream.Proxy, Event);
   case soak_event_kind::Upstream: {
     // Up to `Hold`: `Replacement` covers another process at the address, and
@@ -352,6 +382,18 @@
       Process->Behavior = upstream_behavior::Respond;
     });
   }
+  case soak_event_kind::NamedLimit: {
+    constexpr std::array<double, 4> Limits{0.5, 2, 5, 12};
+    fake_upstream *Process = Upstream.Process.get();
+    const double Limit =
+        Limits[static_cast<std::size_t>(Event.Variant) % Limits.size()];
+    nameLimit(*Process, Limit);
+    return schedule(Event.Duration, [this, Process, Limit] {
+      // A later event may have changed the limit.
+      if (Process->Limit == Limit)
+        nameLimit(*Process, std::nullopt);
+    });
+  }
   case soak_event_kind::Replacement: {
     const std::string OldKey = Upstream.Process->key();
     startUpstream(Upstream);
@@ -426,6 +468,7 @@
   for (const auto &Upstream : Upstreams) {
     Upstream->Proxy->setFault(proxy_fault::None);
     Upstream->Process->Behavior = upstream_behavior::Respond;
+    nameLimit(*Upstream->Process, std::nullopt);
     Upstream->Draining = false;
     publishUpstream(*Upstream, false);
   }
@@ -484,6 +527,8 @@
   Result.Violations = Checker.violations();
   Result.Violations.insert(Result.Violations.end(), Violations.begin(),
                            Violations.end());
+  std::ranges::move(LimitChecker.violations(),
+                    std::back_inserter(Result.Violations));
   Result.RequestCount = Checker.requestCount();
   Result.StatusCounts = Checker.statusCounts();
   return Result;
--- a/tests/soak/soak_environment.h
+++ b/tests/soak/soak_environment.h
@@ -8,6 +8,7 @@
 #include "net/client_connection.h"
 #include "platform/fake_upstream.h"
 #include "soak/guarantee_checker.h"
+#include "soak/limit_checker.h"
 #include "soak/loopback_proxy.h"
 #include "soak/soak_gateway.h"
 #include "soak/soak_plan.h"
@@ -62,6 +63,8 @@
   void injectFault(loopback_proxy &Proxy, const soak_event &Event);
   void publishUpstream(upstream &Upstream, bool Draining);
   void startUpstream(upstream &Upstream);
+  /// Lets \p Process name \p PerSecond, or no limit.
+  void nameLimit(fake_upstream &Process, std::optional<double> PerSecond);
   /// Runs the event loop until \p Done returns true, at most for \p Timeout;
   /// returns the last result of \p Done.
   bool waitFor(const std::function<bool()> &Done, span_ns Timeout);
@@ -75,6 +78,7 @@
   fake_fleet_store Store;
   client_connection_pool Pool;
   guarantee_checker Checker;
+  limit_checker LimitChecker;
   std::vector<std::unique_ptr<soak_gateway>> Gateways;
   std::vector<std::unique_ptr<upstream>> Upstreams;
   /// Replaced upstream processes, kept for requests still on their way to them.
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak_plan.h"
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -9,13 +10,34 @@
 namespace {
 
 constexpr std::array<std::string_view, SoakEventKinds> Names{
-    "caller link", "store link",  "upstream link",  "store",     "compaction",
-    "upstream",    "replacement", "draining",       "terminate", "kill",
-    "kill all",    "pause",       "key withdrawal", "version",   "weights"};
+    "caller link",    "store link", "upstream link", "store",
+    "compaction",     "upstream",   "replacement",   "draining",
+    "terminate",      "kill",       "kill all",      "pause",
+    "key withdrawal", "version",    "weights",       "named limit"};
 
-/// Relative frequency of each kind.
-constexpr std::array<double, SoakEventKinds> Weights{6, 6, 8, 8, 3, 10, 3, 3,
-                                                     4, 4, 1, 5, 4, 4,  3};
+/// Relative frequency of each kind but `NamedLimit`.
+constexpr std::array<double, SoakEventKinds - 1> Weights{
+    6, 6, 8, 8, 3, 10, 3, 3, 4, 4, 1, 5, 4, 4, 3};
+
+/// Appends events of \p Kind to \p Plan. They are drawn from numbers of their
+/// own, so that the other events of a seed stay as they are.
+void appendEvents(std::vector<soak_event> &Plan, soak_event_kind Kind,
+                  std::uint32_t Seed, span_ns Length, span_ns MeanGap,
+                  span_ns MaxDuration) {
+  std::seed_seq Sequence{Seed, static_cast<std::uint32_t>(Kind)};
+  std::mt19937 Random(Sequence);
+  std::exponential_distribution<double> Gap(1 / toMs(MeanGap));
+  std::uniform_real_distribution<double> DurationMs(toMs(MaxDuration) / 4,
+                                                    toMs(MaxDuration));
+  std::uniform_int_distribution<int> AnyInteger(0, 1 << 20);
+  for (span_ns At = fromMs(Gap(Random)); At < Length;
+       At += fromMs(Gap(Random))) {
+    soak_event Event{Kind, At, fromMs(DurationMs(Random)), 0, 0};
+    Event.Target = static_cast<std::size_t>(AnyInteger(Random));
+    Event.Variant = AnyInteger(Random);
+    Plan.push_back(Event);
+  }
+}
 
 } // namespace
 
@@ -41,6 +63,9 @@
     Event.Variant = AnyInteger(Random);
     Plan.push_back(Event);
   }
+  appendEvents(Plan, soak_event_kind::NamedLimit, Seed, Size.Length,
+               Size.LimitGap, std::chrono::seconds(10));
+  std::ranges::stable_sort(Plan, {}, &soak_event::At);
   return Plan;
 }
 
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -29,8 +29,9 @@
   KeyWithdrawal, ///< a key is withdrawn
   NewVersion,    ///< a new configuration adds a key
   NewWeights,    ///< a newer weights version is published
+  NamedLimit,    ///< an upstream names a limit, or another one than before
 };
-inline constexpr int SoakEventKinds = 15;
+inline constexpr int SoakEventKinds = 16;
 
 /// Returns the name of \p Kind in plans.
 std::string_view soakEventKindName(soak_event_kind Kind);
@@ -52,6 +53,8 @@
   span_ns Length = std::chrono::seconds(8);
   /// Mean time between two events.
   span_ns Gap = std::chrono::milliseconds(350);
+  /// Mean time between two upstreams that name a limit.
+  span_ns LimitGap = std::chrono::milliseconds(4000);
 };
 
 /// Returns the events of a run in order of time. The same seed and size give
