Log when the store was restored and which documents are older

Change: the era in the store's responses is read; store_restored and document_older are logged. Nothing else depends on them yet.

--- a/src/gateway/process/fleet_store.h
+++ b/src/gateway/process/fleet_store.h
@@ -34,7 +34,9 @@
   store_status Status = store_status::NoAnswer;
   std::vector<store_item> Items;
   std::int64_t Revision = 0; ///< of the store at the read
-  instant SentAt;            ///< when the call was sent
+  /// Number of times that the store was restored from an older copy.
+  std::int64_t Era = 0;
+  instant SentAt; ///< when the call was sent
 };
 
 /// Requires that \p Key has \p Revision; 0: that it does not exist.
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -62,6 +62,20 @@
                     {{"call", Call}, {"status", storeStatusName(Status)}});
 }
 
+void store_follower::recordEra(const store_items &Items) {
+  const bool Reached = Items.Status == store_status::Ok ||
+                       Items.Status == store_status::HistoryGone;
+  if (!Reached || Era == Items.Era)
+    return;
+  if (Era)
+    Core.log().warn(event_category::Store, "store_restored",
+                    {{"era", Items.Era},
+                     {"before", *Era},
+                     {"revision", Items.Revision},
+                     {"revision_before", Revision}});
+  Era = Items.Era;
+}
+
 span_ns store_follower::backOff(unsigned Failures) const {
   constexpr unsigned MaxDoublings = 4;
   const unsigned Doublings =
@@ -105,6 +119,7 @@
 void store_follower::onOperators(const store_items &Items) {
   Reading = false;
   recordCall("read_operators", Items.Status, ReadFailures);
+  recordEra(Items);
   if (Items.Status != store_status::Ok) {
     ReadTimer.startOnce(backOff(ReadFailures));
     return;
@@ -123,6 +138,7 @@
 
 void store_follower::onUpstreamListing(const store_items &Items) {
   recordCall("list_upstreams", Items.Status, WatchFailures);
+  recordEra(Items);
   if (Items.Status != store_status::Ok) {
     WatchTimer.startOnce(backOff(WatchFailures));
     return;
@@ -155,6 +171,7 @@
 
 void store_follower::onFleetListing(const store_items &Items) {
   recordCall("list_own", Items.Status, WatchFailures);
+  recordEra(Items);
   if (Items.Status != store_status::Ok) {
     WatchTimer.startOnce(backOff(WatchFailures));
     return;
@@ -171,6 +188,7 @@
 
 void store_follower::onChanges(const store_items &Changes) {
   recordCall("watch", Changes.Status, WatchFailures);
+  recordEra(Changes);
   if (Changes.Status != store_status::Ok) {
     // After an outage entries may have lapsed, and after a compacted history
     // changes may have been missed.
@@ -283,8 +301,14 @@
 
 void store_follower::handleOperatorItem(const store_item &Item) {
   operator_state &State = OperatorStates[Item.Key];
-  if (Item.Removed || Item.Revision <= State.Revision)
+  if (Item.Removed || Item.Revision <= State.Revision) {
+    if (Item.Revision < State.Revision)
+      Core.log().warn(event_category::Store, "document_older",
+                      {{"key", Item.Key},
+                       {"revision", Item.Revision},
+                       {"known", State.Revision}});
     return;
+  }
   State.Revision = Item.Revision;
   State.Value.reset();
   if (Item.Value.size() <= MaxRelayedBytes)
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -85,6 +85,9 @@
   /// all upstreams, so this is done once for a sequence of batches.
   void notifyOfDirectory();
 
+  /// Logs when the store was restored from an older copy.
+  void recordEra(const store_items &Items);
+
   /// Counts a call, and logs when the store becomes reachable or unreachable.
   /// \p Failures counts the failed calls of the loop.
   void recordCall(std::string_view Call, store_status Status,
@@ -98,8 +101,9 @@
   fleet_store &Store;
   std::string FleetPrefix;
   follower_observer &Observer;
-  std::int64_t Revision = 0; ///< last revision received
-  bool Listed = false;       ///< a complete listing precedes the watch
+  std::int64_t Revision = 0;       ///< last revision received
+  std::optional<std::int64_t> Era; ///< last era received
+  bool Listed = false;             ///< a complete listing precedes the watch
   bool Connected = false;
   bool AnyCallRecorded = false;
   bool OutageSinceListing = false;
