Test: a store that returns from an older copy

Change: the fake store keeps a copy and returns to it: later writes and leases are gone, revisions are given out again, and what operators and upstreams wrote is written again at once or later.

--- a/src/fakes/fake_fleet_store.cpp
+++ b/src/fakes/fake_fleet_store.cpp
@@ -1,5 +1,8 @@
 #include "fakes/fake_fleet_store.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace ebonyvale {
 namespace {
 
@@ -28,10 +31,33 @@
 }
 
 void fake_fleet_store::put(const std::string &Key, std::string Value) {
+  SinceCopy.push_back({Key, Value});
   Model.put(Key, std::move(Value), 0);
 }
 
+void fake_fleet_store::saveCopy() {
+  Copy = Model;
+  SinceCopy.clear();
+}
+
+void fake_fleet_store::restoreCopy(span_ns After) {
+  Model = Copy;
+  ++Era;
+  CompactRevision = std::min(CompactRevision, Model.revision());
+  const auto WriteAgain = [this, Writes = std::exchange(SinceCopy, {})] {
+    for (const external_write &Write : Writes)
+      if (Write.Value)
+        put(Write.Key, *Write.Value);
+      else
+        erase(Write.Key);
+  };
+  if (After == span_ns(0))
+    return WriteAgain();
+  callAfter(Base, After, WriteAgain);
+}
+
 void fake_fleet_store::erase(const std::string &Key) {
+  SinceCopy.push_back({Key, std::nullopt});
   Model.eraseRange(Key, Key + '\0');
 }
 
@@ -69,7 +95,8 @@
     if (Fault == store_fault::Down && Now < Watch.Deadline)
       return false;
     Found.Status = statusFor(Fault);
-  } else if (Watch.Revision < CompactRevision) {
+  } else if (Watch.Revision < CompactRevision ||
+             Watch.Revision > Model.revision()) {
     Found.Status = store_status::HistoryGone;
   } else {
     Found.Status = store_status::Ok;
--- a/src/fakes/fake_fleet_store.h
+++ b/src/fakes/fake_fleet_store.h
@@ -12,8 +12,10 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace ebonyvale {
 
@@ -49,6 +51,15 @@
   /// end with `HistoryGone`.
   void compactHistory() { CompactRevision = Model.revision(); }
 
+  /// Copies the content, for `restoreCopy`.
+  void saveCopy();
+  /// Returns to the copy: what was written since is gone, leases too, and
+  /// revisions are given out again. What operators and upstreams had written
+  /// since is written again \p After.
+  void restoreCopy(span_ns After = span_ns(0));
+  /// Returns the number of times that the store was restored.
+  std::int64_t era() const { return Era; }
+
   /// Time from a call to its write under `DelayedWrites`.
   static constexpr span_ns WriteDelay = std::chrono::milliseconds(120);
 
@@ -79,8 +90,17 @@
   /// Applies \p Commit if all conditions hold and all its leases exist.
   store_status execute(const store_commit &Commit);
 
+  /// A write of operators or upstreams; without a value a removal.
+  struct external_write {
+    std::string Key;
+    std::optional<std::string> Value;
+  };
+
   event_base *Base;
   key_value_model Model;
+  key_value_model Copy;
+  std::vector<external_write> SinceCopy; ///< in the order of the writes
+  std::int64_t Era = 0;
   std::map<std::string, store_fault> Faults;
   std::list<pending_watch> Watches;
   std::int64_t CompactRevision = 0;
--- a/tests/platform/fake_upstream.cpp
+++ b/tests/platform/fake_upstream.cpp
@@ -159,6 +159,7 @@
                                 const http_request &Request) {
   if (Request.Head.Method == "POST") {
     const auto Order = nlohmann::json::parse(Request.Body, nullptr, false);
+    Fences.push_back(Order.value("fencingToken", std::int64_t{0}));
     constexpr int Conflict = 409;
     if (Order.value("expected", std::int64_t{-1}) != Orders) {
       ++Conflicts;
--- a/tests/platform/fake_upstream.h
+++ b/tests/platform/fake_upstream.h
@@ -56,6 +56,8 @@
 
   /// Number of orders with a wrong count of accepted orders.
   std::size_t Conflicts = 0;
+  /// Fencing tokens of the orders, in the order of their arrival.
+  std::vector<std::int64_t> Fences;
   /// Time from running a request to its response.
   span_ns Delay{0};
   /// Name of a prompt segment on which the upstream crashes when it begins to
