Order the store's changes across a restore from an older copy

Cause: a restored store gives its revisions out again. Documents with a revision below the known one were ignored, a watch went on from a revision that the store did not have, and fencing tokens, which are revisions, would have gone back. Change: a revision holds the store's era above its counter (store_revision.h), so that it never goes back; platform/ translates. A watch from an earlier era lists again, a listing across a restore is none, and a condition on an earlier era's revision is not met. Upstreams that a restored store lacks are kept as after an outage. Why it works: everything that compares revisions (documents, the change log, peers' polls, fences) orders a change after the return behind all before.

--- a/src/fakes/fake_fleet_store.cpp
+++ b/src/fakes/fake_fleet_store.cpp
@@ -13,8 +13,9 @@
 /// Returns the exclusive end of the key range of \p Prefix.
 std::string prefixEnd(const std::string &Prefix) { return Prefix + '\xff'; }
 
-store_item makeItem(const key_value &Entry, bool Removed) {
-  return {Entry.Key, Removed ? "" : Entry.Value, Entry.ModRevision, Removed};
+store_item makeItem(const key_value &Entry, std::int64_t Revision,
+                    bool Removed) {
+  return {Entry.Key, Removed ? "" : Entry.Value, Revision, Removed};
 }
 
 /// Returns the status of a call that \p Fault makes fail.
@@ -95,21 +96,21 @@
     if (Fault == store_fault::Down && Now < Watch.Deadline)
       return false;
     Found.Status = statusFor(Fault);
-  } else if (Watch.Revision < CompactRevision ||
-             Watch.Revision > Model.revision()) {
+  } else if (eraOf(Watch.Revision) != Era ||
+             counterOf(Watch.Revision) < CompactRevision ||
+             counterOf(Watch.Revision) > Model.revision()) {
     Found.Status = store_status::HistoryGone;
   } else {
     Found.Status = store_status::Ok;
     if (Fault == store_fault::EmptyWatches) {
       Found.Revision = Watch.Revision;
     } else {
-      Found.Revision = Model.revision();
-      for (const key_change &Change : Model.changesSince(
-               Watch.Revision + 1, Watch.Prefix, prefixEnd(Watch.Prefix))) {
-        store_item Item = makeItem(Change.Entry, Change.Deleted);
-        Item.Revision = Change.Revision;
-        Found.Items.push_back(std::move(Item));
-      }
+      Found.Revision = revision();
+      for (const key_change &Change :
+           Model.changesSince(counterOf(Watch.Revision) + 1, Watch.Prefix,
+                              prefixEnd(Watch.Prefix)))
+        Found.Items.push_back(makeItem(
+            Change.Entry, storeRevision(Era, Change.Revision), Change.Deleted));
     }
     if (Found.Items.empty() && Now < Watch.Deadline)
       return false;
@@ -133,9 +134,10 @@
   }
   ++Store.ListCalls;
   Found.Status = store_status::Ok;
-  Found.Revision = Store.Model.revision();
+  Found.Revision = Store.revision();
   for (const key_value &Entry : Store.Model.range(Prefix, prefixEnd(Prefix)))
-    Found.Items.push_back(makeItem(Entry, false));
+    Found.Items.push_back(
+        makeItem(Entry, storeRevision(Store.Era, Entry.ModRevision), false));
   callLater(Store.Base, [Done = std::move(Done), Found] { Done(Found); });
 }
 
@@ -168,7 +170,9 @@
   Model.expire(readBootClock());
   for (const store_condition &Condition : Commit.Conditions) {
     const auto Entry = Model.get(Condition.Key);
-    if ((Entry ? Entry->ModRevision : 0) != Condition.Revision)
+    const std::int64_t Current =
+        Entry ? storeRevision(Era, Entry->ModRevision) : 0;
+    if (Current != Condition.Revision)
       return store_status::Conflict;
   }
   for (const store_put &Put : Commit.Puts)
@@ -193,7 +197,7 @@
   else if (Fault != store_fault::Down && Fault != store_fault::Refuses)
     Result.Status = Store.execute(Commit);
   if (Result.Status == store_status::Ok)
-    Result.Revision = Store.Model.revision();
+    Result.Revision = Store.revision();
   respond(Result, /*IsWrite=*/true, std::move(Done));
 }
 
--- a/src/fakes/fake_fleet_store.h
+++ b/src/fakes/fake_fleet_store.h
@@ -59,6 +59,7 @@
   void restoreCopy(span_ns After = span_ns(0));
   /// Returns the number of times that the store was restored.
   std::int64_t era() const { return Era; }
+  std::int64_t revision() const { return storeRevision(Era, Model.revision()); }
 
   /// Time from a call to its write under `DelayedWrites`.
   static constexpr span_ns WriteDelay = std::chrono::milliseconds(120);
--- a/src/gateway/process/fleet_store.h
+++ b/src/gateway/process/fleet_store.h
@@ -1,11 +1,13 @@
 /// \file
 /// Interface to the platform's key-value store: linearizable reads, watches by
-/// revision, conditional writes of several keys, and leases.
+/// revision, conditional writes of several keys, and leases. Revisions are
+/// those of `store_revision.h`.
 #ifndef EBONYVALE_GATEWAY_PROCESS_FLEET_STORE_H
 #define EBONYVALE_GATEWAY_PROCESS_FLEET_STORE_H
 
 #include "common/instant.h"
 #include "decisions/process/store_item.h"
+#include "gateway/process/store_revision.h"
 
 #include <cstdint>
 #include <functional>
@@ -34,9 +36,7 @@
   store_status Status = store_status::NoAnswer;
   std::vector<store_item> Items;
   std::int64_t Revision = 0; ///< of the store at the read
-  /// Number of times that the store was restored from an older copy.
-  std::int64_t Era = 0;
-  instant SentAt; ///< when the call was sent
+  instant SentAt;            ///< when the call was sent
 };
 
 /// Requires that \p Key has \p Revision; 0: that it does not exist.
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -63,17 +63,21 @@
 }
 
 void store_follower::recordEra(const store_items &Items) {
-  const bool Reached = Items.Status == store_status::Ok ||
-                       Items.Status == store_status::HistoryGone;
-  if (!Reached || Era == Items.Era)
+  const std::int64_t Seen = eraOf(Items.Revision);
+  if (Items.Status != store_status::Ok || (Era && Seen <= *Era))
     return;
-  if (Era)
-    Core.log().warn(event_category::Store, "store_restored",
-                    {{"era", Items.Era},
-                     {"before", *Era},
-                     {"revision", Items.Revision},
-                     {"revision_before", Revision}});
-  Era = Items.Era;
+  const auto Before = std::exchange(Era, Seen);
+  if (!Before)
+    return;
+  Core.log().warn(event_category::Store, "store_restored",
+                  {{"era", Seen},
+                   {"before", *Before},
+                   {"revision", counterOf(Items.Revision)},
+                   {"revision_before", counterOf(Revision)}});
+  // Entries of upstreams may be missing until they are written again, as after
+  // an outage, and no watch continues from a revision of the earlier era.
+  OutageSinceListing = true;
+  Listed = false;
 }
 
 span_ns store_follower::backOff(unsigned Failures) const {
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -177,3 +177,93 @@
   cr_assert(Store.Calls.size() == 3);
   cr_assert(Store.Calls[2].starts_with("DELETE /v1/kv-lease-end/5 "));
 }
+
+namespace {
+
+std::string makeEraResponse(std::string_view Era, std::string_view Body) {
+  return fmt::format(
+      "HTTP/1.1 200 x\r\nStore-Era: {}\r\nContent-Length: {}\r\n\r\n{}", Era,
+      Body.size(), Body);
+}
+
+struct era_row {
+  char Era[32];
+  char Counter[32];
+  store_status Expected;
+};
+
+} // namespace
+
+ParameterizedTestParameters(store_client, revisions_hold_the_era) {
+  static era_row Rows[] = {
+      {"0", "9", store_status::Ok},
+      {"3", "9", store_status::Ok},
+      {"3", "1099511627775", store_status::Ok},
+      {"3", "1099511627776", store_status::NoAnswer}, // 2^40
+      {"8192", "9", store_status::NoAnswer},          // 2^13
+      {"3", "-1", store_status::NoAnswer},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(era_row *Row, store_client, revisions_hold_the_era) {
+  fixture Store({makeEraResponse(
+      Row->Era,
+      fmt::format(R"({{"items":[],"storeRevision":{}}})", Row->Counter))});
+  std::optional<store_items> Found;
+  Store.Client.list("a/", [&](const store_items &Items) { Found = Items; });
+  cr_assert(runLoopUntil(Store.Base.get(), [&] { return Found.has_value(); }));
+  cr_assert(Found->Status == Row->Expected, "%s %s", Row->Era, Row->Counter);
+  if (Found->Status != store_status::Ok)
+    return;
+  cr_assert(std::to_string(eraOf(Found->Revision)) == Row->Era);
+  cr_assert(std::to_string(counterOf(Found->Revision)) == Row->Counter);
+}
+
+/// The restored store may have given out the watched revision again.
+Test(store_client, a_watch_from_an_earlier_era_has_no_history) {
+  fixture Store({makeEraResponse("2", R"({"events":[],"storeRevision":9})")});
+  std::optional<store_items> Found;
+  Store.Client.watch("", storeRevision(1, 7), 1s,
+                     [&](const store_items &Items) { Found = Items; });
+  cr_assert(runLoopUntil(Store.Base.get(), [&] { return Found.has_value(); }));
+  cr_assert(Found->Status == store_status::HistoryGone);
+  cr_assert(Store.Calls[0].find("after=7&") != std::string::npos);
+}
+
+Test(store_client, a_restore_between_two_pages_leaves_no_listing) {
+  fixture Store(
+      {makeEraResponse(
+           "1", R"({"items":[{"key":"a/1","value":"eA==","revision":3}],)"
+                R"("hasMore":true,"storeRevision":9})"),
+       makeEraResponse("2", R"({"items":[],"storeRevision":5})")});
+  std::optional<store_items> Found;
+  Store.Client.list("a/", [&](const store_items &Items) { Found = Items; });
+  cr_assert(runLoopUntil(Store.Base.get(), [&] { return Found.has_value(); }));
+  cr_assert(Found->Status == store_status::NoAnswer);
+}
+
+/// A condition on a revision of an earlier era must not be met by the change
+/// that the restored store has given the same number.
+Test(store_client, a_condition_of_an_earlier_era_is_not_met) {
+  fixture Store({makeEraResponse("1", R"({"revision":8})"),
+                 makeEraResponse("2", R"({"revision":9})"),
+                 makeEraResponse("2", R"({"revision":10})")});
+  std::optional<store_result> Result;
+  const auto CommitOn = [&](std::int64_t Revision) {
+    Result.reset();
+    Store.Client.commit({{{"k", Revision}}, {{"k", "v", 0}}, {}},
+                        [&](const store_result &Done) { Result = Done; });
+    cr_assert(
+        runLoopUntil(Store.Base.get(), [&] { return Result.has_value(); }));
+    return Result->Status;
+  };
+  cr_assert(CommitOn(storeRevision(1, 7)) == store_status::Ok);
+  // Restored while the call was on its way: the outcome is unknown.
+  cr_assert(CommitOn(storeRevision(1, 7)) == store_status::NoAnswer);
+  // From then on it is not sent.
+  cr_assert(CommitOn(storeRevision(1, 7)) == store_status::Conflict);
+  cr_assert(Store.Calls.size() == 2);
+  cr_assert(CommitOn(storeRevision(2, 9)) == store_status::Ok);
+  cr_assert(Result->Revision == storeRevision(2, 10));
+}
--- a/tests/platform/store_server.cpp
+++ b/tests/platform/store_server.cpp
@@ -40,47 +40,56 @@
   return Number;
 }
 
-/// Sends the response, unless the store does not respond.
-void writeResponse(server_connection &Link, store_status Status,
-                   const json &Body) {
-  if (const int Code = statusOf(Status); Code != 0 && Link.open())
-    Link.writeResponse(Code, {}, Body.dump());
-}
-
 /// Returns the items as the array \p Name, with the store's revision.
 json itemsOf(const store_items &Found, const char *Name) {
   json Listed = json::array();
   for (const store_item &Item : Found.Items) {
-    json Entry{{"key", Item.Key}, {"revision", Item.Revision}};
+    json Entry{{"key", Item.Key}, {"revision", counterOf(Item.Revision)}};
     if (Item.Removed)
       Entry["tombstone"] = true;
     else
       Entry["value"] = toBase64(Item.Value);
     Listed.push_back(std::move(Entry));
   }
-  return {{Name, Listed}, {"storeRevision", Found.Revision}};
+  return {{Name, Listed}, {"storeRevision", counterOf(Found.Revision)}};
 }
 
 } // namespace
 
-store_server::store_server(event_base *Base, fleet_store &Store)
-    : Store(Store), Links(Base, *this) {
+store_server::store_server(event_base *Base, fleet_store &Store,
+                           std::function<std::int64_t()> Era)
+    : Store(Store), Era(std::move(Era)), Links(Base, *this) {
   Links.listen("127.0.0.1", 0);
 }
 
+std::int64_t store_server::revisionOf(std::int64_t Counter) const {
+  return storeRevision(Era ? Era() : 0, Counter);
+}
+
+void store_server::respond(server_connection &Link, store_status Status,
+                           const std::string &Body) const {
+  const int Code = statusOf(Status);
+  if (Code == 0 || !Link.open())
+    return;
+  header_list Headers;
+  if (Era)
+    Headers.add("Store-Era", std::to_string(Era()));
+  Link.writeResponse(Code, Headers, Body);
+}
+
 void store_server::onRequest(const std::shared_ptr<server_connection> &Link,
                              http_request Request) {
   const std::string_view Path = targetPath(Request.Head.Target);
   const std::string_view Query = targetQuery(Request.Head.Target);
   const std::string_view Last = Path.substr(Path.rfind('/') + 1);
-  const auto RespondWithResult = [Link](const store_result &Result) {
-    writeResponse(
-        *Link, Result.Status,
-        {{"revision", Result.Revision},
-         {"lease", Result.Lease},
-         {"ttlMs", std::chrono::duration_cast<std::chrono::milliseconds>(
-                       Result.LeaseDuration)
-                       .count()}});
+  const auto RespondWithResult = [this, Link](const store_result &Result) {
+    const auto Millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Result.LeaseDuration);
+    respond(*Link, Result.Status,
+            json{{"revision", counterOf(Result.Revision)},
+                 {"lease", Result.Lease},
+                 {"ttlMs", Millis.count()}}
+                .dump());
   };
   if (Path == "/v1/kv-range")
     return list(Link, Query);
@@ -109,18 +118,19 @@
 void store_server::list(const std::shared_ptr<server_connection> &Link,
                         std::string_view Query) {
   Store.list(query_parameters(Query).text("prefix"),
-             [Link](const store_items &Found) {
-               writeResponse(*Link, Found.Status, itemsOf(Found, "items"));
+             [this, Link](const store_items &Found) {
+               respond(*Link, Found.Status, itemsOf(Found, "items").dump());
              });
 }
 
 void store_server::watch(const std::shared_ptr<server_connection> &Link,
                          std::string_view Query) {
   const query_parameters Parameters(Query);
-  Store.watch(Parameters.text("prefix"), numberOf(Parameters.text("after")),
+  Store.watch(Parameters.text("prefix"),
+              revisionOf(numberOf(Parameters.text("after"))),
               std::chrono::milliseconds(numberOf(Parameters.text("waitMs"))),
-              [Link](const store_items &Found) {
-                writeResponse(*Link, Found.Status, itemsOf(Found, "events"));
+              [this, Link](const store_items &Found) {
+                respond(*Link, Found.Status, itemsOf(Found, "events").dump());
               });
 }
 
@@ -130,8 +140,11 @@
   if (!Body.is_object())
     return Link->writeResponse(BadRequest, {}, "");
   store_commit Commit;
-  for (const json &Entry : Body.at("expected"))
-    Commit.Conditions.push_back({Entry.at("key"), Entry.at("revision")});
+  for (const json &Entry : Body.at("expected")) {
+    const std::int64_t Counter = Entry.at("revision");
+    Commit.Conditions.push_back(
+        {Entry.at("key"), Counter == 0 ? 0 : revisionOf(Counter)});
+  }
   for (const json &Entry : Body.at("puts"))
     Commit.Puts.push_back(
         {Entry.at("key"),
@@ -139,8 +152,9 @@
          Entry.value("lease", std::int64_t{0})});
   for (const json &Key : Body.at("remove"))
     Commit.Removals.push_back(Key);
-  Store.commit(Commit, [Link](const store_result &Result) {
-    writeResponse(*Link, Result.Status, {{"revision", Result.Revision}});
+  Store.commit(Commit, [this, Link](const store_result &Result) {
+    respond(*Link, Result.Status,
+            json{{"revision", counterOf(Result.Revision)}}.dump());
   });
 }
 
--- a/tests/soak/soak_gateway.cpp
+++ b/tests/soak/soak_gateway.cpp
@@ -37,8 +37,9 @@
                            const std::filesystem::path &Folder,
                            std::size_t Index)
     : Index(Index), Name(fmt::format("g-{}", Index)), StoreClient(Store, Name),
-      Server(Base, StoreClient), StoreProxy(Base, Server.port()),
-      CallerProxy(Base, 0), PortsFile((Folder / (Name + ".ports")).string()) {
+      Server(Base, StoreClient, [&Store] { return Store.era(); }),
+      StoreProxy(Base, Server.port()), CallerProxy(Base, 0),
+      PortsFile((Folder / (Name + ".ports")).string()) {
   Process = std::make_unique<daemon_process>(
       Daemon,
       std::vector<std::string>{"--gateway", "--settings", writeSettings(Folder),
