A read of a restored store confirms nothing until operators wrote again

What callers saw: in the test, 200 with a key that operators had withdrawn in the lost seconds, and 404 for routes that they had added. Cause: a read counts as confirmation of the configuration. The content of a store that has returned from an older copy is as old as the copy until operators have written again. Change: after a restore reads count again once the configuration is replaced in the new era, or the one in force appears under another number, or after 2 s, in which the platform writes again what was lost. Reads pause meanwhile instead of following each other. Why it works: keys are used and unknown routes refused only with a read of what operators have written last.

--- a/src/decisions/process/freshness.h
+++ b/src/decisions/process/freshness.h
@@ -23,6 +23,9 @@
   span_ns KeyAgeMargin = std::chrono::milliseconds(300);
   /// Time within which an accepted version is in force on all instances.
   span_ns MaxApplyDelay = std::chrono::milliseconds(2500);
+  /// Time within which operators write again what a store that was restored
+  /// from an older copy has lost.
+  span_ns RewriteTime = std::chrono::milliseconds(2000);
 };
 
 /// Tracks the newest read of the store. A read reflects the state at or after
@@ -32,9 +35,23 @@
 public:
   /// Records a successful read that was sent at \p SentAt.
   void onRead(instant SentAt) {
+    if (SentAt < ConfirmsFrom)
+      return;
     ReadSentAt = ReadSentAt ? std::max(*ReadSentAt, SentAt) : SentAt;
   }
 
+  /// Records that the store was restored from an older copy. Its content
+  /// confirms nothing until operators have written again what it lost.
+  void onRestored(instant Now, const freshness_options &Options) {
+    ConfirmsFrom = Now + Options.RewriteTime;
+  }
+
+  /// Records that operators have written again.
+  void onWrittenAgain() { ConfirmsFrom = {}; }
+
+  /// Returns the time from which on a read counts.
+  instant confirmsFrom() const { return ConfirmsFrom; }
+
   /// Returns the time since the newest read was sent, or nothing before the
   /// first read.
   std::optional<span_ns> age(instant Now) const {
@@ -59,6 +76,7 @@
 
 private:
   std::optional<instant> ReadSentAt;
+  instant ConfirmsFrom; ///< unset unless the store was restored
 };
 
 } // namespace ebonyvale
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -78,6 +78,7 @@
   // an outage, and no watch continues from a revision of the earlier era.
   OutageSinceListing = true;
   Listed = false;
+  Core.configFreshness().onRestored(readBootClock(), Core.freshnessOptions());
 }
 
 span_ns store_follower::backOff(unsigned Failures) const {
@@ -103,7 +104,10 @@
     return span_ns(0);
   const span_ns MaxAge = Relay.followsPeer(Now) ? maxReadAge(Core.settings())
                                                 : readInterval(Core.settings());
-  return std::max(MaxAge - *Age, span_ns(0));
+  // Until operators have written again what a restored store lost, no read
+  // makes the configuration fresher.
+  const span_ns Settling = Core.configFreshness().confirmsFrom() - Now;
+  return std::max({MaxAge - *Age, Settling, span_ns(0)});
 }
 
 void store_follower::checkReadAge() {
@@ -313,7 +317,7 @@
                        {"known", State.Revision}});
     return;
   }
-  State.Revision = Item.Revision;
+  const std::int64_t Before = std::exchange(State.Revision, Item.Revision);
   State.Value.reset();
   if (Item.Value.size() <= MaxRelayedBytes)
     State.Value = Item.Value;
@@ -321,8 +325,10 @@
   const instant Now = readBootClock();
   if (Documents.kindOf(Item.Key) == document_kind::Routing) {
     auto Table = Documents.readRouting(Item.Value, Core.keySecret());
-    if (Table)
+    if (Table) {
+      onRoutingRead(Table->Version, Before, Item.Revision);
       return Core.setRouting(std::move(*Table), Now);
+    }
     Core.log().warn(
         event_category::Store, "configuration_unreadable",
         {{"revision", Item.Revision}, {"reason", Table.error().Detail}});
@@ -341,6 +347,24 @@
   Observer.onWeightsTarget(*Target);
 }
 
+/// Operators write the whole configuration. One that replaces another in the
+/// restored store was written after the return, and so was the one in force
+/// under a new number. Any other one may come from the copy.
+void store_follower::onRoutingRead(std::uint64_t Version, std::int64_t Before,
+                                   std::int64_t Revision) {
+  if (Core.configFreshness().confirmsFrom() == instant())
+    return;
+  const bool Replaces = eraOf(Before) == eraOf(Revision);
+  const bool IsRewritten = Core.routing() &&
+                           Version == Core.routing()->Version &&
+                           counterOf(Before) != counterOf(Revision);
+  if (!Replaces && !IsRewritten)
+    return;
+  Core.configFreshness().onWrittenAgain();
+  if (!Reading)
+    ReadTimer.startOnce(nextRead(readBootClock()));
+}
+
 void store_follower::handleUpstream(const store_item &Item) {
   const document_reader &Documents = Core.protocols().Documents;
   const std::string_view Id = Documents.upstreamId(Item.Key);
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -80,6 +80,11 @@
                     std::int64_t NewRevision);
   void handleItem(const store_item &Item);
   void handleOperatorItem(const store_item &Item);
+  /// Ends the wait for operators after a restore if a configuration shows that
+  /// they have written again. \p Before is the revision of the one known
+  /// before.
+  void onRoutingRead(std::uint64_t Version, std::int64_t Before,
+                     std::int64_t Revision);
   void handleUpstream(const store_item &Item);
   /// Tells the other parts about changes of the directory. Each of them visits
   /// all upstreams, so this is done once for a sequence of batches.
--- a/tests/decisions/process/fleet_limits_test.cpp
+++ b/tests/decisions/process/fleet_limits_test.cpp
@@ -97,6 +97,22 @@
   cr_assert(Roster.staleEntries(instant(131s)).size() == 3);
 }
 
+Test(freshness, a_restored_store_confirms_nothing_until_operators_wrote) {
+  freshness Freshness;
+  freshness_options Options;
+  Options.RewriteTime = 2s;
+  Freshness.onRead(instant(10s));
+  Freshness.onRestored(instant(11s), Options);
+  Freshness.onRead(instant(12s));
+  cr_assert(Freshness.age(instant(12s)) == 2s);
+  Freshness.onRead(instant(13s));
+  cr_assert(Freshness.age(instant(13s)) == 0s);
+  Freshness.onRestored(instant(14s), Options);
+  Freshness.onWrittenAgain();
+  Freshness.onRead(instant(14500ms));
+  cr_assert(Freshness.age(instant(15s)) == 500ms);
+}
+
 Test(freshness, age_counts_from_when_the_read_was_sent) {
   freshness Freshness;
   const freshness_options Options;
--- a/tests/gateway/restored_store_test.cpp
+++ b/tests/gateway/restored_store_test.cpp
@@ -22,6 +22,11 @@
   std::size_t Followers; ///< instances that follow the first one
 };
 
+struct copy_row {
+  char Name[32];
+  bool HasUnseenVersion; ///< one that the instance has not seen
+};
+
 bool inForce(gateway_core &Core, std::uint64_t Version) {
   return Core.routing() && Core.routing()->Version == Version;
 }
@@ -77,13 +82,24 @@
   cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 401);
 }
 
+ParameterizedTestParameters(restored_store,
+                            a_read_of_the_copy_confirms_no_key) {
+  static copy_row Rows[] = {{"known version", false}, {"unseen version", true}};
+  return criterion_test_params(Rows);
+}
+
 /// The copy still lists a key that was withdrawn after it, until the operators
 /// have written the withdrawal again.
-Test(restored_store, a_read_of_the_copy_confirms_no_key) {
+ParameterizedTest(copy_row *Row, restored_store,
+                  a_read_of_the_copy_confirms_no_key) {
   gateway_fixture Gateway(agingSettings());
   Gateway.Store.saveCopy();
   Gateway.Store.setFault(store_fault::Down);
-  Gateway.configure(2, "\"key-2\"");
+  if (Row->HasUnseenVersion) {
+    Gateway.configure(2);
+    Gateway.Store.saveCopy();
+  }
+  Gateway.configure(3, "\"key-2\"");
   const auto KeysUsable = [&] {
     return Gateway.core().configFreshness().isFreshForKeys(
         readBootClock(), Gateway.core().freshnessOptions());
@@ -92,11 +108,12 @@
   Gateway.Store.restoreCopy(500ms);
   Gateway.Store.setFault(store_fault::None);
   const instant Return = readBootClock();
-  while (!inForce(Gateway.core(), 2) && readBootClock() - Return < 5s) {
+  while (!inForce(Gateway.core(), 3) && readBootClock() - Return < 5s) {
     const int Status = Gateway.sendRequest({.Path = "/read/1"}).Status;
-    cr_assert(Status == 503 || inForce(Gateway.core(), 2), "%d", Status);
+    cr_assert(Status == 503 || inForce(Gateway.core(), 3), "%s: %d", Row->Name,
+              Status);
     cr_assert(Gateway.sendRequest({.Path = "/none/1"}).Status == 503 ||
-              inForce(Gateway.core(), 2));
+              inForce(Gateway.core(), 3));
   }
   cr_assert(Gateway.waitFor(KeysUsable));
   cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 401);
@@ -104,6 +121,17 @@
             200);
 }
 
+/// Keys must be usable again soon after a return on which nothing was lost.
+Test(restored_store, keys_are_usable_again_if_nothing_is_written) {
+  gateway_fixture Gateway(agingSettings());
+  Gateway.Store.saveCopy();
+  Gateway.Store.restoreCopy();
+  runLoopFor(Gateway.Base.get(), Gateway.core().freshnessOptions().MaxKeyAge);
+  cr_assert(
+      Gateway.waitFor([&] { return Gateway.core().ready(readBootClock()); }));
+  cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 200);
+}
+
 /// An upstream that reported its leaving, or has left, is in the copy as it was
 /// before.
 Test(restored_store, an_upstream_that_leaves_gets_no_new_requests) {
