Upstreams that leave do not return with an older copy of the store

What callers saw: requests to an upstream that had reported its leaving, in the test; on the platform these break DRAIN, or end at a dead address. Cause: a listing replaces what is known, and that of a restored store is as old as the copy: an upstream that left since is listed as ready again. Change: listings tell a restore from an outage, also between peers. After a restore, upstreams known to be leaving or gone (for 60 s) remain so until they write themselves; another incarnation is not affected. Why it works: what an instance has seen is newer than the copy, and only a write after the return is newer than that.

--- a/src/decisions/process/upstream_directory.cpp
+++ b/src/decisions/process/upstream_directory.cpp
@@ -8,6 +8,8 @@
                                 listing_kind Kind, instant Now) {
   auto Before = std::exchange(Entries, {});
   for (upstream_entry &Entry : Listed) {
+    if (Kind == listing_kind::AfterRestore && !correctCopy(Entry, Before))
+      continue;
     KeepUntil.erase(Entry.Id);
     Entries.insert_or_assign(Entry.Id, std::move(Entry));
   }
@@ -18,9 +20,10 @@
     const auto Missing = KeepUntil.find(Id);
     const bool Keep = Missing != KeepUntil.end()
                           ? Now < Missing->second
-                          : Kind == listing_kind::AfterOutage;
+                          : Kind != listing_kind::Continuous;
     if (!Keep) {
       KeepUntil.erase(Id);
+      Gone.insert_or_assign(Id, gone_upstream{std::move(Entry), Now});
       continue;
     }
     KeepUntil.try_emplace(Id, Now + ExpiryGrace);
@@ -28,32 +31,53 @@
   }
 }
 
+bool upstream_directory::correctCopy(
+    upstream_entry &Entry,
+    const std::map<std::string, upstream_entry, std::less<>> &Before) const {
+  const auto Left = Gone.find(Entry.Id);
+  if (Left != Gone.end() && Left->second.Entry.sameIncarnation(Entry))
+    return false;
+  const auto Known = Before.find(Entry.Id);
+  if (Known != Before.end() && Known->second.sameIncarnation(Entry))
+    Entry.Draining = Entry.Draining || Known->second.Draining;
+  return true;
+}
+
 void upstream_directory::put(std::string_view Id,
-                             std::optional<upstream_entry> Entry) {
+                             std::optional<upstream_entry> Entry, instant Now) {
   if (!Entry)
-    return remove(Id);
+    return remove(Id, Now);
   KeepUntil.erase(std::string(Id));
+  if (const auto Left = Gone.find(Id); Left != Gone.end())
+    Gone.erase(Left);
   Entries.insert_or_assign(std::string(Id), std::move(*Entry));
   ++Generation;
 }
 
-void upstream_directory::remove(std::string_view Id) {
+void upstream_directory::remove(std::string_view Id, instant Now) {
   if (const auto Found = KeepUntil.find(Id); Found != KeepUntil.end())
     KeepUntil.erase(Found);
   if (const auto Found = Entries.find(Id); Found != Entries.end()) {
+    Gone.insert_or_assign(Found->first,
+                          gone_upstream{std::move(Found->second), Now});
     Entries.erase(Found);
     ++Generation;
   }
 }
 
 bool upstream_directory::expire(instant Now) {
+  std::erase_if(Gone, [Now](const auto &Left) {
+    return Now - Left.second.At > GoneMemory;
+  });
   bool Dropped = false;
   for (auto Next = KeepUntil.begin(); Next != KeepUntil.end();) {
     if (Now < Next->second) {
       ++Next;
       continue;
     }
-    Entries.erase(Next->first);
+    if (auto Node = Entries.extract(Next->first))
+      Gone.insert_or_assign(Node.key(),
+                            gone_upstream{std::move(Node.mapped()), Now});
     Next = KeepUntil.erase(Next);
     ++Generation;
     Dropped = true;
--- a/src/decisions/process/upstream_directory.h
+++ b/src/decisions/process/upstream_directory.h
@@ -37,8 +37,9 @@
 /// Whether entries that are missing from a listing may have expired during an
 /// outage of the store.
 enum class listing_kind {
-  Continuous, ///< missing entries were removed
-  AfterOutage ///< leases may have expired because they could not be renewed
+  Continuous,  ///< missing entries were removed
+  AfterOutage, ///< leases may have expired because they could not be renewed
+  AfterRestore ///< as after an outage, and entries are those of an older copy
 };
 
 /// Holds the discovered upstreams, also through outages of the store.
@@ -48,17 +49,23 @@
   /// store is back: live upstreams have registered again by then.
   static constexpr span_ns ExpiryGrace = std::chrono::milliseconds(2000);
 
+  /// How long an upstream that is gone is remembered: until then it may appear
+  /// again in an older copy of the store.
+  static constexpr span_ns GoneMemory = std::chrono::seconds(60);
+
   /// Replaces all entries by a complete listing. After an outage, entries
-  /// missing from it are kept for `ExpiryGrace`.
+  /// missing from it are kept for `ExpiryGrace`. After a restore, upstreams
+  /// that are known to be leaving or gone remain so until `put` has them again.
   void setAll(std::vector<upstream_entry> Entries, listing_kind Kind,
               instant Now);
 
   /// Records a written entry. One that cannot be parsed, passed as nothing,
   /// removes the upstream.
-  void put(std::string_view Id, std::optional<upstream_entry> Entry);
+  void put(std::string_view Id, std::optional<upstream_entry> Entry,
+           instant Now);
 
   /// Removes an entry, if present.
-  void remove(std::string_view Id);
+  void remove(std::string_view Id, instant Now);
 
   /// Drops entries whose grace period has ended. Returns whether any was
   /// dropped.
@@ -78,8 +85,19 @@
   }
 
 private:
+  /// Corrects an entry of an older copy by what is known. Returns whether the
+  /// upstream may exist.
+  bool correctCopy(
+      upstream_entry &Entry,
+      const std::map<std::string, upstream_entry, std::less<>> &Before) const;
+
   std::map<std::string, upstream_entry, std::less<>> Entries;
   std::map<std::string, instant, std::less<>> KeepUntil;
+  struct gone_upstream {
+    upstream_entry Entry;
+    instant At;
+  };
+  std::map<std::string, gone_upstream, std::less<>> Gone;
   std::uint64_t Generation = 0;
 };
 
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -149,7 +149,8 @@
   }
   const change_batch &Changes = Response.Changes;
   if (Changes.HasGap) {
-    Message["g"] = Changes.GapKind == listing_kind::AfterOutage;
+    Message["g"] = Changes.GapKind != listing_kind::Continuous;
+    Message["e"] = Changes.GapKind == listing_kind::AfterRestore;
     return Message;
   }
   json Items = json::array();
@@ -172,6 +173,9 @@
     Changes.HasGap = true;
     Changes.GapKind =
         Gap->get<bool>() ? listing_kind::AfterOutage : listing_kind::Continuous;
+    // Absent in messages of instances that run an earlier release.
+    if (Message.value("e", false))
+      Changes.GapKind = listing_kind::AfterRestore;
     return Response;
   }
   for (const json &Entry : Message.at("i")) {
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -50,7 +50,7 @@
       Status == store_status::Ok || Status == store_status::HistoryGone;
   Failures = Reached ? 0 : Failures + 1;
   if (!Reached)
-    OutageSinceListing = true;
+    SinceListing = std::max(SinceListing, listing_kind::AfterOutage);
   if (Reached == Connected && AnyCallRecorded)
     return;
   Connected = Reached;
@@ -76,7 +76,7 @@
                    {"revision_before", counterOf(Revision)}});
   // Entries of upstreams may be missing until they are written again, as after
   // an outage, and no watch continues from a revision of the earlier era.
-  OutageSinceListing = true;
+  SinceListing = listing_kind::AfterRestore;
   Listed = false;
   Core.configFreshness().onRestored(readBootClock(), Core.freshnessOptions());
 }
@@ -163,12 +163,12 @@
                       {{"key", Item.Key}, {"revision", Item.Revision}});
   }
   const listing_kind Kind =
-      OutageSinceListing ? listing_kind::AfterOutage : listing_kind::Continuous;
+      std::exchange(SinceListing, listing_kind::Continuous);
   Core.log().info(event_category::Upstream, "listed",
                   {{"entries", Entries.size()},
                    {"revision", Items.Revision},
-                   {"after_outage", OutageSinceListing}});
-  OutageSinceListing = false;
+                   {"after_outage", Kind != listing_kind::Continuous},
+                   {"after_restore", Kind == listing_kind::AfterRestore}});
   Relay.log().restart(Items.Revision, Kind);
   Core.directory().setAll(std::move(Entries), Kind, readBootClock());
   Revision = Items.Revision;
@@ -279,8 +279,7 @@
     Core.configFreshness().onRead(ReadAt);
   const change_batch &Changes = Response.Changes;
   if (Changes.HasGap) {
-    if (Changes.GapKind == listing_kind::AfterOutage)
-      OutageSinceListing = true;
+    SinceListing = std::max(SinceListing, Changes.GapKind);
     Listed = false;
     return listAll();
   }
@@ -373,7 +372,7 @@
     if (Before)
       Core.log().info(event_category::Upstream, "gone",
                       {{"upstream", Id}, {"revision", Item.Revision}});
-    Core.directory().remove(Id);
+    Core.directory().remove(Id, readBootClock());
     return;
   }
   auto Entry = Documents.readUpstream(Id, Item.Value);
@@ -388,7 +387,7 @@
                      {"service", Entry->Service},
                      {"born", Entry->Born},
                      {"revision", Item.Revision}});
-  Core.directory().put(Id, std::move(Entry));
+  Core.directory().put(Id, std::move(Entry), readBootClock());
 }
 
 } // namespace ebonyvale
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -111,7 +111,8 @@
   bool Listed = false;             ///< a complete listing precedes the watch
   bool Connected = false;
   bool AnyCallRecorded = false;
-  bool OutageSinceListing = false;
+  /// What has happened to the store since the last listing.
+  listing_kind SinceListing = listing_kind::Continuous;
   unsigned ReadFailures = 0;  ///< of the operators' documents, in a row
   unsigned WatchFailures = 0; ///< of listings and watches, in a row
   /// Generation of the directory of which the other parts know.
--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -170,7 +170,7 @@
 Test(gateway_task, a_request_within_changes_uses_the_current_directory) {
   gateway_fixture Gateway;
   upstream_directory &Directory = Gateway.core().directory();
-  Directory.remove("u-1");
+  Directory.remove("u-1", readBootClock());
   for (int Index = 0; Index < 4; ++Index)
     cr_assert(Gateway
                   .sendRequest(
@@ -179,7 +179,7 @@
   cr_assert(Gateway.Upstreams[1]->runs() == 4);
   upstream_entry Leaving = *Directory.find("u-2");
   Leaving.Draining = true;
-  Directory.put("u-2", Leaving);
+  Directory.put("u-2", Leaving, readBootClock());
   cr_assert(Gateway.sendRequest({.Path = "/read/1", .Id = "b"}).Status == 503);
 }
 
