List an instance again as soon as the store was restored

What callers saw: nothing by itself; the others would divide limits without an instance whose lease was among what the store lost, until its next renewal, a third of the lease later. Cause: only a failed renewal made an instance list itself again. Change: after a restore an instance requests a lease and lists itself. Why it works: the entry, the presence and the lease are written in the new era, whatever the copy had of them.

--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -167,6 +167,8 @@
   return Membership.lease(Now) != 0;
 }
 
+void gateway_task::onStoreRestored() { Membership.onStoreRestored(); }
+
 void gateway_task::onUpstreamsChanged() { Weights.onUpstreamsChanged(); }
 
 void gateway_task::stop() {
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -64,6 +64,7 @@
   void onFleetListing(const store_items &Items) override;
   void onWeightsTarget(const weights_target &Target) override;
   bool isListed(instant Now) const override;
+  void onStoreRestored() override;
   void onUpstreamsChanged() override;
 
 private:
--- a/src/gateway/process/membership_task.h
+++ b/src/gateway/process/membership_task.h
@@ -27,6 +27,9 @@
   /// Revokes the lease, which removes the presence and claims under it at once.
   void leave();
 
+  /// Lists the instance again, since its entries and its lease may be gone.
+  void onStoreRestored() { Lease.onExpired(); }
+
   /// Returns the lease id, or 0 if the lease may have expired or the presence
   /// is not written yet.
   std::int64_t lease(instant Now) const;
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -79,6 +79,7 @@
   SinceListing = listing_kind::AfterRestore;
   Listed = false;
   Core.configFreshness().onRestored(readBootClock(), Core.freshnessOptions());
+  Observer.onStoreRestored();
 }
 
 span_ns store_follower::backOff(unsigned Failures) const {
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -29,6 +29,9 @@
   /// Returns whether the store certainly lists this instance, so that the
   /// others count its quota share.
   virtual bool isListed(instant Now) const = 0;
+  /// The store was restored from an older copy: items and leases of the fleet
+  /// may be gone.
+  virtual void onStoreRestored() = 0;
   /// The directory of upstreams has changed.
   virtual void onUpstreamsChanged() = 0;
 };
