--- a/src/fakes/fake_fleet_store.cpp
+++ b/src/fakes/fake_fleet_store.cpp
@@ -42,6 +42,7 @@
 }
 
 void fake_fleet_store::restoreCopy(span_ns After) {
+  Copy.continueLeasesAfter(Model);
   Model = Copy;
   ++Era;
   CompactRevision = std::min(CompactRevision, Model.revision());
--- a/src/fakes/key_value_model.h
+++ b/src/fakes/key_value_model.h
@@ -5,6 +5,7 @@
 
 #include "common/instant.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -57,6 +58,11 @@
 
   bool hasLease(std::int64_t Lease) const { return Leases.contains(Lease); }
 
+  /// Grants no lease id again that \p Other has granted.
+  void continueLeasesAfter(const key_value_model &Other) {
+    LastLease = std::max(LastLease, Other.LastLease);
+  }
+
   /// Revokes \p Lease and deletes its keys.
   void revokeLease(std::int64_t Lease);
 
--- a/tests/soak/soak_environment.cpp
+++ b/tests/soak/soak_environment.cpp
@@ -254,6 +254,19 @@
   }
 }
 
+void soak_environment::restoreStore(span_ns After) {
+  constexpr span_ns OutageTime = 400ms;
+  if (std::exchange(CopyPending, true))
+    return;
+  Store.saveCopy();
+  schedule(After, [this] { Store.setFault(store_fault::Down); });
+  schedule(After + OutageTime, [this] {
+    Store.restoreCopy();
+    Store.setFault(store_fault::None);
+    CopyPending = false;
+  });
+}
+
 void soak_environment::schedule(span_ns After, std::function<void()> Action) {
   callAfter(Base.get(), After, std::move(Action));
 }
@@ -286,6 +299,8 @@
   case soak_event_kind::Draining:
   case soak_event_kind::NamedLimit:
     return applyToUpstream(Event, Upstream);
+  case soak_event_kind::Restore:
+    return restoreStore(Event.Duration);
   case soak_event_kind::Compaction:
     return Store.compactHistory();
   case soak_event_kind::KillAll:
--- a/tests/soak/soak_environment.h
+++ b/tests/soak/soak_environment.h
@@ -62,6 +62,8 @@
   void schedule(span_ns After, std::function<void()> Action);
   void injectFault(loopback_proxy &Proxy, const soak_event &Event);
   void publishUpstream(upstream &Upstream, bool Draining);
+  /// Copies the store; it is down \p After that and returns from the copy.
+  void restoreStore(span_ns After);
   void startUpstream(upstream &Upstream);
   /// Lets \p Process name \p PerSecond, or no limit.
   void nameLimit(fake_upstream &Process, std::optional<double> PerSecond);
@@ -91,6 +93,7 @@
   std::size_t LastId = 0;
   bool TrafficEnabled = false;
   bool Recovering = false;
+  bool CopyPending = false;            ///< the store is to return from its copy
   std::vector<std::string> Violations; ///< besides those of the checker
   instant LastTick;
   timer TickTimer;
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -10,13 +10,13 @@
 namespace {
 
 constexpr std::array<std::string_view, SoakEventKinds> Names{
-    "caller link",    "store link", "upstream link", "store",
-    "compaction",     "upstream",   "replacement",   "draining",
-    "terminate",      "kill",       "kill all",      "pause",
-    "key withdrawal", "version",    "weights",       "named limit"};
+    "caller link", "store link",  "upstream link",  "store",     "compaction",
+    "upstream",    "replacement", "draining",       "terminate", "kill",
+    "kill all",    "pause",       "key withdrawal", "version",   "weights",
+    "named limit", "restore"};
 
-/// Relative frequency of each kind but `NamedLimit`.
-constexpr std::array<double, SoakEventKinds - 1> Weights{
+/// Relative frequency of each kind but `NamedLimit` and `Restore`.
+constexpr std::array<double, SoakEventKinds - 2> Weights{
     6, 6, 8, 8, 3, 10, 3, 3, 4, 4, 1, 5, 4, 4, 3};
 
 /// Appends events of \p Kind to \p Plan. They are drawn from numbers of their
@@ -65,6 +65,8 @@
   }
   appendEvents(Plan, soak_event_kind::NamedLimit, Seed, Size.Length,
                Size.LimitGap, std::chrono::seconds(10));
+  appendEvents(Plan, soak_event_kind::Restore, Seed, Size.Length,
+               Size.RestoreGap, std::chrono::seconds(4));
   std::ranges::stable_sort(Plan, {}, &soak_event::At);
   return Plan;
 }
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -30,8 +30,9 @@
   NewVersion,    ///< a new configuration adds a key
   NewWeights,    ///< a newer weights version is published
   NamedLimit,    ///< an upstream names a limit, or another one than before
+  Restore,       ///< the store is down, then returns from a copy made `At`
 };
-inline constexpr int SoakEventKinds = 16;
+inline constexpr int SoakEventKinds = 17;
 
 /// Returns the name of \p Kind in plans.
 std::string_view soakEventKindName(soak_event_kind Kind);
@@ -55,6 +56,8 @@
   span_ns Gap = std::chrono::milliseconds(350);
   /// Mean time between two upstreams that name a limit.
   span_ns LimitGap = std::chrono::milliseconds(4000);
+  /// Mean time between two restores of the store.
+  span_ns RestoreGap = std::chrono::milliseconds(8000);
 };
 
 /// Returns the events of a run in order of time. The same seed and size give
