A refusal without a limit does not end the one that is known

What callers saw: nothing; the upstream would get requests without a limit until its next response names it again. Cause: every response without the header ended the limit, also one of another process at the address, or a refusal from a part of the upstream that knows no limit. Change: only a response to a request that was run ends a limit. Why it works: what ran the request is the process that named the limit.

--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -282,6 +282,10 @@
   if (Response.NamesLimit && !Response.Limit)
     return Log.warn(event_category::Upstream, "limit_unreadable",
                     {{"upstream", Upstream}});
+  // Another process, or a part of the upstream that knows no limit, may have
+  // refused the request.
+  if (Response.NotRun && !Response.NamesLimit)
+    return;
   const auto Before = UpstreamLimits.limitOf(Upstream);
   if (!UpstreamLimits.onResponse(Upstream, Response.Limit, SentAt, Now))
     return;
--- a/tests/gateway/named_limit_test.cpp
+++ b/tests/gateway/named_limit_test.cpp
@@ -122,3 +122,32 @@
     return Before() >= Known + Round / 4;
   }));
 }
+
+struct unstated_row {
+  upstream_behavior Behavior;
+};
+
+ParameterizedTestParameters(named_limit, is_not_ended_by_a_refusal) {
+  static unstated_row Rows[] = {{upstream_behavior::Full},
+                               {upstream_behavior::OtherProcess}};
+  return criterion_test_params(Rows);
+}
+
+/// What refuses a request may be another process, or a part of the upstream
+/// that knows no limit.
+ParameterizedTest(unstated_row *Row, named_limit, is_not_ended_by_a_refusal) {
+  fleet Fleet(1);
+  fake_upstream &Limited = *Fleet.Gateway.Upstreams[0];
+  Limited.Limit = 50;
+  const auto Limit = [&] {
+    return Fleet.Gateway.core().upstreamLimits().limitOf("u-1");
+  };
+  cr_assert(Fleet.Gateway.waitFor([&] { return Fleet.send() && Limit(); }));
+  Limited.LimitInRefusals = false;
+  Limited.Behavior = Row->Behavior;
+  const std::size_t Before = Limited.ReceivedRequests.size();
+  cr_assert(Fleet.Gateway.waitFor([&] {
+    return Fleet.send() && Limited.ReceivedRequests.size() > Before;
+  }));
+  cr_assert(Limit() == 50.0);
+}
--- a/tests/platform/fake_upstream.cpp
+++ b/tests/platform/fake_upstream.cpp
@@ -64,7 +64,9 @@
     OnArrival(Request);
   header_list Headers;
   Headers.add("Ebonyvale-Request-Id", RequestId);
-  if (Limit)
+  const bool Refuses = Behavior == upstream_behavior::Full ||
+                       Behavior == upstream_behavior::OtherProcess;
+  if (Limit && (LimitInRefusals || !Refuses))
     Headers.add("Server-Limit", fmt::format("{}", *Limit));
   const auto ExpectedWeights =
       Request.Head.Headers.find("Ebonyvale-Expect-Version");
--- a/tests/platform/fake_upstream.h
+++ b/tests/platform/fake_upstream.h
@@ -69,6 +69,7 @@
   /// Requests per second that it takes from all instances together, as stated
   /// in its responses; nothing: it names no limit.
   std::optional<double> Limit;
+  bool LimitInRefusals = true; ///< whether refusals state the limit, too
   /// Called with each request that arrives, also one that is refused.
   std::function<void(const http_request &)> OnArrival;
   /// Called with each request that runs.
