--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -1,13 +1,13 @@
 #include "gateway/connection/peer_gossip.h"
 
+#include "gateway/connection/peer_messages.h"
+
 #include <arpa/inet.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 
-#include <nlohmann/json.hpp>
-
 namespace ebonyvale {
 namespace {
 
@@ -20,175 +20,6 @@
 /// Rounds of load messages between two messages of hints to other domains.
 constexpr std::size_t DomainHintsInterval = 4;
 
-json encodeLendRequest(const lend_request &Request) {
-  return {{"k", "ask"},
-          {"n", Request.LendRequestId},
-          {"t", Request.Team},
-          {"w", Request.Tokens},
-          {"p", Request.Purpose == lend_purpose::Rebalance},
-          {"l", Request.Level},
-          {"b", Request.Burst}};
-}
-
-lend_request decodeLendRequest(const json &Message) {
-  return {Message.at("n"),
-          Message.at("t"),
-          Message.at("w"),
-          Message.at("p").get<bool>() ? lend_purpose::Rebalance
-                                      : lend_purpose::Need,
-          Message.at("l"),
-          Message.at("b")};
-}
-
-json encodeLendResponse(const lend_response &Response) {
-  return {{"k", "reply"},
-          {"n", Response.LendRequestId},
-          {"t", Response.Team},
-          {"w", Response.Lent},
-          {"l", Response.Level},
-          {"r", Response.Rate},
-          {"m", Response.Outstanding}};
-}
-
-lend_response decodeLendResponse(const json &Message) {
-  return {Message.at("n"), Message.at("t"), Message.at("w"),
-          Message.at("l"), Message.at("r"), Message.at("m")};
-}
-
-std::int64_t millis(span_ns Span) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
-}
-
-/// Values of the store are bytes, and a removed item has none.
-json encodeItem(const store_item &Item) {
-  if (Item.Removed)
-    return {Item.Key, Item.Revision};
-  return {Item.Key, Item.Revision,
-          json::binary({Item.Value.begin(), Item.Value.end()})};
-}
-
-json encodeLosses(std::span<const segment_loss> Losses) {
-  json Listed = json::array();
-  for (const segment_loss &Loss : Losses)
-    Listed.push_back({Loss.Segment, Loss.Chance});
-  return Listed;
-}
-
-std::vector<segment_loss> decodeLosses(const json &Listed) {
-  std::vector<segment_loss> Losses;
-  for (const json &Loss : Listed)
-    Losses.push_back({Loss.at(0), Loss.at(1)});
-  return Losses;
-}
-
-json encodeQuarantined(std::span<const quarantined_segment> Segments) {
-  json Listed = json::array();
-  for (const quarantined_segment &Segment : Segments)
-    Listed.push_back({Segment.Segment, millis(Segment.Left)});
-  return Listed;
-}
-
-/// A limit that has ended has no number.
-json encodeLimits(std::span<const named_limit> Limits, instant Now) {
-  json Listed = json::array();
-  for (const named_limit &Limit : Limits)
-    Listed.push_back({Limit.Upstream,
-                      Limit.PerSecond ? json(*Limit.PerSecond) : json(),
-                      millis(Now - Limit.At)});
-  return Listed;
-}
-
-std::string decodeBytes(const json &Value) {
-  const auto &Bytes = Value.get_binary();
-  return {Bytes.begin(), Bytes.end()};
-}
-
-json encodeHints(std::span<const segment_hint> Hints) {
-  json Listed = json::array();
-  for (const segment_hint &Hint : Hints)
-    Listed.push_back({Hint.Upstream, Hint.Chain});
-  return Listed;
-}
-
-std::vector<segment_hint> decodeHints(const json &Listed) {
-  std::vector<segment_hint> Hints;
-  for (const json &Hint : Listed)
-    Hints.push_back({Hint.at(0), Hint.at(1)});
-  return Hints;
-}
-
-json encodeDocuments(std::span<const operator_document> Documents) {
-  json Listed = json::array();
-  for (const operator_document &Document : Documents) {
-    json Entry{Document.Key, Document.Revision};
-    if (Document.Value)
-      Entry.push_back(
-          json::binary({Document.Value->begin(), Document.Value->end()}));
-    Listed.push_back(std::move(Entry));
-  }
-  return Listed;
-}
-
-std::vector<operator_document> decodeDocuments(const json &Listed) {
-  std::vector<operator_document> Documents;
-  for (const json &Entry : Listed) {
-    Documents.push_back({Entry.at(0), Entry.at(1), std::nullopt});
-    if (Entry.size() > 2)
-      Documents.back().Value = decodeBytes(Entry.at(2));
-  }
-  return Documents;
-}
-
-json encodeChanges(const change_response &Response) {
-  json Message{{"k", "changes"},
-               {"n", Response.Number},
-               {"o", encodeDocuments(Response.Documents)}};
-  if (Response.ReadAge) {
-    // Rounded up: a read must not seem newer than it is.
-    Message["a"] = millis(*Response.ReadAge) + 1;
-  }
-  const change_batch &Changes = Response.Changes;
-  if (Changes.HasGap) {
-    Message["g"] = Changes.GapKind != listing_kind::Continuous;
-    Message["e"] = Changes.GapKind == listing_kind::AfterRestore;
-    return Message;
-  }
-  json Items = json::array();
-  for (const store_item &Item : Changes.Items)
-    Items.push_back(encodeItem(Item));
-  Message["i"] = std::move(Items);
-  Message["r"] = Changes.Revision;
-  Message["m"] = Changes.HasMore;
-  return Message;
-}
-
-change_response decodeChanges(const json &Message) {
-  change_response Response;
-  Response.Number = Message.at("n");
-  if (const auto Age = Message.find("a"); Age != Message.end())
-    Response.ReadAge = std::chrono::milliseconds(Age->get<std::int64_t>());
-  Response.Documents = decodeDocuments(Message.at("o"));
-  change_batch &Changes = Response.Changes;
-  if (const auto Gap = Message.find("g"); Gap != Message.end()) {
-    Changes.HasGap = true;
-    Changes.GapKind =
-        Gap->get<bool>() ? listing_kind::AfterOutage : listing_kind::Continuous;
-    // Absent in messages of instances that run an earlier release.
-    if (Message.value("e", false))
-      Changes.GapKind = listing_kind::AfterRestore;
-    return Response;
-  }
-  for (const json &Entry : Message.at("i")) {
-    const bool Removed = Entry.size() <= 2;
-    Changes.Items.push_back({Entry.at(0),
-                             Removed ? "" : decodeBytes(Entry.at(2)),
-                             Entry.at(1), Removed});
-  }
-  Changes.Revision = Message.at("r");
-  Changes.HasMore = Message.at("m");
-  return Response;
-}
-
 } // namespace
 
 peer_gossip::peer_gossip(gateway_core &Core)
@@ -289,7 +120,7 @@
 }
 
 void peer_gossip::sendPause(const std::string &Upstream, span_ns For) {
-  sendToAll({{"k", "pause"}, {"u", Upstream}, {"ms", millis(For)}});
+  sendToAll({{"k", "pause"}, {"u", Upstream}, {"ms", toMillis(For)}});
 }
 
 void peer_gossip::sendChangePoll(const std::string &Peer,
@@ -352,7 +183,7 @@
        Core.scheduler().ownReportsSince(Since))
     Reports.push_back({Report.Upstream, Report.Load.Running,
                        Report.Load.Waiting, Report.Load.Slots,
-                       millis(Now - Report.At)});
+                       toMillis(Now - Report.At)});
   Hints.addOwn(Core.scheduler().takeHints());
   if (++Round % DomainHintsInterval == 0)
     sendDomainHints();
@@ -368,7 +199,7 @@
   for (const weights_announcement &Announcement :
        Core.scheduler().recentAnnouncements(Now))
     Weights.push_back({Announcement.Model, Announcement.Version,
-                       millis(Now - Announcement.LearnedAt),
+                       toMillis(Now - Announcement.LearnedAt),
                        Announcement.TimeAssumed});
   json Message{{"k", "load"},
                {"l", std::move(Loads)},
@@ -425,24 +256,14 @@
 }
 
 void peer_gossip::handleLimits(const json &Listed, instant Now) {
-  for (const json &Entry : Listed) {
-    named_limit Limit{
-        Entry.at(0), std::nullopt,
-        Now - std::chrono::milliseconds(Entry.at(2).get<std::int64_t>())};
-    if (!Entry.at(1).is_null())
-      Limit.PerSecond = Entry.at(1).get<double>();
+  for (const named_limit &Limit : decodeLimits(Listed, Now))
     Core.onPeerLimit(Limit, Now);
-  }
 }
 
 void peer_gossip::handleQuarantined(const std::string &From,
                                     const json &Listed) {
-  std::vector<quarantined_segment> Segments;
-  for (const json &Entry : Listed)
-    Segments.push_back({Entry.at(0), std::chrono::milliseconds(
-                                         Entry.at(1).get<std::int64_t>())});
-  const auto Sound =
-      Core.segmentQuarantine().onPeerQuarantine(Segments, readBootClock());
+  const auto Sound = Core.segmentQuarantine().onPeerQuarantine(
+      decodeQuarantined(Listed), readBootClock());
   Core.logQuarantinedSegments();
   if (!Sound.empty())
     sendTo(From, {{"k", "sound"}, {"s", Sound}});
--- /dev/null
+++ b/src/gateway/connection/peer_messages.h
@@ -0,0 +1,53 @@
+/// \file
+/// Encoding of the parts of messages between instances. Decoders throw
+/// `nlohmann::json::exception` for a malformed part.
+#ifndef EBONYVALE_GATEWAY_CONNECTION_PEER_MESSAGES_H
+#define EBONYVALE_GATEWAY_CONNECTION_PEER_MESSAGES_H
+
+#include "decisions/process/quota_ledger.h"
+#include "decisions/process/segment_quarantine.h"
+#include "decisions/process/upstream_limits.h"
+#include "decisions/process/upstream_scheduler.h"
+#include "gateway/process/change_exchange.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace ebonyvale {
+
+/// Returns \p Span in whole milliseconds.
+std::int64_t toMillis(span_ns Span);
+
+nlohmann::json encodeLendRequest(const lend_request &Request);
+lend_request decodeLendRequest(const nlohmann::json &Message);
+
+nlohmann::json encodeLendResponse(const lend_response &Response);
+lend_response decodeLendResponse(const nlohmann::json &Message);
+
+nlohmann::json encodeLosses(std::span<const segment_loss> Losses);
+std::vector<segment_loss> decodeLosses(const nlohmann::json &Listed);
+
+nlohmann::json encodeQuarantined(std::span<const quarantined_segment> Segments);
+std::vector<quarantined_segment>
+decodeQuarantined(const nlohmann::json &Listed);
+
+/// Instants are passed as ages at \p Now. A limit that has ended has no number.
+nlohmann::json encodeLimits(std::span<const named_limit> Limits, instant Now);
+std::vector<named_limit> decodeLimits(const nlohmann::json &Listed,
+                                      instant Now);
+
+nlohmann::json encodeHints(std::span<const segment_hint> Hints);
+std::vector<segment_hint> decodeHints(const nlohmann::json &Listed);
+
+nlohmann::json encodeDocuments(std::span<const operator_document> Documents);
+std::vector<operator_document> decodeDocuments(const nlohmann::json &Listed);
+
+nlohmann::json encodeChanges(const change_response &Response);
+change_response decodeChanges(const nlohmann::json &Message);
+
+} // namespace ebonyvale
+
+#endif
