Show the limits of upstreams to operators; no negative first_ms

Cause: /upstreams and ebonyvalectl upstreams did not say why an upstream gets few requests. ended logged a negative first_ms where no byte had come. Change: limit_per_second in /upstreams and the command's line; first_ms is -1 without a byte. Measured result: two rows for the command, a check in operator_handler_test; ctl_tests and gateway_tests pass.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -227,14 +227,21 @@
 exit_code upstreams(const ctl_options &Options, const arguments &,
                     std::ostream &Out, std::ostream &Err) {
   return queryAll(Options, "/upstreams", Out, Err, [&Out](const json &Body) {
-    for (const json &Entry : Body.at("upstreams"))
+    for (const json &Entry : Body.at("upstreams")) {
       Out << fmt::format("{:<20} {}:{}  {}  {}  {} in flight, {:.0f} ms "
-                         "queued\n",
+                         "queued",
                          Entry.value("name", ""), Entry.value("address", ""),
                          Entry.value("port", 0), Entry.value("nearness", ""),
                          Entry.value("usable", false) ? "usable" : "not usable",
                          Entry.value("in_flight", 0),
                          Entry.value("backlog_ms", 0.0));
+      // Named by an upstream in need, for all instances together.
+      constexpr double NoLimit = -1;
+      if (const double Limit = Entry.value("limit_per_second", NoLimit);
+          Limit >= 0)
+        Out << fmt::format(", takes {:g} a second", Limit);
+      Out << "\n";
+    }
   });
 }
 
--- a/src/gateway/connection/operator_handler.cpp
+++ b/src/gateway/connection/operator_handler.cpp
@@ -87,6 +87,7 @@
 }
 
 json operator_handler::makeUpstreams(instant Now) {
+  constexpr double NoLimit = -1;
   json List = json::array();
   for (const upstream_view &View : Core.scheduler().views(Now))
     List.push_back(
@@ -104,6 +105,8 @@
          {"in_flight_of_peers", View.InFlightOfPeers},
          {"backlog_ms", View.BacklogMs},
          {"report_age_ms", View.ReportAge ? toMs(*View.ReportAge) : -1},
+         {"limit_per_second",
+          Core.upstreamLimits().limitOf(View.Entry.Id).value_or(NoLimit)},
          {"weights", View.Weights}});
   return {{"upstreams", List}};
 }
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -388,15 +388,16 @@
                          Now);
   }
   Core.counters().ResponseSeconds.Observe(toSeconds(Now - ArrivedAt));
-  Core.log().info(event_category::Request, "ended",
-                  {{"id", ParsedRequest.Id},
-                   {"outcome", Outcome},
-                   {"status", Response.Status},
-                   {"framing", HeadReceived ? framingName(Response) : ""},
-                   {"inside_event", Streaming && Boundaries.insideEvent()},
-                   {"attempts", Flow.attempts()},
-                   {"first_ms", FirstBytesAt - ArrivedAt},
-                   {"after_ms", Now - ArrivedAt}});
+  Core.log().info(
+      event_category::Request, "ended",
+      {{"id", ParsedRequest.Id},
+       {"outcome", Outcome},
+       {"status", Response.Status},
+       {"framing", HeadReceived ? framingName(Response) : ""},
+       {"inside_event", Streaming && Boundaries.insideEvent()},
+       {"attempts", Flow.attempts()},
+       {"first_ms", FirstBytesSeen ? FirstBytesAt - ArrivedAt : UnknownAge},
+       {"after_ms", Now - ArrivedAt}});
   callLater(Core.base(), [Guard = std::move(Self)] {});
 }
 
--- a/tests/ctl/commands_test.cpp
+++ b/tests/ctl/commands_test.cpp
@@ -92,6 +92,12 @@
       {"upstreams", 200,
        R"({"upstreams":[{"name":"u-1","address":"10.0.0.1","port":80}]})",
        exit_code::Done, "u-1                  10.0.0.1:80"},
+      {"upstreams", 200,
+       R"({"upstreams":[{"name":"u-1","limit_per_second":1.8}]})",
+       exit_code::Done, "queued, takes 1.8 a second"},
+      {"upstreams", 200,
+       R"({"upstreams":[{"name":"u-1","limit_per_second":-1.0}]})",
+       exit_code::Done, "ms queued\n"},
       {"refusals", 200,
        R"({"refusals":[{"reference":"r-1","kind":"overloaded","count":3}],)"
        R"("counts":[]})",
--- a/tests/gateway/operator_handler_test.cpp
+++ b/tests/gateway/operator_handler_test.cpp
@@ -74,6 +74,12 @@
   cr_assert(List[0].at("usable") == false);
   cr_assert(List[1].at("usable") == true);
   cr_assert(List[1].at("weights").at("m") == 1);
+  cr_assert(List[1].at("limit_per_second") == -1);
+  Gateway.core().upstreamLimits().onPeerLimit({"u-2", 1.8, readBootClock()},
+                                              readBootClock());
+  cr_assert(
+      read(Gateway, "/upstreams").at("upstreams")[1].at("limit_per_second") ==
+      1.8);
 }
 
 Test(operator_handler, an_unknown_path_is_named_in_the_error) {
