Soak: stalls of the checking process excuse only their own window

Cause: the check of named limits added up all stalls of a run. Change: stalls count in the window in which they are; a window that is all stall counts one arrival. Measured result: a case of the check fails without the change; soak_check_tests pass.

--- a/tests/soak/limit_checker.cpp
+++ b/tests/soak/limit_checker.cpp
@@ -77,13 +77,22 @@
   return Factor * Sum + Slack;
 }
 
+span_ns limit_checker::stallTime(instant End) const {
+  span_ns Sum{0};
+  for (const auto &[At, Duration] : Stalls)
+    if (At > End - Window && At - Duration < End)
+      Sum += Duration;
+  return std::min<span_ns>(Sum, Window);
+}
+
 std::vector<std::string> limit_checker::violations() const {
   std::vector<std::string> Lines;
   for (const auto &[Name, Upstream] : Upstreams) {
     std::size_t First = 0;
     for (std::size_t Last = 0; Last < Upstream.Arrivals.size(); ++Last) {
       const instant End = Upstream.Arrivals[Last];
-      while (End - Upstream.Arrivals[First] >= Window - StallTime)
+      const span_ns Counted = Window - stallTime(End);
+      while (First < Last && End - Upstream.Arrivals[First] >= Counted)
         ++First;
       const auto Allowed = allowed(Upstream, End);
       const std::size_t Count = Last - First + 1;
--- a/tests/soak/limit_checker.h
+++ b/tests/soak/limit_checker.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace ebonyvale {
@@ -36,9 +37,11 @@
   void onGatewayFault(std::size_t Gateway, instant Until);
   /// Connections to \p Upstream may delay requests until \p Until.
   void onLinkFault(std::string_view Upstream, instant Until);
-  /// The checking process stalled for \p Duration, so that arrivals may seem
-  /// closer to each other than they were.
-  void onStall(span_ns Duration) { StallTime += Duration; }
+  /// The checking process stalled for \p Duration until \p Now, so that
+  /// arrivals may seem closer to each other than they were.
+  void onStall(span_ns Duration, instant Now) {
+    Stalls.emplace_back(Now, Duration);
+  }
 
   /// Returns one line for each upstream that got too many requests.
   std::vector<std::string> violations() const;
@@ -56,9 +59,13 @@
   /// before \p End; nothing if it named none at some time in it.
   static std::optional<double> allowed(const upstream &Upstream, instant End);
 
+  /// Returns how long the checking process stalled in the window before \p End,
+  /// at most `Window`.
+  span_ns stallTime(instant End) const;
+
   std::map<std::string, upstream, std::less<>> Upstreams;
-  std::map<std::size_t, instant> FaultEnds; ///< by gateway
-  span_ns StallTime{0};
+  std::map<std::size_t, instant> FaultEnds;        ///< by gateway
+  std::vector<std::pair<instant, span_ns>> Stalls; ///< end and duration
 };
 
 } // namespace ebonyvale
--- a/tests/soak/soak_environment.cpp
+++ b/tests/soak/soak_environment.cpp
@@ -230,7 +230,7 @@
   const instant Now = readBootClock();
   if (LastTick != instant{} && Now - LastTick > TickInterval + TickTolerance) {
     Checker.onStall(Now - LastTick, Now);
-    LimitChecker.onStall(Now - LastTick);
+    LimitChecker.onStall(Now - LastTick, Now);
   }
   LastTick = Now;
   for (const auto &Gateway : Gateways) {
--- a/tests/soak_checks/limit_checker_test.cpp
+++ b/tests/soak_checks/limit_checker_test.cpp
@@ -67,3 +67,17 @@
   Checker.onArrival("u", 0, instant(19100ms));
   cr_assert(Checker.violations().empty());
 }
+
+/// Arrivals that were only read together do not count as a burst, and stalls
+/// elsewhere excuse nothing.
+Test(limit_checker, allows_for_its_own_stalls_only) {
+  for (const bool InWindow : {true, false}) {
+    limit_checker Checker;
+    Checker.onLimit("u", 2, instant(10s));
+    Checker.onPassedOn("u", 0, instant(10s));
+    Checker.onStall(5s, instant(InWindow ? 20s : 90s));
+    for (int Arrival = 0; Arrival < 30; ++Arrival)
+      Checker.onArrival("u", 0, instant(20s));
+    cr_assert(Checker.violations().empty() == InWindow);
+  }
+}
