Writes of operators count after a restore whoever passed them on

What callers saw: 503 not_ready for up to 2 s more than needed after a restore, at instances that follow a peer. Cause: a peer's message may bring the rewritten configuration before the instance's own call shows the restore; the wait for operators began after that and nothing ended it early. Change: the era in which operators are known to have written is kept, and a restore to that era starts no wait. Why it works: the order of the two messages no longer matters.

--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -78,7 +78,8 @@
   // an outage, and no watch continues from a revision of the earlier era.
   SinceListing = listing_kind::AfterRestore;
   Listed = false;
-  Core.configFreshness().onRestored(readBootClock(), Core.freshnessOptions());
+  if (WrittenEra != Seen)
+    Core.configFreshness().onRestored(readBootClock(), Core.freshnessOptions());
   Observer.onStoreRestored();
 }
 
@@ -352,14 +353,16 @@
 /// under a new number. Any other one may come from the copy.
 void store_follower::onRoutingRead(std::uint64_t Version, std::int64_t Before,
                                    std::int64_t Revision) {
-  if (Core.configFreshness().confirmsFrom() == instant())
-    return;
   const bool Replaces = eraOf(Before) == eraOf(Revision);
   const bool IsRewritten = Core.routing() &&
                            Version == Core.routing()->Version &&
                            counterOf(Before) != counterOf(Revision);
   if (!Replaces && !IsRewritten)
     return;
+  // A peer's document may arrive before this instance sees the restore itself.
+  WrittenEra = eraOf(Revision);
+  if (Era != WrittenEra || Core.configFreshness().confirmsFrom() == instant())
+    return;
   Core.configFreshness().onWrittenAgain();
   if (!Reading)
     ReadTimer.startOnce(nextRead(readBootClock()));
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -111,7 +111,9 @@
   follower_observer &Observer;
   std::int64_t Revision = 0;       ///< last revision received
   std::optional<std::int64_t> Era; ///< last era received
-  bool Listed = false;             ///< a complete listing precedes the watch
+  /// Last era in which operators are known to have written.
+  std::optional<std::int64_t> WrittenEra;
+  bool Listed = false; ///< a complete listing precedes the watch
   bool Connected = false;
   bool AnyCallRecorded = false;
   /// What has happened to the store since the last listing.
--- a/tests/gateway/restored_store_test.cpp
+++ b/tests/gateway/restored_store_test.cpp
@@ -121,6 +121,42 @@
             200);
 }
 
+/// An instance that has the rewritten configuration from a peer before it sees
+/// the restore itself need not wait for the operators.
+Test(restored_store, a_rewritten_configuration_from_a_peer_counts) {
+  gateway_fixture Gateway;
+  std::vector<std::unique_ptr<gateway_task>> Followers;
+  while (Followers.size() < 3)
+    Followers.push_back(Gateway.startGatewayInstance(
+        fmt::format("i-{}", Followers.size() + 2)));
+  const auto All = [&](const std::function<bool(gateway_core &)> &Holds) {
+    return Holds(Gateway.core()) &&
+           std::ranges::all_of(Followers, [&](const auto &Each) {
+             return Holds(Each->core());
+           });
+  };
+  cr_assert(Gateway.waitFor([&] {
+    return All([&](gateway_core &Core) {
+      return inForce(Core, 1) &&
+             Core.roster().peers().size() == Followers.size();
+    });
+  }));
+  Gateway.Store.saveCopy();
+  for (int Write = 0; Write < 30; ++Write)
+    Gateway.Store.model().put("ebonyvale/other", "x", 0);
+  Gateway.configure(2);
+  cr_assert(Gateway.waitFor([&] {
+    return All([](gateway_core &Core) { return inForce(Core, 2); });
+  }));
+  Gateway.Store.restoreCopy();
+  runLoopFor(Gateway.Base.get(), 800ms);
+  cr_assert(Gateway.waitFor([&] {
+    return All([](gateway_core &Core) {
+      return Core.configFreshness().confirmsFrom() == instant();
+    });
+  }));
+}
+
 /// Keys must be usable again soon after a return on which nothing was lost.
 Test(restored_store, keys_are_usable_again_if_nothing_is_written) {
   gateway_fixture Gateway(agingSettings());
