Limits from peers are never negative

Cause: a negative limit in a peer's message would have been converted to a number of instances. Change: it counts as zero.

--- a/src/gateway/connection/peer_messages.cpp
+++ b/src/gateway/connection/peer_messages.cpp
@@ -1,5 +1,7 @@
 #include "gateway/connection/peer_messages.h"
 
+#include <algorithm>
+
 namespace ebonyvale {
 
 using nlohmann::json;
@@ -191,7 +193,7 @@
         Entry.at(0), std::nullopt,
         Now - std::chrono::milliseconds(Entry.at(2).get<std::int64_t>())};
     if (!Entry.at(1).is_null())
-      Limit.PerSecond = Entry.at(1).get<double>();
+      Limit.PerSecond = std::max(0.0, Entry.at(1).get<double>());
     Limits.push_back(std::move(Limit));
   }
   return Limits;
