--- a/tests/soak/soak_environment.h
+++ b/tests/soak/soak_environment.h
@@ -50,7 +50,13 @@
   soak_result run();
 
 private:
-  struct upstream;
+  struct upstream {
+    std::string Id;
+    std::unique_ptr<fake_upstream> Process;
+    std::unique_ptr<loopback_proxy> Proxy;
+    unsigned Starts = 0; ///< of the process; part of its id
+    bool Draining = false;
+  };
   class caller;
 
   void startGateway(soak_gateway &Gateway);
