--- a/tests/gateway/named_limit_test.cpp
+++ b/tests/gateway/named_limit_test.cpp
@@ -129,7 +129,7 @@
 
 ParameterizedTestParameters(named_limit, is_not_ended_by_a_refusal) {
   static unstated_row Rows[] = {{upstream_behavior::Full},
-                               {upstream_behavior::OtherProcess}};
+                                {upstream_behavior::OtherProcess}};
   return criterion_test_params(Rows);
 }
 
