Names and reasons read once more: eras, holders of a limit

Cause: recordEra did more than record, the number of instances that share a limit had no reason, and a type stood between two members. Change: checkEra; the bound that the number keeps; gone_upstream before its use. No change of behaviour.

--- a/src/decisions/process/upstream_directory.h
+++ b/src/decisions/process/upstream_directory.h
@@ -85,6 +85,12 @@
   }
 
 private:
+  /// The last entry of an upstream that is gone.
+  struct gone_upstream {
+    upstream_entry Entry;
+    instant At; ///< when it went
+  };
+
   /// Corrects an entry of an older copy by what is known. Returns whether the
   /// upstream may exist.
   bool correctCopy(
@@ -93,10 +99,6 @@
 
   std::map<std::string, upstream_entry, std::less<>> Entries;
   std::map<std::string, instant, std::less<>> KeepUntil;
-  struct gone_upstream {
-    upstream_entry Entry;
-    instant At;
-  };
   std::map<std::string, gone_upstream, std::less<>> Gone;
   std::uint64_t Generation = 0;
 };
--- a/src/decisions/process/upstream_limits.h
+++ b/src/decisions/process/upstream_limits.h
@@ -30,8 +30,9 @@
 };
 
 /// Number of instances that share the limit \p PerSecond of one upstream, of
-/// \p Members that there are. Each of them may send one request at once, so
-/// their number is bounded by what the limit tolerates.
+/// \p Members that there are. In any 4 s they send at most 4 times the limit
+/// and one request each; the platform tolerates 6 times the limit and 5
+/// requests. The difference covers instances that know different members.
 std::size_t limitHolders(double PerSecond, std::size_t Members);
 
 /// Returns whether \p Self is one of the instances that share the limit
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -62,7 +62,7 @@
                     {{"call", Call}, {"status", storeStatusName(Status)}});
 }
 
-void store_follower::recordEra(const store_items &Items) {
+void store_follower::checkEra(const store_items &Items) {
   const std::int64_t Seen = eraOf(Items.Revision);
   if (Items.Status != store_status::Ok || (Era && Seen <= *Era))
     return;
@@ -129,7 +129,7 @@
 void store_follower::onOperators(const store_items &Items) {
   Reading = false;
   recordCall("read_operators", Items.Status, ReadFailures);
-  recordEra(Items);
+  checkEra(Items);
   if (Items.Status != store_status::Ok) {
     ReadTimer.startOnce(backOff(ReadFailures));
     return;
@@ -148,7 +148,7 @@
 
 void store_follower::onUpstreamListing(const store_items &Items) {
   recordCall("list_upstreams", Items.Status, WatchFailures);
-  recordEra(Items);
+  checkEra(Items);
   if (Items.Status != store_status::Ok) {
     WatchTimer.startOnce(backOff(WatchFailures));
     return;
@@ -181,7 +181,7 @@
 
 void store_follower::onFleetListing(const store_items &Items) {
   recordCall("list_own", Items.Status, WatchFailures);
-  recordEra(Items);
+  checkEra(Items);
   if (Items.Status != store_status::Ok) {
     WatchTimer.startOnce(backOff(WatchFailures));
     return;
@@ -198,7 +198,7 @@
 
 void store_follower::onChanges(const store_items &Changes) {
   recordCall("watch", Changes.Status, WatchFailures);
-  recordEra(Changes);
+  checkEra(Changes);
   if (Changes.Status != store_status::Ok) {
     // After an outage entries may have lapsed, and after a compacted history
     // changes may have been missed.
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -93,8 +93,8 @@
   /// all upstreams, so this is done once for a sequence of batches.
   void notifyOfDirectory();
 
-  /// Logs when the store was restored from an older copy.
-  void recordEra(const store_items &Items);
+  /// Handles a restore from an older copy, which a later era in \p Items shows.
+  void checkEra(const store_items &Items);
 
   /// Counts a call, and logs when the store becomes reachable or unreachable.
   /// \p Failures counts the failed calls of the loop.
