--- a/src/decisions/process/upstream_limits.cpp
+++ b/src/decisions/process/upstream_limits.cpp
@@ -148,7 +148,7 @@
   if (!State.Holds)
     return instant::max();
   accrue(State, Now);
-  // Rounding must not leave a part of a request for ever.
+  // A whole request may have accrued to slightly less by rounding.
   constexpr double Rounding = 1e-6;
   if (State.Level >= 1 - Rounding)
     return Now;
