Logs tell that a stream's software is uncertain, and why it was not continued

software_uncertain, origin_uncertain; the refusal of a resumed stream names its software and the number of upstreams with it that are not confirmed. Nothing else changes.

--- a/src/decisions/process/unconfirmed_upstreams.cpp
+++ b/src/decisions/process/unconfirmed_upstreams.cpp
@@ -2,9 +2,13 @@
 
 namespace ebonyvale {
 
-void unconfirmed_upstreams::onConnectionLost(const upstream_process &Process,
+bool unconfirmed_upstreams::onConnectionLost(const upstream_process &Process,
                                              instant Now) {
-  Doubts[Process.Id] = {Process, Now};
+  const auto [Position, Inserted] = Doubts.try_emplace(Process.Id);
+  doubt &Doubt = Position->second;
+  const bool WasConfirmed = Inserted || Doubt.Process != Process;
+  Doubt = {Process, Now};
+  return WasConfirmed;
 }
 
 bool unconfirmed_upstreams::isConfirmed(const upstream_entry &Entry,
--- a/src/decisions/process/unconfirmed_upstreams.h
+++ b/src/decisions/process/unconfirmed_upstreams.h
@@ -21,8 +21,9 @@
   /// Time from the loss of a connection to the entry of a new process.
   static constexpr span_ns ListingTime = std::chrono::milliseconds(1500);
 
-  /// Records that \p Process has ended a connection, or refused one.
-  void onConnectionLost(const upstream_process &Process, instant Now);
+  /// Records that \p Process has ended a connection, or refused one. Returns
+  /// whether it was confirmed before.
+  bool onConnectionLost(const upstream_process &Process, instant Now);
 
   /// Returns whether \p Entry describes the process that runs now.
   /// \p ListedAt is when the list of upstreams was last read.
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -96,7 +96,8 @@
   Links.observeIdleLosses([this](const endpoint &Server) {
     for (const auto &[Id, Entry] : Directory.all())
       if (Entry.Port == Server.Port && Entry.Address == Server.Address)
-        Unconfirmed.onConnectionLost(Entry.process(), readBootClock());
+        onSoftwareUncertain(Entry.process(), "idle_connection_lost",
+                            readBootClock());
   });
 }
 
@@ -325,7 +326,7 @@
 void gateway_core::onPeerLoss(engine_id Upstream, instant Now) {
   for (const auto &[Id, Entry] : Directory.all())
     if (upstreamHash(Id) == Upstream)
-      Unconfirmed.onConnectionLost(Entry.process(), Now);
+      onSoftwareUncertain(Entry.process(), "lost_by_peer", Now);
 }
 
 void gateway_core::reportCompletion(std::span<const segment_id> Segments,
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -183,6 +183,10 @@
   /// upstreams of \p Service have had one version only.
   const unconfirmed_upstreams *unconfirmedUpstreams(std::string_view Service,
                                                     instant Now) const;
+  /// Returns the number of usable upstreams of \p Service whose entry states
+  /// \p Software, while it is not certain that it is that of their process.
+  std::size_t uncertainUpstreams(std::string_view Service,
+                                 std::string_view Software, instant Now) const;
   /// Returns whether \p Entry states the software of the process that runs.
   bool isSoftwareCertain(const upstream_entry &Entry, instant Now) const;
 
@@ -295,6 +299,9 @@
   bool leaving() const { return Leaving; }
 
 private:
+  /// Records that \p Upstream may have restarted with other software.
+  void onSoftwareUncertain(const upstream_process &Upstream,
+                           std::string_view Reason, instant Now);
   bool onLeaving(const upstream_process &Upstream, bool FromPeer, instant Now);
   void onBrittleStated(const upstream_process &Upstream,
                        const response_info &Response, instant Now);
--- a/src/gateway/process/upstream_reach.cpp
+++ b/src/gateway/process/upstream_reach.cpp
@@ -1,6 +1,7 @@
 // Which upstreams this instance reaches, and its relays to the others.
 #include "gateway/process/gateway_core.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ebonyvale {
@@ -20,7 +21,7 @@
   if (Reason == loss_reason::ConnectTimeout)
     Links.closeIdleConnections({Upstream.Address, Upstream.Port});
   if (Reason == loss_reason::ConnectFailed)
-    Unconfirmed.onConnectionLost(Upstream, Now);
+    onSoftwareUncertain(Upstream, "connect_failed", Now);
   if (!UpstreamPaths.onConnectFailed(Upstream, Now))
     return;
   Scheduler.onPathLost(Upstream.Id);
@@ -46,7 +47,34 @@
 void gateway_core::onConnectionLost(const upstream_process &Upstream,
                                     instant Now) {
   UpstreamPaths.onSuspected(Upstream, Now);
-  Unconfirmed.onConnectionLost(Upstream, Now);
+  onSoftwareUncertain(Upstream, "connection_lost", Now);
+}
+
+void gateway_core::onSoftwareUncertain(const upstream_process &Upstream,
+                                       std::string_view Reason, instant Now) {
+  if (!Unconfirmed.onConnectionLost(Upstream, Now))
+    return;
+  const upstream_entry *Entry = Directory.find(Upstream.Id);
+  if (Entry && unconfirmedUpstreams(Entry->Service, Now))
+    Log.info(event_category::Upstream, "software_uncertain",
+             {{"upstream", Upstream.Id},
+              {"born", Upstream.Born},
+              {"software", Entry->Software},
+              {"reason", Reason}});
+}
+
+std::size_t gateway_core::uncertainUpstreams(std::string_view Service,
+                                             std::string_view Software,
+                                             instant Now) const {
+  const unconfirmed_upstreams *Doubts = unconfirmedUpstreams(Service, Now);
+  if (!Doubts)
+    return 0;
+  const auto Usable = Directory.usable(Service);
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Usable, [&](const upstream_entry *Entry) {
+        return Entry->Software == Software &&
+               !Doubts->isConfirmed(*Entry, UpstreamsConfirmedAt);
+      }));
 }
 
 bool gateway_core::isCutFromEngines(instant Now) const {
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -172,6 +172,11 @@
     StreamSoftware = AttemptSoftware;
     const upstream_entry *Entry = Core.directory().find(Choice->Upstream);
     OriginCertain = Entry && Core.isSoftwareCertain(*Entry, readBootClock());
+    if (!OriginCertain)
+      Core.log().info(event_category::Request, "origin_uncertain",
+                      {{"id", ParsedRequest.Id},
+                       {"upstream", Choice->Upstream},
+                       {"software", StreamSoftware}});
     if (Core.origins() && OriginCertain)
       Core.origins()->onBegun(ParsedRequest.Id, {Service, StreamSoftware});
   }
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -174,6 +174,14 @@
                            Core.scheduler().availableIn(Query, Now));
 }
 
+std::string forward_session::scheduleDetail(instant Now) const {
+  if (StreamSoftware.empty())
+    return fmt::format("service {}", Service);
+  return fmt::format(
+      "service {}, software {}, {} upstreams with it not confirmed", Service,
+      StreamSoftware, Core.uncertainUpstreams(Service, StreamSoftware, Now));
+}
+
 void forward_session::schedule() {
   // The process may have been suspended since the key was checked, so the
   // freshness of the configuration and the deadline are checked again.
@@ -197,7 +205,7 @@
   const schedule_outcome Outcome = Core.scheduler().choose(makeQuery(Now), Now);
   if (!Outcome.Choice)
     return fail(Flow.failureDecision(),
-                {Outcome.Refusal.Kind, fmt::format("service {}", Service),
+                {Outcome.Refusal.Kind, scheduleDetail(Now),
                  Outcome.Refusal.RetryAfter});
   // Asked last, since a suspected segment lets few requests pass.
   if (const auto Refusal =
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -79,6 +79,8 @@
   void schedule();
   void send(const schedule_choice &Choice, instant Now);
   schedule_query makeQuery(instant Now) const;
+  /// Returns what a request for which no upstream was chosen has asked for.
+  std::string scheduleDetail(instant Now) const;
   /// Returns after which time a new request may be served that this one's
   /// upstreams have not.
   span_ns retryAfter(instant Now) const;
