--- /dev/null
+++ b/src/gateway/connection/upstream_call.h
@@ -0,0 +1,53 @@
+/// \file
+/// One request of the gateway itself to an upstream.
+#ifndef EBONYVALE_GATEWAY_CONNECTION_UPSTREAM_CALL_H
+#define EBONYVALE_GATEWAY_CONNECTION_UPSTREAM_CALL_H
+
+#include "gateway/process/gateway_core.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace ebonyvale {
+
+/// Sends an order or a request for a status report, limited by `Timeout`.
+/// Cancelled when it is destroyed.
+class upstream_call final : public response_observer,
+                            public std::enable_shared_from_this<upstream_call> {
+public:
+  static constexpr span_ns Timeout = std::chrono::milliseconds(450);
+
+  /// Receives the response; \p Status is 0 if it is not complete. Called once,
+  /// from the event loop.
+  using callback = std::function<void(const std::shared_ptr<upstream_call> &,
+                                      int Status, std::string_view Body)>;
+
+  upstream_call(gateway_core &Core, upstream_process Target, callback Done);
+  ~upstream_call() override;
+
+  void start(const client_request &Request);
+
+  // response_observer
+  response_action onResponseHead(const http_head &Head,
+                                 bool FirstOnConnection) override;
+  void onResponseBody(std::string_view Bytes) override;
+  void onResponseEnd() override;
+  void onResponseLost(const exchange_loss &Loss) override;
+
+private:
+  void finish(int Result);
+
+  gateway_core &Core;
+  upstream_process Target;
+  callback Done;
+  timer Deadline;
+  std::shared_ptr<client_connection> Link;
+  int Status = 0;
+  std::string Body;
+};
+
+} // namespace ebonyvale
+
+#endif
--- a/src/gateway/version/weights_task.cpp
+++ b/src/gateway/version/weights_task.cpp
@@ -8,8 +8,6 @@
 
 /// Time between two checks of the claim and the rollout.
 constexpr span_ns TickInterval = std::chrono::milliseconds(50);
-/// Timeout of an order or a report request.
-constexpr span_ns CallTimeout = std::chrono::milliseconds(450);
 /// Added to the pause of a new claim holder before its first order: time that
 /// an order of the previous holder may take to reach an upstream.
 constexpr span_ns IssuerMargin = std::chrono::milliseconds(200);
@@ -19,8 +17,6 @@
 /// longest time that an instance leaves to those before it.
 constexpr span_ns ClaimStagger = std::chrono::milliseconds(200);
 constexpr span_ns MaxClaimDelay = std::chrono::milliseconds(2000);
-/// Longest response body that is kept.
-constexpr std::size_t MaxResponseBytes = 256 * 1024;
 
 rollout_options rolloutOptions(const gateway_settings &Settings) {
   rollout_options Options;
@@ -31,75 +27,6 @@
 
 } // namespace
 
-/// One request to an upstream, limited by CallTimeout.
-class weights_task::call final : public response_observer,
-                                 public std::enable_shared_from_this<call> {
-public:
-  /// Receives the response; \p Status is 0 if it is not complete.
-  using callback = std::function<void(int Status, std::string_view Body)>;
-
-  call(weights_task &Owner, upstream_process Target, callback Done)
-      : Owner(Owner), Target(std::move(Target)), Done(std::move(Done)),
-        Deadline(Owner.Core.base(), [this] { finish(0); }) {}
-  ~call() override {
-    if (Link)
-      Link->cancel();
-  }
-
-  void start(const client_request &Request) {
-    Link = Owner.Core.links().start(Request, *this);
-    Deadline.startOnce(CallTimeout);
-  }
-
-  response_action onResponseHead(const http_head &Head, bool) override {
-    // The call has no id; a response with one answers a forwarded request.
-    const response_info Info =
-        Owner.Core.protocols().Upstreams.readResponse(Head, "");
-    if (!Info.RequestId.empty()) {
-      Owner.Core.log().warn(
-          event_category::Weights, "answer_crossed",
-          {{"answer_id", Info.RequestId}, {"status", Head.Status}});
-      return response_action::Skip;
-    }
-    Status = Head.Status;
-    Owner.Core.onUpstreamStatement(
-        Target, Owner.Core.protocols().Upstreams.readResponse(Head, Target.Id),
-        readBootClock());
-    return response_action::Take;
-  }
-  void onResponseBody(std::string_view Bytes) override {
-    if (Body.size() + Bytes.size() > MaxResponseBytes)
-      return finish(0);
-    Body += Bytes;
-  }
-  void onResponseEnd() override {
-    Link.reset();
-    finish(Status);
-  }
-  void onResponseLost(const exchange_loss &) override {
-    Link.reset();
-    finish(0);
-  }
-
-private:
-  void finish(int Result) {
-    const auto Guard = shared_from_this();
-    Deadline.stop();
-    if (const auto Running = std::exchange(Link, nullptr))
-      Running->cancel();
-    Owner.Calls.erase(Guard);
-    Done(Result, Body);
-  }
-
-  weights_task &Owner;
-  upstream_process Target;
-  callback Done;
-  timer Deadline;
-  std::shared_ptr<client_connection> Link;
-  int Status = 0;
-  std::string Body;
-};
-
 weights_task::weights_task(gateway_core &Core, fleet_store &Store)
     : Core(Core), Store(Store),
       Lease(Core, Store,
@@ -273,9 +200,13 @@
   if (!Request)
     return;
   Core.protocols().Upstreams.makeReportRequest(Upstream, *Request);
-  const auto Call = std::make_shared<call>(
-      *this, Core.directory().find(Upstream)->process(),
-      [this, Upstream](int Status, std::string_view Body) {
+  const upstream_process Asked = Core.directory().find(Upstream)->process();
+  const auto Call = std::make_shared<upstream_call>(
+      Core, Asked,
+      [this, Upstream, Asked,
+       SentAt = readBootClock()](const std::shared_ptr<upstream_call> &Done,
+                                 int Status, std::string_view Body) {
+        Calls.erase(Done);
         constexpr int StatusOk = 200;
         std::optional<upstream_report> Report;
         if (Status == StatusOk)
@@ -321,9 +252,11 @@
                    {"version", Order.Version},
                    {"fence", FencingToken},
                    {"expected", Order.AcceptedOrders}});
-  const auto Call = std::make_shared<call>(
-      *this, Core.directory().find(Order.Upstream)->process(),
-      [this, Order](int Status, std::string_view) {
+  const auto Call = std::make_shared<upstream_call>(
+      Core, Core.directory().find(Order.Upstream)->process(),
+      [this, Order](const std::shared_ptr<upstream_call> &Done, int Status,
+                    std::string_view) {
+        Calls.erase(Done);
         const order_result Response =
             Status == 0 ? order_result::Unknown
                         : Core.protocols().Upstreams.readOrderResponse(Status);
--- a/src/gateway/version/weights_task.h
+++ b/src/gateway/version/weights_task.h
@@ -4,6 +4,7 @@
 #define EBONYVALE_GATEWAY_VERSION_WEIGHTS_TASK_H
 
 #include "decisions/version/weights_rollout.h"
+#include "gateway/connection/upstream_call.h"
 #include "gateway/process/fleet_store.h"
 #include "gateway/process/gateway_core.h"
 #include "gateway/process/lease_keeper.h"
@@ -51,8 +52,6 @@
   static std::string_view claimKey();
 
 private:
-  class call;
-
   /// Returns whether this process wrote the claim and its lease is still valid.
   bool holdsClaim(instant Now) const;
   /// Writes the claim if no other instance holds it. Instances try one after
@@ -85,7 +84,7 @@
   /// Until then, orders of the previous holder may still arrive.
   instant FirstOrderAt;
   timer TickTimer;
-  std::set<std::shared_ptr<call>> Calls; ///< in flight
+  std::set<std::shared_ptr<upstream_call>> Calls; ///< in flight
 };
 
 } // namespace ebonyvale
