A lost connection of a sound upstream refuses no resumed stream

Cause: any lost connection put its upstream in doubt, since it may have restarted with other software, and only a read of the store 1.5 s after the last loss ended the doubt. Meanwhile streams that began there got no origin, and no stream could go on there.

The process itself can tell: its status report states when it has started, as its entry does. upstream_verifier asks, after a loss within an exchange and where a stream is to begin or go on at an upstream in doubt; a resumed stream waits up to 150 ms for that. The same start confirms the entry, in response to a question asked after the loss; a different one shows that the entry is that of an earlier process, for as long as it is listed. A stream that began in doubt is recorded once its upstream is confirmed, since processes under one id follow each other. Upstreams that state no start are confirmed by the store only, as before.

a_lost_connection_refuses_no_resumed_stream (0 of 4 went on in each of 5 rows) and a_loss_that_a_peer_reports_refuses_no_resumed_stream (0 of 6) failed before. The rows with a stated start of a_restart_under_the_same_id_continues_no_stream passed before and after. gateway_tests 507 of 507.

--- a/src/decisions/process/unconfirmed_upstreams.cpp
+++ b/src/decisions/process/unconfirmed_upstreams.cpp
@@ -6,9 +6,29 @@
                                              instant Now) {
   const auto [Position, Inserted] = Doubts.try_emplace(Process.Id);
   doubt &Doubt = Position->second;
-  const bool WasConfirmed = Inserted || Doubt.Process != Process;
+  if (!Inserted && Doubt.Process == Process) {
+    Doubt.Since = Now;
+    return false;
+  }
   Doubt = {Process, Now};
-  return WasConfirmed;
+  return true;
+}
+
+bool unconfirmed_upstreams::onStarted(const upstream_process &Listed,
+                                      std::int64_t Born, instant SentAt) {
+  const auto Found = Doubts.find(Listed.Id);
+  if (Found == Doubts.end() || Found->second.Process != Listed || Born == 0 ||
+      Listed.Born == 0)
+    return false;
+  doubt &Doubt = Found->second;
+  if (Born != Listed.Born) {
+    Doubt.IsReplaced = true;
+    return false;
+  }
+  if (Doubt.IsReplaced || SentAt < Doubt.Since)
+    return false;
+  Doubts.erase(Found);
+  return true;
 }
 
 bool unconfirmed_upstreams::isConfirmed(const upstream_entry &Entry,
@@ -16,12 +36,21 @@
   const auto Found = Doubts.find(Entry.Id);
   if (Found == Doubts.end() || Found->second.Process != Entry.process())
     return true;
-  return ListedAt && *ListedAt - Found->second.Since >= ListingTime;
+  return !Found->second.IsReplaced && ListedAt &&
+         *ListedAt - Found->second.Since >= ListingTime;
 }
 
-void unconfirmed_upstreams::expire(instant ListedAt) {
-  std::erase_if(Doubts, [ListedAt](const auto &Known) {
-    return ListedAt - Known.second.Since >= ListingTime;
+void unconfirmed_upstreams::expire(const upstream_directory &Directory,
+                                   instant ListedAt) {
+  std::erase_if(Doubts, [&](const auto &Known) {
+    const doubt &Doubt = Known.second;
+    if (!Doubt.IsReplaced)
+      return ListedAt - Doubt.Since >= ListingTime;
+    const upstream_entry *Entry = Directory.find(Known.first);
+    if (Entry)
+      return Entry->process() != Doubt.Process;
+    // An older copy of the store may list it again.
+    return ListedAt - Doubt.Since >= upstream_directory::GoneMemory;
   });
 }
 
--- a/src/decisions/process/unconfirmed_upstreams.h
+++ b/src/decisions/process/unconfirmed_upstreams.h
@@ -14,8 +14,9 @@
 
 /// An upstream may start again under its id and address with other software,
 /// and its responses do not state which. Its connections end at a restart, so
-/// after the loss of one its entry counts only once the list of upstreams has
-/// been read when a new process would have been listed.
+/// after the loss of one its entry counts only once the process has stated that
+/// it is the one of the entry, or once the list of upstreams has been read when
+/// a new process would have been listed.
 class unconfirmed_upstreams {
 public:
   /// Time from the loss of a connection to the entry of a new process.
@@ -25,18 +26,27 @@
   /// whether it was confirmed before.
   bool onConnectionLost(const upstream_process &Process, instant Now);
 
+  /// Records that the process at the address of \p Listed has stated \p Born,
+  /// its start in ms since the Unix epoch (0: it stated none), in response to a
+  /// request sent at \p SentAt. Returns whether that has ended the doubt.
+  bool onStarted(const upstream_process &Listed, std::int64_t Born,
+                 instant SentAt);
+
   /// Returns whether \p Entry describes the process that runs now.
   /// \p ListedAt is when the list of upstreams was last read.
   bool isConfirmed(const upstream_entry &Entry,
                    std::optional<instant> ListedAt) const;
 
-  /// Forgets what a list of upstreams read at \p ListedAt has confirmed.
-  void expire(instant ListedAt);
+  /// Forgets what a list of upstreams read at \p ListedAt, \p Directory, has
+  /// confirmed or replaced.
+  void expire(const upstream_directory &Directory, instant ListedAt);
 
 private:
   struct doubt {
     upstream_process Process;
     instant Since;
+    /// Another process has stated its start; the entry stays outdated.
+    bool IsReplaced = false;
   };
 
   std::map<std::string, doubt, std::less<>> Doubts; ///< by id
--- /dev/null
+++ b/src/gateway/connection/upstream_verifier.cpp
@@ -0,0 +1,78 @@
+#include "gateway/connection/upstream_verifier.h"
+
+#include <utility>
+
+namespace ebonyvale {
+
+upstream_verifier::upstream_verifier(gateway_core &Core) : Core(Core) {
+  Core.setVerifier(this);
+}
+
+upstream_verifier::~upstream_verifier() { Core.setVerifier(nullptr); }
+
+bool upstream_verifier::verify(std::string_view Upstream,
+                               const std::weak_ptr<verification_waiter> &Waiter,
+                               instant Now) {
+  auto Position = Questions.find(Upstream);
+  if (Position == Questions.end()) {
+    const upstream_entry *Entry = Core.directory().find(Upstream);
+    std::erase_if(UnansweredAt, [Now](const auto &Known) {
+      return Now - Known.second >= RetryPause;
+    });
+    // An upstream that states no start cannot be confirmed by it.
+    if (!Entry || Entry->Born == 0 || !Entry->isOpen() ||
+        Core.upstreamPaths().lostSince(*Entry) ||
+        UnansweredAt.contains(Upstream) || Questions.size() >= MaxQuestions)
+      return false;
+    Position = Questions.try_emplace(Entry->Id).first;
+    ask(*Entry, Position->second, Now);
+  }
+  if (!Waiter.expired())
+    Position->second.Waiters.push_back(Waiter);
+  return true;
+}
+
+void upstream_verifier::ask(const upstream_entry &Entry, question &Question,
+                            instant Now) {
+  client_request Request;
+  Request.Server = {Entry.Address, Entry.Port};
+  // An idle connection may be one that has ended with the process.
+  Request.NewConnection = true;
+  Core.protocols().Upstreams.makeReportRequest(Entry.Id, Request);
+  Question.Call = std::make_shared<upstream_call>(
+      Core, Entry.process(),
+      [this, Asked = Entry.process(),
+       Now](const std::shared_ptr<upstream_call> &, int Status,
+            std::string_view Body) { onAnswer(Asked, Now, Status, Body); });
+  Question.Call->start(Request);
+}
+
+void upstream_verifier::onAnswer(const upstream_process &Asked, instant SentAt,
+                                 int Status, std::string_view Body) {
+  constexpr int StatusOk = 200;
+  const instant Now = readBootClock();
+  std::optional<upstream_report> Report;
+  if (Status == StatusOk)
+    Report = Core.protocols().Upstreams.readReport(Body);
+  if (Report)
+    Core.onUnknownFields("upstream_report", Report->UnknownFields);
+  const bool Confirmed =
+      Report && Core.onUpstreamStarted(Asked, Report->Born, SentAt, Now);
+  Core.log().info(event_category::Upstream, "software_verified",
+                  {{"upstream", Asked.Id},
+                   {"born", Asked.Born},
+                   {"stated", Report ? Report->Born : 0},
+                   {"status", Status},
+                   {"confirmed", Confirmed},
+                   {"after_ms", Now - SentAt}});
+  if (!Confirmed)
+    UnansweredAt[Asked.Id] = Now;
+  const auto Question = Questions.extract(Asked.Id);
+  if (Question.empty())
+    return;
+  for (const auto &Waiter : Question.mapped().Waiters)
+    if (const auto Target = Waiter.lock())
+      callLater(Core.base(), [Target] { Target->onVerified(); });
+}
+
+} // namespace ebonyvale
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -163,7 +163,7 @@
 
 void gateway_core::onUpstreamsConfirmed(instant At) {
   UpstreamsConfirmedAt = At;
-  Unconfirmed.expire(At);
+  Unconfirmed.expire(Directory, At);
 }
 
 const unconfirmed_upstreams *
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -99,6 +99,25 @@
   virtual void sendLeaving(const upstream_process &Upstream) = 0;
 };
 
+/// Waits for an upstream to state which process it runs.
+class verification_waiter {
+public:
+  virtual ~verification_waiter() = default;
+  /// The upstream has answered, or has failed to.
+  virtual void onVerified() = 0;
+};
+
+/// Asks upstreams which process they run.
+class software_verifier {
+public:
+  virtual ~software_verifier() = default;
+  /// Asks \p Upstream, unless it has just failed to answer. Returns whether an
+  /// answer is due; \p Waiter is then called once, from the event loop.
+  virtual bool verify(std::string_view Upstream,
+                      const std::weak_ptr<verification_waiter> &Waiter,
+                      instant Now) = 0;
+};
+
 /// Adapters to the platform in use.
 struct platform_protocols {
   const document_reader &Documents;
@@ -172,6 +191,8 @@
   void setOrigins(origin_task *Target) { Origins = Target; }
   origin_task *origins() { return Origins; }
 
+  void setVerifier(software_verifier *Target) { Verifier = Target; }
+
   software_history &softwareHistory() { return SoftwareHistory; }
 
   /// Records that the list of upstreams was current at \p At.
@@ -183,10 +204,21 @@
   /// upstreams of \p Service have had one version only.
   const unconfirmed_upstreams *unconfirmedUpstreams(std::string_view Service,
                                                     instant Now) const;
-  /// Returns the number of usable upstreams of \p Service whose entry states
-  /// \p Software, while it is not certain that it is that of their process.
-  std::size_t uncertainUpstreams(std::string_view Service,
-                                 std::string_view Software, instant Now) const;
+  /// Returns the usable upstreams of \p Service whose entry states \p Software,
+  /// while it is not certain that it is that of their process.
+  std::vector<const upstream_entry *>
+  uncertainUpstreams(std::string_view Service, std::string_view Software,
+                     instant Now) const;
+  /// Asks these upstreams which process they run. Returns whether an answer is
+  /// due, see `software_verifier`.
+  bool verifySoftware(std::string_view Service, std::string_view Software,
+                      const std::weak_ptr<verification_waiter> &Waiter,
+                      instant Now);
+  /// Records that the process at the address of \p Listed has stated its start,
+  /// \p Born, in response to a request sent at \p SentAt. Returns whether this
+  /// has confirmed its entry.
+  bool onUpstreamStarted(const upstream_process &Listed, std::int64_t Born,
+                         instant SentAt, instant Now);
   /// Returns whether \p Entry states the software of the process that runs.
   bool isSoftwareCertain(const upstream_entry &Entry, instant Now) const;
 
@@ -355,6 +387,7 @@
   std::unordered_set<open_request *> OpenRequests;
   std::size_t OpenRelays = 0;
   peer_messenger *Messenger = nullptr;
+  software_verifier *Verifier = nullptr;
   origin_task *Origins = nullptr;
   change_exchange *Changes = nullptr;
   std::uint16_t PeerPort = 0;
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -6,6 +6,7 @@
 #include "gateway/connection/operator_handler.h"
 #include "gateway/connection/path_prober.h"
 #include "gateway/connection/peer_gossip.h"
+#include "gateway/connection/upstream_verifier.h"
 #include "gateway/process/gateway_core.h"
 #include "gateway/process/membership_task.h"
 #include "gateway/process/origin_task.h"
@@ -89,6 +90,7 @@
   weights_task Weights;
   store_follower Follower;
   origin_task Origins;
+  upstream_verifier Verifier;
   peer_gossip Gossip;
   refusal_writer Refusals;
   operator_handler Operators;
--- a/src/gateway/process/origin_task.cpp
+++ b/src/gateway/process/origin_task.cpp
@@ -13,6 +13,9 @@
 /// Records that begin within this time share a message.
 constexpr span_ns SendDelay = std::chrono::milliseconds(5);
 constexpr span_ns TickInterval = std::chrono::milliseconds(500);
+/// Streams that wait for the confirmation of their upstream; of more the newest
+/// get no record.
+constexpr std::size_t MaxUnconfirmed = 2000;
 /// Between service and version in a record.
 constexpr char WriterSeparator = '\n';
 
@@ -57,6 +60,38 @@
   armSendTimer();
 }
 
+void origin_task::onBegunUnconfirmed(std::string_view RequestId,
+                                     const stream_writer &Writer,
+                                     const upstream_process &Process,
+                                     instant Now) {
+  if (Unconfirmed.size() < MaxUnconfirmed)
+    Unconfirmed.push_back({std::string(RequestId), Writer, Process, Now});
+}
+
+void origin_task::recordConfirmed(instant Now) {
+  std::vector<unconfirmed_stream> Waiting;
+  for (unconfirmed_stream &Stream : std::exchange(Unconfirmed, {})) {
+    const upstream_entry *Entry = Core.directory().find(Stream.Process.Id);
+    const bool IsListed = Entry && Entry->process() == Stream.Process;
+    // Processes follow each other, so the one that is confirmed now was running
+    // when the stream began.
+    if (IsListed && Core.isSoftwareCertain(*Entry, Now))
+      onBegun(Stream.RequestId, Stream.Writer);
+    else if (IsListed && Now - Stream.BegunAt < stream_origins::KeepFor)
+      Waiting.push_back(std::move(Stream));
+    else
+      Core.log().info(event_category::Request, "origin_unknown",
+                      {{"id", Stream.RequestId},
+                       {"upstream", Stream.Process.Id},
+                       {"software", Stream.Writer.Software}});
+  }
+  Unconfirmed = std::move(Waiting);
+}
+
+bool origin_task::isKnown(std::string_view RequestId) const {
+  return Origins.find(streamOf(RequestId), readBootClock()).has_value();
+}
+
 void origin_task::armSendTimer() {
   if (Origins.hasQueued() && !std::exchange(SendArmed, true))
     SendTimer.startOnce(SendDelay);
@@ -167,6 +202,7 @@
 void origin_task::onTick() {
   const instant Now = readBootClock();
   updateMembers(Now);
+  recordConfirmed(Now);
   Origins.expire(Now);
   Core.counters().StreamOrigins.Set(static_cast<double>(Origins.count()));
 }
--- a/src/gateway/process/origin_task.h
+++ b/src/gateway/process/origin_task.h
@@ -5,6 +5,7 @@
 
 #include "decisions/process/origin_lookup.h"
 #include "decisions/process/stream_origins.h"
+#include "decisions/process/upstream_directory.h"
 #include "net/timer.h"
 
 #include <cstdint>
@@ -46,6 +47,16 @@
   /// that the request \p RequestId began at \p Writer.
   void onBegun(std::string_view RequestId, const stream_writer &Writer);
 
+  /// As `onBegun`, but \p Process may have been replaced under its entry. The
+  /// record counts once the entry is confirmed.
+  void onBegunUnconfirmed(std::string_view RequestId,
+                          const stream_writer &Writer,
+                          const upstream_process &Process, instant Now);
+  /// Records the streams whose upstreams have been confirmed meanwhile.
+  void recordConfirmed(instant Now);
+  /// Returns whether it is known here what began the stream of \p RequestId.
+  bool isKnown(std::string_view RequestId) const;
+
   /// Finds out what began the stream of \p RequestId. \p Waiter is called once,
   /// possibly before the function returns, unless it has been destroyed.
   void find(std::string_view RequestId,
@@ -64,6 +75,12 @@
     origin_lookup Lookup;
     std::vector<std::weak_ptr<origin_waiter>> Waiters;
   };
+  struct unconfirmed_stream {
+    std::string RequestId;
+    stream_writer Writer;
+    upstream_process Process;
+    instant BegunAt;
+  };
   using lookup_map = std::map<std::uint64_t, pending_lookup>;
 
   void armSendTimer();
@@ -79,8 +96,9 @@
 
   gateway_core &Core;
   stream_origins Origins;
-  lookup_map Lookups;                  ///< by stream
-  std::uint64_t MembersGeneration = 0; ///< of the roster
+  std::vector<unconfirmed_stream> Unconfirmed; ///< the oldest first
+  lookup_map Lookups;                          ///< by stream
+  std::uint64_t MembersGeneration = 0;         ///< of the roster
   bool SendArmed = false;
   timer SendTimer;
   timer LookupTimer;
--- a/src/gateway/process/upstream_reach.cpp
+++ b/src/gateway/process/upstream_reach.cpp
@@ -1,5 +1,6 @@
 // Which upstreams this instance reaches, and its relays to the others.
 #include "gateway/process/gateway_core.h"
+#include "gateway/process/origin_task.h"
 
 #include <algorithm>
 #include <utility>
@@ -48,6 +49,9 @@
                                     instant Now) {
   UpstreamPaths.onSuspected(Upstream, Now);
   onSoftwareUncertain(Upstream, "connection_lost", Now);
+  const upstream_entry *Entry = Directory.find(Upstream.Id);
+  if (Verifier && Entry && !isSoftwareCertain(*Entry, Now))
+    Verifier->verify(Upstream.Id, {}, Now);
 }
 
 void gateway_core::onSoftwareUncertain(const upstream_process &Upstream,
@@ -63,18 +67,39 @@
               {"reason", Reason}});
 }
 
-std::size_t gateway_core::uncertainUpstreams(std::string_view Service,
-                                             std::string_view Software,
-                                             instant Now) const {
+std::vector<const upstream_entry *>
+gateway_core::uncertainUpstreams(std::string_view Service,
+                                 std::string_view Software, instant Now) const {
   const unconfirmed_upstreams *Doubts = unconfirmedUpstreams(Service, Now);
   if (!Doubts)
-    return 0;
-  const auto Usable = Directory.usable(Service);
-  return static_cast<std::size_t>(
-      std::ranges::count_if(Usable, [&](const upstream_entry *Entry) {
-        return Entry->Software == Software &&
-               !Doubts->isConfirmed(*Entry, UpstreamsConfirmedAt);
-      }));
+    return {};
+  std::vector<const upstream_entry *> Usable = Directory.usable(Service);
+  std::erase_if(Usable, [&](const upstream_entry *Entry) {
+    return Entry->Software != Software ||
+           Doubts->isConfirmed(*Entry, UpstreamsConfirmedAt);
+  });
+  return Usable;
+}
+
+bool gateway_core::verifySoftware(
+    std::string_view Service, std::string_view Software,
+    const std::weak_ptr<verification_waiter> &Waiter, instant Now) {
+  bool IsAnswerDue = false;
+  if (Verifier)
+    for (const upstream_entry *Entry :
+         uncertainUpstreams(Service, Software, Now))
+      IsAnswerDue |= Verifier->verify(Entry->Id, Waiter, Now);
+  return IsAnswerDue;
+}
+
+bool gateway_core::onUpstreamStarted(const upstream_process &Listed,
+                                     std::int64_t Born, instant SentAt,
+                                     instant Now) {
+  if (!Unconfirmed.onStarted(Listed, Born, SentAt))
+    return false;
+  if (Origins)
+    Origins->recordConfirmed(Now);
+  return true;
 }
 
 bool gateway_core::isCutFromEngines(instant Now) const {
--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -48,6 +48,28 @@
   schedule();
 }
 
+void forward_session::recordOrigin(instant Now) {
+  const upstream_entry *Entry = Core.directory().find(Choice->Upstream);
+  const stream_writer Writer{Service, StreamSoftware};
+  OriginCertain = Entry && Core.isSoftwareCertain(*Entry, Now);
+  if (!OriginCertain)
+    Core.log().info(event_category::Request, "origin_uncertain",
+                    {{"id", ParsedRequest.Id},
+                     {"upstream", Choice->Upstream},
+                     {"software", StreamSoftware}});
+  if (!Core.origins())
+    return;
+  if (OriginCertain)
+    return Core.origins()->onBegun(ParsedRequest.Id, Writer);
+  Core.origins()->onBegunUnconfirmed(ParsedRequest.Id, Writer, Target, Now);
+  Core.verifySoftware(Service, StreamSoftware, {}, Now);
+}
+
+bool forward_session::isOriginKnown() const {
+  return OriginCertain ||
+         (Core.origins() && Core.origins()->isKnown(ParsedRequest.Id));
+}
+
 bool forward_session::isSoftwareReplaced() const {
   const upstream_entry *Entry = Core.directory().find(Choice->Upstream);
   return Route->Resumable && Entry && Entry->Software != AttemptSoftware;
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -170,15 +170,7 @@
   recordFirstBytes();
   if (Route->Resumable && StreamSoftware.empty()) {
     StreamSoftware = AttemptSoftware;
-    const upstream_entry *Entry = Core.directory().find(Choice->Upstream);
-    OriginCertain = Entry && Core.isSoftwareCertain(*Entry, readBootClock());
-    if (!OriginCertain)
-      Core.log().info(event_category::Request, "origin_uncertain",
-                      {{"id", ParsedRequest.Id},
-                       {"upstream", Choice->Upstream},
-                       {"software", StreamSoftware}});
-    if (Core.origins() && OriginCertain)
-      Core.origins()->onBegun(ParsedRequest.Id, {Service, StreamSoftware});
+    recordOrigin(readBootClock());
   }
   Flow.onDelivered();
   Caller->writeChunk(Bytes);
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -20,6 +20,9 @@
 /// Retry-After for a request that is quarantined because the upstreams that ran
 /// it were lost.
 constexpr span_ns QuarantineRetryAfter = std::chrono::seconds(30);
+/// Longest wait for upstreams to state which process they run; above a round
+/// trip between regions.
+constexpr span_ns MaxVerification = std::chrono::milliseconds(150);
 /// Attempts that relays may fail to send before a request is refused.
 constexpr int MaxRelayFailures = 4;
 /// Time reserved for a response to reach the caller before its deadline.
@@ -52,6 +55,7 @@
       ArrivedAt(readBootClock()), SessionNumber(Core.nextRequestNumber()),
       RefusalTimer(Core.base(), [this] { onNotRun(); }),
       StartTimer(Core.base(), [this] { onStartDeadline(); }),
+      VerifyTimer(Core.base(), [this] { onVerified(); }),
       DeadlineTimer(Core.base(), [this] { onDeadline(); }) {
   Core.requestStarted(this);
 }
@@ -179,7 +183,28 @@
     return fmt::format("service {}", Service);
   return fmt::format(
       "service {}, software {}, {} upstreams with it not confirmed", Service,
-      StreamSoftware, Core.uncertainUpstreams(Service, StreamSoftware, Now));
+      StreamSoftware,
+      Core.uncertainUpstreams(Service, StreamSoftware, Now).size());
+}
+
+bool forward_session::awaitVerification(instant Now) {
+  if (StreamSoftware.empty())
+    return false;
+  if (!VerifyUntil)
+    VerifyUntil = Now + std::min(MaxVerification, timeLeft(Now));
+  if (Now >= *VerifyUntil ||
+      !Core.verifySoftware(Service, StreamSoftware, weak_from_this(), Now))
+    return false;
+  VerifyTimer.startOnce(*VerifyUntil - Now);
+  return true;
+}
+
+void forward_session::onVerified() {
+  const auto Guard = shared_from_this();
+  if (Ended || Exchange || !VerifyUntil)
+    return;
+  VerifyTimer.stop();
+  schedule();
 }
 
 void forward_session::schedule() {
@@ -203,6 +228,8 @@
   Core.updateScheduler();
   Core.updateRelays();
   const schedule_outcome Outcome = Core.scheduler().choose(makeQuery(Now), Now);
+  if (!Outcome.Choice && awaitVerification(Now))
+    return;
   if (!Outcome.Choice)
     return fail(Flow.failureDecision(),
                 {Outcome.Refusal.Kind, scheduleDetail(Now),
@@ -215,6 +242,7 @@
 }
 
 void forward_session::send(const schedule_choice &Chosen, instant Now) {
+  VerifyUntil.reset();
   const upstream_entry *Entry = Core.directory().find(Chosen.Upstream);
   client_request Out;
   Out.Server = {Entry->Address, Entry->Port};
@@ -324,7 +352,7 @@
   // A stream of unknown origin cannot go on anywhere else.
   const bool MayRetry =
       (Flow.hasAttemptsLeft() || End == attempt_outcome::WrongTarget) &&
-      (OriginCertain || !Flow.delivered());
+      (isOriginKnown() || !Flow.delivered());
   const bool HasBudget = End != attempt_outcome::NotSent && !Quarantined &&
                          MayRetry && Core.takeRetry(Service, Now);
   const forward_decision Next = Flow.onEnd(End, HasBudget);
@@ -447,6 +475,7 @@
     return;
   const instant Now = readBootClock();
   DeadlineTimer.stop();
+  VerifyTimer.stop();
   if (const auto Running = std::exchange(Exchange, nullptr))
     Running->cancel();
   if (AwaitingTokens)
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -35,6 +35,7 @@
     : public open_request,
       public token_waiter,
       public origin_waiter,
+      public verification_waiter,
       public client_observer,
       public response_observer,
       public std::enable_shared_from_this<forward_session> {
@@ -57,6 +58,9 @@
   // origin_waiter
   void onOrigin(const std::optional<stream_writer> &Known) override;
 
+  // verification_waiter
+  void onVerified() override;
+
   // client_observer
   void onClientDisconnected() override;
   void onClientDrained() override;
@@ -75,6 +79,13 @@
   /// Finds out which software version began the stream that the request
   /// resumes, if it resumes one, and schedules the request.
   void findOrigin();
+  /// Waits for upstreams that may continue the stream, but are not confirmed.
+  /// Returns false if there are none to wait for, or it has waited enough.
+  bool awaitVerification(instant Now);
+  /// Records which software version has begun the stream.
+  void recordOrigin(instant Now);
+  /// Returns whether `StreamSoftware` has begun the stream.
+  bool isOriginKnown() const;
   /// Chooses an upstream and sends the request, or refuses it.
   void schedule();
   void send(const schedule_choice &Choice, instant Now);
@@ -194,7 +205,11 @@
   /// may continue the stream.
   std::string StreamSoftware;
   std::string AttemptSoftware; ///< of the current attempt's upstream
-  bool OriginCertain = true;   ///< whether `StreamSoftware` began the stream
+  /// Whether `StreamSoftware` was certain when it began the stream.
+  bool OriginCertain = true;
+  /// End of the wait for upstreams to be confirmed, while there is one.
+  std::optional<instant> VerifyUntil;
+  timer VerifyTimer;
   /// Last event that was delivered, or that the caller already had.
   std::optional<std::int64_t> LastEvent;
   bool FirstBytesSeen = false;
--- a/tests/gateway/software_versions_test.cpp
+++ b/tests/gateway/software_versions_test.cpp
@@ -129,6 +129,30 @@
   }
 };
 
+constexpr std::int64_t FirstStart = 1'770'000'000'000; ///< Unix ms
+
+/// Lists u-2 with another version than u-1 for a moment, and then u-1 only.
+/// Entries and reports state \p Start, unless it is 0.
+void listOtherVersion(gateway_fixture &Gateway, std::int64_t Start) {
+  for (const auto &Upstream : Gateway.Upstreams) {
+    Upstream->EventsNameSoftware = true;
+    Upstream->EventInterval = 10ms;
+    Upstream->Born = Start;
+    Gateway.Store.put(Upstream->key(), Upstream->entry("s"));
+  }
+  fake_upstream &Second = *Gateway.Upstreams[1];
+  Second.Software = "v0";
+  Gateway.Store.put(Second.key(), Second.entry("s"));
+  const auto Knows = [&](std::string_view Version) {
+    const upstream_entry *Entry = Gateway.core().directory().find("u-2");
+    return Entry && Entry->Software == Version;
+  };
+  cr_assert(Gateway.waitFor([&] { return Knows("v0"); }));
+  Gateway.Store.erase(Second.key());
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.core().directory().all().size() == 1; }));
+}
+
 struct resumed_row {
   char Name[32];
   std::size_t Instances;
@@ -262,16 +286,20 @@
 }
 
 struct restart_row {
-  char Name[32];
-  bool EndsIdle; ///< the connections are idle when the upstreams restart
+  char Name[40];
+  bool StatesStart; ///< entries and reports state when a process has started
+  bool EndsIdle;    ///< the connections are idle when the upstreams restart
   bool StoreReturns;
 };
 
 ParameterizedTestParameters(software_versions,
                             a_restart_under_the_same_id_continues_no_stream) {
-  static restart_row Rows[] = {{"idle, store away", true, false},
-                               {"refused meanwhile, store away", false, false},
-                               {"store returns", true, true}};
+  static restart_row Rows[] = {
+      {"idle, store away", false, true, false},
+      {"refused meanwhile, store away", false, false, false},
+      {"store returns", false, true, true},
+      {"start stated, idle, store away", true, true, false},
+      {"start stated, refused, store away", true, false, false}};
   return criterion_test_params(Rows);
 }
 
@@ -282,22 +310,7 @@
   gateway_fixture Gateway(gateway_fixture::testSettings(),
                           upstream_links::Proxied);
   proxied_documents &Links = Gateway.linksOf("i-1");
-  for (const auto &Upstream : Gateway.Upstreams) {
-    Upstream->EventsNameSoftware = true;
-    Upstream->EventInterval = 10ms;
-  }
-  // A version beside the other one, for a moment.
-  fake_upstream &Second = *Gateway.Upstreams[1];
-  Second.Software = "v0";
-  Gateway.Store.put(Second.key(), Second.entry("s"));
-  const auto Knows = [&](std::string_view Version) {
-    const upstream_entry *Entry = Gateway.core().directory().find("u-2");
-    return Entry && Entry->Software == Version;
-  };
-  cr_assert(Gateway.waitFor([&] { return Knows("v0"); }));
-  Gateway.Store.erase(Second.key());
-  cr_assert(Gateway.waitFor(
-      [&] { return Gateway.core().directory().all().size() == 1; }));
+  listOtherVersion(Gateway, Row->StatesStart ? FirstStart : 0);
   for (int Stream = 0; Stream < 4; ++Stream)
     cr_assert(Gateway
                   .sendRequest({.Path = "/stream-on/1",
@@ -313,6 +326,7 @@
   }
   fake_upstream &First = *Gateway.Upstreams[0];
   First.Software = "v2";
+  First.Born += Row->StatesStart ? 1000 : 0;
   Links.setFault(proxy_fault::None);
   if (Row->StoreReturns) {
     Gateway.Store.put(First.key(), First.entry("s"));
@@ -368,3 +382,98 @@
             Rest.Body.c_str());
   cr_assert(Rest.Status == 503, "%d", Rest.Status);
 }
+
+struct lost_connection_row {
+  char Name[40];
+  bool BeginsAfterLoss; ///< otherwise the stream was complete before it
+  int Losses;
+  bool StoreAway;
+};
+
+ParameterizedTestParameters(software_versions,
+                            a_lost_connection_refuses_no_resumed_stream) {
+  static lost_connection_row Rows[] = {
+      {"begun before, store away", false, 1, true},
+      {"begun after, store away", true, 1, true},
+      {"begun after several losses", true, 4, true},
+      {"begun before, in touch", false, 1, false},
+      {"begun after, in touch", true, 1, false},
+  };
+  return criterion_test_params(Rows);
+}
+
+/// The process that lost its connections goes on running.
+ParameterizedTest(lost_connection_row *Row, software_versions,
+                  a_lost_connection_refuses_no_resumed_stream) {
+  gateway_fixture Gateway(gateway_fixture::testSettings(),
+                          upstream_links::Proxied);
+  proxied_documents &Links = Gateway.linksOf("i-1");
+  listOtherVersion(Gateway, FirstStart);
+  constexpr int Streams = 4;
+  const auto BeginStreams = [&] {
+    for (int Stream = 0; Stream < Streams; ++Stream)
+      cr_assert(Gateway
+                    .sendRequest({.Path = "/stream-on/1",
+                                  .Id = fmt::format("s-{}", Stream)})
+                    .Status == 200);
+  };
+  const auto LoseConnections = [&] {
+    Links.setFault(proxy_fault::Reset);
+    runLoopFor(Gateway.Base.get(), 30ms);
+    Links.setFault(proxy_fault::None);
+  };
+  if (Row->BeginsAfterLoss)
+    cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 200);
+  else
+    BeginStreams();
+  if (Row->StoreAway)
+    Gateway.Store.setFault(store_fault::Down);
+  for (int Loss = 0; Loss < Row->Losses; ++Loss) {
+    LoseConnections();
+    cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 200);
+  }
+  if (Row->BeginsAfterLoss)
+    BeginStreams();
+  else
+    LoseConnections();
+  int WentOn = 0;
+  for (int Stream = 0; Stream < Streams; ++Stream) {
+    const caller_response Rest =
+        Gateway.sendRequest({.Path = "/stream-on/1",
+                             .Id = fmt::format("rest-{}", Stream),
+                             .ResumeAfter = "2",
+                             .Resumes = fmt::format("s-{}", Stream)});
+    WentOn += Rest.Status == 200 && Rest.IsComplete ? 1 : 0;
+  }
+  cr_assert(WentOn == Streams, "%s: %d of %d streams went on", Row->Name,
+            WentOn, Streams);
+}
+
+/// Only the first instance has lost a connection, and has told the others.
+Test(software_versions, a_loss_that_a_peer_reports_refuses_no_resumed_stream) {
+  versions_fleet Fleet(3);
+  fake_upstream &First = *Fleet.Gateway.Upstreams[0];
+  First.Born = FirstStart;
+  Fleet.useOnly("v1");
+  Fleet.Gateway.Store.erase(Fleet.Gateway.Upstreams[2]->key());
+  cr_assert(Fleet.Gateway.waitFor([&] {
+    return std::ranges::all_of(Fleet.Others, [](const auto &Other) {
+      return Other->core().directory().all().size() == 3;
+    });
+  }));
+  First.Behavior = upstream_behavior::TruncateStream;
+  cr_assert(not Fleet.request(0, {.Path = "/stream-on/1", .Id = "broken"})
+                    .IsComplete);
+  First.Behavior = upstream_behavior::Respond;
+  runLoopFor(Fleet.Gateway.Base.get(), 30ms);
+  Fleet.Gateway.Store.setFault(store_fault::Down);
+  constexpr int Streams = 6;
+  int WentOn = 0;
+  for (int Stream = 0; Stream < Streams; ++Stream) {
+    const std::string Id = fmt::format("s-{}", Stream);
+    const std::size_t BeganAt = 1 + Stream % 2;
+    const std::string Begun = Fleet.begin(BeganAt, Id);
+    WentOn += Fleet.resume(3 - BeganAt, Id, Begun).Status == 200 ? 1 : 0;
+  }
+  cr_assert(WentOn == Streams, "%d of %d streams went on", WentOn, Streams);
+}
