A stream that breaks off while its upstream is asked has an origin

The answer counted for nothing, and the next question came 250 ms later, when another stream had broken off.

Cause: one rule for two uses. That an entry is confirmed needs a question sent after the last loss. What began a stream needs less: the processes of an upstream follow each other, so a stream was begun by the listed process if that one answers a question sent after the begin. Such answers record the stream now, a question in flight is repeated for those that came later, and only an upstream that does not answer, or runs another process, is left alone for 250 ms.

a_stream_that_breaks_off_at_once_is_resumed failed before (503) and passes now.

--- a/src/decisions/process/unconfirmed_upstreams.cpp
+++ b/src/decisions/process/unconfirmed_upstreams.cpp
@@ -14,21 +14,24 @@
   return true;
 }
 
-bool unconfirmed_upstreams::onStarted(const upstream_process &Listed,
-                                      std::int64_t Born, instant SentAt) {
+start_evidence unconfirmed_upstreams::onStarted(const upstream_process &Listed,
+                                                std::int64_t Born,
+                                                instant SentAt) {
+  if (Born == 0 || Listed.Born == 0)
+    return start_evidence::None;
   const auto Found = Doubts.find(Listed.Id);
-  if (Found == Doubts.end() || Found->second.Process != Listed || Born == 0 ||
-      Listed.Born == 0)
-    return false;
-  doubt &Doubt = Found->second;
+  const bool InDoubt = Found != Doubts.end() && Found->second.Process == Listed;
   if (Born != Listed.Born) {
-    Doubt.IsReplaced = true;
-    return false;
+    if (InDoubt)
+      Found->second.IsReplaced = true;
+    return start_evidence::OtherProcess;
   }
-  if (Doubt.IsReplaced || SentAt < Doubt.Since)
-    return false;
+  if (!InDoubt)
+    return start_evidence::Confirmed;
+  if (Found->second.IsReplaced || SentAt < Found->second.Since)
+    return start_evidence::SameProcess;
   Doubts.erase(Found);
-  return true;
+  return start_evidence::Confirmed;
 }
 
 bool unconfirmed_upstreams::isConfirmed(const upstream_entry &Entry,
--- a/src/decisions/process/unconfirmed_upstreams.h
+++ b/src/decisions/process/unconfirmed_upstreams.h
@@ -12,6 +12,14 @@
 
 namespace ebonyvale {
 
+/// What the start that a process has stated tells of its upstream's entry.
+enum class start_evidence {
+  None,
+  OtherProcess, ///< the entry is that of another process
+  SameProcess,  ///< a connection was lost after the question
+  Confirmed     ///< the entry is that of the process
+};
+
 /// An upstream may start again under its id and address with other software,
 /// and its responses do not state which. Its connections end at a restart, so
 /// after the loss of one its entry counts only once the process has stated that
@@ -28,9 +36,9 @@
 
   /// Records that the process at the address of \p Listed has stated \p Born,
   /// its start in ms since the Unix epoch (0: it stated none), in response to a
-  /// request sent at \p SentAt. Returns whether that has ended the doubt.
-  bool onStarted(const upstream_process &Listed, std::int64_t Born,
-                 instant SentAt);
+  /// request sent at \p SentAt.
+  start_evidence onStarted(const upstream_process &Listed, std::int64_t Born,
+                           instant SentAt);
 
   /// Returns whether \p Entry describes the process that runs now.
   /// \p ListedAt is when the list of upstreams was last read.
--- a/src/gateway/connection/upstream_verifier.cpp
+++ b/src/gateway/connection/upstream_verifier.cpp
@@ -13,22 +13,26 @@
 bool upstream_verifier::verify(std::string_view Upstream,
                                const std::weak_ptr<verification_waiter> &Waiter,
                                instant Now) {
-  auto Position = Questions.find(Upstream);
-  if (Position == Questions.end()) {
-    const upstream_entry *Entry = Core.directory().find(Upstream);
-    std::erase_if(UnansweredAt, [Now](const auto &Known) {
-      return Now - Known.second >= RetryPause;
-    });
-    // An upstream that states no start cannot be confirmed by it.
-    if (!Entry || Entry->Born == 0 || !Entry->isOpen() ||
-        Core.upstreamPaths().lostSince(*Entry) ||
-        UnansweredAt.contains(Upstream) || Questions.size() >= MaxQuestions)
-      return false;
-    Position = Questions.try_emplace(Entry->Id).first;
-    ask(*Entry, Position->second, Now);
+  if (const auto Found = Questions.find(Upstream); Found != Questions.end()) {
+    if (Waiter.expired())
+      Found->second.Again = true;
+    else
+      Found->second.Waiters.push_back(Waiter);
+    return true;
   }
+  std::erase_if(UnansweredAt, [Now](const auto &Known) {
+    return Now - Known.second >= RetryPause;
+  });
+  const upstream_entry *Entry = Core.directory().find(Upstream);
+  // An upstream that states no start cannot be confirmed by it.
+  if (!Entry || Entry->Born == 0 || !Entry->isOpen() ||
+      Core.upstreamPaths().lostSince(*Entry) ||
+      UnansweredAt.contains(Upstream) || Questions.size() >= MaxQuestions)
+    return false;
+  question &Question = Questions[Entry->Id];
   if (!Waiter.expired())
-    Position->second.Waiters.push_back(Waiter);
+    Question.Waiters.push_back(Waiter);
+  ask(*Entry, Question, Now);
   return true;
 }
 
@@ -56,16 +60,18 @@
     Report = Core.protocols().Upstreams.readReport(Body);
   if (Report)
     Core.onUnknownFields("upstream_report", Report->UnknownFields);
-  const bool Confirmed =
-      Report && Core.onUpstreamStarted(Asked, Report->Born, SentAt, Now);
+  start_evidence Evidence = start_evidence::None;
+  if (Report)
+    Evidence = Core.onUpstreamStarted(Asked, Report->Born, SentAt, Now);
   Core.log().info(event_category::Upstream, "software_verified",
                   {{"upstream", Asked.Id},
                    {"born", Asked.Born},
                    {"stated", Report ? Report->Born : 0},
                    {"status", Status},
-                   {"confirmed", Confirmed},
+                   {"confirmed", Evidence == start_evidence::Confirmed},
                    {"after_ms", Now - SentAt}});
-  if (!Confirmed)
+  const bool IsSame = Evidence == start_evidence::SameProcess;
+  if (!IsSame && Evidence != start_evidence::Confirmed)
     UnansweredAt[Asked.Id] = Now;
   const auto Question = Questions.extract(Asked.Id);
   if (Question.empty())
@@ -73,6 +79,8 @@
   for (const auto &Waiter : Question.mapped().Waiters)
     if (const auto Target = Waiter.lock())
       callLater(Core.base(), [Target] { Target->onVerified(); });
+  if (IsSame && Question.mapped().Again)
+    verify(Asked.Id, {}, Now);
 }
 
 } // namespace ebonyvale
--- a/src/gateway/connection/upstream_verifier.h
+++ b/src/gateway/connection/upstream_verifier.h
@@ -35,6 +35,7 @@
   struct question {
     std::shared_ptr<upstream_call> Call;
     std::vector<std::weak_ptr<verification_waiter>> Waiters;
+    bool Again = false; ///< the answer may be older than what it is to confirm
   };
 
   void ask(const upstream_entry &Entry, question &Question, instant Now);
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -112,7 +112,9 @@
 public:
   virtual ~software_verifier() = default;
   /// Asks \p Upstream, unless it has just failed to answer. Returns whether an
-  /// answer is due; \p Waiter is then called once, from the event loop.
+  /// answer is due; \p Waiter is then called once, from the event loop. Without
+  /// a waiter, an upstream that is being asked is asked again after its answer
+  /// unless that confirms it.
   virtual bool verify(std::string_view Upstream,
                       const std::weak_ptr<verification_waiter> &Waiter,
                       instant Now) = 0;
@@ -214,11 +216,13 @@
   bool verifySoftware(std::string_view Service, std::string_view Software,
                       const std::weak_ptr<verification_waiter> &Waiter,
                       instant Now);
+  /// Asks \p Upstream which process it runs if its software is uncertain.
+  void verifyUpstream(std::string_view Upstream, instant Now);
   /// Records that the process at the address of \p Listed has stated its start,
-  /// \p Born, in response to a request sent at \p SentAt. Returns whether this
-  /// has confirmed its entry.
-  bool onUpstreamStarted(const upstream_process &Listed, std::int64_t Born,
-                         instant SentAt, instant Now);
+  /// see `unconfirmed_upstreams::onStarted`.
+  start_evidence onUpstreamStarted(const upstream_process &Listed,
+                                   std::int64_t Born, instant SentAt,
+                                   instant Now);
   /// Returns whether \p Entry states the software of the process that runs.
   bool isSoftwareCertain(const upstream_entry &Entry, instant Now) const;
 
--- a/src/gateway/process/origin_task.cpp
+++ b/src/gateway/process/origin_task.cpp
@@ -68,13 +68,26 @@
     Unconfirmed.push_back({std::string(RequestId), Writer, Process, Now});
 }
 
+// Processes of an upstream follow each other. A stream that has begun under the
+// entry of a process was begun by it if it is still running later.
+void origin_task::recordConfirmed(const upstream_process &Running, instant At,
+                                  instant Now) {
+  std::vector<unconfirmed_stream> Waiting;
+  for (unconfirmed_stream &Stream : std::exchange(Unconfirmed, {})) {
+    if (Stream.Process == Running && Stream.BegunAt <= At)
+      onBegun(Stream.RequestId, Stream.Writer);
+    else
+      Waiting.push_back(std::move(Stream));
+  }
+  Unconfirmed = std::move(Waiting);
+  recordConfirmed(Now);
+}
+
 void origin_task::recordConfirmed(instant Now) {
   std::vector<unconfirmed_stream> Waiting;
   for (unconfirmed_stream &Stream : std::exchange(Unconfirmed, {})) {
     const upstream_entry *Entry = Core.directory().find(Stream.Process.Id);
     const bool IsListed = Entry && Entry->process() == Stream.Process;
-    // Processes follow each other, so the one that is confirmed now was running
-    // when the stream began.
     if (IsListed && Core.isSoftwareCertain(*Entry, Now))
       onBegun(Stream.RequestId, Stream.Writer);
     else if (IsListed && Now - Stream.BegunAt < stream_origins::KeepFor)
--- a/src/gateway/process/origin_task.h
+++ b/src/gateway/process/origin_task.h
@@ -52,8 +52,10 @@
   void onBegunUnconfirmed(std::string_view RequestId,
                           const stream_writer &Writer,
                           const upstream_process &Process, instant Now);
-  /// Records the streams whose upstreams have been confirmed meanwhile.
-  void recordConfirmed(instant Now);
+  /// Records the streams that have begun at \p Running by \p At, when that
+  /// process was running.
+  void recordConfirmed(const upstream_process &Running, instant At,
+                       instant Now);
   /// Returns whether it is known here what began the stream of \p RequestId.
   bool isKnown(std::string_view RequestId) const;
 
@@ -89,6 +91,8 @@
   lookup_map::iterator advance(lookup_map::iterator Lookup, instant Now);
   void onLookupTimer();
   void armLookupTimer(instant Now);
+  /// Records the streams whose upstreams have been confirmed meanwhile.
+  void recordConfirmed(instant Now);
   void onTick();
   /// Passes the instances on after a change of them.
   void updateMembers(instant Now);
--- a/src/gateway/process/upstream_reach.cpp
+++ b/src/gateway/process/upstream_reach.cpp
@@ -49,9 +49,7 @@
                                     instant Now) {
   UpstreamPaths.onSuspected(Upstream, Now);
   onSoftwareUncertain(Upstream, "connection_lost", Now);
-  const upstream_entry *Entry = Directory.find(Upstream.Id);
-  if (Verifier && Entry && !isSoftwareCertain(*Entry, Now))
-    Verifier->verify(Upstream.Id, {}, Now);
+  verifyUpstream(Upstream.Id, Now);
 }
 
 void gateway_core::onSoftwareUncertain(const upstream_process &Upstream,
@@ -92,14 +90,20 @@
   return IsAnswerDue;
 }
 
-bool gateway_core::onUpstreamStarted(const upstream_process &Listed,
-                                     std::int64_t Born, instant SentAt,
-                                     instant Now) {
-  if (!Unconfirmed.onStarted(Listed, Born, SentAt))
-    return false;
-  if (Origins)
-    Origins->recordConfirmed(Now);
-  return true;
+void gateway_core::verifyUpstream(std::string_view Upstream, instant Now) {
+  const upstream_entry *Entry = Directory.find(Upstream);
+  if (Verifier && Entry && !isSoftwareCertain(*Entry, Now))
+    Verifier->verify(Upstream, {}, Now);
+}
+
+start_evidence gateway_core::onUpstreamStarted(const upstream_process &Listed,
+                                               std::int64_t Born,
+                                               instant SentAt, instant Now) {
+  const start_evidence Evidence = Unconfirmed.onStarted(Listed, Born, SentAt);
+  if (Origins && (Evidence == start_evidence::SameProcess ||
+                  Evidence == start_evidence::Confirmed))
+    Origins->recordConfirmed(Listed, SentAt, Now);
+  return Evidence;
 }
 
 bool gateway_core::isCutFromEngines(instant Now) const {
--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -62,7 +62,7 @@
   if (OriginCertain)
     return Core.origins()->onBegun(ParsedRequest.Id, Writer);
   Core.origins()->onBegunUnconfirmed(ParsedRequest.Id, Writer, Target, Now);
-  Core.verifySoftware(Service, StreamSoftware, {}, Now);
+  Core.verifyUpstream(Choice->Upstream, Now);
 }
 
 bool forward_session::isOriginKnown() const {
--- a/tests/decisions/process/unconfirmed_upstreams_test.cpp
+++ b/tests/decisions/process/unconfirmed_upstreams_test.cpp
@@ -28,7 +28,8 @@
   std::int64_t Listed; ///< start that the entry states; 0: none
   std::int64_t Stated; ///< by the process, in its report
   int SentMs;          ///< after the loss; the time of the question
-  int ListedMs;        ///< after the loss; the last read of the list
+  start_evidence Evidence;
+  int ListedMs; ///< after the loss; the last read of the list
   bool IsConfirmed;
 };
 
@@ -36,15 +37,20 @@
 
 ParameterizedTestParameters(unconfirmed_upstreams, what_confirms_an_entry) {
   static start_row Rows[] = {
-      {"the process of the entry", Born, Born, 1, 0, true},
-      {"asked at the loss", Born, Born, 0, 0, true},
-      {"asked before the loss", Born, Born, -1, 0, false},
-      {"another process", Born, Born + 1, 1, 0, false},
-      {"another process, listed later", Born, Born + 1, 1, 5000, false},
-      {"no start stated", Born, 0, 1, 0, false},
-      {"no start listed", 0, Born, 1, 0, false},
-      {"no start, listed too early", 0, 0, 1, 1499, false},
-      {"no start, listed later", 0, 0, 1, 1500, true},
+      {"the process of the entry", Born, Born, 1, start_evidence::Confirmed, 0,
+       true},
+      {"asked at the loss", Born, Born, 0, start_evidence::Confirmed, 0, true},
+      {"asked before the loss", Born, Born, -1, start_evidence::SameProcess, 0,
+       false},
+      {"another process", Born, Born + 1, 1, start_evidence::OtherProcess, 0,
+       false},
+      {"another process, listed later", Born, Born + 1, 1,
+       start_evidence::OtherProcess, 5000, false},
+      {"no start stated", Born, 0, 1, start_evidence::None, 0, false},
+      {"no start listed", 0, Born, 1, start_evidence::None, 0, false},
+      {"no start, listed too early", 0, 0, 1, start_evidence::None, 1499,
+       false},
+      {"no start, listed later", 0, 0, 1, start_evidence::None, 1500, true},
   };
   return criterion_test_params(Rows);
 }
@@ -54,8 +60,10 @@
   const upstream_entry Entry = entryOf(Row->Listed);
   unconfirmed_upstreams Doubts;
   cr_assert(Doubts.onConnectionLost(Entry.process(), Start));
-  Doubts.onStarted(Entry.process(), Row->Stated,
-                   Start + std::chrono::milliseconds(Row->SentMs));
+  cr_assert(Doubts.onStarted(Entry.process(), Row->Stated,
+                             Start + std::chrono::milliseconds(Row->SentMs)) ==
+                Row->Evidence,
+            "%s", Row->Name);
   const instant ListedAt = Start + std::chrono::milliseconds(Row->ListedMs);
   cr_assert(Doubts.isConfirmed(Entry, ListedAt) == Row->IsConfirmed, "%s",
             Row->Name);
@@ -70,7 +78,8 @@
   const upstream_entry Entry = entryOf(Born);
   unconfirmed_upstreams Doubts;
   Doubts.onConnectionLost(Entry.process(), Start);
-  cr_assert(Doubts.onStarted(Entry.process(), Born, Start + 1ms));
+  cr_assert(Doubts.onStarted(Entry.process(), Born, Start + 1ms) ==
+            start_evidence::Confirmed);
   cr_assert(Doubts.onConnectionLost(Entry.process(), Start + 2ms));
   cr_assert(not Doubts.isConfirmed(Entry, Start));
 }
--- a/tests/gateway/software_versions_test.cpp
+++ b/tests/gateway/software_versions_test.cpp
@@ -477,3 +477,29 @@
   }
   cr_assert(WentOn == Streams, "%d of %d streams went on", WentOn, Streams);
 }
+
+/// The upstream breaks a stream off right after it has begun, while peers have
+/// put the upstream in doubt already.
+Test(software_versions, a_stream_that_breaks_off_at_once_is_resumed) {
+  versions_fleet Fleet(3);
+  fake_upstream &First = *Fleet.Gateway.Upstreams[0];
+  First.Born = FirstStart;
+  Fleet.useOnly("v1");
+  Fleet.Gateway.Store.erase(Fleet.Gateway.Upstreams[2]->key());
+  cr_assert(Fleet.Gateway.waitFor([&] {
+    return std::ranges::all_of(Fleet.Others, [](const auto &Other) {
+      return Other->core().directory().all().size() == 3;
+    });
+  }));
+  First.Behavior = upstream_behavior::TruncateStream;
+  cr_assert(not Fleet.request(0, {.Path = "/stream-on/1", .Id = "broken"})
+                    .IsComplete);
+  runLoopFor(Fleet.Gateway.Base.get(), 30ms);
+  const caller_response Begun =
+      Fleet.request(1, {.Path = "/stream-on/1", .Id = "s-1"});
+  cr_assert(Begun.Body.find("piece 2") != std::string::npos);
+  cr_assert(not Begun.IsComplete);
+  First.Behavior = upstream_behavior::Respond;
+  const caller_response Rest = Fleet.resume(2, "s-1", Begun.Body);
+  cr_assert(Rest.Status == 200, "%d", Rest.Status);
+}
