The origin of a stream is told before its first event is passed on

Cause: records waited 5 ms to share a message, while the caller had the event at once. At the target's rate, 42 streams a second, hardly two records shared one. Now an instance sends what its rate allows before it passes the event on; what is over the rate waits as before.

a_stream_of_an_instance_lost_at_its_begin_is_resumed: 0 of 8 went on before, 8 now.

--- a/src/gateway/process/origin_task.cpp
+++ b/src/gateway/process/origin_task.cpp
@@ -10,7 +10,7 @@
 namespace ebonyvale {
 namespace {
 
-/// Records that begin within this time share a message.
+/// Time between two attempts to send records that wait.
 constexpr span_ns SendDelay = std::chrono::milliseconds(5);
 constexpr span_ns TickInterval = std::chrono::milliseconds(500);
 /// Streams that wait for the confirmation of their upstream; of more the newest
@@ -57,7 +57,9 @@
   const std::uint64_t Stream = streamOf(RequestId);
   if (Origins.onBegun(Stream, Software, Now) == record_result::Conflict)
     logConflict(Stream, Software);
-  armSendTimer();
+  // The caller must not have the event before the peers have its origin: this
+  // process may end at any time.
+  sendRecords();
 }
 
 void origin_task::onBegunUnconfirmed(std::string_view RequestId,
--- a/tests/gateway/software_versions_test.cpp
+++ b/tests/gateway/software_versions_test.cpp
@@ -503,3 +503,27 @@
   const caller_response Rest = Fleet.resume(2, "s-1", Begun.Body);
   cr_assert(Rest.Status == 200, "%d", Rest.Status);
 }
+
+/// The instance sends nothing any more once its caller has the first event.
+Test(software_versions, a_stream_of_an_instance_lost_at_its_begin_is_resumed) {
+  versions_fleet Fleet(3);
+  gateway_core &Lost = Fleet.Others[0]->core();
+  peer_messenger *Messenger = Lost.messenger();
+  constexpr int Streams = 8;
+  int WentOn = 0;
+  for (int Stream = 0; Stream < Streams; ++Stream) {
+    const std::string Id = fmt::format("s-{}", Stream);
+    Lost.setMessenger(Messenger);
+    Fleet.Gateway.setCallerTarget(*Fleet.Others[0]);
+    Fleet.Gateway.startRequest({.Path = "/stream-on/1", .Id = Id});
+    cr_assert(Fleet.Gateway.waitFor([&] {
+      return Fleet.Gateway.result().Body.find("piece 1") != std::string::npos;
+    }));
+    Lost.setMessenger(nullptr);
+    const std::string Begun = Fleet.Gateway.result().Body;
+    Fleet.Gateway.disconnect();
+    WentOn += Fleet.resume(0, Id, Begun).Status == 200 ? 1 : 0;
+  }
+  Lost.setMessenger(Messenger);
+  cr_assert(WentOn == Streams, "%d of %d streams went on", WentOn, Streams);
+}
