An issuer that did not see who held the claim waits before its first order

Cause: the pause began only when this instance saw the claim in another's hand. A listing without the claim shows no former holder, nor does the last change of the key that a peer passes on, and the instance still took itself for the last one. A claim with its own name, written by a late commit, began no pause either.

The revision decides now: the pause begins with each taking of the claim whose condition was not the revision of this process's own last token. Only then is it certain that nobody held the claim in between. It counts from the response to the write, so that it does not depend on what was seen before. A restarted or returning issuer waits issuer_ms too, where it did not wait before; a handover waits longer by the time from the end of the old claim to the new one.

Looked for elsewhere: presence is the only other conditional write, and nothing is done in its holder's name.

Test: gateway_task/a_holder_that_was_not_seen_is_waited_for failed in all 5 rows before (orders 968 to 977 ms after another holder, 1500 ms required).

--- a/src/gateway/version/weights_task.cpp
+++ b/src/gateway/version/weights_task.cpp
@@ -128,16 +128,7 @@
 }
 
 void weights_task::onClaim(const store_item *Item) {
-  const instant Now = readBootClock();
   const bool Exists = Item && !Item->Removed;
-  const bool WasHeldElsewhere =
-      !ClaimHolder.empty() && ClaimHolder != Core.settings().InstanceName;
-  const bool IsOwn = Exists && Item->Value == Core.settings().InstanceName;
-  if (WasHeldElsewhere || (!ClaimKnown && !IsOwn)) {
-    // Orders that the previous holder sent may still be on their way.
-    FirstOrderAt = Now + IssuerMargin +
-                   std::chrono::milliseconds(Core.settings().IssuerHandoverMs);
-  }
   ClaimKnown = true;
   ClaimHolder = Exists ? Item->Value : "";
   ClaimRevision = Exists ? Item->Revision : 0;
@@ -176,7 +167,8 @@
   store_commit Commit;
   Commit.Conditions = {{std::string(claimKey()), ClaimRevision}};
   Commit.Puts = {{std::string(claimKey()), Core.settings().InstanceName, Id}};
-  Store.commit(Commit, [this, Id](const store_result &Result) {
+  const bool ReplacesOwn = ClaimRevision != 0 && ClaimRevision == LastToken;
+  Store.commit(Commit, [this, Id, ReplacesOwn](const store_result &Result) {
     Claiming = false;
     Core.counters().onStoreCall("claim", storeStatusName(Result.Status));
     if (Result.Status == store_status::NotFound)
@@ -187,7 +179,12 @@
       readClaim();
       return;
     }
-    FencingToken = Result.Revision;
+    // Listings and changes that peers pass on do not show every holder.
+    if (!ReplacesOwn)
+      FirstOrderAt =
+          readBootClock() + IssuerMargin +
+          std::chrono::milliseconds(Core.settings().IssuerHandoverMs);
+    FencingToken = LastToken = Result.Revision;
     ClaimLease = Id;
     ClaimRevision = FencingToken;
     ClaimHolder = Core.settings().InstanceName;
--- a/src/gateway/version/weights_task.h
+++ b/src/gateway/version/weights_task.h
@@ -18,8 +18,9 @@
 /// Elects the instance of the fleet that sends weight orders to upstreams. If
 /// this instance is elected, it sends the orders. The elected instance holds
 /// the claim, a store item attached to its lease. The item's revision is the
-/// fencing token of its orders. When the claim moves to another instance, the
-/// new holder waits until no order of the previous one can still arrive.
+/// fencing token of its orders. A holder waits until no order of another one
+/// can still arrive, unless its write replaced its own last claim: only then
+/// did nobody hold the claim in between.
 class weights_task {
 public:
   weights_task(gateway_core &Core, fleet_store &Store);
@@ -80,9 +81,10 @@
   bool Claiming = false;            ///< a write of the claim is in flight
   /// Fencing token: revision of the claim that this process wrote; 0: none.
   std::int64_t FencingToken = 0;
-  std::int64_t ClaimLease = 0;        ///< lease that the claim is attached to
+  std::int64_t LastToken = 0;  ///< the last fencing token, also once it is lost
+  std::int64_t ClaimLease = 0; ///< lease that the claim is attached to
   std::optional<instant> RetryReadAt; ///< when to retry a failed read
-  /// Until then, orders of the previous holder may still arrive.
+  /// Until then, orders of another holder may still arrive.
   instant FirstOrderAt;
   timer TickTimer;
   std::set<std::shared_ptr<call>> Calls; ///< in flight
--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -290,6 +290,48 @@
   cr_assert(Gateway.Store.model().get(claimKey())->Value == "i-9");
 }
 
+struct missed_holder_row {
+  store_fault Fault; ///< while another instance holds the claim
+  char Again[8];     ///< who has the claim when the fault ends
+};
+
+ParameterizedTestParameters(gateway_task,
+                            a_holder_that_was_not_seen_is_waited_for) {
+  static missed_holder_row Rows[] = {{store_fault::EmptyWatches, ""},
+                                     {store_fault::EmptyWatches, "i-1"},
+                                     {store_fault::Refuses, ""},
+                                     {store_fault::Refuses, "i-1"},
+                                     {store_fault::None, ""}};
+  return criterion_test_params(Rows);
+}
+
+/// Orders of two holders within the time that a handover takes.
+ParameterizedTest(missed_holder_row *Row, gateway_task,
+                  a_holder_that_was_not_seen_is_waited_for) {
+  gateway_settings Settings = gateway_fixture::testSettings();
+  Settings.IssuerHandoverMs = 1500;
+  gateway_fixture Gateway(Settings);
+  cr_assert(rolloutReaches(Gateway, 2));
+  const auto Orders = [&] {
+    return Gateway.Upstreams[0]->Fences.size() +
+           Gateway.Upstreams[1]->Fences.size();
+  };
+  const std::size_t Before = Orders();
+  Gateway.Store.setFault(Row->Fault);
+  runLoopFor(Gateway.Base.get(), 20ms);
+  Gateway.Store.put(claimKey(), "i-9");
+  Gateway.Store.erase(claimKey());
+  if (Row->Again[0])
+    Gateway.Store.put(claimKey(), Row->Again);
+  const instant Left = readBootClock();
+  Gateway.Store.put("op/version/m", R"({"model":"m","version":3})");
+  Gateway.Store.compactHistory();
+  Gateway.Store.setFault(store_fault::None);
+  cr_assert(Gateway.waitFor([&] { return Orders() > Before; }));
+  const span_ns Waited = readBootClock() - Left;
+  cr_assert(Waited >= 1500ms, "%.0f ms", toSeconds(Waited) * 1000);
+}
+
 /// After a restart of the whole fleet, an instance reads the routing document
 /// before it has read the other instances. If it assumed that it is the only
 /// one, it would spend the quota shares of all.
