A cut watch is no outage: entries that a listing lacks are gone at once

Cause: any failed call counted as an outage of the store until the next listing, a cut watch too, and a failed read of the operators' documents however long ago it was. After an outage each instance keeps entries that a listing lacks for 2 s, since their leases may have lapsed.

store_contact decides now by this instance's own calls: an outage is a failed call other than a watch, or 1.5 s without any response, since all changes were last known. A watch that is cut or refused is followed by a listing 0.15 to 0.22 s later; if the store is away, that fails. Entries that lapse while the store is away or turns this instance away are kept for 2 s as before, and peers pass the same kind on with their gap.

Not changed: an entry that is removed in the moment after a real outage is still kept for 2 s by each instance from its own listing.

--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -16,6 +16,7 @@
 /// Size of the operators' documents in one response to a peer. Peers read
 /// larger ones from the store.
 constexpr std::size_t MaxRelayedBytes = 16 * 1024;
+constexpr std::string_view WatchCall = "watch";
 
 } // namespace
 
@@ -44,13 +45,15 @@
 }
 
 void store_follower::recordCall(std::string_view Call, store_status Status,
-                                unsigned &Failures) {
+                                unsigned &Failures, instant Now) {
   Core.counters().onStoreCall(Call, storeStatusName(Status));
   const bool Reached =
       Status == store_status::Ok || Status == store_status::HistoryGone;
   Failures = Reached ? 0 : Failures + 1;
-  if (!Reached)
-    SinceListing = std::max(SinceListing, listing_kind::AfterOutage);
+  if (Reached)
+    Contact.onResponse(Now);
+  else if (Call != WatchCall)
+    Contact.onFailure();
   if (Reached == Connected && AnyCallRecorded)
     return;
   Connected = Reached;
@@ -128,7 +131,7 @@
 
 void store_follower::onOperators(const store_items &Items) {
   Reading = false;
-  recordCall("read_operators", Items.Status, ReadFailures);
+  recordCall("read_operators", Items.Status, ReadFailures, readBootClock());
   checkEra(Items);
   if (Items.Status != store_status::Ok) {
     ReadTimer.startOnce(backOff(ReadFailures));
@@ -147,7 +150,8 @@
 }
 
 void store_follower::onUpstreamListing(const store_items &Items) {
-  recordCall("list_upstreams", Items.Status, WatchFailures);
+  const instant Now = readBootClock();
+  recordCall("list_upstreams", Items.Status, WatchFailures, Now);
   checkEra(Items);
   if (Items.Status != store_status::Ok) {
     WatchTimer.startOnce(backOff(WatchFailures));
@@ -167,14 +171,15 @@
   }
   Core.onUnknownFields("upstream_entry", UnknownFields);
   const listing_kind Kind =
-      std::exchange(SinceListing, listing_kind::Continuous);
+      std::max(std::exchange(SinceListing, listing_kind::Continuous),
+               Contact.listingKind(Now));
+  Contact.onCurrent(Now);
   Core.log().info(event_category::Upstream, "listed",
                   {{"entries", Entries.size()},
                    {"revision", Items.Revision},
                    {"after_outage", Kind != listing_kind::Continuous},
                    {"after_restore", Kind == listing_kind::AfterRestore}});
   Relay.log().restart(Items.Revision, Kind);
-  const instant Now = readBootClock();
   Core.directory().setAll(std::move(Entries), Kind, Now);
   Core.softwareHistory().onGap(Now);
   Core.onUpstreamsConfirmed(Items.SentAt);
@@ -185,7 +190,7 @@
 }
 
 void store_follower::onFleetListing(const store_items &Items) {
-  recordCall("list_own", Items.Status, WatchFailures);
+  recordCall("list_own", Items.Status, WatchFailures, readBootClock());
   checkEra(Items);
   if (Items.Status != store_status::Ok) {
     WatchTimer.startOnce(backOff(WatchFailures));
@@ -202,11 +207,10 @@
 }
 
 void store_follower::onChanges(const store_items &Changes) {
-  recordCall("watch", Changes.Status, WatchFailures);
+  recordCall(WatchCall, Changes.Status, WatchFailures, readBootClock());
   checkEra(Changes);
   if (Changes.Status != store_status::Ok) {
-    // After an outage entries may have lapsed, and after a compacted history
-    // changes may have been missed.
+    // Changes may have been missed.
     Listed = false;
     if (Changes.Status == store_status::HistoryGone)
       return listAll();
@@ -230,6 +234,7 @@
   }
   Revision = std::max(Revision, NewRevision);
   Relay.log().advance(Revision, Now);
+  Contact.onCurrent(Now);
   Core.onUpstreamsConfirmed(Now);
 }
 
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -4,6 +4,7 @@
 #ifndef EBONYVALE_GATEWAY_PROCESS_STORE_FOLLOWER_H
 #define EBONYVALE_GATEWAY_PROCESS_STORE_FOLLOWER_H
 
+#include "decisions/process/store_contact.h"
 #include "gateway/process/change_relay.h"
 #include "gateway/process/fleet_store.h"
 #include "gateway/process/gateway_core.h"
@@ -99,10 +100,10 @@
   /// Handles a restore from an older copy, which a later era in \p Items shows.
   void checkEra(const store_items &Items);
 
-  /// Counts a call, and logs when the store becomes reachable or unreachable.
-  /// \p Failures counts the failed calls of the loop.
+  /// Counts a call that ended at \p Now, and logs when the store becomes
+  /// reachable or unreachable. \p Failures counts the failed calls of the loop.
   void recordCall(std::string_view Call, store_status Status,
-                  unsigned &Failures);
+                  unsigned &Failures, instant Now);
 
   /// Returns the pause before the next call of a loop after \p Failures failed
   /// calls.
@@ -119,7 +120,9 @@
   bool Listed = false; ///< a complete listing precedes the watch
   bool Connected = false;
   bool AnyCallRecorded = false;
-  /// What has happened to the store since the last listing.
+  store_contact Contact;
+  /// What a restore, or the peer that has been followed, tells about the next
+  /// listing.
   listing_kind SinceListing = listing_kind::Continuous;
   unsigned ReadFailures = 0;  ///< of the operators' documents, in a row
   unsigned WatchFailures = 0; ///< of listings and watches, in a row
--- a/tests/gateway/gateway_task_test.cpp
+++ b/tests/gateway/gateway_task_test.cpp
@@ -154,6 +154,38 @@
   cr_assert(Gateway.Upstreams[1]->runs() == 5);
 }
 
+struct absence_row {
+  std::int64_t OutageMs; ///< the watch is cut, and calls are refused until then
+  std::int64_t EntryMs;  ///< until a missing entry is gone, at least
+  std::int64_t MaxEntryMs;
+};
+
+ParameterizedTestParameters(gateway_task,
+                            an_entry_is_kept_after_an_outage_only) {
+  static absence_row Rows[] = {{30, 0, 700}, {600, 2000, 5000}};
+  return criterion_test_params(Rows);
+}
+
+/// Requests to an upstream whose entry was removed as the watch was cut.
+ParameterizedTest(absence_row *Row, gateway_task,
+                  an_entry_is_kept_after_an_outage_only) {
+  gateway_settings Settings = gateway_fixture::testSettings();
+  Settings.StoreReadIntervalMs = 60'000;
+  gateway_fixture Gateway(Settings);
+  runLoopFor(Gateway.Base.get(), 100ms);
+  Gateway.Store.setFault(store_fault::Refuses);
+  runLoopFor(Gateway.Base.get(), std::chrono::milliseconds(Row->OutageMs));
+  Gateway.Store.setFault(store_fault::None);
+  Gateway.Store.erase(Gateway.Upstreams[0]->key());
+  const instant Removed = readBootClock();
+  cr_assert(
+      Gateway.waitFor([&] { return !Gateway.core().directory().find("u-1"); }));
+  const auto Ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+      readBootClock() - Removed);
+  cr_assert(Ms.count() >= Row->EntryMs && Ms.count() <= Row->MaxEntryMs,
+            "%ld ms", static_cast<long>(Ms.count()));
+}
+
 Test(gateway_task, a_malformed_entry_affects_no_other) {
   gateway_fixture Gateway;
   Gateway.Store.put("servers/foreign", "\xff{");
