The common cache scope changes when a team leaves it

Cause: a dedicated team gets a scope of its own from then on, but the others kept the scope "shared", which holds what the team's earlier requests made, in engines and in the store of kept KV cache.

The name of the common scope now contains a hash of the names of the dedicated teams. No request of a team is ever sent with the common scope of a configuration in which it is dedicated, whatever versions an instance has skipped: the configuration alone decides. Without dedicated teams the scope is "shared", as in earlier releases.

Of the same class: a request that was admitted under an older version and is sent later, or again, kept the scope of that version. The scope is now taken from the version in force before each attempt. This second part is not shown by a test of its own.

Cost: at each change of the set of dedicated teams, and once with the upgrade if there are any, each shared prompt segment is read again by each engine that serves it.

Test: forward_admission/an_isolated_team_leaves_no_prompts_to_others; with the scope "shared" for all versions 7 of its 10 rows fail.

--- a/src/decisions/request/forward_admission.cpp
+++ b/src/decisions/request/forward_admission.cpp
@@ -1,5 +1,7 @@
 #include "decisions/request/forward_admission.h"
 
+#include <algorithm>
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -61,10 +63,16 @@
   return Team.DefaultTokens;
 }
 
-std::string cacheScope(const team_entry *Team, const caller_request &Request) {
+std::string cacheScope(const routing_table &Routing, const team_entry *Team,
+                       const caller_request &Request) {
   if (Request.Segments.empty())
     return {};
-  return Team && Team->IsolatedCache ? "team:" + Team->Name : "shared";
+  if (!Team)
+    return Routing.sharedCacheScope();
+  const auto Current =
+      std::ranges::find(Routing.Teams, Team->Name, &team_entry::Name);
+  const bool Shares = Current != Routing.Teams.end() && !Current->IsolatedCache;
+  return Shares ? Routing.sharedCacheScope() : "team:" + Team->Name;
 }
 
 std::vector<prompt_segment> promptSegments(std::string_view Scope,
--- a/src/decisions/request/forward_admission.h
+++ b/src/decisions/request/forward_admission.h
@@ -54,9 +54,12 @@
 double limitCost(const team_entry &Team, const caller_request &Request);
 
 /// Returns the scope that cached prompts are shared in: the team itself if its
-/// cache is isolated, or else the scope common to all other teams. Empty for
-/// requests without prompt segments.
-std::string cacheScope(const team_entry *Team, const caller_request &Request);
+/// cache is isolated in \p Routing or it is not part of \p Routing, or
+/// else the scope common to all other teams. \p Team is of \p Routing or of an
+/// earlier version, and null for requests without a key. Empty for requests
+/// without prompt segments.
+std::string cacheScope(const routing_table &Routing, const team_entry *Team,
+                       const caller_request &Request);
 
 /// Returns the prompt segments, each identified by a hash over \p Scope, the
 /// model, all preceding segments and its own name.
--- a/src/decisions/version/routing_table.cpp
+++ b/src/decisions/version/routing_table.cpp
@@ -1,6 +1,9 @@
 #include "decisions/version/routing_table.h"
 
 #include <algorithm>
+#include <set>
+
+#include <spdlog/fmt/fmt.h>
 
 namespace ebonyvale {
 namespace {
@@ -15,6 +18,21 @@
   return Name;
 }
 
+std::string sharedScopeOf(const std::vector<team_entry> &Teams) {
+  std::set<std::string_view> Isolated;
+  for (const team_entry &Team : Teams)
+    if (Team.IsolatedCache)
+      Isolated.insert(Team.Name);
+  // Earlier releases have this scope, whichever teams are isolated.
+  if (Isolated.empty())
+    return "shared";
+  std::string Names;
+  for (const std::string_view Name : Isolated)
+    Names += fmt::format("{}:{}", Name.size(), Name);
+  constexpr std::size_t HexDigits = 16;
+  return "shared-" + toHex(hashText(Names)).substr(0, HexDigits);
+}
+
 } // namespace
 
 void routing_table::index() {
@@ -30,6 +48,7 @@
   for (std::size_t Index = 0; Index < Teams.size(); ++Index)
     for (const digest &Key : Teams[Index].Keys)
       TeamsByKey.emplace(toHex(Key), Index);
+  SharedCacheScope = sharedScopeOf(Teams);
 }
 
 const forward_route *routing_table::findRoute(std::string_view Host,
--- a/src/decisions/version/routing_table.h
+++ b/src/decisions/version/routing_table.h
@@ -114,12 +114,19 @@
   /// Returns the team of the key with the hash \p Hash; null for none.
   const team_entry *findTeam(const digest &Hash) const;
 
+  /// Returns the scope of the prompts that are cached for all teams whose cache
+  /// is not isolated. It depends on which teams are isolated: in the scope of a
+  /// table no instance has ever cached a prompt of a team that is isolated in
+  /// the table.
+  const std::string &sharedCacheScope() const { return SharedCacheScope; }
+
   /// Returns whether teams are configured, so that requests need a key.
   bool hasTeams() const { return !Teams.empty(); }
 
 private:
   std::unordered_map<std::string, std::vector<std::size_t>> RoutesByHost;
   std::unordered_map<std::string, std::size_t> TeamsByKey;
+  std::string SharedCacheScope;
 };
 
 using routing_table_ptr = std::shared_ptr<const routing_table>;
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -110,7 +110,7 @@
   if (auto Refusal =
           quarantine(Core.segmentQuarantine().blockedFor(Segments, Now), Now))
     return Refusal;
-  CacheScope = cacheScope(Team, ParsedRequest);
+  CacheScope = cacheScope(*Routing, Team, ParsedRequest);
   PromptSegments = promptSegments(CacheScope, ParsedRequest);
   return std::nullopt;
 }
@@ -200,6 +200,12 @@
   if (Team && Core.routing() != Routing &&
       !Core.routing()->findTeam(hashKey(Core.keySecret(), ParsedRequest.Key)))
     return fail(Flow.failureDecision(), {error_kind::KeyWithdrawn, ""});
+  // The set of isolated teams may have changed meanwhile.
+  if (std::string Scope = cacheScope(*Core.routing(), Team, ParsedRequest);
+      Scope != CacheScope) {
+    CacheScope = std::move(Scope);
+    PromptSegments = promptSegments(CacheScope, ParsedRequest);
+  }
   Core.updateScheduler();
   Core.updateRelays();
   const schedule_outcome Outcome = Core.scheduler().choose(makeQuery(Now), Now);
--- a/tests/decisions/request/forward_admission_test.cpp
+++ b/tests/decisions/request/forward_admission_test.cpp
@@ -100,20 +100,71 @@
   cr_assert(limitCost({.Name = "t"}, Counted) == 1);
 }
 
+struct isolation_row {
+  char Before[12]; ///< ids of the isolated teams in the earlier version
+  char After[12];
+  bool SameShared; ///< whether the others keep what is cached
+};
+
+ParameterizedTestParameters(forward_admission,
+                            an_isolated_team_leaves_no_prompts_to_others) {
+  static isolation_row Rows[] = {{"", "", true},     {"", "a", false},
+                                 {"a", "", false},   {"a", "b", false},
+                                 {"a", "ab", false}, {"ab", "ba", true},
+                                 {"ab", "c", false}, {"", "abc", false},
+                                 {"b", "bc", false}, {"abc", "abc", true}};
+  return criterion_test_params(Rows);
+}
+
+/// Teams that share get prompts that another one had cached before its cache
+/// was isolated.
+ParameterizedTest(isolation_row *Row, forward_admission,
+                  an_isolated_team_leaves_no_prompts_to_others) {
+  caller_request Request;
+  Request.Segments = {{"x", 10}};
+  const auto TableOf = [](std::string_view Isolated) {
+    routing_table Table;
+    // The order of the teams is the operators' choice.
+    for (const char Name : Isolated)
+      Table.Teams.push_back({.Name = {Name}, .IsolatedCache = true});
+    for (const char Name : std::string_view("abcs"))
+      if (Isolated.find(Name) == std::string_view::npos)
+        Table.Teams.push_back({.Name = {Name}});
+    Table.index();
+    return Table;
+  };
+  const routing_table Before = TableOf(Row->Before);
+  const routing_table After = TableOf(Row->After);
+  const team_entry &Sharing = After.Teams.back();
+  const std::string Scope = cacheScope(After, &Sharing, Request);
+  cr_assert((cacheScope(Before, &Sharing, Request) == Scope) ==
+            Row->SameShared);
+  cr_assert(cacheScope(After, nullptr, Request) == Scope);
+  for (const team_entry &Team : After.Teams)
+    if (Team.IsolatedCache) {
+      cr_assert(cacheScope(Before, &Team, Request) != Scope);
+      cr_assert(cacheScope(After, &Team, Request) != Scope);
+    }
+}
+
 /// Cached prompt segments must not be shared with a team whose cache is
 /// isolated, nor between models.
 Test(forward_admission, cached_segments_are_not_shared_across_scopes) {
   caller_request Request;
   Request.Model = "m";
   Request.Segments = {{"a", 10}, {"b", 20}};
-  const team_entry Isolated{.Name = "w", .IsolatedCache = true};
-  const team_entry OtherIsolated{.Name = "v", .IsolatedCache = true};
-  const team_entry Shared{.Name = "s"};
-  const team_entry OtherShared{.Name = "r"};
-  cr_assert(cacheScope(&Isolated, Request) !=
-            cacheScope(&OtherIsolated, Request));
-  cr_assert(cacheScope(&Isolated, Request) != cacheScope(&Shared, Request));
-  cr_assert(cacheScope(&Shared, Request) == cacheScope(&OtherShared, Request));
+  routing_table Table;
+  Table.Teams = {{.Name = "w", .IsolatedCache = true},
+                 {.Name = "v", .IsolatedCache = true},
+                 {.Name = "s"},
+                 {.Name = "r"}};
+  Table.index();
+  const auto ScopeOf = [&](std::size_t Team) {
+    return cacheScope(Table, &Table.Teams[Team], Request);
+  };
+  cr_assert(ScopeOf(0) != ScopeOf(1));
+  cr_assert(ScopeOf(0) != ScopeOf(2));
+  cr_assert(ScopeOf(2) == ScopeOf(3));
   const auto Segments = promptSegments("shared", Request);
   cr_assert(Segments.size() == 2 && Segments[1].Tokens == 20);
   cr_assert(promptSegments("team:w", Request)[0].Chain != Segments[0].Chain);
