A budget for all buffered responses together

Callers saw requests of all upstreams end when one upstream answered many requests with bytes without end: the process kept up to 8 MB for each response and up to 1 MB for each event of a stream, and nothing bounded their sum.

Cause: limits existed for one response only.

Fix: buffer_budget divides memory.response_buffer_mb (24) among response bodies, incomplete events and complete responses that callers have not read yet. A buffer may grow up to the size of what it leaves free, so a single response of 8 MB fits and many that grow at once are ended while small ones still fit. The attempt that exceeds it is lost ("may have run"), its upstream avoided, the event counted and logged. Bodies are kept in blocks and moved to the caller's connection without a copy.

--- a/src/gateway/connection/operator_handler.cpp
+++ b/src/gateway/connection/operator_handler.cpp
@@ -44,8 +44,11 @@
     return Link->writeResponse(Ready ? StatusOk : StatusUnavailable, Text,
                                Ready ? "ready\n" : "not ready\n");
   }
-  if (Path == "/metrics")
+  if (Path == "/metrics") {
+    Core.counters().BufferedBytes.Set(
+        static_cast<double>(Core.responseBuffers().used()));
     return Link->writeResponse(StatusOk, Text, Core.counters().text());
+  }
   if (Path == "/status")
     return sendJson(*Link, StatusOk, makeStatus(Now));
   if (Path == "/upstreams")
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -24,6 +24,8 @@
 /// learns of a version, plus the network time to an upstream.
 constexpr span_ns WeightsMargin = std::chrono::milliseconds(2000);
 
+constexpr std::size_t BytesPerMb = 1'000'000;
+
 /// Longest delay between the check of a key and the send of the request.
 constexpr span_ns LateTimerMargin = std::chrono::milliseconds(100);
 
@@ -77,6 +79,8 @@
       Started(readBootClock()), KeySecret(std::move(KeySecret)),
       Log(Base, Settings.LogLevel, Settings.LogLinesPerSecond),
       Links(Base, client_pool_options{}),
+      ResponseBuffers(static_cast<std::size_t>(Settings.ResponseBufferMb) *
+                      BytesPerMb),
       Scheduler(schedulerOptions(Settings), Settings.Domain,
                 regionsOf(Settings.Domains)),
       UpstreamLimits(Settings.InstanceName),
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -4,6 +4,7 @@
 #ifndef EBONYVALE_GATEWAY_PROCESS_GATEWAY_CORE_H
 #define EBONYVALE_GATEWAY_PROCESS_GATEWAY_CORE_H
 
+#include "decisions/process/buffer_budget.h"
 #include "decisions/process/crash_tracker.h"
 #include "decisions/process/fleet_retry_budget.h"
 #include "decisions/process/freshness.h"
@@ -119,6 +120,7 @@
   event_log &log() { return Log; }
   gateway_metrics &counters() { return Metrics; }
   client_connection_pool &links() { return Links; }
+  buffer_budget &responseBuffers() { return ResponseBuffers; }
   upstream_directory &directory() { return Directory; }
   upstream_scheduler &scheduler() { return Scheduler; }
   upstream_limits &upstreamLimits() { return UpstreamLimits; }
@@ -324,6 +326,7 @@
   event_log Log;
   gateway_metrics Metrics;
   client_connection_pool Links;
+  buffer_budget ResponseBuffers;
   routing_table_ptr Routing;
   upstream_directory Directory;
   software_history SoftwareHistory;
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -43,6 +43,10 @@
       RelayedForPeers(
           addCounter("ebonyvale_relayed_for_peers_total",
                      "Attempts of peers that were passed on to upstreams.")),
+      BuffersRefused(
+          addCounter("ebonyvale_response_buffers_refused_total",
+                     "Attempts ended since their response could not be "
+                     "buffered.")),
       OpenRequests(addGauge("ebonyvale_open_requests", "Requests in flight.")),
       RoutingVersion(addGauge("ebonyvale_configuration_version",
                               "Configuration version in force.")),
@@ -58,6 +62,8 @@
                    "Upstreams that no connection can be opened to.")),
       StreamOrigins(addGauge("ebonyvale_stream_origins",
                              "Streams whose software version is recorded.")),
+      BufferedBytes(addGauge("ebonyvale_response_buffer_bytes",
+                             "Buffered bytes of responses.")),
       FirstChunkSeconds(addHistogram(
           "ebonyvale_first_part_seconds",
           "Time from a request to the first body chunk of its response.",
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -39,6 +39,7 @@
   prometheus::Counter &UnknownFields;
   prometheus::Counter &SentThroughRelays;
   prometheus::Counter &RelayedForPeers;
+  prometheus::Counter &BuffersRefused;
   prometheus::Gauge &OpenRequests;
   prometheus::Gauge &RoutingVersion;
   prometheus::Gauge &ConfigurationAgeSeconds;
@@ -46,6 +47,7 @@
   prometheus::Gauge &LimitedUpstreams;
   prometheus::Gauge &UnreachableUpstreams;
   prometheus::Gauge &StreamOrigins;
+  prometheus::Gauge &BufferedBytes;
   prometheus::Histogram &FirstChunkSeconds;
   prometheus::Histogram &ResponseSeconds;
 };
--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -170,6 +170,13 @@
             &gateway_settings::PauseLeadMs},
     setting{millis("peers.interval_ms", "Time between load messages to peers."),
             &gateway_settings::PeerIntervalMs},
+    setting{{.Name = "memory.response_buffer_mb",
+             .Description = "Bytes of responses that are buffered, of all "
+                            "requests together.",
+             .Unit = "MB",
+             .Min = 1,
+             .Max = MaxCount},
+            &gateway_settings::ResponseBufferMb},
     setting{{.Name = "log.level",
              .Description = "Minimum level of logged lines.",
              .Choices = "trace|debug|info|warning|error|off"},
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -60,6 +60,8 @@
   std::int64_t PauseLeadMs = 250;
   std::int64_t PeerIntervalMs = 60;
 
+  std::int64_t ResponseBufferMb = 24;
+
   std::string LogLevel = "info";
   std::int64_t LogLinesPerSecond = 200;
 };
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -104,9 +104,10 @@
   BodyReceived = BodyReceived || !Bytes.empty();
   if (!Route->Streams || Response.Status != StatusOk) {
     recordResponseBegun();
-    ResponseBody += Bytes;
-    if (ResponseBody.size() > MaxBufferedBytes)
-      abortAttempt("answer_too_large");
+    if (ResponseBody.size() + Bytes.size() > MaxBufferedBytes)
+      return abortAttempt("answer_too_large");
+    if (!ResponseBody.append(Bytes))
+      refuseBuffer();
     return;
   }
   if (!ResponseBegun && isSoftwareReplaced())
@@ -119,7 +120,19 @@
   if (!ForwardWholeEvents)
     return deliver(Bytes);
   if (!deliverEvents(Bytes))
-    abortAttempt("events_out_of_order");
+    return abortAttempt("events_out_of_order");
+  if (!PartialEvent.resize(2 * Splitter.rest().size()))
+    refuseBuffer();
+}
+
+void forward_session::refuseBuffer() {
+  Core.counters().BuffersRefused.Increment();
+  Core.log().warn(event_category::Request, "buffer_refused",
+                  {{"id", ParsedRequest.Id},
+                   {"upstream", Choice->Upstream},
+                   {"bytes", ResponseBody.size() + PartialEvent.size()},
+                   {"all_bytes", Core.responseBuffers().used()}});
+  abortAttempt("buffers_full");
 }
 
 void forward_session::recordResponseBegun() {
@@ -131,6 +144,8 @@
   if (const auto Running = std::exchange(Exchange, nullptr))
     Running->cancel();
   ResponseBody.clear();
+  Splitter = {};
+  PartialEvent.resize(0);
   Core.scheduler().onFailure(Choice->Upstream, readBootClock());
   onAttemptEnd(attempt_outcome::Lost, Reason);
 }
@@ -283,9 +298,9 @@
 void forward_session::forwardResponse() {
   endAttempt(readBootClock());
   recordFirstBytes();
-  Caller->writeResponse(
-      Response.Status,
-      Core.protocols().Callers.responseHeaders(Response.Headers), ResponseBody);
+  ResponseBody.sendTo(
+      *Caller, Response.Status,
+      Core.protocols().Callers.responseHeaders(Response.Headers));
   Core.counters().CompletedResponses.Increment();
   if (Response.Status == StatusOk)
     Core.reportCompletion(Segments, readBootClock());
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -52,6 +52,8 @@
       ArrivedAt(readBootClock()), SessionNumber(Core.nextRequestNumber()),
       RefusalTimer(Core.base(), [this] { onNotRun(); }),
       StartTimer(Core.base(), [this] { onStartDeadline(); }),
+      ResponseBody(Core.responseBuffers()),
+      PartialEvent(Core.responseBuffers().lease()),
       DeadlineTimer(Core.base(), [this] { onDeadline(); }) {
   Core.requestStarted(this);
 }
@@ -264,6 +266,7 @@
   RefusalBodyBytes = 0;
   ResponseBody.clear();
   Splitter = {};
+  PartialEvent.resize(0);
   Boundaries = {};
   Core.scheduler().onSent(Chosen, makeQuery(Now), Now);
   AttemptSoftware = Entry->Software;
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -9,6 +9,7 @@
 #include "gateway/process/gateway_core.h"
 #include "gateway/process/origin_task.h"
 #include "gateway/request/relay_protocol.h"
+#include "gateway/request/response_buffer.h"
 #include "net/server_connection.h"
 
 #include <memory>
@@ -93,6 +94,8 @@
   /// Handles the end of the current attempt: retries, forwards the upstream's
   /// own response or refuses.
   void onAttemptEnd(attempt_outcome End, std::string_view Reason);
+  /// Cancels the current attempt, for whose response no buffer is left.
+  void refuseBuffer();
   /// Cancels the current attempt, whose response is unusable though not ended.
   void abortAttempt(std::string_view Reason);
   /// Returns whether the current response, whose end was read, is a stream that
@@ -182,13 +185,14 @@
   std::size_t RefusalBodyBytes = 0; ///< of a response that states "not run"
   timer RefusalTimer;               ///< ends the wait for the rest of it
   timer StartTimer;                 ///< until the request must have begun
-  std::string ResponseBody;         ///< body of a response that is not streamed
+  response_buffer ResponseBody;     ///< body of a response that is not streamed
 
   // The response to the caller.
   bool Streaming = false;
   /// Forward whole events only, so that another upstream can resume the stream.
   bool ForwardWholeEvents = false;
   sse_splitter Splitter;
+  buffer_lease PartialEvent;         ///< the bytes that `Splitter` holds
   event_boundary_tracker Boundaries; ///< of the current upstream's stream
   /// Version that began the stream, once that is known. Only upstreams with it
   /// may continue the stream.
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -144,6 +144,20 @@
   finishResponse();
 }
 
+void server_connection::writeResponse(int Status, const header_list &Headers,
+                                      evbuffer &Body,
+                                      std::shared_ptr<const void> BodyOwner) {
+  if (!Socket || Phase != phase::Responding)
+    return;
+  writeHead(Status, Headers,
+            fmt::format("Content-Length: {}\r\n", evbuffer_get_length(&Body)));
+  if (!IsHeadRequest) {
+    bufferevent_write_buffer(Socket.get(), &Body);
+    BodyOwners.push_back(std::move(BodyOwner));
+  }
+  finishResponse();
+}
+
 void server_connection::beginStream(int Status, const header_list &Headers) {
   if (!Socket || Phase != phase::Responding)
     return;
@@ -218,6 +232,7 @@
   Phase = phase::Closing;
   Deadline.stop();
   Socket.reset();
+  BodyOwners.clear();
   Owner.remove(this);
   // Released from the loop, since a caller may still be using this object.
   callLater(Owner.base(), [Guard = std::move(Self)] {});
@@ -256,6 +271,7 @@
 void server_connection::onWritable(bufferevent *, void *Argument) {
   auto *Connection = static_cast<server_connection *>(Argument);
   const auto Guard = Connection->shared_from_this();
+  Connection->BodyOwners.clear();
   if (Connection->Phase == phase::Closing) {
     shutdown(bufferevent_getfd(Connection->Socket.get()), SHUT_WR);
     return;
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <vector>
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -76,6 +77,11 @@
   void writeResponse(int Status, const header_list &Headers,
                      std::string_view Body);
 
+  /// Sends a complete response with the bytes of \p Body, which becomes empty.
+  /// \p Owner is kept until they have been sent or the connection is closed.
+  void writeResponse(int Status, const header_list &Headers, evbuffer &Body,
+                     std::shared_ptr<const void> Owner);
+
   /// Starts a response of unknown length, which is sent in chunks.
   void beginStream(int Status, const header_list &Headers);
   /// Sends \p Bytes as the next chunk of the response.
@@ -125,6 +131,7 @@
   message_reader Reader;
   http_request Incoming;
   std::weak_ptr<client_observer> Observer;
+  std::vector<std::shared_ptr<const void>> BodyOwners; ///< of unsent bodies
   timer Deadline;
   phase Phase = phase::Idle;
   bool CloseAfterResponse = false;
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -128,7 +128,8 @@
   }));
 }
 
-void gateway_fixture::startRequest(const caller_options &Options) {
+client_request
+gateway_fixture::makeRequest(const caller_options &Options) const {
   client_request Request;
   Request.Server = {"127.0.0.1", Port};
   Request.Method = Options.Method;
@@ -148,8 +149,12 @@
     Request.Headers.add("Ebonyvale-Prompt-Prefix", Options.Segments);
   }
   Request.Body = "the body";
+  return Request;
+}
+
+void gateway_fixture::startRequest(const caller_options &Options) {
   Current = std::make_unique<caller>();
-  Exchange = CallerLinks.start(Request, *Current);
+  Exchange = CallerLinks.start(makeRequest(Options), *Current);
 }
 
 caller_response gateway_fixture::getAsOperator(const std::string &Target) {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -86,6 +86,8 @@
   /// wrote.
   void kill() { Gateway.reset(); }
 
+  /// Returns the request that \p Options describe, to the gateway.
+  client_request makeRequest(const caller_options &Options) const;
   /// Sends a request without waiting.
   void startRequest(const caller_options &Options);
   /// Returns whether the last request has ended, completely or not.
