Heads of many short fields: at most 512 fields in a response

An upstream whose heads consist of fields of a few bytes filled the memory of the process: 64 KB of such text take more than 1 MB, since each field is an object with two strings and the list of them doubles.

Fix: a response with more than 512 fields in its head is read as one with too long a head: the attempt is lost and the upstream avoided. Heads of requests are limited by the configuration, as before.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// Most fields in the head of a response. Each takes more memory than the bytes
+/// of a short one.
+constexpr std::size_t MaxResponseFields = 512;
+
 /// Returns whether the body of a response ends only with its connection (RFC
 /// 9112, section 6.3).
 bool isCloseDelimited(const http_parser &Parser) {
@@ -186,9 +190,14 @@
   // Trailers after a chunked body are dropped.
   if (Self->HeadDone)
     return 0;
-  Self->Head.Headers.currentField(Self->InHeaderValue)
-      .Name.append(Data, Length);
+  http_header &Field = Self->Head.Headers.currentField(Self->InHeaderValue);
+  Field.Name.append(Data, Length);
   Self->InHeaderValue = false;
+  if (Self->Side == side::Responses &&
+      Self->Head.Headers.all().size() > MaxResponseFields) {
+    Self->State = read_state::TooLarge;
+    return 1;
+  }
   return Self->addHeadBytes(Length) ? 0 : 1;
 }
 
