--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,6 +2,7 @@
 /// ebonyvale-soak: runs gateway processes under randomly planned faults and
 /// checks the guarantees to callers and upstreams.
 #include "soak/early_stop.h"
+#include "soak/folder_lock.h"
 #include "soak/soak_environment.h"
 
 #include <boost/program_options.hpp>
@@ -100,6 +101,13 @@
     std::cerr << "ebonyvale-soak: " << Error.what() << "\n";
     return 2;
   }
+  std::error_code Ignored; // the lock states what cannot be used
+  std::filesystem::create_directories(Folder, Ignored);
+  const folder_lock Lock(Folder);
+  if (!Lock.held()) {
+    std::cerr << "ebonyvale-soak: " << Lock.problem() << "\n";
+    return 2;
+  }
   std::signal(SIGPIPE, SIG_IGN);
   if (EarlyStops > 0) {
     const auto Root = std::filesystem::absolute(Folder) / "early-stops";
