--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -63,7 +63,7 @@
   soak_options RunOptions;
   std::uint32_t Seeds = 1;
   double Seconds = 8;
-  bool Releases = false;
+  size_request Request;
   std::string Folder;
   std::size_t EarlyStops = 0;
   options::options_description Description(
@@ -76,11 +76,11 @@
       "seeds", options::value(&Seeds)->default_value(1),
       "number of seeds")("seconds", options::value(&Seconds)->default_value(8),
                          "traffic time per seed, in seconds")(
-      "gateways", options::value(&RunOptions.Size.Gateways)->default_value(3),
-      "number of gateway processes")(
-      "callers", options::value(&RunOptions.Size.Callers)->default_value(24),
-      "number of concurrent callers")(
-      "releases", options::bool_switch(&Releases),
+      "gateways", options::value<std::size_t>(),
+      "number of gateway processes; 3, with --releases 6")(
+      "callers", options::value<std::size_t>(),
+      "number of concurrent callers; 24, with --releases 36")(
+      "releases", options::bool_switch(&Request.Releases),
       "kill gateways while upstreams change their software")(
       "folder", options::value(&Folder)->default_value("soak-logs"),
       "folder for settings and logs")(
@@ -101,6 +101,18 @@
     std::cerr << "ebonyvale-soak: " << Error.what() << "\n";
     return 2;
   }
+  Request.Length = fromSeconds(Seconds);
+  if (Values.count("gateways") != 0)
+    Request.Gateways = Values["gateways"].as<std::size_t>();
+  if (Values.count("callers") != 0)
+    Request.Callers = Values["callers"].as<std::size_t>();
+  const auto Size = chooseSize(Request);
+  if (!Size) {
+    std::cerr
+        << "ebonyvale-soak: --gateways and --callers must be at least 1\n";
+    return 2;
+  }
+  RunOptions.Size = *Size;
   std::error_code Ignored; // the lock states what cannot be used
   std::filesystem::create_directories(Folder, Ignored);
   const folder_lock Lock(Folder);
@@ -119,9 +131,6 @@
                              EarlyStops);
     return Problems.empty() ? 0 : 1;
   }
-  RunOptions.Size.Length = fromSeconds(Seconds);
-  if (Releases)
-    RunOptions.Size = releaseSize(RunOptions.Size.Length);
   std::uint32_t Failed = 0;
   for (std::uint32_t Index = 0; Index < Seeds; ++Index, ++RunOptions.Seed)
     Failed += runSeed(RunOptions, std::filesystem::absolute(Folder)) ? 0 : 1;
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -63,6 +63,20 @@
   return Size;
 }
 
+std::optional<soak_size> chooseSize(const size_request &Request) {
+  soak_size Size;
+  Size.Length = Request.Length;
+  if (Request.Releases)
+    Size = releaseSize(Request.Length);
+  const std::size_t UsualCallers = Size.Callers;
+  Size.Gateways = Request.Gateways.value_or(Size.Gateways);
+  Size.Callers = Request.Callers.value_or(Size.Callers);
+  Size.Streamers = Size.Streamers * Size.Callers / UsualCallers;
+  if (Size.Gateways == 0 || Size.Callers == 0)
+    return std::nullopt;
+  return Size;
+}
+
 std::vector<soak_event> makeSoakPlan(std::uint32_t Seed,
                                      const soak_size &Size) {
   std::mt19937 Random(Seed);
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,18 @@
 /// streams are resumed at gateways without a fault.
 soak_size releaseSize(span_ns Length);
 
+/// What the command line says of the size of a run.
+struct size_request {
+  span_ns Length = std::chrono::seconds(8);
+  bool Releases = false;                 ///< see `releaseSize`
+  std::optional<std::size_t> Gateways{}; ///< else that of the kind of run
+  std::optional<std::size_t> Callers{};  ///< as well
+};
+
+/// Returns the size of a run, or nothing without a gateway or a caller. The
+/// share of callers that only request streams does not depend on their number.
+std::optional<soak_size> chooseSize(const size_request &Request);
+
 /// Returns the events of a run in order of time. The same seed and size give
 /// the same plan.
 std::vector<soak_event> makeSoakPlan(std::uint32_t Seed, const soak_size &Size);
