--- a/tests/soak/daemon_process.h
+++ b/tests/soak/daemon_process.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <sys/types.h>
@@ -22,6 +23,8 @@
   daemon_process(const daemon_process &) = delete;
   daemon_process &operator=(const daemon_process &) = delete;
 
+  /// Sets the program of the next start.
+  void setProgram(std::string Next) { Program = std::move(Next); }
   /// Starts the process; returns false if the program cannot be started.
   bool start();
   void signal(int Number) const;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 
 #include <spdlog/fmt/fmt.h>
+#include <unistd.h>
 
 namespace {
 
@@ -39,6 +40,11 @@
                    Result.Streams.Resumed, Result.Streams.GoOn,
                    Result.Streams.Counted, Result.Streams.Mixed,
                    Result.Leavings, Result.Pauses)
+            << (Options.EarlierDaemon.empty()
+                    ? ""
+                    : fmt::format("  builds: {} gateways upgraded, {} rolled "
+                                  "back\n",
+                                  Result.Upgrades, Result.Rollbacks))
             << std::flush;
   if (Result.Violations.empty()) {
     std::filesystem::remove_all(Options.Folder);
@@ -72,6 +78,9 @@
   Description.add_options()("help", "show this text")(
       "daemon", options::value(&RunOptions.Daemon)->required(),
       "path of ebonyvaled")(
+      "earlier-daemon", options::value(&RunOptions.EarlierDaemon),
+      "path of another build: every second gateway starts with it, and "
+      "gateways are replaced in both directions")(
       "seed", options::value(&RunOptions.Seed)->default_value(1), "first seed")(
       "seeds", options::value(&Seeds)->default_value(1),
       "number of seeds")("seconds", options::value(&Seconds)->default_value(8),
@@ -101,25 +110,29 @@
     std::cerr << "ebonyvale-soak: " << Error.what() << "\n";
     return 2;
   }
+  const auto Refuse = [](const std::string &Reason) {
+    std::cerr << "ebonyvale-soak: " << Reason << "\n";
+    return 2;
+  };
   Request.Length = fromSeconds(Seconds);
+  Request.TwoBuilds = !RunOptions.EarlierDaemon.empty();
   if (Values.count("gateways") != 0)
     Request.Gateways = Values["gateways"].as<std::size_t>();
   if (Values.count("callers") != 0)
     Request.Callers = Values["callers"].as<std::size_t>();
   const auto Size = chooseSize(Request);
-  if (!Size) {
-    std::cerr
-        << "ebonyvale-soak: --gateways and --callers must be at least 1\n";
-    return 2;
-  }
+  if (!Size)
+    return Refuse("--gateways and --callers must be at least 1");
   RunOptions.Size = *Size;
+  for (const std::string &Program :
+       {RunOptions.Daemon, RunOptions.EarlierDaemon})
+    if (!Program.empty() && access(Program.c_str(), X_OK) != 0)
+      return Refuse(Program + " cannot be run");
   std::error_code Ignored; // the lock states what cannot be used
   std::filesystem::create_directories(Folder, Ignored);
   const folder_lock Lock(Folder);
-  if (!Lock.held()) {
-    std::cerr << "ebonyvale-soak: " << Lock.problem() << "\n";
-    return 2;
-  }
+  if (!Lock.held())
+    return Refuse(Lock.problem());
   std::signal(SIGPIPE, SIG_IGN);
   if (EarlyStops > 0) {
     const auto Root = std::filesystem::absolute(Folder) / "early-stops";
--- a/tests/soak/soak_environment.cpp
+++ b/tests/soak/soak_environment.cpp
@@ -43,6 +43,8 @@
   for (std::size_t Index = 0; Index < Options.Size.Gateways; ++Index) {
     Gateways.push_back(std::make_unique<soak_gateway>(
         Base.get(), Store, Options.Daemon, Options.Folder, Index));
+    Gateways.back()->RunsEarlier =
+        Index % 2 == 1 && !Options.EarlierDaemon.empty();
     startGateway(*Gateways.back());
   }
   for (std::size_t Index = 0; Index < Options.Size.Callers; ++Index) {
@@ -60,8 +62,11 @@
 void soak_environment::startGateway(soak_gateway &Gateway) {
   LeavingChecker.onGatewayFault(Gateway.Index, readBootClock());
   PauseChecker.onGatewayFault(Gateway.Index, readBootClock());
+  const std::string &Daemon =
+      Gateway.RunsEarlier ? Options.EarlierDaemon : Options.Daemon;
+  Gateway.Process->setProgram(Daemon);
   if (!Gateway.start())
-    Violations.push_back(Options.Daemon + " cannot be started");
+    Violations.push_back(Daemon + " cannot be started");
 }
 
 void soak_environment::publishConfiguration() {
@@ -193,6 +198,8 @@
   Result.Streams = VersionChecker.counts();
   Result.Leavings = LeavingChecker.told();
   Result.Pauses = PauseChecker.pauses();
+  Result.Upgrades = Upgrades;
+  Result.Rollbacks = Rollbacks;
   Result.RequestCount = Checker.requestCount();
   Result.StatusCounts = Checker.statusCounts();
   return Result;
--- a/tests/soak/soak_environment.h
+++ b/tests/soak/soak_environment.h
@@ -29,6 +29,8 @@
 /// Options of a run.
 struct soak_options {
   std::string Daemon; ///< path of ebonyvaled
+  /// Path of the ebonyvaled that every second gateway starts with; may be empty
+  std::string EarlierDaemon;
   std::uint32_t Seed = 1;
   soak_size Size;
   std::filesystem::path Folder; ///< for settings and logs
@@ -43,8 +45,10 @@
   std::size_t RequestCount = 0;
   std::map<int, std::size_t> StatusCounts; ///< number of responses by status
   stream_counts Streams;                   ///< that can be resumed
-  std::size_t Leavings = 0; ///< of which a gateway passed on a response
-  std::size_t Pauses = 0;   ///< that upstreams asked gateways for
+  std::size_t Leavings = 0;  ///< of which a gateway passed on a response
+  std::size_t Pauses = 0;    ///< that upstreams asked gateways for
+  std::size_t Upgrades = 0;  ///< gateways replaced by the later build
+  std::size_t Rollbacks = 0; ///< and by the earlier one
 };
 
 /// Runs the event plan of one seed and checks the guarantees.
@@ -73,6 +77,7 @@
   void publishConfiguration();
   void applyEvent(const soak_event &Event);
   void applyToGateway(const soak_event &Event, soak_gateway &Gateway);
+  void stopGateway(soak_gateway &Gateway);
   void applyToUpstream(const soak_event &Event, upstream &Upstream);
   void schedule(span_ns After, std::function<void()> Action);
   void injectFault(loopback_proxy &Proxy, const soak_event &Event);
@@ -126,6 +131,8 @@
   std::size_t KeysCreated = 0;
   int Version = 0;
   std::int64_t Weights = 1;
+  std::size_t Upgrades = 0;
+  std::size_t Rollbacks = 0;
   std::size_t LastId = 0;
   bool TrafficEnabled = false;
   bool Recovering = false;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -51,6 +51,7 @@
   case soak_event_kind::Terminate:
   case soak_event_kind::Kill:
   case soak_event_kind::Pause:
+  case soak_event_kind::OtherBuild:
     return applyToGateway(Event, Gateway);
   case soak_event_kind::UpstreamLink:
   case soak_event_kind::Upstream:
@@ -95,18 +96,27 @@
   }
 }
 
+void soak_environment::stopGateway(soak_gateway &Gateway) {
+  if (Gateway.StoppingSince == instant{})
+    Gateway.StoppingSince = readBootClock();
+  Gateway.Process->signal(SIGTERM);
+}
+
 void soak_environment::applyToGateway(const soak_event &Event,
                                       soak_gateway &Gateway) {
   if (Event.Kind == soak_event_kind::Terminate ||
       Event.Kind == soak_event_kind::Kill ||
-      Event.Kind == soak_event_kind::Pause)
+      Event.Kind == soak_event_kind::Pause ||
+      Event.Kind == soak_event_kind::OtherBuild)
     LimitChecker.onGatewayFault(Gateway.Index,
                                 readBootClock() + Event.Duration);
-  if (Event.Kind == soak_event_kind::Terminate) {
-    if (Gateway.StoppingSince == instant{})
-      Gateway.StoppingSince = readBootClock();
-    return Gateway.Process->signal(SIGTERM);
+  if (Event.Kind == soak_event_kind::OtherBuild) {
+    Gateway.RunsEarlier = !Gateway.RunsEarlier;
+    ++(Gateway.RunsEarlier ? Rollbacks : Upgrades);
+    return stopGateway(Gateway);
   }
+  if (Event.Kind == soak_event_kind::Terminate)
+    return stopGateway(Gateway);
   if (Event.Kind == soak_event_kind::StoreLink)
     return injectFault(Gateway.StoreProxy, Event);
   if (Event.Kind == soak_event_kind::Store) {
--- a/tests/soak/soak_gateway.h
+++ b/tests/soak/soak_gateway.h
@@ -47,6 +47,7 @@
   loopback_proxy StoreProxy;
   loopback_proxy CallerProxy;
   std::unique_ptr<daemon_process> Process;
+  bool RunsEarlier = false; ///< the next process is of the earlier build
   bool Listening = false;
   instant StoppingSince; ///< time of the planned stop; unset without one
   instant RestartAt;
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -14,10 +14,11 @@
     "compaction",     "upstream",   "replacement",   "draining",
     "terminate",      "kill",       "kill all",      "pause",
     "key withdrawal", "version",    "weights",       "named limit",
-    "restore",        "release",    "leaving",       "requested pause"};
+    "restore",        "release",    "leaving",       "requested pause",
+    "other build"};
 
 /// Relative frequency of each kind before `NamedLimit`.
-constexpr std::array<double, SoakEventKinds - 5> Weights{
+constexpr std::array<double, SoakEventKinds - 6> Weights{
     6, 6, 8, 8, 3, 10, 3, 3, 4, 4, 1, 5, 4, 4, 3};
 
 /// Appends events of \p Kind to \p Plan. They are drawn from numbers of their
@@ -72,6 +73,8 @@
   Size.Gateways = Request.Gateways.value_or(Size.Gateways);
   Size.Callers = Request.Callers.value_or(Size.Callers);
   Size.Streamers = Size.Streamers * Size.Callers / UsualCallers;
+  if (Request.TwoBuilds)
+    Size.BuildGap = std::chrono::milliseconds(1500);
   if (Size.Gateways == 0 || Size.Callers == 0)
     return std::nullopt;
   return Size;
@@ -108,6 +111,9 @@
   if (Size.KillGap > span_ns(0))
     appendEvents(Plan, soak_event_kind::Kill, Seed, Size.Length, Size.KillGap,
                  std::chrono::seconds(1));
+  if (Size.BuildGap > span_ns(0))
+    appendEvents(Plan, soak_event_kind::OtherBuild, Seed, Size.Length,
+                 Size.BuildGap, std::chrono::seconds(1));
   std::ranges::stable_sort(Plan, {}, &soak_event::At);
   return Plan;
 }
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -35,8 +35,9 @@
   Release,        ///< upstreams are replaced by another software version
   Leaving,        ///< an upstream says that it leaves, and ends later
   RequestedPause, ///< upstreams refuse requests with a Retry-After
+  OtherBuild,     ///< SIGTERM to a gateway; the other build follows
 };
-inline constexpr int SoakEventKinds = 20;
+inline constexpr int SoakEventKinds = 21;
 
 /// Returns the name of \p Kind in plans.
 std::string_view soakEventKindName(soak_event_kind Kind);
@@ -71,6 +72,8 @@
   span_ns PauseGap = std::chrono::milliseconds(5000);
   /// Mean time between two gateways killed besides; 0: none.
   span_ns KillGap{0};
+  /// Mean time between two gateways replaced by the other build; 0: none.
+  span_ns BuildGap{0};
 };
 
 /// Returns the size of a run of \p Length in which gateways are killed while
@@ -84,6 +87,7 @@
   bool Releases = false;                 ///< see `releaseSize`
   std::optional<std::size_t> Gateways{}; ///< else that of the kind of run
   std::optional<std::size_t> Callers{};  ///< as well
+  bool TwoBuilds = false;
 };
 
 /// Returns the size of a run, or nothing without a gateway or a caller. The
--- a/tests/soak_checks/guarantee_checker_test.cpp
+++ b/tests/soak_checks/guarantee_checker_test.cpp
@@ -155,9 +155,12 @@
 
 Test(soak_plan, plans_are_deterministic_and_cover_all_kinds) {
   std::vector<bool> Seen(SoakEventKinds);
+  size_request Request;
+  Request.TwoBuilds = true;
+  const soak_size Size = *chooseSize(Request);
   for (std::uint32_t Seed = 1; Seed <= 20; ++Seed) {
-    const auto Plan = makeSoakPlan(Seed, {});
-    const auto Again = makeSoakPlan(Seed, {});
+    const auto Plan = makeSoakPlan(Seed, Size);
+    const auto Again = makeSoakPlan(Seed, Size);
     cr_assert(std::ranges::equal(Plan, Again, {}, describe, describe));
     cr_assert(std::ranges::is_sorted(Plan, {}, &soak_event::At));
     for (const soak_event &Event : Plan)
--- a/tests/soak_checks/soak_size_test.cpp
+++ b/tests/soak_checks/soak_size_test.cpp
@@ -4,6 +4,8 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <algorithm>
+
 using namespace ebonyvale;
 
 namespace {
@@ -23,6 +25,11 @@
   return static_cast<std::size_t>(Number);
 }
 
+std::size_t countOtherBuilds(const std::vector<soak_event> &Plan) {
+  return static_cast<std::size_t>(
+      std::ranges::count(Plan, soak_event_kind::OtherBuild, &soak_event::Kind));
+}
+
 } // namespace
 
 ParameterizedTestParameters(soak_size, takes_what_is_given) {
@@ -55,3 +62,15 @@
   Request.Callers = 0;
   cr_assert(!chooseSize(Request));
 }
+
+/// The other faults of a seed stay as they are.
+Test(soak_size, two_builds_only_add_events) {
+  constexpr std::uint32_t Seed = 1;
+  size_request Request;
+  const auto OneBuild = makeSoakPlan(Seed, *chooseSize(Request));
+  Request.TwoBuilds = true;
+  const auto TwoBuilds = makeSoakPlan(Seed, *chooseSize(Request));
+  cr_assert(countOtherBuilds(OneBuild) == 0);
+  cr_assert(countOtherBuilds(TwoBuilds) > 0);
+  cr_assert(TwoBuilds.size() == OneBuild.size() + countOtherBuilds(TwoBuilds));
+}
