--- a/tests/gateway/unknown_field_test.cpp
+++ b/tests/gateway/unknown_field_test.cpp
@@ -1,52 +1,16 @@
 // Fields that upstreams state and that the gateway does not know.
+#include "gateway/captured_output.h"
 #include "gateway/gateway_fleet.h"
 
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
 #include <spdlog/fmt/fmt.h>
 
-#include <fcntl.h>
-#include <unistd.h>
-
 using namespace ebonyvale;
 using nlohmann::json;
 
 namespace {
 
-/// Keeps what is written to standard output meanwhile.
-class captured_output {
-public:
-  captured_output() : Output(dup(STDOUT_FILENO)) {
-    cr_assert(pipe(Pipe) == 0);
-    fcntl(Pipe[0], F_SETFL, O_NONBLOCK);
-    dup2(Pipe[1], STDOUT_FILENO);
-  }
-  ~captured_output() {
-    dup2(Output, STDOUT_FILENO);
-    close(Output);
-    close(Pipe[0]);
-    close(Pipe[1]);
-  }
-
-  /// Returns the number of lines with \p Fragment so far.
-  std::size_t linesWith(std::string_view Fragment) {
-    char Buffer[65536];
-    for (ssize_t Count = 0;
-         (Count = read(Pipe[0], Buffer, sizeof(Buffer))) > 0;)
-      Text.append(Buffer, static_cast<std::size_t>(Count));
-    std::size_t Lines = 0;
-    for (std::size_t At = Text.find(Fragment); At != std::string::npos;
-         At = Text.find(Fragment, At + 1))
-      ++Lines;
-    return Lines;
-  }
-
-private:
-  int Output;
-  int Pipe[2];
-  std::string Text;
-};
-
 /// Returns the count of the field \p Name of \p Source as operators read it.
 std::uint64_t countOf(gateway_fixture &Gateway, const char *Source,
                       const std::string &Name) {
