A gossip message of another version is logged once

Cause: it was dropped whole without a word, so that a fleet split by an incompatible build looked like one that loses all datagrams. Change: gossip_version_unknown with the peer and both versions, once for each listed peer and version. The message is still dropped. Result: earlier_build/message_of_another_version_is_dropped_with_one_line passes; it failed with the silent return.

--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -287,7 +287,7 @@
   }
   const auto Version = Message->find("v");
   if (Version == Message->end() || *Version != GossipVersion)
-    return;
+    return onOtherVersion(*Message);
   try {
     handleMessage(Message->at("f"), *Message);
   } catch (const json::exception &Problem) {
@@ -296,6 +296,31 @@
   }
 }
 
+/// Logs the first message of each listed peer and version. A peer repeats its
+/// messages, and others could state any name.
+void peer_gossip::onOtherVersion(const json &Message) {
+  const auto &Peers = Core.roster().peers();
+  const auto From = Message.find("f");
+  const auto Version = Message.find("v");
+  if (From == Message.end() || !From->is_string())
+    return;
+  const std::string Peer = From->get<std::string>();
+  if (!Peers.contains(Peer))
+    return;
+  const bool IsNumber =
+      Version != Message.end() && Version->is_number_integer();
+  const std::string Theirs = IsNumber ? Version->dump() : "unreadable";
+  std::erase_if(OtherVersions, [&Peers](const auto &Known) {
+    return !Peers.contains(Known.first);
+  });
+  if (std::exchange(OtherVersions[Peer], Theirs) == Theirs)
+    return;
+  Core.log().warn(event_category::Peer, "gossip_version_unknown",
+                  {{"peer", Peer},
+                   {"peer_version", Theirs},
+                   {"own_version", GossipVersion}});
+}
+
 void peer_gossip::handleHints(const std::string &From, const json &Message) {
   const auto Received = decodeHints(Message.at("h"));
   for (const segment_hint &Hint : Received)
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -14,6 +14,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -59,6 +60,7 @@
 private:
   static void onReadable(evutil_socket_t, short, void *Self);
   void onDatagram(std::string_view Bytes);
+  void onOtherVersion(const nlohmann::json &Message);
   void handleMessage(const std::string &From, const nlohmann::json &Message);
   void handleHints(const std::string &From, const nlohmann::json &Message);
   /// Handles a message on origins of streams. Returns whether \p Kind is one.
@@ -86,6 +88,8 @@
   hint_exchange Hints;
   std::size_t Round = 0; ///< of load messages
   bool IdleSent = false; ///< the last load message listed no load
+  /// Versions of peers whose messages are dropped, by name.
+  std::map<std::string, std::string, std::less<>> OtherVersions;
 };
 
 } // namespace ebonyvale
--- a/tests/gateway/earlier_build_test.cpp
+++ b/tests/gateway/earlier_build_test.cpp
@@ -390,6 +390,32 @@
   }
 }
 
+/// Nothing of such a message is used: its fields may mean something else.
+Test(earlier_build, message_of_another_version_is_dropped_with_one_line) {
+  gateway_settings Settings = gateway_fixture::testSettings();
+  Settings.LogLevel = "warn";
+  gateway_fixture Gateway(Settings);
+  captured_output Output;
+  const listed_peer Peer(Gateway);
+  json Message{{"v", 2},
+               {"f", "o-1"},
+               {"k", "load"},
+               {"l", json::array({json::array({"u-1", 5, 0, 0, 0})})},
+               {"h", json::array()},
+               {"w", json::array()}};
+  for (int Repeat = 0; Repeat < 3; ++Repeat)
+    Peer.sendJson(Gateway.core().peerPort(), Message);
+  Message["f"] = "not-listed";
+  Peer.sendJson(Gateway.core().peerPort(), Message);
+  awaitHandled(Gateway, Peer, 1);
+  Gateway.core().log().flush();
+  cr_assert(Output.linesWith("\"event\":\"gossip_version_unknown\"") == 1);
+  cr_assert(Output.linesWith("\"peer\":\"o-1\",\"peer_version\":\"2\","
+                             "\"own_version\":1") == 1);
+  const auto Views = Gateway.core().scheduler().views(readBootClock());
+  cr_assert(Views[0].InFlightOfPeers == 0);
+}
+
 Test(earlier_build, entries_are_read_both_ways) {
   gateway_fixture Gateway;
   const listed_peer Peer(Gateway, {{"relay_port", 9}, {"future", {{"a", 1}}}});
