--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,6 +2,7 @@
 /// ebonyvale-soak: runs gateway processes under randomly planned faults and
 /// checks the guarantees to callers and upstreams.
 #include "soak/early_stop.h"
+#include "soak/folder_lock.h"
 #include "soak/soak_environment.h"
 
 #include <boost/program_options.hpp>
@@ -11,6 +12,7 @@
 #include <iostream>
 
 #include <spdlog/fmt/fmt.h>
+#include <unistd.h>
 
 namespace {
 
@@ -38,6 +40,11 @@
                    Result.Streams.Resumed, Result.Streams.GoOn,
                    Result.Streams.Counted, Result.Streams.Mixed,
                    Result.Leavings, Result.Pauses)
+            << (Options.EarlierDaemon.empty()
+                    ? ""
+                    : fmt::format("  builds: {} gateways upgraded, {} rolled "
+                                  "back\n",
+                                  Result.Upgrades, Result.Rollbacks))
             << std::flush;
   if (Result.Violations.empty()) {
     std::filesystem::remove_all(Options.Folder);
@@ -62,7 +69,7 @@
   soak_options RunOptions;
   std::uint32_t Seeds = 1;
   double Seconds = 8;
-  bool Releases = false;
+  size_request Request;
   std::string Folder;
   std::size_t EarlyStops = 0;
   options::options_description Description(
@@ -71,15 +78,18 @@
   Description.add_options()("help", "show this text")(
       "daemon", options::value(&RunOptions.Daemon)->required(),
       "path of ebonyvaled")(
+      "earlier-daemon", options::value(&RunOptions.EarlierDaemon),
+      "path of another build: every second gateway starts with it, and "
+      "gateways are replaced in both directions")(
       "seed", options::value(&RunOptions.Seed)->default_value(1), "first seed")(
       "seeds", options::value(&Seeds)->default_value(1),
       "number of seeds")("seconds", options::value(&Seconds)->default_value(8),
                          "traffic time per seed, in seconds")(
-      "gateways", options::value(&RunOptions.Size.Gateways)->default_value(3),
-      "number of gateway processes")(
-      "callers", options::value(&RunOptions.Size.Callers)->default_value(24),
-      "number of concurrent callers")(
-      "releases", options::bool_switch(&Releases),
+      "gateways", options::value<std::size_t>(),
+      "number of gateway processes; 3, with --releases 6")(
+      "callers", options::value<std::size_t>(),
+      "number of concurrent callers; 24, with --releases 36")(
+      "releases", options::bool_switch(&Request.Releases),
       "kill gateways while upstreams change their software")(
       "folder", options::value(&Folder)->default_value("soak-logs"),
       "folder for settings and logs")(
@@ -100,6 +110,29 @@
     std::cerr << "ebonyvale-soak: " << Error.what() << "\n";
     return 2;
   }
+  const auto Refuse = [](const std::string &Reason) {
+    std::cerr << "ebonyvale-soak: " << Reason << "\n";
+    return 2;
+  };
+  Request.Length = fromSeconds(Seconds);
+  Request.TwoBuilds = !RunOptions.EarlierDaemon.empty();
+  if (Values.count("gateways") != 0)
+    Request.Gateways = Values["gateways"].as<std::size_t>();
+  if (Values.count("callers") != 0)
+    Request.Callers = Values["callers"].as<std::size_t>();
+  const auto Size = chooseSize(Request);
+  if (!Size)
+    return Refuse("--gateways and --callers must be at least 1");
+  RunOptions.Size = *Size;
+  for (const std::string &Program :
+       {RunOptions.Daemon, RunOptions.EarlierDaemon})
+    if (!Program.empty() && access(Program.c_str(), X_OK) != 0)
+      return Refuse(Program + " cannot be run");
+  std::error_code Ignored; // the lock states what cannot be used
+  std::filesystem::create_directories(Folder, Ignored);
+  const folder_lock Lock(Folder);
+  if (!Lock.held())
+    return Refuse(Lock.problem());
   std::signal(SIGPIPE, SIG_IGN);
   if (EarlyStops > 0) {
     const auto Root = std::filesystem::absolute(Folder) / "early-stops";
@@ -111,9 +144,6 @@
                              EarlyStops);
     return Problems.empty() ? 0 : 1;
   }
-  RunOptions.Size.Length = fromSeconds(Seconds);
-  if (Releases)
-    RunOptions.Size = releaseSize(RunOptions.Size.Length);
   std::uint32_t Failed = 0;
   for (std::uint32_t Index = 0; Index < Seeds; ++Index, ++RunOptions.Seed)
     Failed += runSeed(RunOptions, std::filesystem::absolute(Folder)) ? 0 : 1;
