What an upstream states of its process counts for a moment only

The statement counts for 150 ms now and only where its connection stays open; the store ends the doubt, as before. - A stream that had broken off went on if any stream with its request id was known. A response goes on elsewhere only if its own begin was certain. - That another process runs was dropped without a doubt, and forgotten when a store restored from an older copy listed the entry again. It is kept by process; the listed process ends it by its own statement, since processes follow each other. - Streams that wait for a confirmation were recorded once the service had had one version for a minute. Only the listing of their process counts. - A lost order or report shows that the process may have ended, like any other request.

Records are sent once for all streams that an answer confirms.

--- a/src/decisions/process/unconfirmed_upstreams.h
+++ b/src/decisions/process/unconfirmed_upstreams.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace ebonyvale {
 
@@ -16,19 +17,22 @@
 enum class start_evidence {
   None,
   OtherProcess, ///< the entry is that of another process
-  SameProcess,  ///< a connection was lost after the question
+  SameProcess,  ///< it was that of the process when that was asked
   Confirmed     ///< the entry is that of the process
 };
 
 /// An upstream may start again under its id and address with other software,
 /// and its responses do not state which. Its connections end at a restart, so
-/// after the loss of one its entry counts only once the process has stated that
-/// it is the one of the entry, or once the list of upstreams has been read when
-/// a new process would have been listed.
+/// after the loss of one its entry counts only for a moment after the process
+/// has stated that it is the one of the entry, or once the list of upstreams
+/// has been read when a new process would have been listed.
 class unconfirmed_upstreams {
 public:
   /// Time from the loss of a connection to the entry of a new process.
   static constexpr span_ns ListingTime = std::chrono::milliseconds(1500);
+  /// How long a statement of the process counts: no connection may be open
+  /// that would show its end.
+  static constexpr span_ns StatementTtl = std::chrono::milliseconds(150);
 
   /// Records that \p Process has ended a connection, or refused one. Returns
   /// whether it was confirmed before.
@@ -36,14 +40,20 @@
 
   /// Records that the process at the address of \p Listed has stated \p Born,
   /// its start in ms since the Unix epoch (0: it stated none), in response to a
-  /// request sent at \p SentAt.
+  /// request sent at \p SentAt. \p KeepsConnection tells whether the connection
+  /// of the response stays open.
   start_evidence onStarted(const upstream_process &Listed, std::int64_t Born,
-                           instant SentAt);
+                           bool KeepsConnection, instant SentAt);
 
-  /// Returns whether \p Entry describes the process that runs now.
+  /// Returns whether \p Entry describes the process that runs at \p Now.
   /// \p ListedAt is when the list of upstreams was last read.
-  bool isConfirmed(const upstream_entry &Entry,
-                   std::optional<instant> ListedAt) const;
+  bool isConfirmed(const upstream_entry &Entry, std::optional<instant> ListedAt,
+                   instant Now) const;
+
+  /// Returns whether \p Entry is confirmed for good, until a connection is
+  /// lost.
+  bool isListed(const upstream_entry &Entry,
+                std::optional<instant> ListedAt) const;
 
   /// Forgets what a list of upstreams read at \p ListedAt, \p Directory, has
   /// confirmed or replaced.
@@ -53,11 +63,16 @@
   struct doubt {
     upstream_process Process;
     instant Since;
-    /// Another process has stated its start; the entry stays outdated.
-    bool IsReplaced = false;
+    /// When the process was asked that has stated its start since.
+    std::optional<instant> StatedAt;
+    /// When another process was asked that has stated its start.
+    std::optional<instant> ReplacedAt;
   };
 
-  std::map<std::string, doubt, std::less<>> Doubts; ///< by id
+  doubt *find(const upstream_process &Process);
+  const doubt *find(const upstream_process &Process) const;
+
+  std::map<std::string, std::vector<doubt>, std::less<>> Doubts; ///< by id
 };
 
 } // namespace ebonyvale
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -149,12 +149,12 @@
 }
 
 bool upstream_scheduler::hasSoftware(const upstream_entry &Entry,
-                                     const schedule_query &Query) {
+                                     const schedule_query &Query, instant Now) {
   if (Query.Software.empty())
     return true;
   return Entry.Software == Query.Software &&
          (!Query.Unconfirmed ||
-          Query.Unconfirmed->isConfirmed(Entry, Query.ListedAt));
+          Query.Unconfirmed->isConfirmed(Entry, Query.ListedAt, Now));
 }
 
 upstream_scheduler::candidate_set
@@ -165,7 +165,7 @@
   for (auto &[Id, State] : States) {
     const bool Eligible = State.Entry.Service == Query.Service &&
                           State.Entry.isOpen() &&
-                          hasSoftware(State.Entry, Query) &&
+                          hasSoftware(State.Entry, Query, Now) &&
                           oldWeightsCostMs(State, Query.Model, 0, Now);
     if (!Eligible)
       continue;
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -417,7 +417,7 @@
   bool sameRegion(std::string_view Left, std::string_view Right) const;
   candidate_set findCandidates(const schedule_query &Query, instant Now);
   static bool hasSoftware(const upstream_entry &Entry,
-                          const schedule_query &Query);
+                          const schedule_query &Query, instant Now);
   /// Adds the upstreams that are reached through a relay: all \p Relayed ones
   /// if no other is usable, else those that peers have recently reached.
   static void addRelayed(const schedule_query &Query,
--- a/src/gateway/connection/upstream_call.cpp
+++ b/src/gateway/connection/upstream_call.cpp
@@ -34,6 +34,7 @@
     return response_action::Skip;
   }
   Status = Head.Status;
+  KeepsConnection = Head.KeepAlive && !Head.CloseDelimited;
   Core.onUpstreamStatement(
       Target, Core.protocols().Upstreams.readResponse(Head, Target.Id),
       readBootClock());
@@ -51,8 +52,10 @@
   finish(Status);
 }
 
-void upstream_call::onResponseLost(const exchange_loss &) {
+void upstream_call::onResponseLost(const exchange_loss &Loss) {
   Link.reset();
+  if (Loss.Stage != exchange_stage::NotSent)
+    Core.onSoftwareUncertain(Target, lossName(Loss.Reason), readBootClock());
   finish(0);
 }
 
--- a/src/gateway/connection/upstream_call.h
+++ b/src/gateway/connection/upstream_call.h
@@ -24,6 +24,9 @@
   using callback = std::function<void(const std::shared_ptr<upstream_call> &,
                                       int Status, std::string_view Body)>;
 
+  /// Returns whether the connection stayed open after the response.
+  bool keepsConnection() const { return KeepsConnection; }
+
   upstream_call(gateway_core &Core, upstream_process Target, callback Done);
   ~upstream_call() override;
 
@@ -45,6 +48,7 @@
   timer Deadline;
   std::shared_ptr<client_connection> Link;
   int Status = 0;
+  bool KeepsConnection = false;
   std::string Body;
 };
 
--- a/src/gateway/connection/upstream_verifier.cpp
+++ b/src/gateway/connection/upstream_verifier.cpp
@@ -20,14 +20,14 @@
       Found->second.Waiters.push_back(Waiter);
     return true;
   }
-  std::erase_if(UnansweredAt, [Now](const auto &Known) {
-    return Now - Known.second >= RetryPause;
+  std::erase_if(Unanswered, [Now](const auto &Known) {
+    return Now - Known.second.At >= RetryPause;
   });
   const upstream_entry *Entry = Core.directory().find(Upstream);
   // An upstream that states no start cannot be confirmed by it.
   if (!Entry || Entry->Born == 0 || !Entry->isOpen() ||
-      Core.upstreamPaths().lostSince(*Entry) ||
-      UnansweredAt.contains(Upstream) || Questions.size() >= MaxQuestions)
+      Core.upstreamPaths().lostSince(*Entry) || wasUnanswered(*Entry) ||
+      Questions.size() >= MaxQuestions)
     return false;
   question &Question = Questions[Entry->Id];
   if (!Waiter.expired())
@@ -36,6 +36,11 @@
   return true;
 }
 
+bool upstream_verifier::wasUnanswered(const upstream_entry &Entry) const {
+  const auto Found = Unanswered.find(Entry.Id);
+  return Found != Unanswered.end() && Found->second.Process == Entry.process();
+}
+
 void upstream_verifier::ask(const upstream_entry &Entry, question &Question,
                             instant Now) {
   client_request Request;
@@ -46,13 +51,16 @@
   Question.Call = std::make_shared<upstream_call>(
       Core, Entry.process(),
       [this, Asked = Entry.process(),
-       Now](const std::shared_ptr<upstream_call> &, int Status,
-            std::string_view Body) { onAnswer(Asked, Now, Status, Body); });
+       Now](const std::shared_ptr<upstream_call> &Call, int Status,
+            std::string_view Body) {
+        onAnswer(Asked, Now, Status, Call->keepsConnection(), Body);
+      });
   Question.Call->start(Request);
 }
 
 void upstream_verifier::onAnswer(const upstream_process &Asked, instant SentAt,
-                                 int Status, std::string_view Body) {
+                                 int Status, bool KeepsConnection,
+                                 std::string_view Body) {
   constexpr int StatusOk = 200;
   const instant Now = readBootClock();
   std::optional<upstream_report> Report;
@@ -62,7 +70,8 @@
     Core.onUnknownFields("upstream_report", Report->UnknownFields);
   start_evidence Evidence = start_evidence::None;
   if (Report)
-    Evidence = Core.onUpstreamStarted(Asked, Report->Born, SentAt, Now);
+    Evidence =
+        Core.onUpstreamStarted(Asked, Report->Born, KeepsConnection, SentAt);
   Core.log().info(event_category::Upstream, "software_verified",
                   {{"upstream", Asked.Id},
                    {"born", Asked.Born},
@@ -72,7 +81,7 @@
                    {"after_ms", Now - SentAt}});
   const bool IsSame = Evidence == start_evidence::SameProcess;
   if (!IsSame && Evidence != start_evidence::Confirmed)
-    UnansweredAt[Asked.Id] = Now;
+    Unanswered[Asked.Id] = {Asked, Now};
   const auto Question = Questions.extract(Asked.Id);
   if (Question.empty())
     return;
--- a/src/gateway/connection/upstream_verifier.h
+++ b/src/gateway/connection/upstream_verifier.h
@@ -38,13 +38,19 @@
     bool Again = false; ///< the answer may be older than what it is to confirm
   };
 
+  struct failed_question {
+    upstream_process Process;
+    instant At; ///< its end
+  };
+
   void ask(const upstream_entry &Entry, question &Question, instant Now);
   void onAnswer(const upstream_process &Asked, instant SentAt, int Status,
-                std::string_view Body);
+                bool KeepsConnection, std::string_view Body);
+  bool wasUnanswered(const upstream_entry &Entry) const;
 
   gateway_core &Core;
-  std::map<std::string, question, std::less<>> Questions;   ///< by id
-  std::map<std::string, instant, std::less<>> UnansweredAt; ///< by id
+  std::map<std::string, question, std::less<>> Questions;         ///< by id
+  std::map<std::string, failed_question, std::less<>> Unanswered; ///< by id
 };
 
 } // namespace ebonyvale
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -182,7 +182,7 @@
                                      instant Now) const {
   const unconfirmed_upstreams *Doubts =
       unconfirmedUpstreams(Entry.Service, Now);
-  return !Doubts || Doubts->isConfirmed(Entry, UpstreamsConfirmedAt);
+  return !Doubts || Doubts->isListed(Entry, UpstreamsConfirmedAt);
 }
 
 std::optional<std::string> gateway_core::onlySoftware(std::string_view Service,
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -218,13 +218,20 @@
   bool verifySoftware(std::string_view Service, std::string_view Software,
                       const std::weak_ptr<verification_waiter> &Waiter,
                       instant Now);
+  /// Records that \p Upstream may have restarted with other software.
+  void onSoftwareUncertain(const upstream_process &Upstream,
+                           std::string_view Reason, instant Now);
   /// Asks \p Upstream which process it runs if its software is uncertain.
   void verifyUpstream(std::string_view Upstream, instant Now);
   /// Records that the process at the address of \p Listed has stated its start,
   /// see `unconfirmed_upstreams::onStarted`.
   start_evidence onUpstreamStarted(const upstream_process &Listed,
-                                   std::int64_t Born, instant SentAt,
-                                   instant Now);
+                                   std::int64_t Born, bool KeepsConnection,
+                                   instant SentAt);
+  /// Returns whether \p Entry is confirmed, see `unconfirmed_upstreams`.
+  bool isListed(const upstream_entry &Entry) const {
+    return Unconfirmed.isListed(Entry, UpstreamsConfirmedAt);
+  }
   /// Returns whether \p Entry states the software of the process that runs.
   bool isSoftwareCertain(const upstream_entry &Entry, instant Now) const;
 
@@ -337,9 +344,6 @@
   bool leaving() const { return Leaving; }
 
 private:
-  /// Records that \p Upstream may have restarted with other software.
-  void onSoftwareUncertain(const upstream_process &Upstream,
-                           std::string_view Reason, instant Now);
   bool onLeaving(const upstream_process &Upstream, bool FromPeer, instant Now);
   void onBrittleStated(const upstream_process &Upstream,
                        const response_info &Response, instant Now);
--- a/src/gateway/process/origin_task.cpp
+++ b/src/gateway/process/origin_task.cpp
@@ -13,7 +13,7 @@
 /// Time between two attempts to send records that wait.
 constexpr span_ns SendDelay = std::chrono::milliseconds(5);
 constexpr span_ns TickInterval = std::chrono::milliseconds(500);
-/// Streams that wait for the confirmation of their upstream; of more the newest
+/// Streams that wait for the confirmation of their upstream; of more the oldest
 /// get no record.
 constexpr std::size_t MaxUnconfirmed = 2000;
 /// Between service and version in a record.
@@ -51,60 +51,59 @@
 
 void origin_task::onBegun(std::string_view RequestId,
                           const stream_writer &Writer) {
+  record(RequestId, Writer);
+  // The caller must not have the event before the peers have its origin: this
+  // process may end at any time.
+  sendRecords();
+}
+
+void origin_task::record(std::string_view RequestId,
+                         const stream_writer &Writer) {
   const std::string Software = encodeWriter(Writer);
   const instant Now = readBootClock();
   updateMembers(Now);
   const std::uint64_t Stream = streamOf(RequestId);
   if (Origins.onBegun(Stream, Software, Now) == record_result::Conflict)
     logConflict(Stream, Software);
-  // The caller must not have the event before the peers have its origin: this
-  // process may end at any time.
-  sendRecords();
 }
 
 void origin_task::onBegunUnconfirmed(std::string_view RequestId,
                                      const stream_writer &Writer,
                                      const upstream_process &Process,
                                      instant Now) {
-  if (Unconfirmed.size() < MaxUnconfirmed)
-    Unconfirmed.push_back({std::string(RequestId), Writer, Process, Now});
+  if (Unconfirmed.size() >= MaxUnconfirmed)
+    Unconfirmed.erase(Unconfirmed.begin());
+  Unconfirmed.push_back({std::string(RequestId), Writer, Process, Now});
 }
 
 // Processes of an upstream follow each other. A stream that has begun under the
 // entry of a process was begun by it if it is still running later.
-void origin_task::recordConfirmed(const upstream_process &Running, instant At,
-                                  instant Now) {
-  std::vector<unconfirmed_stream> Waiting;
-  for (unconfirmed_stream &Stream : std::exchange(Unconfirmed, {})) {
-    if (Stream.Process == Running && Stream.BegunAt <= At)
-      onBegun(Stream.RequestId, Stream.Writer);
-    else
-      Waiting.push_back(std::move(Stream));
-  }
-  Unconfirmed = std::move(Waiting);
-  recordConfirmed(Now);
+void origin_task::recordConfirmed(const upstream_process &Running, instant At) {
+  std::erase_if(Unconfirmed, [&](const unconfirmed_stream &Stream) {
+    if (Stream.Process != Running || Stream.BegunAt > At)
+      return false;
+    record(Stream.RequestId, Stream.Writer);
+    return true;
+  });
+  sendRecords();
 }
 
-void origin_task::recordConfirmed(instant Now) {
-  std::vector<unconfirmed_stream> Waiting;
-  for (unconfirmed_stream &Stream : std::exchange(Unconfirmed, {})) {
+void origin_task::recordListed(instant Now) {
+  std::erase_if(Unconfirmed, [&](const unconfirmed_stream &Stream) {
     const upstream_entry *Entry = Core.directory().find(Stream.Process.Id);
-    const bool IsListed = Entry && Entry->process() == Stream.Process;
-    if (IsListed && Core.isSoftwareCertain(*Entry, Now))
-      onBegun(Stream.RequestId, Stream.Writer);
-    else if (IsListed && Now - Stream.BegunAt < stream_origins::KeepFor)
-      Waiting.push_back(std::move(Stream));
+    const bool IsSame = Entry && Entry->process() == Stream.Process;
+    if (IsSame && Core.isListed(*Entry))
+      record(Stream.RequestId, Stream.Writer);
+    else if (IsSame && Now - Stream.BegunAt < stream_origins::KeepFor)
+      return false;
     else
       Core.log().info(event_category::Request, "origin_unknown",
                       {{"id", Stream.RequestId},
                        {"upstream", Stream.Process.Id},
                        {"software", Stream.Writer.Software}});
-  }
-  Unconfirmed = std::move(Waiting);
-}
-
-bool origin_task::isKnown(std::string_view RequestId) const {
-  return Origins.find(streamOf(RequestId), readBootClock()).has_value();
+    return true;
+  });
+  sendRecords();
 }
 
 void origin_task::armSendTimer() {
@@ -217,7 +216,7 @@
 void origin_task::onTick() {
   const instant Now = readBootClock();
   updateMembers(Now);
-  recordConfirmed(Now);
+  recordListed(Now);
   Origins.expire(Now);
   Core.counters().StreamOrigins.Set(static_cast<double>(Origins.count()));
 }
--- a/src/gateway/process/origin_task.h
+++ b/src/gateway/process/origin_task.h
@@ -54,10 +54,7 @@
                           const upstream_process &Process, instant Now);
   /// Records the streams that have begun at \p Running by \p At, when that
   /// process was running.
-  void recordConfirmed(const upstream_process &Running, instant At,
-                       instant Now);
-  /// Returns whether it is known here what began the stream of \p RequestId.
-  bool isKnown(std::string_view RequestId) const;
+  void recordConfirmed(const upstream_process &Running, instant At);
 
   /// Finds out what began the stream of \p RequestId. \p Waiter is called once,
   /// possibly before the function returns, unless it has been destroyed.
@@ -91,8 +88,9 @@
   lookup_map::iterator advance(lookup_map::iterator Lookup, instant Now);
   void onLookupTimer();
   void armLookupTimer(instant Now);
-  /// Records the streams whose upstreams have been confirmed meanwhile.
-  void recordConfirmed(instant Now);
+  void record(std::string_view RequestId, const stream_writer &Writer);
+  /// Records the streams whose upstreams the store has confirmed.
+  void recordListed(instant Now);
   void onTick();
   /// Passes the instances on after a change of them.
   void updateMembers(instant Now);
--- a/src/gateway/process/upstream_reach.cpp
+++ b/src/gateway/process/upstream_reach.cpp
@@ -74,7 +74,7 @@
   std::vector<const upstream_entry *> Usable = Directory.usable(Service);
   std::erase_if(Usable, [&](const upstream_entry *Entry) {
     return Entry->Software != Software ||
-           Doubts->isConfirmed(*Entry, UpstreamsConfirmedAt);
+           Doubts->isConfirmed(*Entry, UpstreamsConfirmedAt, Now);
   });
   return Usable;
 }
@@ -98,11 +98,13 @@
 
 start_evidence gateway_core::onUpstreamStarted(const upstream_process &Listed,
                                                std::int64_t Born,
-                                               instant SentAt, instant Now) {
-  const start_evidence Evidence = Unconfirmed.onStarted(Listed, Born, SentAt);
+                                               bool KeepsConnection,
+                                               instant SentAt) {
+  const start_evidence Evidence =
+      Unconfirmed.onStarted(Listed, Born, KeepsConnection, SentAt);
   if (Origins && (Evidence == start_evidence::SameProcess ||
                   Evidence == start_evidence::Confirmed))
-    Origins->recordConfirmed(Listed, SentAt, Now);
+    Origins->recordConfirmed(Listed, SentAt);
   return Evidence;
 }
 
--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -57,7 +57,8 @@
                     {{"id", ParsedRequest.Id},
                      {"upstream", Choice->Upstream},
                      {"software", StreamSoftware}});
-  if (!Core.origins())
+  // Without an id a stream cannot be resumed.
+  if (!Core.origins() || ParsedRequest.Id.empty())
     return;
   if (OriginCertain)
     return Core.origins()->onBegun(ParsedRequest.Id, Writer);
@@ -65,11 +66,6 @@
   Core.verifyUpstream(Choice->Upstream, Now);
 }
 
-bool forward_session::isOriginKnown() const {
-  return OriginCertain ||
-         (Core.origins() && Core.origins()->isKnown(ParsedRequest.Id));
-}
-
 bool forward_session::isSoftwareReplaced() const {
   const upstream_entry *Entry = Core.directory().find(Choice->Upstream);
   return Route->Resumable && Entry && Entry->Software != AttemptSoftware;
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -85,8 +85,6 @@
   bool awaitVerification(instant Now);
   /// Records which software version has begun the stream.
   void recordOrigin(instant Now);
-  /// Returns whether `StreamSoftware` has begun the stream.
-  bool isOriginKnown() const;
   /// Chooses an upstream and sends the request, or refuses it.
   void schedule();
   void send(const schedule_choice &Choice, instant Now);
@@ -209,7 +207,7 @@
   /// may continue the stream.
   std::string StreamSoftware;
   std::string AttemptSoftware; ///< of the current attempt's upstream
-  /// Whether `StreamSoftware` was certain when it began the stream.
+  /// Whether `StreamSoftware` certainly began the stream.
   bool OriginCertain = true;
   /// End of the wait for upstreams to be confirmed, while there is one.
   std::optional<instant> VerifyUntil;
--- a/tests/gateway/software_versions_test.cpp
+++ b/tests/gateway/software_versions_test.cpp
@@ -527,3 +527,66 @@
   Lost.setMessenger(Messenger);
   cr_assert(WentOn == Streams, "%d of %d streams went on", WentOn, Streams);
 }
+
+ParameterizedTestParameters(software_versions,
+                            a_repeated_id_does_not_join_two_streams) {
+  static char Ids[][8] = {"", "same"};
+  return cr_make_param_array(char[8], Ids, 2);
+}
+
+/// An earlier stream with the id is recorded when the upstream has restarted.
+ParameterizedTest(char *Id, software_versions,
+                  a_repeated_id_does_not_join_two_streams) {
+  gateway_fixture Gateway(gateway_fixture::testSettings(),
+                          upstream_links::Proxied);
+  proxied_documents &Links = Gateway.linksOf("i-1");
+  listOtherVersion(Gateway, FirstStart);
+  fake_upstream &First = *Gateway.Upstreams[0];
+  fake_upstream &Second = *Gateway.Upstreams[1];
+  cr_assert(Gateway.sendRequest({.Path = "/stream-on/1", .Id = Id}).Status ==
+            200);
+  Second.Software = "v1";
+  Gateway.Store.put(Second.key(), Second.entry("s"));
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.core().directory().all().size() == 2; }));
+  Gateway.Store.setFault(store_fault::Down);
+  Links.setFault(proxy_fault::Reset, "u-1");
+  runLoopFor(Gateway.Base.get(), 50ms);
+  Links.setFault(proxy_fault::None, "u-1");
+  First.Software = "v2";
+  First.Born += 1000;
+  First.Behavior = upstream_behavior::TruncateStream;
+  for (int Stream = 0; Stream < 8; ++Stream) {
+    const caller_response Response =
+        Gateway.sendRequest({.Path = "/stream-on/1", .Id = Id});
+    cr_assert(isOfOneVersion(Response.Body), "%s", Response.Body.c_str());
+  }
+}
+
+/// No connection is open that would show the restart.
+Test(software_versions, a_restart_after_a_statement_continues_no_stream) {
+  gateway_fixture Gateway(gateway_fixture::testSettings(),
+                          upstream_links::Proxied);
+  proxied_documents &Links = Gateway.linksOf("i-1");
+  listOtherVersion(Gateway, FirstStart);
+  fake_upstream &First = *Gateway.Upstreams[0];
+  cr_assert(Gateway.sendRequest({.Path = "/stream-on/1", .Id = "s-1"}).Status ==
+            200);
+  Gateway.Store.setFault(store_fault::Down);
+  Links.setFault(proxy_fault::Reset);
+  runLoopFor(Gateway.Base.get(), 50ms);
+  Links.setFault(proxy_fault::None);
+  First.ExtraHeaders = {{"Connection", "close"}};
+  const auto Resume = [&](const std::string &Id) {
+    return Gateway.sendRequest({.Path = "/stream-on/1",
+                                .Id = Id,
+                                .ResumeAfter = "2",
+                                .Resumes = "s-1"});
+  };
+  Resume("rest-1");
+  First.Software = "v2";
+  First.Born += 1000;
+  const caller_response Rest = Resume("rest-2");
+  cr_assert(Rest.Body.find(" of v2\n") == std::string::npos, "%s",
+            Rest.Body.c_str());
+}
--- a/tests/platform/fake_upstream.cpp
+++ b/tests/platform/fake_upstream.cpp
@@ -221,7 +221,10 @@
       {"sequence", Orders}};
   if (Born != 0)
     Report["born"] = Born;
-  Link.writeResponse(200, {}, Report.dump());
+  header_list Headers;
+  for (const http_header &Extra : ExtraHeaders)
+    Headers.add(Extra.Name, Extra.Value);
+  Link.writeResponse(200, Headers, Report.dump());
 }
 
 void fake_upstream::onRequestError(server_connection &Link, request_error) {
