--- a/src/decisions/process/buffer_budget.cpp
+++ b/src/decisions/process/buffer_budget.cpp
@@ -13,9 +13,12 @@
     : Account(std::move(Account)) {}
 
 buffer_lease::buffer_lease(buffer_lease &&Other) noexcept
-    : Account(Other.Account), Held(std::exchange(Other.Held, 0)) {}
+    : Account(std::move(Other.Account)), Held(std::exchange(Other.Held, 0)) {}
 
-buffer_lease::~buffer_lease() { Account->Used -= Held; }
+buffer_lease::~buffer_lease() {
+  if (Account)
+    Account->Used -= Held;
+}
 
 bool buffer_lease::resize(std::size_t Bytes) {
   const std::size_t Others = Account->Used - Held;
