A connection lingers from the last byte taken, not from the last byte buffered

Callers saw their answer end early: at a planned stop, and after each answer to a request with `Connection: close`, a connection was closed 1 s after the end of the answer had been written to the buffer.

Cause: closeAfterFlush started the linger time at once. It serves complete and streamed responses, aborted ones, and idle connections whose last answer is still being sent, of callers and of relays.

Now the time to close counts from the last byte that the caller's system has taken: the unsent bytes and those that the system holds (SIOCOUTQ) are counted; while they shrink the connection stays, without progress for 5 s it is closed, and 1 s after the last byte as before. A stop waits for callers' connections as before and now also for relays' connections with unsent bytes, up to the grace period.

--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -225,7 +225,7 @@
   Callers.stopListening();
   Callers.closeIdle();
   RelayLinks.closeIdle();
-  if (Callers.size() + Core.openRelays() > 0 &&
+  if (Callers.size() + Core.openRelays() + RelayLinks.unsentCount() > 0 &&
       Waited < Grace - ForcedEndMargin)
     return;
   Core.log().info(
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,9 @@
 /// client would lose the end of the response.
 constexpr span_ns LingerTimeout = std::chrono::seconds(1);
 
+/// Interval at which the bytes that a client has taken are counted.
+constexpr span_ns FlushCheckInterval = std::chrono::milliseconds(100);
+
 /// Largest number of connections that wait to be accepted, enough for many
 /// clients that reconnect at the same time.
 constexpr int ListenBacklog = 1024;
@@ -173,7 +177,8 @@
   if (!Socket)
     return;
   Observer.reset();
-  closeAfterFlush();
+  if (Phase != phase::Closing)
+    closeAfterFlush();
 }
 
 void server_connection::finishResponse() {
@@ -202,10 +207,30 @@
 void server_connection::closeAfterFlush() {
   Phase = phase::Closing;
   Streaming = false;
-  Deadline.startOnce(LingerTimeout);
   bufferevent_setwatermark(Socket.get(), EV_READ, 0, 0);
+  Flush.emplace(flush_times{Owner.bounds().FlushStall, LingerTimeout},
+                untakenBytes(), readBootClock());
   if (unsentBytes() == 0)
-    shutdown(bufferevent_getfd(Socket.get()), SHUT_WR);
+    endOutput();
+  onFlushCheck(readBootClock());
+}
+
+void server_connection::endOutput() {
+  shutdown(bufferevent_getfd(Socket.get()), SHUT_WR);
+  OutputEnded = true;
+}
+
+std::size_t server_connection::untakenBytes() const {
+  const std::size_t Queued = unacknowledgedBytes(Socket.get());
+  // The end of the output counts as a byte.
+  return unsentBytes() + Queued - (OutputEnded && Queued > 0 ? 1 : 0);
+}
+
+void server_connection::onFlushCheck(instant Now) {
+  const auto Left = Flush->update(untakenBytes(), Now);
+  if (!Left)
+    return close();
+  Deadline.startOnce(std::min(*Left, FlushCheckInterval));
 }
 
 std::size_t server_connection::unsentBytes() const {
@@ -246,7 +271,7 @@
   if (Phase == phase::Idle && !Reader.begun())
     return closeAfterFlush();
   if (Phase == phase::Closing)
-    close();
+    onFlushCheck(readBootClock());
 }
 
 void server_connection::onReadable(bufferevent *, void *Self) {
@@ -256,10 +281,8 @@
 void server_connection::onWritable(bufferevent *, void *Argument) {
   auto *Connection = static_cast<server_connection *>(Argument);
   const auto Guard = Connection->shared_from_this();
-  if (Connection->Phase == phase::Closing) {
-    shutdown(bufferevent_getfd(Connection->Socket.get()), SHUT_WR);
-    return;
-  }
+  if (Connection->Phase == phase::Closing)
+    return Connection->endOutput();
   if (const auto Receiver = Connection->Observer.lock())
     Receiver->onClientDrained();
 }
@@ -305,6 +328,13 @@
     Connection->closeIfIdle();
 }
 
+std::size_t connection_listener::unsentCount() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Connections, [](const server_connection *Connection) {
+        return Connection->unsentBytes() > 0;
+      }));
+}
+
 void connection_listener::onAccept(evconnlistener *, evutil_socket_t Socket,
                                    sockaddr *, int, void *Argument) {
   auto *Owner = static_cast<connection_listener *>(Argument);
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -8,6 +8,7 @@
 #include "common/instant.h"
 #include "common/result.h"
 #include "net/event_handles.h"
+#include "net/flush_progress.h"
 #include "net/http_message.h"
 #include "net/timer.h"
 
@@ -30,6 +31,9 @@
   std::size_t BodyBytes = 4 * 1024 * 1024;
   span_ns HeadTimeout = std::chrono::seconds(10);
   span_ns IdleTimeout = std::chrono::seconds(30);
+  /// Time after which a client is given up that takes no byte of what is left
+  /// on a connection to be closed.
+  span_ns FlushStall = std::chrono::seconds(5);
 };
 
 /// A complete request.
@@ -84,7 +88,8 @@
   void endStream();
 
   /// Closes the connection within a response, without the last chunk, so that
-  /// the client sees that the response is incomplete.
+  /// the client sees that the response is incomplete. What was written before
+  /// is sent.
   void abortResponse();
 
   /// Makes the next response announce `Connection: close` and close the
@@ -107,9 +112,13 @@
   void writeHead(int Status, const header_list &Headers,
                  std::string_view Framing);
   void finishResponse();
-  /// Sends the remaining output, shuts down the write side and waits a
-  /// limited time for the client to close.
+  /// Sends the remaining output as long as the client takes it, shuts down the
+  /// write side and waits a limited time for the client to close.
   void closeAfterFlush();
+  void endOutput();
+  /// Returns the number of bytes that the system of the client has not taken.
+  std::size_t untakenBytes() const;
+  void onFlushCheck(instant Now);
   void close();
   void armTimer();
   void onTimer();
@@ -127,6 +136,8 @@
   std::weak_ptr<client_observer> Observer;
   timer Deadline;
   phase Phase = phase::Idle;
+  std::optional<flush_progress> Flush; ///< set while closing
+  bool OutputEnded = false;
   bool CloseAfterResponse = false;
   bool Streaming = false;
   bool BodyTooLarge = false;
@@ -176,6 +187,9 @@
   const connection_bounds &bounds() const { return Bounds; }
   std::uint16_t port() const { return BoundPort; }
   std::size_t size() const { return Connections.size(); }
+  /// Returns the number of connections with bytes that wait to be sent to the
+  /// socket.
+  std::size_t unsentCount() const;
   event_base *base() const { return Base; }
   request_handler &handler() { return Handler; }
   /// Stops tracking \p Connection, which has been closed.
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -1,7 +1,11 @@
 #include "net/socket_options.h"
 
+#include <algorithm>
+
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <event2/bufferevent.h>
@@ -26,4 +30,11 @@
              sizeof(Millis));
 }
 
+std::size_t unacknowledgedBytes(bufferevent *Socket) {
+  int Bytes = 0;
+  if (ioctl(bufferevent_getfd(Socket), SIOCOUTQ, &Bytes) != 0)
+    return 0;
+  return static_cast<std::size_t>(std::max(Bytes, 0));
+}
+
 } // namespace ebonyvale
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -1,10 +1,12 @@
 /// \file
-/// TCP options of sockets that libevent opens.
+/// TCP options and state of sockets that libevent opens.
 #ifndef EBONYVALE_NET_SOCKET_OPTIONS_H
 #define EBONYVALE_NET_SOCKET_OPTIONS_H
 
 #include "common/instant.h"
 
+#include <cstddef>
+
 struct bufferevent;
 struct evhttp_connection;
 
@@ -19,6 +21,10 @@
 /// stay unacknowledged for \p Timeout, as in a network partition.
 void setTcpUserTimeout(bufferevent *Socket, span_ns Timeout);
 
+/// Returns the number of bytes that the system has taken to send but the peer
+/// has not acknowledged; 0 if it is not known.
+std::size_t unacknowledgedBytes(bufferevent *Socket);
+
 } // namespace ebonyvale
 
 #endif
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -58,13 +58,15 @@
     cr_assert(write(Socket, Bytes.data(), Bytes.size()) ==
               static_cast<ssize_t>(Bytes.size()));
   }
-  /// Returns the bytes received since the last call without waiting. Sets
-  /// `Closed` if the server has closed the connection.
-  std::string receive() {
+  /// Returns the bytes received since the last call without waiting, about
+  /// \p MaxBytes at most. Sets `Closed` if the server has closed the
+  /// connection.
+  std::string receive(std::size_t MaxBytes = SIZE_MAX) {
     std::string Text;
     char Buffer[4096];
-    ssize_t Count = 0;
-    while ((Count = recv(Socket, Buffer, sizeof(Buffer), MSG_DONTWAIT)) > 0)
+    ssize_t Count = 1;
+    while (Text.size() < MaxBytes &&
+           (Count = recv(Socket, Buffer, sizeof(Buffer), MSG_DONTWAIT)) > 0)
       Text.append(Buffer, static_cast<std::size_t>(Count));
     Closed = Closed || Count == 0;
     return Text;
@@ -87,6 +89,47 @@
   connection_listener Listener{Base.get(), Handler};
 };
 
+/// Larger than what the system buffers for a connection.
+constexpr std::size_t LongBytes = 16'000'000;
+
+/// Ways in which a connection is closed after a long response.
+enum class ending {
+  CloseRequested,
+  StreamOfClosingListener,
+  Aborted,
+  ClosedIdle,
+  ClosedIdleLate
+};
+
+struct ending_row {
+  ending Ending;
+};
+
+/// Sends a response of `LongBytes` and ends the connection as \p Ending says.
+void respondAtLength(fixture &Server, server_connection &Connection,
+                     ending Ending) {
+  const std::string Body(LongBytes, 'x');
+  switch (Ending) {
+  case ending::CloseRequested:
+    return Connection.writeResponse(200, {}, Body);
+  case ending::StreamOfClosingListener:
+    Server.Listener.closeAfterResponses();
+    Connection.beginStream(200, {});
+    Connection.writeChunk(Body);
+    return Connection.endStream();
+  case ending::Aborted:
+    Connection.beginStream(200, {});
+    Connection.writeChunk(Body);
+    return Connection.abortResponse();
+  case ending::ClosedIdle:
+    Connection.writeResponse(200, {}, Body);
+    return Server.Listener.closeIdle();
+  case ending::ClosedIdleLate:
+    Server.Listener.closeIdle();
+    return Connection.writeResponse(200, {}, Body);
+  }
+}
+
 struct rejection_row {
   char Bytes[280];
   request_error Reason;
@@ -200,3 +243,48 @@
   }));
   cr_assert(Server.Handler.Requests.size() == 1);
 }
+
+ParameterizedTestParameters(server_connection,
+                            a_client_that_still_reads_is_not_cut_off) {
+  static ending_row Rows[] = {{ending::CloseRequested},
+                              {ending::StreamOfClosingListener},
+                              {ending::Aborted},
+                              {ending::ClosedIdle},
+                              {ending::ClosedIdleLate}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(ending_row *Row, server_connection,
+                  a_client_that_still_reads_is_not_cut_off) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  Client.send(Row->Ending == ending::CloseRequested
+                  ? "GET / HTTP/1.1\r\nConnection: close\r\n\r\n"
+                  : "GET / HTTP/1.1\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  respondAtLength(Server, *Server.Handler.Connections[0], Row->Ending);
+  std::size_t Received = 0;
+  for (int Pause = 0; Pause < 100 && !Client.Closed; ++Pause) {
+    runLoopFor(Server.Base.get(), 60ms);
+    Received += Client.receive(LongBytes / 40).size();
+  }
+  cr_assert(Client.Closed);
+  cr_assert(Received >= LongBytes, "%zu of %zu bytes", Received, LongBytes);
+}
+
+Test(server_connection, a_client_that_reads_nothing_is_given_up) {
+  fixture Server;
+  connection_bounds Bounds;
+  Bounds.FlushStall = 200ms;
+  Server.Listener.setBounds(Bounds);
+  const client Client(Server.Listener.port());
+  Client.send("GET / HTTP/1.1\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  respondAtLength(Server, *Server.Handler.Connections[0], ending::ClosedIdle);
+  cr_assert(Server.Listener.unsentCount() == 1);
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 0; }));
+  cr_assert(Server.Listener.unsentCount() == 0);
+}
