Losses of a request count by process, and a completed answer clears them

And two lost GETs with one target blocked that target for ten minutes, since a completed answer did not clear the losses of a request.

Cause: crash_tracker counted different upstream ids, and the gateway never called onCompleted.

Now a loss has the start of the process. Messages to peers have it as a field "b"; without it, as in messages of earlier builds, a loss counts by id. An answer with 200 or a complete stream clears the losses of the request, at the peers by a field "q" of "sound". Earlier builds ignore both fields. The first quarantine lasts a minute, further ones up to ten; after one a single loss begins the next.

--- a/src/daemon/request/caller_session.cpp
+++ b/src/daemon/request/caller_session.cpp
@@ -134,7 +134,7 @@
   // live connection is not counted.
   const bool MayHaveRun = Stage != exchange_stage::NotSent;
   if (Fingerprint && MayHaveRun &&
-      Core.crashes().onLost(*Fingerprint, Start.Engine, readClock().Now) ==
+      Core.crashes().onLost(*Fingerprint, {Start.Engine}, readClock().Now) ==
           suspicion::Quarantined) {
     reportUpstreamFailure();
     Core.announceQuarantine(*Fingerprint);
--- a/src/decisions/process/crash_tracker.cpp
+++ b/src/decisions/process/crash_tracker.cpp
@@ -8,7 +8,7 @@
 namespace ebonyvale {
 namespace {
 
-/// Number of different upstreams lost at which a request is quarantined.
+/// Number of different processes lost at which a request is quarantined.
 constexpr std::size_t QuarantineLosses = 2;
 
 } // namespace
@@ -22,24 +22,53 @@
   return XXH3_64bits_withSeed(Body.data(), Body.size(), TeamHash);
 }
 
-suspicion crash_tracker::onLost(request_fingerprint Request, engine_id Engine,
-                                instant Now) {
+bool crash_tracker::addLoss(entry &Entry, lost_process Process) {
+  for (lost_process &Known : Entry.Lost) {
+    if (Known.Upstream != Process.Upstream)
+      continue;
+    if (Known.Born == 0)
+      Known.Born = Process.Born;
+    if (Process.Born == 0 || Known.Born == Process.Born)
+      return false;
+  }
+  if (Entry.Lost.size() >= QuarantineLosses)
+    Entry.Lost.erase(Entry.Lost.begin());
+  Entry.Lost.push_back(Process);
+  return true;
+}
+
+void crash_tracker::quarantine(entry &Entry, instant Now) const {
+  constexpr unsigned MaxDoublings = 8;
+  const span_ns Duration = std::min<span_ns>(
+      Options.QuarantineDuration * (std::int64_t{1} << Entry.Quarantines),
+      Options.MaxQuarantineDuration);
+  Entry.Quarantines = std::min(Entry.Quarantines + 1, MaxDoublings);
+  Entry.QuarantinedUntil = Now + Duration;
+  Entry.ExpiresAt = Entry.QuarantinedUntil + Options.MaxQuarantineDuration;
+}
+
+suspicion crash_tracker::onLost(request_fingerprint Request,
+                                lost_process Process, instant Now) {
   makeRoom(Now);
   entry &Entry = Entries[Request];
   if (Entry.ExpiresAt <= Now)
     Entry = {};
-  if (std::ranges::find(Entry.LostEngines, Engine) == Entry.LostEngines.end())
-    Entry.LostEngines.push_back(Engine);
-  Entry.Quarantined =
-      Entry.Quarantined || Entry.LostEngines.size() >= QuarantineLosses;
-  Entry.ExpiresAt = Now + (Entry.Quarantined ? Options.QuarantineDuration
-                                             : Options.SuspicionDuration);
-  return Entry.Quarantined ? suspicion::Quarantined : suspicion::Suspected;
+  const bool Counts = addLoss(Entry, Process);
+  Entry.ExpiresAt = std::max(Entry.ExpiresAt, Now + Options.SuspicionDuration);
+  if (Counts && Entry.QuarantinedUntil <= Now &&
+      Entry.Lost.size() + Entry.Quarantines >= QuarantineLosses)
+    quarantine(Entry, Now);
+  return Entry.QuarantinedUntil > Now ? suspicion::Quarantined
+                                      : suspicion::Suspected;
 }
 
 void crash_tracker::onPeerQuarantine(request_fingerprint Request, instant Now) {
   makeRoom(Now);
-  Entries[Request] = {{}, true, Now + Options.QuarantineDuration};
+  entry &Entry = Entries[Request];
+  if (Entry.ExpiresAt <= Now)
+    Entry = {};
+  if (Entry.QuarantinedUntil <= Now)
+    quarantine(Entry, Now);
 }
 
 suspicion crash_tracker::check(request_fingerprint Request, instant Now) {
@@ -50,8 +79,8 @@
     Entries.erase(Found);
     return suspicion::None;
   }
-  return Found->second.Quarantined ? suspicion::Quarantined
-                                   : suspicion::Suspected;
+  return Found->second.QuarantinedUntil > Now ? suspicion::Quarantined
+                                              : suspicion::Suspected;
 }
 
 void crash_tracker::makeRoom(instant Now) {
--- a/src/decisions/process/crash_tracker.h
+++ b/src/decisions/process/crash_tracker.h
@@ -24,16 +24,25 @@
 /// Whether a request is suspected of crashing upstreams.
 enum class suspicion {
   None,
-  Suspected,   ///< one upstream was lost while it ran the request
-  Quarantined, ///< two different upstreams were lost while they ran it
+  Suspected,   ///< one process was lost while it ran the request
+  Quarantined, ///< two different processes were lost while they ran it
+};
+
+/// A process of an upstream that was lost.
+struct lost_process {
+  engine_id Upstream{};
+  /// Start in ms since the Unix epoch; 0 if unknown. Losses of one upstream of
+  /// which one has an unknown start count as losses of one process.
+  std::int64_t Born = 0;
 };
 
 /// Options of `crash_tracker`.
 struct crash_tracker_options {
   /// Time that a request stays suspected after the last loss.
   span_ns SuspicionDuration = std::chrono::minutes(1);
-  /// Time that a request stays quarantined after the last loss or report.
-  span_ns QuarantineDuration = std::chrono::minutes(10);
+  /// Duration of the first quarantine; each further one takes twice as long.
+  span_ns QuarantineDuration = std::chrono::minutes(1);
+  span_ns MaxQuarantineDuration = std::chrono::minutes(10);
   /// Largest number of requests that are remembered.
   std::size_t MaxEntries = 10000;
 };
@@ -47,12 +56,17 @@
 public:
   explicit crash_tracker(crash_tracker_options Options) : Options(Options) {}
 
-  /// Records that \p Engine was lost while it ran \p Request. Returns the new
-  /// state of the request. Repeated losses of one engine count once.
-  suspicion onLost(request_fingerprint Request, engine_id Engine, instant Now);
+  /// Records that \p Process was lost while it ran \p Request. Returns the new
+  /// state of the request. Repeated losses of one process count once. After a
+  /// quarantine one further loss is enough for the next one.
+  suspicion onLost(request_fingerprint Request, lost_process Process,
+                   instant Now);
 
-  /// Clears \p Request, which ran to a response without a crash.
-  void onCompleted(request_fingerprint Request) { Entries.erase(Request); }
+  /// Clears \p Request, which ran to a response without a crash. Returns
+  /// whether losses of it were remembered.
+  bool onCompleted(request_fingerprint Request) {
+    return Entries.erase(Request) > 0;
+  }
 
   /// Quarantines \p Request after a peer reported that it did so.
   void onPeerQuarantine(request_fingerprint Request, instant Now);
@@ -65,11 +79,17 @@
 
 private:
   struct entry {
-    std::vector<engine_id> LostEngines;
-    bool Quarantined = false;
+    /// The first two, or the last one if there has been a quarantine.
+    std::vector<lost_process> Lost;
+    unsigned Quarantines = 0;
+    instant QuarantinedUntil;
     instant ExpiresAt;
   };
 
+  /// Returns whether the loss of \p Process counts.
+  static bool addLoss(entry &Entry, lost_process Process);
+  void quarantine(entry &Entry, instant Now) const;
+
   /// Drops expired entries if there are `MaxEntries` or more, and if that is
   /// not enough the ones that expire first.
   void makeRoom(instant Now);
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -108,16 +108,22 @@
                 {"c", Return.Closed}});
 }
 
-void peer_gossip::sendLoss(request_fingerprint Request, engine_id Upstream,
+void peer_gossip::sendLoss(request_fingerprint Request, lost_process Upstream,
                            std::span<const segment_loss> Losses) {
-  json Message{{"k", "loss"}, {"q", Request}, {"u", Upstream}};
+  json Message{{"k", "loss"}, {"q", Request}, {"u", Upstream.Upstream}};
+  if (Upstream.Born != 0)
+    Message["b"] = Upstream.Born;
   if (!Losses.empty())
     Message["s"] = encodeLosses(Losses);
   sendToAll(Message);
 }
 
-void peer_gossip::sendSound(std::span<const segment_id> Segments) {
-  sendToAll({{"k", "sound"}, {"s", Segments}});
+void peer_gossip::sendSound(std::optional<request_fingerprint> Request,
+                            std::span<const segment_id> Segments) {
+  json Message{{"k", "sound"}, {"s", Segments}};
+  if (Request)
+    Message["q"] = *Request;
+  sendToAll(Message);
 }
 
 void peer_gossip::sendPause(const std::string &Upstream, span_ns For) {
@@ -401,7 +407,9 @@
         {Message.at("n"), Message.at("t"), Message.at("w"), Message.at("c")},
         Now);
   } else if (Kind == "loss") {
-    Core.crashes().onLost(Message.at("q"), Message.at("u"), Now);
+    // Absent in messages of earlier releases.
+    const std::int64_t Born = Message.value("b", std::int64_t{0});
+    Core.crashes().onLost(Message.at("q"), {Message.at("u"), Born}, Now);
     Core.onPeerLoss(Message.at("u"), Now);
     // Absent in messages of earlier releases and if the response had begun.
     if (const auto Losses = Message.find("s"); Losses != Message.end()) {
@@ -412,6 +420,9 @@
   } else if (Kind == "sound") {
     Core.segmentQuarantine().onPeerCompleted(
         Message.at("s").get<std::vector<segment_id>>(), Now);
+    // Absent in messages of earlier releases.
+    if (const auto Request = Message.find("q"); Request != Message.end())
+      Core.crashes().onCompleted(Request->get<request_fingerprint>());
   } else if (Kind == "weights") {
     Core.scheduler().onWeights(Message.at("u").get<std::string>(),
                                Message.at("m").get<std::string>(),
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -37,9 +37,10 @@
                        const lend_request &Request) override;
   void sendLendReturn(const std::string &Peer,
                       const lend_return &Return) override;
-  void sendLoss(request_fingerprint Request, engine_id Upstream,
+  void sendLoss(request_fingerprint Request, lost_process Upstream,
                 std::span<const segment_loss> Losses) override;
-  void sendSound(std::span<const segment_id> Segments) override;
+  void sendSound(std::optional<request_fingerprint> Request,
+                 std::span<const segment_id> Segments) override;
   void sendPause(const std::string &Upstream, span_ns For) override;
   void sendChangePoll(const std::string &Peer,
                       const change_poll &Poll) override;
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -307,20 +307,20 @@
 }
 
 void gateway_core::reportLoss(request_fingerprint Request,
-                              std::string_view Upstream,
+                              const upstream_process &Upstream,
                               std::span<const segment_id> Segments,
                               std::optional<loss_stage> Stage, instant Now) {
-  const engine_id Number = upstreamHash(Upstream);
-  if (Crashes.onLost(Request, Number, Now) == suspicion::Quarantined)
+  const lost_process Lost{upstreamHash(Upstream.Id), Upstream.Born};
+  if (Crashes.onLost(Request, Lost, Now) == suspicion::Quarantined)
     Log.warn(event_category::Request, "request_quarantined",
              {{"fingerprint", fmt::format("{:016x}", Request)},
-              {"upstream", Upstream}});
+              {"upstream", Upstream.Id}});
   std::vector<segment_loss> Losses;
   if (Stage && !Segments.empty())
-    Losses = SegmentQuarantine.onLost(Segments, Number, *Stage, Now);
+    Losses = SegmentQuarantine.onLost(Segments, Lost.Upstream, *Stage, Now);
   logQuarantinedSegments();
   if (Messenger)
-    Messenger->sendLoss(Request, Number, Losses);
+    Messenger->sendLoss(Request, Lost, Losses);
 }
 
 void gateway_core::onPeerLoss(engine_id Upstream, instant Now) {
@@ -329,11 +329,14 @@
       onSoftwareUncertain(Entry.process(), "lost_by_peer", Now);
 }
 
-void gateway_core::reportCompletion(std::span<const segment_id> Segments,
+void gateway_core::reportCompletion(request_fingerprint Request,
+                                    std::span<const segment_id> Segments,
                                     instant Now) {
+  const bool WasSuspected = Crashes.onCompleted(Request);
   const auto Suspected = SegmentQuarantine.onCompleted(Segments, Now);
-  if (Messenger && !Suspected.empty())
-    Messenger->sendSound(Suspected);
+  if (Messenger && (WasSuspected || !Suspected.empty()))
+    Messenger->sendSound(WasSuspected ? std::optional(Request) : std::nullopt,
+                         Suspected);
 }
 
 void gateway_core::logQuarantinedSegments() {
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -65,10 +65,12 @@
   /// Reports to all peers that \p Upstream was lost while it ran \p Request.
   /// \p Losses are those of its prompt's segments if the response had not
   /// begun.
-  virtual void sendLoss(request_fingerprint Request, engine_id Upstream,
+  virtual void sendLoss(request_fingerprint Request, lost_process Upstream,
                         std::span<const segment_loss> Losses) = 0;
-  /// Reports to all peers that a request with \p Segments was run completely.
-  virtual void sendSound(std::span<const segment_id> Segments) = 0;
+  /// Reports to all peers that a request with \p Segments was run completely;
+  /// \p Request is given if losses of it were remembered.
+  virtual void sendSound(std::optional<request_fingerprint> Request,
+                         std::span<const segment_id> Segments) = 0;
   /// Asks all peers to send \p Upstream no new requests for \p For; zero ends
   /// the pause.
   virtual void sendPause(const std::string &Upstream, span_ns For) = 0;
@@ -227,7 +229,7 @@
   /// Records that \p Upstream was lost while it may have run \p Request, and
   /// reports it to the peers. \p Segments are those of its prompt, and \p Stage
   /// is given if the response had not begun.
-  void reportLoss(request_fingerprint Request, std::string_view Upstream,
+  void reportLoss(request_fingerprint Request, const upstream_process &Upstream,
                   std::span<const segment_id> Segments,
                   std::optional<loss_stage> Stage, instant Now);
 
@@ -235,9 +237,10 @@
   /// it ran a request.
   void onPeerLoss(engine_id Upstream, instant Now);
 
-  /// Records that a request with the prompt segments \p Segments was run
-  /// completely, and reports it to the peers if one was suspected.
-  void reportCompletion(std::span<const segment_id> Segments, instant Now);
+  /// Records that \p Request with the prompt segments \p Segments was run
+  /// completely, and reports it to the peers if it or a segment was suspected.
+  void reportCompletion(request_fingerprint Request,
+                        std::span<const segment_id> Segments, instant Now);
 
   /// Logs the segments that have been quarantined since the last call.
   void logQuarantinedSegments();
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -213,7 +213,7 @@
     endAttempt(readBootClock());
     Caller->endStream();
     Core.counters().CompletedResponses.Increment();
-    Core.reportCompletion(Segments, readBootClock());
+    Core.reportCompletion(Fingerprint, Segments, readBootClock());
     return finish("streamed");
   }
   forwardResponse();
@@ -246,7 +246,7 @@
   if (!isRelayed())
     Core.onConnectionLost(Target, Now);
   if (MayBeCrash)
-    Core.reportLoss(Fingerprint, Choice->Upstream, Segments, lossStage(), Now);
+    Core.reportLoss(Fingerprint, Target, Segments, lossStage(), Now);
   onAttemptEnd(attempt_outcome::Lost, Reason);
 }
 
@@ -288,7 +288,7 @@
       Core.protocols().Callers.responseHeaders(Response.Headers), ResponseBody);
   Core.counters().CompletedResponses.Increment();
   if (Response.Status == StatusOk)
-    Core.reportCompletion(Segments, readBootClock());
+    Core.reportCompletion(Fingerprint, Segments, readBootClock());
   finish("answered");
 }
 
--- a/tests/gateway/crashing_segment_test.cpp
+++ b/tests/gateway/crashing_segment_test.cpp
@@ -152,3 +152,69 @@
   cr_assert(Server.Peers.size() == 1, "the connection was not reused");
   cr_assert(Gateway.core().crashes().size() == 1);
 }
+
+ParameterizedTestParameters(crashing_request,
+                            is_quarantined_though_its_upstream_restarts) {
+  static int Instances[] = {1, 2};
+  return criterion_test_params(Instances);
+}
+
+ParameterizedTest(int *Instances, crashing_request,
+                  is_quarantined_though_its_upstream_restarts) {
+  gateway_fixture Gateway;
+  fake_upstream &Upstream = *Gateway.Upstreams[0];
+  Gateway.Store.erase(Gateway.Upstreams[1]->key());
+  std::unique_ptr<gateway_task> Other;
+  if (*Instances > 1)
+    Other = Gateway.startGatewayInstance("i-2");
+  Upstream.Behavior = upstream_behavior::DropResponse;
+  const auto KnowsProcess = [&](gateway_core &Core) {
+    const upstream_entry *Entry = Core.directory().find(Upstream.id());
+    return Core.ready(readBootClock()) && Entry &&
+           Entry->Born == Upstream.Born && Core.directory().all().size() == 1 &&
+           Core.roster().peers().size() + 1 ==
+               static_cast<std::size_t>(*Instances);
+  };
+  int Status = 0;
+  for (int Request = 1; Request <= 3; ++Request) {
+    Upstream.Born = Request;
+    Gateway.Store.put(Upstream.key(), Upstream.entry("s"));
+    cr_assert(Gateway.waitFor([&] {
+      return KnowsProcess(Gateway.core()) &&
+             (!Other || KnowsProcess(Other->core()));
+    }));
+    if (Other && Request == 2)
+      Gateway.setCallerTarget(*Other);
+    const std::size_t Before = Other ? Other->core().crashes().size() : 0;
+    Status =
+        Gateway
+            .sendRequest({.Path = "/order/1", .Id = fmt::format("{}", Request)})
+            .Status;
+    if (Other && Request == 1)
+      cr_assert(Gateway.waitFor(
+          [&] { return Other->core().crashes().size() > Before; }));
+  }
+  cr_assert(Upstream.runs() == 2, "%d", Upstream.runs());
+  cr_assert(Status == 503, "%d", Status);
+}
+
+Test(crashing_request, is_sound_after_a_complete_answer) {
+  gateway_fixture Gateway;
+  const auto Other = Gateway.startGatewayInstance("i-2");
+  cr_assert(Gateway.waitFor([&] {
+    return Other->core().ready(readBootClock()) &&
+           Other->core().roster().peers().size() == 1 &&
+           Gateway.core().roster().peers().size() == 1;
+  }));
+  for (const auto &Upstream : Gateway.Upstreams)
+    Upstream->Behavior = upstream_behavior::DropResponse;
+  cr_assert(Gateway.sendRequest({.Path = "/order/1", .Id = "1"}).Status == 502);
+  cr_assert(
+      Gateway.waitFor([&] { return Other->core().crashes().size() == 1; }));
+  for (const auto &Upstream : Gateway.Upstreams)
+    Upstream->Behavior = upstream_behavior::Respond;
+  cr_assert(Gateway.sendRequest({.Path = "/order/1", .Id = "2"}).Status == 200);
+  cr_assert(Gateway.core().crashes().size() == 0);
+  cr_assert(
+      Gateway.waitFor([&] { return Other->core().crashes().size() == 0; }));
+}
