Upstreams are asked for their start only where a stream needs it

A crash of an upstream on a connection that it closes within 100 ms is taken for the close of an idle one if the connection had been used.

--- a/src/gateway/process/upstream_reach.cpp
+++ b/src/gateway/process/upstream_reach.cpp
@@ -49,7 +49,6 @@
                                     instant Now) {
   UpstreamPaths.onSuspected(Upstream, Now);
   onSoftwareUncertain(Upstream, "connection_lost", Now);
-  verifyUpstream(Upstream.Id, Now);
 }
 
 void gateway_core::onSoftwareUncertain(const upstream_process &Upstream,
