Split: waiting for upstreams to be confirmed, tests of lost connections

Change: what concerns software versions stands in forward_origin.cpp; the tests of restarts and lost connections and their fleet have files of their own. No assertion, bound or row changes.

--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -2,6 +2,7 @@
 // may continue it.
 #include "gateway/request/forward_session.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <spdlog/fmt/fmt.h>
@@ -11,6 +12,9 @@
 
 /// Retry-After where no upstream may continue a stream: peers may answer later.
 constexpr span_ns OriginRetryAfter = std::chrono::milliseconds(250);
+/// Longest wait for upstreams to state which process they run; above a round
+/// trip between regions.
+constexpr span_ns MaxVerification = std::chrono::milliseconds(150);
 
 } // namespace
 
@@ -48,6 +52,35 @@
   schedule();
 }
 
+std::string forward_session::scheduleDetail(instant Now) const {
+  if (StreamSoftware.empty())
+    return fmt::format("service {}", Service);
+  return fmt::format(
+      "service {}, software {}, {} upstreams with it not confirmed", Service,
+      StreamSoftware,
+      Core.uncertainUpstreams(Service, StreamSoftware, Now).size());
+}
+
+bool forward_session::awaitVerification(instant Now) {
+  if (StreamSoftware.empty())
+    return false;
+  if (!VerifyUntil)
+    VerifyUntil = Now + std::min(MaxVerification, timeLeft(Now));
+  if (Now >= *VerifyUntil ||
+      !Core.verifySoftware(Service, StreamSoftware, weak_from_this(), Now))
+    return false;
+  VerifyTimer.startOnce(*VerifyUntil - Now);
+  return true;
+}
+
+void forward_session::onVerified() {
+  const auto Guard = shared_from_this();
+  if (Ended || Exchange || !VerifyUntil)
+    return;
+  VerifyTimer.stop();
+  schedule();
+}
+
 void forward_session::recordOrigin(instant Now) {
   const upstream_entry *Entry = Core.directory().find(Choice->Upstream);
   const stream_writer Writer{Service, StreamSoftware};
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -20,9 +20,6 @@
 /// Retry-After for a request that is quarantined because the upstreams that ran
 /// it were lost.
 constexpr span_ns QuarantineRetryAfter = std::chrono::seconds(30);
-/// Longest wait for upstreams to state which process they run; above a round
-/// trip between regions.
-constexpr span_ns MaxVerification = std::chrono::milliseconds(150);
 /// Attempts that relays may fail to send before a request is refused.
 constexpr int MaxRelayFailures = 4;
 /// Time reserved for a response to reach the caller before its deadline.
@@ -180,35 +177,6 @@
                            Core.scheduler().availableIn(Query, Now));
 }
 
-std::string forward_session::scheduleDetail(instant Now) const {
-  if (StreamSoftware.empty())
-    return fmt::format("service {}", Service);
-  return fmt::format(
-      "service {}, software {}, {} upstreams with it not confirmed", Service,
-      StreamSoftware,
-      Core.uncertainUpstreams(Service, StreamSoftware, Now).size());
-}
-
-bool forward_session::awaitVerification(instant Now) {
-  if (StreamSoftware.empty())
-    return false;
-  if (!VerifyUntil)
-    VerifyUntil = Now + std::min(MaxVerification, timeLeft(Now));
-  if (Now >= *VerifyUntil ||
-      !Core.verifySoftware(Service, StreamSoftware, weak_from_this(), Now))
-    return false;
-  VerifyTimer.startOnce(*VerifyUntil - Now);
-  return true;
-}
-
-void forward_session::onVerified() {
-  const auto Guard = shared_from_this();
-  if (Ended || Exchange || !VerifyUntil)
-    return;
-  VerifyTimer.stop();
-  schedule();
-}
-
 void forward_session::schedule() {
   // The process may have been suspended since the key was checked, so the
   // freshness of the configuration and the deadline are checked again.
--- /dev/null
+++ b/tests/gateway/upstream_restart_test.cpp
@@ -0,0 +1,347 @@
+// Lost connections to upstreams, some of which have started again with another
+// software version under their id.
+#include "gateway/proxied_documents.h"
+#include "gateway/versions_fleet.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+
+#include <spdlog/fmt/fmt.h>
+
+using namespace ebonyvale;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::int64_t FirstStart = 1'770'000'000'000; ///< Unix ms
+
+/// Lists u-2 with another version than u-1 for a moment, and then u-1 only.
+/// Entries and reports state \p Start, unless it is 0.
+void listOtherVersion(gateway_fixture &Gateway, std::int64_t Start) {
+  for (const auto &Upstream : Gateway.Upstreams) {
+    Upstream->EventsNameSoftware = true;
+    Upstream->EventInterval = 10ms;
+    Upstream->Born = Start;
+    Gateway.Store.put(Upstream->key(), Upstream->entry("s"));
+  }
+  fake_upstream &Second = *Gateway.Upstreams[1];
+  Second.Software = "v0";
+  Gateway.Store.put(Second.key(), Second.entry("s"));
+  const auto Knows = [&](std::string_view Version) {
+    const upstream_entry *Entry = Gateway.core().directory().find("u-2");
+    return Entry && Entry->Software == Version;
+  };
+  cr_assert(Gateway.waitFor([&] { return Knows("v0"); }));
+  Gateway.Store.erase(Second.key());
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.core().directory().all().size() == 1; }));
+}
+
+/// Leaves u-1 as the only upstream of its version, which states its start and
+/// breaks streams off. The first instance has lost a connection to it.
+void breakOffAtFirst(versions_fleet &Fleet) {
+  fake_upstream &First = *Fleet.Gateway.Upstreams[0];
+  First.Born = FirstStart;
+  Fleet.useOnly("v1");
+  Fleet.Gateway.Store.erase(Fleet.Gateway.Upstreams[2]->key());
+  cr_assert(Fleet.Gateway.waitFor([&] {
+    return std::ranges::all_of(Fleet.Others, [](const auto &Other) {
+      return Other->core().directory().all().size() == 3;
+    });
+  }));
+  First.Behavior = upstream_behavior::TruncateStream;
+  cr_assert(not Fleet.request(0, {.Path = "/stream-on/1", .Id = "broken"})
+                    .IsComplete);
+}
+
+} // namespace
+
+struct restart_row {
+  char Name[40];
+  bool StatesStart; ///< entries and reports state when a process has started
+  bool EndsIdle;    ///< the connections are idle when the upstreams restart
+  bool StoreReturns;
+};
+
+ParameterizedTestParameters(software_versions,
+                            a_restart_under_the_same_id_continues_no_stream) {
+  static restart_row Rows[] = {
+      {"idle, store away", false, true, false},
+      {"refused meanwhile, store away", false, false, false},
+      {"store returns", false, true, true},
+      {"start stated, idle, store away", true, true, false},
+      {"start stated, refused, store away", true, false, false}};
+  return criterion_test_params(Rows);
+}
+
+/// The upstream starts again as another version under its id and address. The
+/// store cannot tell, but the connections were lost.
+ParameterizedTest(restart_row *Row, software_versions,
+                  a_restart_under_the_same_id_continues_no_stream) {
+  gateway_fixture Gateway(gateway_fixture::testSettings(),
+                          upstream_links::Proxied);
+  proxied_documents &Links = Gateway.linksOf("i-1");
+  listOtherVersion(Gateway, Row->StatesStart ? FirstStart : 0);
+  for (int Stream = 0; Stream < 4; ++Stream)
+    cr_assert(Gateway
+                  .sendRequest({.Path = "/stream-on/1",
+                                .Id = fmt::format("s-{}", Stream)})
+                  .Status == 200);
+  Gateway.Store.setFault(store_fault::Down);
+  if (Row->EndsIdle) {
+    Links.setFault(proxy_fault::Reset);
+    runLoopFor(Gateway.Base.get(), 50ms);
+  } else {
+    Links.setFault(proxy_fault::Unreachable);
+    cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 503);
+  }
+  fake_upstream &First = *Gateway.Upstreams[0];
+  First.Software = "v2";
+  First.Born += Row->StatesStart ? 1000 : 0;
+  Links.setFault(proxy_fault::None);
+  if (Row->StoreReturns) {
+    Gateway.Store.put(First.key(), First.entry("s"));
+    Gateway.Store.setFault(store_fault::None);
+  }
+  for (int Stream = 0; Stream < 4; ++Stream) {
+    const caller_response Rest =
+        Gateway.sendRequest({.Path = "/stream-on/1",
+                             .Id = fmt::format("rest-{}", Stream),
+                             .ResumeAfter = "2",
+                             .Resumes = fmt::format("s-{}", Stream)});
+    cr_assert(Rest.Body.find(" of v2\n") == std::string::npos, "%s: %s",
+              Row->Name, Rest.Body.c_str());
+    cr_assert(Rest.Status == 503, "%d", Rest.Status);
+  }
+  // Other requests are served.
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.sendRequest({.Path = "/read/1"}).Status == 200; }));
+}
+
+/// Only one of two instances had a connection to the upstream that restarts.
+Test(software_versions, a_restart_that_a_peer_has_seen_continues_no_stream) {
+  gateway_fixture Gateway(gateway_fixture::testSettings(),
+                          upstream_links::Proxied);
+  const auto Other = Gateway.startGatewayInstance("i-2");
+  fake_upstream &First = *Gateway.Upstreams[0];
+  First.EventsNameSoftware = true;
+  First.EventInterval = 40ms;
+  Gateway.Store.erase(Gateway.Upstreams[1]->key());
+  cr_assert(Gateway.waitFor([&] {
+    return Other->core().ready(readBootClock()) &&
+           Other->core().roster().peers().size() == 1 &&
+           Gateway.core().roster().peers().size() == 1 &&
+           Other->core().directory().all().size() == 1;
+  }));
+  Gateway.startRequest({.Path = "/stream-on/1", .Id = "s-1"});
+  cr_assert(Gateway.waitFor([&] {
+    return Gateway.result().Body.find("piece 2") != std::string::npos;
+  }));
+  Gateway.Store.setFault(store_fault::Down);
+  proxied_documents &Links = Gateway.linksOf("i-1");
+  Links.setFault(proxy_fault::Reset);
+  First.Software = "v2";
+  Links.setFault(proxy_fault::None);
+  cr_assert(Gateway.waitFor([&] { return Gateway.requestDone(); }));
+  runLoopFor(Gateway.Base.get(), 20ms);
+  Gateway.setCallerTarget(*Other);
+  const caller_response Rest = Gateway.sendRequest({.Path = "/stream-on/1",
+                                                    .Id = "rest-1",
+                                                    .ResumeAfter = "2",
+                                                    .Resumes = "s-1"});
+  cr_assert(Rest.Body.find(" of v2\n") == std::string::npos, "%s",
+            Rest.Body.c_str());
+  cr_assert(Rest.Status == 503, "%d", Rest.Status);
+}
+
+struct lost_connection_row {
+  char Name[40];
+  bool BeginsAfterLoss; ///< otherwise the stream was complete before it
+  int Losses;
+  bool StoreAway;
+};
+
+ParameterizedTestParameters(software_versions,
+                            a_lost_connection_refuses_no_resumed_stream) {
+  static lost_connection_row Rows[] = {
+      {"begun before, store away", false, 1, true},
+      {"begun after, store away", true, 1, true},
+      {"begun after several losses", true, 4, true},
+      {"begun before, in touch", false, 1, false},
+      {"begun after, in touch", true, 1, false},
+  };
+  return criterion_test_params(Rows);
+}
+
+/// The process that lost its connections goes on running.
+ParameterizedTest(lost_connection_row *Row, software_versions,
+                  a_lost_connection_refuses_no_resumed_stream) {
+  gateway_fixture Gateway(gateway_fixture::testSettings(),
+                          upstream_links::Proxied);
+  proxied_documents &Links = Gateway.linksOf("i-1");
+  listOtherVersion(Gateway, FirstStart);
+  constexpr int Streams = 4;
+  const auto BeginStreams = [&] {
+    for (int Stream = 0; Stream < Streams; ++Stream)
+      cr_assert(Gateway
+                    .sendRequest({.Path = "/stream-on/1",
+                                  .Id = fmt::format("s-{}", Stream)})
+                    .Status == 200);
+  };
+  const auto LoseConnections = [&] {
+    Links.setFault(proxy_fault::Reset);
+    runLoopFor(Gateway.Base.get(), 30ms);
+    Links.setFault(proxy_fault::None);
+  };
+  if (Row->BeginsAfterLoss)
+    cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 200);
+  else
+    BeginStreams();
+  if (Row->StoreAway)
+    Gateway.Store.setFault(store_fault::Down);
+  for (int Loss = 0; Loss < Row->Losses; ++Loss) {
+    LoseConnections();
+    cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 200);
+  }
+  if (Row->BeginsAfterLoss)
+    BeginStreams();
+  else
+    LoseConnections();
+  int WentOn = 0;
+  for (int Stream = 0; Stream < Streams; ++Stream) {
+    const caller_response Rest =
+        Gateway.sendRequest({.Path = "/stream-on/1",
+                             .Id = fmt::format("rest-{}", Stream),
+                             .ResumeAfter = "2",
+                             .Resumes = fmt::format("s-{}", Stream)});
+    WentOn += Rest.Status == 200 && Rest.IsComplete ? 1 : 0;
+  }
+  cr_assert(WentOn == Streams, "%s: %d of %d streams went on", Row->Name,
+            WentOn, Streams);
+}
+
+/// Only the first instance has lost a connection, and has told the others.
+Test(software_versions, a_loss_that_a_peer_reports_refuses_no_resumed_stream) {
+  versions_fleet Fleet(3);
+  fake_upstream &First = *Fleet.Gateway.Upstreams[0];
+  breakOffAtFirst(Fleet);
+  First.Behavior = upstream_behavior::Respond;
+  runLoopFor(Fleet.Gateway.Base.get(), 30ms);
+  Fleet.Gateway.Store.setFault(store_fault::Down);
+  constexpr int Streams = 6;
+  int WentOn = 0;
+  for (int Stream = 0; Stream < Streams; ++Stream) {
+    const std::string Id = fmt::format("s-{}", Stream);
+    const std::size_t BeganAt = 1 + Stream % 2;
+    const std::string Begun = Fleet.begin(BeganAt, Id);
+    WentOn += Fleet.resume(3 - BeganAt, Id, Begun).Status == 200 ? 1 : 0;
+  }
+  cr_assert(WentOn == Streams, "%d of %d streams went on", WentOn, Streams);
+}
+
+/// The upstream breaks a stream off right after it has begun, while peers have
+/// put the upstream in doubt already.
+Test(software_versions, a_stream_that_breaks_off_at_once_is_resumed) {
+  versions_fleet Fleet(3);
+  fake_upstream &First = *Fleet.Gateway.Upstreams[0];
+  breakOffAtFirst(Fleet);
+  runLoopFor(Fleet.Gateway.Base.get(), 30ms);
+  const caller_response Begun =
+      Fleet.request(1, {.Path = "/stream-on/1", .Id = "s-1"});
+  cr_assert(Begun.Body.find("piece 2") != std::string::npos);
+  cr_assert(not Begun.IsComplete);
+  First.Behavior = upstream_behavior::Respond;
+  const caller_response Rest = Fleet.resume(2, "s-1", Begun.Body);
+  cr_assert(Rest.Status == 200, "%d", Rest.Status);
+}
+
+/// The instance sends nothing any more once its caller has the first event.
+Test(software_versions, a_stream_of_an_instance_lost_at_its_begin_is_resumed) {
+  versions_fleet Fleet(3);
+  gateway_core &Lost = Fleet.Others[0]->core();
+  peer_messenger *Messenger = Lost.messenger();
+  constexpr int Streams = 8;
+  int WentOn = 0;
+  for (int Stream = 0; Stream < Streams; ++Stream) {
+    const std::string Id = fmt::format("s-{}", Stream);
+    Lost.setMessenger(Messenger);
+    Fleet.Gateway.setCallerTarget(*Fleet.Others[0]);
+    Fleet.Gateway.startRequest({.Path = "/stream-on/1", .Id = Id});
+    cr_assert(Fleet.Gateway.waitFor([&] {
+      return Fleet.Gateway.result().Body.find("piece 1") != std::string::npos;
+    }));
+    Lost.setMessenger(nullptr);
+    const std::string Begun = Fleet.Gateway.result().Body;
+    Fleet.Gateway.disconnect();
+    WentOn += Fleet.resume(0, Id, Begun).Status == 200 ? 1 : 0;
+  }
+  Lost.setMessenger(Messenger);
+  cr_assert(WentOn == Streams, "%d of %d streams went on", WentOn, Streams);
+}
+
+ParameterizedTestParameters(software_versions,
+                            a_repeated_id_does_not_join_two_streams) {
+  static char Ids[][8] = {"", "same"};
+  return cr_make_param_array(char[8], Ids, 2);
+}
+
+/// An earlier stream with the id is recorded when the upstream has restarted.
+ParameterizedTest(char *Id, software_versions,
+                  a_repeated_id_does_not_join_two_streams) {
+  gateway_fixture Gateway(gateway_fixture::testSettings(),
+                          upstream_links::Proxied);
+  proxied_documents &Links = Gateway.linksOf("i-1");
+  listOtherVersion(Gateway, FirstStart);
+  fake_upstream &First = *Gateway.Upstreams[0];
+  fake_upstream &Second = *Gateway.Upstreams[1];
+  cr_assert(Gateway.sendRequest({.Path = "/stream-on/1", .Id = Id}).Status ==
+            200);
+  Second.Software = "v1";
+  Gateway.Store.put(Second.key(), Second.entry("s"));
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.core().directory().all().size() == 2; }));
+  Gateway.Store.setFault(store_fault::Down);
+  Links.setFault(proxy_fault::Reset, "u-1");
+  runLoopFor(Gateway.Base.get(), 50ms);
+  Links.setFault(proxy_fault::None, "u-1");
+  First.Software = "v2";
+  First.Born += 1000;
+  First.Behavior = upstream_behavior::TruncateStream;
+  for (int Stream = 0; Stream < 8; ++Stream) {
+    const caller_response Response =
+        Gateway.sendRequest({.Path = "/stream-on/1", .Id = Id});
+    cr_assert(isOfOneVersion(Response.Body), "%s", Response.Body.c_str());
+  }
+}
+
+/// No connection is open that would show the restart.
+Test(software_versions, a_restart_after_a_statement_continues_no_stream) {
+  gateway_fixture Gateway(gateway_fixture::testSettings(),
+                          upstream_links::Proxied);
+  proxied_documents &Links = Gateway.linksOf("i-1");
+  listOtherVersion(Gateway, FirstStart);
+  fake_upstream &First = *Gateway.Upstreams[0];
+  cr_assert(Gateway.sendRequest({.Path = "/stream-on/1", .Id = "s-1"}).Status ==
+            200);
+  Gateway.Store.setFault(store_fault::Down);
+  Links.setFault(proxy_fault::Reset);
+  runLoopFor(Gateway.Base.get(), 50ms);
+  Links.setFault(proxy_fault::None);
+  First.ExtraHeaders = {{"Connection", "close"}};
+  const auto Resume = [&](const std::string &Id) {
+    return Gateway.sendRequest({.Path = "/stream-on/1",
+                                .Id = Id,
+                                .ResumeAfter = "2",
+                                .Resumes = "s-1"});
+  };
+  Resume("rest-1");
+  First.Software = "v2";
+  First.Born += 1000;
+  const caller_response Rest = Resume("rest-2");
+  cr_assert(Rest.Body.find(" of v2\n") == std::string::npos, "%s",
+            Rest.Body.c_str());
+}
