Logs tell where the origin of a resumed stream is assumed

An instance that finds no record of who began a stream continues it where only one service and version of software can have begun it.

--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -40,18 +40,31 @@
                    OriginRetryAfter});
   if (Known)
     StreamSoftware = Known->Software;
-  else if (auto Only =
-               Core.onlySoftware(Service, Route->Timeout, readBootClock()))
-    StreamSoftware = std::move(*Only);
-  else
-    return refuse({error_kind::NoUpstream,
-                   fmt::format("the software version that began stream '{}' is "
-                               "not known",
-                               ParsedRequest.Resumes),
-                   OriginRetryAfter});
+  else if (!assumeOrigin(readBootClock()))
+    return;
   schedule();
 }
 
+bool forward_session::assumeOrigin(instant Now) {
+  std::optional<std::string> Only =
+      Core.onlySoftware(Service, Route->Timeout, Now);
+  if (!Only) {
+    refuse({error_kind::NoUpstream,
+            fmt::format("the software version that began stream '{}' is not "
+                        "known",
+                        ParsedRequest.Resumes),
+            OriginRetryAfter});
+    return false;
+  }
+  Core.log().info(event_category::Request, "origin_assumed",
+                  {{"id", ParsedRequest.Id},
+                   {"resumes", ParsedRequest.Resumes},
+                   {"service", Service},
+                   {"software", *Only}});
+  StreamSoftware = std::move(*Only);
+  return true;
+}
+
 std::string forward_session::scheduleDetail(instant Now) const {
   if (StreamSoftware.empty())
     return fmt::format("service {}", Service);
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -80,6 +80,10 @@
   /// Finds out which software version began the stream that the request
   /// resumes, if it resumes one, and schedules the request.
   void findOrigin();
+  /// Takes the origin of the stream, which no instance has recorded, from what
+  /// the route has led to lately. Refuses the request and returns false if that
+  /// leaves several.
+  bool assumeOrigin(instant Now);
   /// Waits for upstreams that may continue the stream, but are not confirmed.
   /// Returns false if there are none to wait for, or it has waited enough.
   bool awaitVerification(instant Now);
