No event is lost before an unusable one in the same bytes

What a caller saw, in the test: a resumed stream that began with event 3 (ORDER). Cause: an upstream's bytes that hold sound events and then one that does not follow (an id again, a lower one, one that is no number) advanced the last event of the stream and were then dropped as a whole, so the next upstream was asked for what follows events that the caller never got. Evidence: broken_stream::loses_no_event_before_an_unusable_one failed in 3 of 3 rows before. The fix delivers the sound events, as the last event says. With it the rows pass, as do the others of broken_stream (17 of 17).

--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -159,13 +159,15 @@
 
 bool forward_session::deliverEvents(std::string_view Bytes) {
   std::string Out;
+  bool InOrder = true;
   for (const sse_event &Event : Splitter.feed(Bytes)) {
     if (!Event.Id.empty()) {
       std::int64_t Id = 0;
       const auto [End, Error] = std::from_chars(
           Event.Id.data(), Event.Id.data() + Event.Id.size(), Id);
-      if (Error != std::errc() || (LastEvent && Id <= *LastEvent))
-        return false;
+      InOrder = Error == std::errc() && (!LastEvent || Id > *LastEvent);
+      if (!InOrder)
+        break;
       LastEvent = Id;
     }
     if (const auto Weights = Core.protocols().Upstreams.eventWeights(Event.Raw))
@@ -173,10 +175,9 @@
                                  *Weights);
     Out += Event.Raw;
   }
-  if (Splitter.overflowed())
-    return false;
+  // `LastEvent` counts them as delivered.
   deliver(Out);
-  return true;
+  return InOrder && !Splitter.overflowed();
 }
 
 void forward_session::deliver(std::string_view Bytes) {
--- a/tests/gateway/broken_stream_test.cpp
+++ b/tests/gateway/broken_stream_test.cpp
@@ -114,3 +114,41 @@
   cr_assert(Gateway.result().Body == fake_upstream::events(0), "'%s'",
             Gateway.result().Body.c_str());
 }
+
+struct batch_row {
+  char Name[40];
+  char After[64]; ///< follows the sound events in the same bytes
+};
+
+ParameterizedTestParameters(broken_stream,
+                            loses_no_event_before_an_unusable_one) {
+  static batch_row Rows[] = {
+      {"an event again", "id: 1\ndata: piece 1\n\n"},
+      {"an earlier event", "id: 0\ndata: piece 0\n\n"},
+      {"an id that is no number", "id: x\ndata: piece 3\n\n"},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(batch_row *Row, broken_stream,
+                  loses_no_event_before_an_unusable_one) {
+  gateway_fixture Gateway;
+  scripted_server::peer *Asked = nullptr;
+  scripted_server Server(
+      Gateway.Base.get(),
+      [&Asked](scripted_server::peer &Peer) { Asked = &Peer; });
+  Gateway.useOnlyUpstream(Server.address().Port);
+  Gateway.startRequest({.Path = "/stream-on/1"});
+  cr_assert(Gateway.waitFor([&] { return Asked != nullptr; }));
+  Gateway.Store.put(Gateway.Upstreams[1]->key(),
+                    Gateway.Upstreams[1]->entry("s"));
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.core().directory().find("u-2") != nullptr; }));
+  Asked->send("HTTP/1.1 200 OK\r\nEbonyvale-Request-Id: id-1\r\n"
+              "Content-Type: text/event-stream\r\n\r\n" +
+              fake_upstream::events(0, 2) + Row->After);
+  cr_assert(Gateway.waitFor([&] { return Gateway.requestDone(); }));
+  cr_assert(Gateway.result().IsComplete, "%s", Row->Name);
+  cr_assert(Gateway.result().Body == fake_upstream::events(0), "%s: '%s'",
+            Row->Name, Gateway.result().Body.c_str());
+}
