Abandoned requests are not sent on by the system

Cause: cancelling an exchange closed its connection in order. The system then goes on sending what the peer's buffers had no room for, be it that the path is cut or that the upstream is stopped, and ends it with a FIN, which does not distinguish a caller that left from one that has only sent all it had to send.

Evidence: an_abandoned_request_does_not_arrive_later, against a listener whose process reads nothing.

Exchanges that are cancelled or fail are now closed with a reset: the system drops what it has not sent, and the upstream sees an error instead of an end. Bytes that the upstream's system has already taken stay readable there, on Linux even after the reset; the test states that.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -140,10 +140,16 @@
   const auto Guard = shared_from_this();
   Observer = nullptr;
   ConnectDeadline.stop();
-  Socket.reset();
+  abandon();
   releaseSelf();
 }
 
+void client_connection::abandon() {
+  if (Socket)
+    resetOnClose(Socket.get());
+  Socket.reset();
+}
+
 void client_connection::pauseReading() {
   if (Socket)
     bufferevent_disable(Socket.get(), EV_READ);
@@ -246,7 +252,7 @@
 void client_connection::fail(loss_reason Reason) {
   const auto Guard = shared_from_this();
   ConnectDeadline.stop();
-  Socket.reset();
+  abandon();
   response_observer *Receiver = std::exchange(Observer, nullptr);
   const probe_callback Probed = std::exchange(OnProbed, nullptr);
   releaseSelf();
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -95,8 +95,8 @@
   client_connection(const client_connection &) = delete;
   client_connection &operator=(const client_connection &) = delete;
 
-  /// Ends the exchange and closes its connection. The observer is not called
-  /// again.
+  /// Ends the exchange and resets its connection, so that the system sends
+  /// nothing more of the request. The observer is not called again.
   void cancel();
 
   /// Stops reading the response until `resumeReading` is called.
@@ -115,6 +115,8 @@
   void completeMessage();
   void onClosed(loss_reason Reason, bool Orderly);
   void fail(loss_reason Reason);
+  /// Closes the connection with a reset.
+  void abandon();
   /// Drops the self-reference from the loop, since a callback may be running.
   void releaseSelf();
   static void onReadable(bufferevent *, void *Self);
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -30,6 +30,12 @@
              sizeof(Millis));
 }
 
+void resetOnClose(bufferevent *Socket) {
+  const linger Abortive{.l_onoff = 1, .l_linger = 0};
+  setsockopt(bufferevent_getfd(Socket), SOL_SOCKET, SO_LINGER, &Abortive,
+             sizeof(Abortive));
+}
+
 std::size_t unacknowledgedBytes(bufferevent *Socket) {
   int Bytes = 0;
   if (ioctl(bufferevent_getfd(Socket), SIOCOUTQ, &Bytes) != 0)
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -21,6 +21,10 @@
 /// stay unacknowledged for \p Timeout, as in a network partition.
 void setTcpUserTimeout(bufferevent *Socket, span_ns Timeout);
 
+/// Makes closing \p Socket send a reset (RFC 9293) and drop the bytes that the
+/// system has yet to send.
+void resetOnClose(bufferevent *Socket);
+
 /// Returns the number of bytes that the system has taken to send but the peer
 /// has not acknowledged; 0 if it is not known.
 std::size_t unacknowledgedBytes(bufferevent *Socket);
--- a/tests/net/client_connection_test.cpp
+++ b/tests/net/client_connection_test.cpp
@@ -6,7 +6,14 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <array>
+#include <cerrno>
 #include <optional>
+#include <string>
+#include <utility>
+
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace ebonyvale;
 using namespace std::chrono_literals;
@@ -53,6 +60,52 @@
   return Request;
 }
 
+/// A listener whose process does nothing: the system accepts connections and
+/// takes bytes until its buffers are full.
+class stopped_server {
+public:
+  stopped_server() : Listener(socket(AF_INET, SOCK_STREAM, 0)) {
+    constexpr int BufferBytes = 4096;
+    constexpr int Backlog = 8;
+    setsockopt(Listener, SOL_SOCKET, SO_RCVBUF, &BufferBytes,
+               sizeof(BufferBytes));
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Length = sizeof(Address);
+    auto *Name = reinterpret_cast<sockaddr *>(&Address);
+    cr_assert(bind(Listener, Name, Length) == 0);
+    cr_assert(listen(Listener, Backlog) == 0);
+    cr_assert(getsockname(Listener, Name, &Length) == 0);
+    Port = ntohs(Address.sin_port);
+  }
+  ~stopped_server() { close(Listener); }
+  stopped_server(const stopped_server &) = delete;
+  stopped_server &operator=(const stopped_server &) = delete;
+
+  endpoint address() const { return {"127.0.0.1", Port}; }
+
+  /// Accepts a connection and reads it to its end. Returns the bytes and the
+  /// error that ended them, 0 for an orderly close.
+  std::pair<std::string, int> readToEnd() const {
+    const int Socket = accept(Listener, nullptr, nullptr);
+    const timeval Timeout{.tv_sec = 10, .tv_usec = 0};
+    setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Timeout, sizeof(Timeout));
+    std::string Received;
+    std::array<char, 4096> Part{};
+    ssize_t Length = 0;
+    while ((Length = recv(Socket, Part.data(), Part.size(), 0)) > 0)
+      Received.append(Part.data(), static_cast<std::size_t>(Length));
+    const int Error = Length == 0 ? 0 : errno;
+    close(Socket);
+    return {Received, Error};
+  }
+
+private:
+  int Listener;
+  std::uint16_t Port = 0;
+};
+
 /// Returns a loopback port without a listener.
 endpoint unusedEndpoint(event_base *Base) {
   const scripted_server Closed(Base, [](auto &) {});
@@ -193,6 +246,41 @@
   cr_assert(!Observer.over());
 }
 
+struct abandoned_row {
+  std::size_t BodyBytes;
+  bool Whole; ///< the system of the server took the whole request
+};
+
+ParameterizedTestParameters(client_connection,
+                            an_abandoned_request_does_not_arrive_later) {
+  static abandoned_row Rows[] = {{10, true}, {100'000, false}};
+  return criterion_test_params(Rows);
+}
+
+/// What the server's system has taken can't be recalled, but its end shows that
+/// no one waits for the response.
+ParameterizedTest(abandoned_row *Row, client_connection,
+                  an_abandoned_request_does_not_arrive_later) {
+  const event_base_ptr Base(event_base_new());
+  client_connection_pool Pool(Base.get(), {});
+  const stopped_server Server;
+  const std::string Body = std::string(Row->BodyBytes - 1, 'x') + '!';
+  client_request Request;
+  Request.Server = Server.address();
+  Request.Method = "POST";
+  Request.Body = Body;
+  recording_observer Observer;
+  const auto Connection = Pool.start(Request, Observer);
+  runLoopFor(Base.get(), 100ms);
+  Connection->cancel();
+  runLoopFor(Base.get(), 10ms);
+  const auto [Received, Error] = Server.readToEnd();
+  cr_assert(Received.starts_with("POST"));
+  cr_assert(Received.ends_with("!") == Row->Whole, "%zu bytes",
+            Received.size());
+  cr_assert(Error == ECONNRESET, "%d", Error);
+}
+
 struct head_row {
   char Response[160];
   server_action Action;
