Connections that ended unnoticed are not reused

What callers saw: a request that may run at most once was answered with 502 although no upstream had received it.

Cause: an idle connection counted as open until the event loop had read its end. After a pause of the process, or when a server that was silent ends many connections at once, requests are handled before the loop comes to that, and are sent on a connection that its server has closed or on which bytes wait that belong to no request.

A connection is now taken from the pool only if nothing has arrived on it. The others stay there until the loop has read why, so that losses of idle connections are still reported. A close that is still on its way can't be seen: such a request may have run.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -330,15 +330,18 @@
   const instant Now = readBootClock();
   idle_list &Connections = Found->second;
   std::shared_ptr<client_connection> Taken;
-  while (!Connections.empty() && !Taken) {
-    const auto Connection = Connections.back();
-    Connections.pop_back();
-    if (Now - Connection->IdleSince < idleTimeout(*Connection)) {
+  for (auto Next = Connections.end(); Next != Connections.begin() && !Taken;) {
+    const auto Connection = *--Next;
+    if (Now - Connection->IdleSince >= idleTimeout(*Connection)) {
+      Next = Connections.erase(Next);
+      Connection->Socket.reset();
+      Connection->releaseSelf();
+    } else if (!hasUnreadInput(Connection->Socket.get())) {
+      // Otherwise it has ended, or what has arrived belongs to no request; the
+      // event loop is about to close it.
+      Next = Connections.erase(Next);
       Taken = Connection;
-      continue;
     }
-    Connection->Socket.reset();
-    Connection->releaseSelf();
   }
   if (Connections.empty())
     Idle.erase(Found);
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -200,8 +200,8 @@
   friend class client_connection;
   using idle_list = std::deque<std::shared_ptr<client_connection>>;
 
-  /// Returns an idle connection to \p Server and closes those that are past
-  /// their timeout; null if there is none.
+  /// Returns an idle connection to \p Server that the server has not ended, and
+  /// closes those that are past their timeout; null if there is none.
   std::shared_ptr<client_connection> takeIdle(const endpoint &Server);
   void returnConnection(const std::shared_ptr<client_connection> &Connection);
   void removeIdle(const client_connection &Connection);
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -1,6 +1,7 @@
 #include "net/socket_options.h"
 
 #include <algorithm>
+#include <cerrno>
 
 #include <linux/sockios.h>
 #include <netinet/in.h>
@@ -36,6 +37,13 @@
              sizeof(Abortive));
 }
 
+bool hasUnreadInput(bufferevent *Socket) {
+  char Byte = 0;
+  return recv(bufferevent_getfd(Socket), &Byte, sizeof(Byte),
+              MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+         (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 std::size_t unacknowledgedBytes(bufferevent *Socket) {
   int Bytes = 0;
   if (ioctl(bufferevent_getfd(Socket), SIOCOUTQ, &Bytes) != 0)
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -25,6 +25,10 @@
 /// system has yet to send.
 void resetOnClose(bufferevent *Socket);
 
+/// Returns whether bytes, the end of the stream or an error have arrived at
+/// \p Socket that the event loop has not read yet.
+bool hasUnreadInput(bufferevent *Socket);
+
 /// Returns the number of bytes that the system has taken to send but the peer
 /// has not acknowledged; 0 if it is not known.
 std::size_t unacknowledgedBytes(bufferevent *Socket);
--- a/tests/net/client_connection_test.cpp
+++ b/tests/net/client_connection_test.cpp
@@ -281,6 +281,43 @@
   cr_assert(Error == ECONNRESET, "%d", Error);
 }
 
+struct idle_row {
+  char Unsolicited[8];
+  bool Closes;
+};
+
+ParameterizedTestParameters(client_connection,
+                            a_connection_that_ended_unnoticed_is_not_reused) {
+  static idle_row Rows[] = {
+      {"", true},
+      {"junk", false},
+      {"junk", true},
+  };
+  return criterion_test_params(Rows);
+}
+
+/// The event loop has not run since.
+ParameterizedTest(idle_row *Row, client_connection,
+                  a_connection_that_ended_unnoticed_is_not_reused) {
+  const event_base_ptr Base(event_base_new());
+  client_connection_pool Pool(Base.get(), {});
+  scripted_server Server(Base.get(), [](scripted_server::peer &Peer) {
+    Peer.send("HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=9\r\n"
+              "Content-Length: 0\r\n\r\n");
+  });
+  recording_observer First;
+  Pool.start(requestTo(Server), First);
+  cr_assert(runLoopUntil(Base.get(), [&] { return First.Ended; }));
+  Server.Peers[0]->send(Row->Unsolicited);
+  if (Row->Closes)
+    Server.Peers[0]->close();
+  recording_observer Second;
+  Pool.start(requestTo(Server), Second);
+  cr_assert(runLoopUntil(Base.get(), [&] { return Second.over(); }));
+  cr_assert(Second.Ended);
+  cr_assert(Pool.opened() == 2);
+}
+
 struct head_row {
   char Response[160];
   server_action Action;
