Idle connections whose reading was paused notice their end

Cause: reading from an upstream is paused while a caller reads slowly. If the rest of the response was already there, the exchange ended and its connection went back to the pool without being read. Its end, which may be the only sign that the upstream has restarted, was noticed only when the next request was lost on it.

Evidence: an_idle_connection_notices_its_end_after_a_pause failed before.

A connection that becomes idle is read again.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -351,6 +351,8 @@
 void client_connection_pool::returnConnection(
     const std::shared_ptr<client_connection> &Connection) {
   Connection->IdleSince = readBootClock();
+  // Its end is noticed even if the observer has paused it.
+  Connection->resumeReading();
   idle_list &Connections = Idle[Connection->Server];
   Connections.push_back(Connection);
   if (Connections.size() <= Options.MaxIdlePerServer)
--- a/tests/net/client_connection_test.cpp
+++ b/tests/net/client_connection_test.cpp
@@ -42,6 +42,20 @@
   std::optional<exchange_loss> Loss;
 };
 
+/// Pauses reading when it has received a part of the body.
+class pausing_observer final : public response_observer {
+public:
+  response_action onResponseHead(const http_head &, bool) override {
+    return response_action::Take;
+  }
+  void onResponseBody(std::string_view) override { Connection->pauseReading(); }
+  void onResponseEnd() override { Ended = true; }
+  void onResponseLost(const exchange_loss &) override {}
+
+  std::shared_ptr<client_connection> Connection;
+  bool Ended = false;
+};
+
 enum class server_action { None, Close, Reset };
 
 struct response_row {
@@ -318,6 +332,22 @@
   cr_assert(Pool.opened() == 2);
 }
 
+Test(client_connection, an_idle_connection_notices_its_end_after_a_pause) {
+  const event_base_ptr Base(event_base_new());
+  client_connection_pool Pool(Base.get(), {});
+  bool Noticed = false;
+  Pool.observeIdleLosses([&](const endpoint &) { Noticed = true; });
+  scripted_server Server(Base.get(), [](scripted_server::peer &Peer) {
+    Peer.send("HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=9\r\n"
+              "Content-Length: 2\r\n\r\nok");
+  });
+  pausing_observer Observer;
+  Observer.Connection = Pool.start(requestTo(Server), Observer);
+  cr_assert(runLoopUntil(Base.get(), [&] { return Observer.Ended; }));
+  Server.Peers[0]->close();
+  cr_assert(runLoopUntil(Base.get(), [&] { return Noticed; }));
+}
+
 struct head_row {
   char Response[160];
   server_action Action;
