--- a/tests/gateway/gateway_fleet.cpp
+++ b/tests/gateway/gateway_fleet.cpp
@@ -43,12 +43,16 @@
 
 caller_response gateway_fleet::requestTo(std::size_t Index, std::string Path) {
   ++Sent;
+  targetInstance(Index);
+  return Gateway.sendRequest(
+      {.Path = std::move(Path), .Id = fmt::format("id-{}", Sent)});
+}
+
+void gateway_fleet::targetInstance(std::size_t Index) {
   if (Index > 0)
     Gateway.setCallerTarget(*Others[Index - 1]);
   else
     Gateway.targetFirst();
-  return Gateway.sendRequest(
-      {.Path = std::move(Path), .Id = fmt::format("id-{}", Sent)});
 }
 
 bool gateway_fleet::knowsAll(gateway_core &Core, std::size_t Instances) {
--- a/tests/gateway/gateway_fleet.h
+++ b/tests/gateway/gateway_fleet.h
@@ -24,6 +24,8 @@
   caller_response request(std::string Path = "/read/1");
   /// As above, to the instance \p Index.
   caller_response requestTo(std::size_t Index, std::string Path);
+  /// Directs later requests of callers to the instance \p Index.
+  void targetInstance(std::size_t Index);
   /// Sends a request to the next instance and returns its status.
   int send() { return request().Status; }
 
