--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -140,10 +140,16 @@
   const auto Guard = shared_from_this();
   Observer = nullptr;
   ConnectDeadline.stop();
-  Socket.reset();
+  abandon();
   releaseSelf();
 }
 
+void client_connection::abandon() {
+  if (Socket)
+    resetOnClose(Socket.get());
+  Socket.reset();
+}
+
 void client_connection::pauseReading() {
   if (Socket)
     bufferevent_disable(Socket.get(), EV_READ);
@@ -246,7 +252,7 @@
 void client_connection::fail(loss_reason Reason) {
   const auto Guard = shared_from_this();
   ConnectDeadline.stop();
-  Socket.reset();
+  abandon();
   response_observer *Receiver = std::exchange(Observer, nullptr);
   const probe_callback Probed = std::exchange(OnProbed, nullptr);
   releaseSelf();
@@ -324,15 +330,18 @@
   const instant Now = readBootClock();
   idle_list &Connections = Found->second;
   std::shared_ptr<client_connection> Taken;
-  while (!Connections.empty() && !Taken) {
-    const auto Connection = Connections.back();
-    Connections.pop_back();
-    if (Now - Connection->IdleSince < idleTimeout(*Connection)) {
+  for (auto Next = Connections.end(); Next != Connections.begin() && !Taken;) {
+    const auto Connection = *--Next;
+    if (Now - Connection->IdleSince >= idleTimeout(*Connection)) {
+      Next = Connections.erase(Next);
+      Connection->Socket.reset();
+      Connection->releaseSelf();
+    } else if (!hasUnreadInput(Connection->Socket.get())) {
+      // Otherwise it has ended, or what has arrived belongs to no request; the
+      // event loop is about to close it.
+      Next = Connections.erase(Next);
       Taken = Connection;
-      continue;
     }
-    Connection->Socket.reset();
-    Connection->releaseSelf();
   }
   if (Connections.empty())
     Idle.erase(Found);
@@ -342,6 +351,8 @@
 void client_connection_pool::returnConnection(
     const std::shared_ptr<client_connection> &Connection) {
   Connection->IdleSince = readBootClock();
+  // Its end is noticed even if the observer has paused it.
+  Connection->resumeReading();
   idle_list &Connections = Idle[Connection->Server];
   Connections.push_back(Connection);
   if (Connections.size() <= Options.MaxIdlePerServer)
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -95,8 +95,8 @@
   client_connection(const client_connection &) = delete;
   client_connection &operator=(const client_connection &) = delete;
 
-  /// Ends the exchange and closes its connection. The observer is not called
-  /// again.
+  /// Ends the exchange and resets its connection, so that the system sends
+  /// nothing more of the request. The observer is not called again.
   void cancel();
 
   /// Stops reading the response until `resumeReading` is called.
@@ -115,6 +115,8 @@
   void completeMessage();
   void onClosed(loss_reason Reason, bool Orderly);
   void fail(loss_reason Reason);
+  /// Closes the connection with a reset.
+  void abandon();
   /// Drops the self-reference from the loop, since a callback may be running.
   void releaseSelf();
   static void onReadable(bufferevent *, void *Self);
@@ -198,8 +200,8 @@
   friend class client_connection;
   using idle_list = std::deque<std::shared_ptr<client_connection>>;
 
-  /// Returns an idle connection to \p Server and closes those that are past
-  /// their timeout; null if there is none.
+  /// Returns an idle connection to \p Server that the server has not ended, and
+  /// closes those that are past their timeout; null if there is none.
   std::shared_ptr<client_connection> takeIdle(const endpoint &Server);
   void returnConnection(const std::shared_ptr<client_connection> &Connection);
   void removeIdle(const client_connection &Connection);
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -1,6 +1,7 @@
 #include "net/socket_options.h"
 
 #include <algorithm>
+#include <cerrno>
 
 #include <linux/sockios.h>
 #include <netinet/in.h>
@@ -30,6 +31,19 @@
              sizeof(Millis));
 }
 
+void resetOnClose(bufferevent *Socket) {
+  const linger Abortive{.l_onoff = 1, .l_linger = 0};
+  setsockopt(bufferevent_getfd(Socket), SOL_SOCKET, SO_LINGER, &Abortive,
+             sizeof(Abortive));
+}
+
+bool hasUnreadInput(bufferevent *Socket) {
+  char Byte = 0;
+  return recv(bufferevent_getfd(Socket), &Byte, sizeof(Byte),
+              MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+         (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 std::size_t unacknowledgedBytes(bufferevent *Socket) {
   int Bytes = 0;
   if (ioctl(bufferevent_getfd(Socket), SIOCOUTQ, &Bytes) != 0)
