Requests that cross an idle close are left unread or served

What callers saw: a connection that had been idle, and in a planned stop one whose stream had just ended, was half closed and drained for up to 1 s. A request sent in that time was read whole and dropped: the connection ended without an answer (LOST), and nothing told the caller that a request that may not be repeated had not run.

Cause: the idle close shared the path for the end of a response, which must read what arrives so that the end of the response survives. It also looked only at the bytes that libevent had read, not at those in the socket: a request that arrived in the turn of the loop in which the timer fired, or before closeIdle(), was dropped too.

Evidence: four tests on real sockets failed on: no reset in two of them, and 0 of 1 requests handled in the two others.

Change: a connection between two requests is not closed while it has unread input; that is served (in a stop, with Connection: close). Without any, it is closed at once if the client has taken everything, so that the system resets it when a request still arrives. Otherwise reading stops while the rest is sent, and the end of the connection is looked for by peeking. Connections whose close was announced still drain.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -4,6 +4,7 @@
 #include "net/socket_options.h"
 
 #include <arpa/inet.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -31,6 +32,13 @@
 /// waiting for responses. Reading stops at this size.
 constexpr std::size_t MaxReadAheadBytes = 64 * 1024;
 
+/// Returns whether the peer has closed the connection and all that it has sent
+/// was read.
+bool isEnded(evutil_socket_t Socket) {
+  char Byte = 0;
+  return recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 } // namespace
 
 server_connection::server_connection(connection_listener &Owner,
@@ -132,6 +140,7 @@
     fmt::format_to(fmt::appender(Out), "{}: {}\r\n", Field.Name, Field.Value);
   if (Owner.closing())
     CloseAfterResponse = true;
+  CloseAnnounced = CloseAfterResponse;
   fmt::format_to(fmt::appender(Out), "{}{}\r\n",
                  CloseAfterResponse ? "Connection: close\r\n" : "", Framing);
   bufferevent_write(Socket.get(), Out.data(), Out.size());
@@ -199,11 +208,15 @@
   const auto Guard = shared_from_this();
   Observer.reset();
   Streaming = false;
-  if (CloseAfterResponse || Owner.closesIdle())
+  if (CloseAnnounced)
     return closeAfterFlush();
   Phase = phase::Idle;
   Reader.reset();
   armTimer();
+  if (CloseAfterResponse || Owner.closesIdle())
+    closeBetweenRequests();
+  if (Phase != phase::Idle)
+    return;
   // Reads a pipelined request from the loop rather than within this call.
   if (evbuffer_get_length(bufferevent_get_input(Socket.get())) > 0)
     callLater(Owner.base(), [Guard] {
@@ -213,9 +226,26 @@
 }
 
 void server_connection::closeIfIdle() {
-  if (Phase == phase::Idle && !Reader.begun() &&
-      evbuffer_get_length(bufferevent_get_input(Socket.get())) == 0)
-    closeAfterFlush();
+  if (Phase == phase::Idle && !Reader.begun())
+    closeBetweenRequests();
+}
+
+bool server_connection::hasUnreadInput() const {
+  int Waiting = 0;
+  return evbuffer_get_length(bufferevent_get_input(Socket.get())) > 0 ||
+         (ioctl(bufferevent_getfd(Socket.get()), FIONREAD, &Waiting) == 0 &&
+          Waiting > 0);
+}
+
+void server_connection::closeBetweenRequests() {
+  if (hasUnreadInput())
+    return;
+  if (untakenBytes() == 0)
+    return close();
+  // A request that arrives from now on stays unread, so that the connection is
+  // reset and the client knows that the request was not handled.
+  bufferevent_disable(Socket.get(), EV_READ);
+  closeAfterFlush();
 }
 
 void server_connection::closeAfterFlush() {
@@ -242,7 +272,7 @@
 
 void server_connection::onFlushCheck(instant Now) {
   const auto Left = Flush->update(untakenBytes(), Now);
-  if (!Left)
+  if (!Left || isEnded(bufferevent_getfd(Socket.get())))
     return close();
   Deadline.startOnce(std::min(*Left, FlushCheckInterval));
 }
@@ -283,8 +313,10 @@
   const auto Guard = shared_from_this();
   if (Phase == phase::Reading)
     return rejectRequest(request_error::TimedOut);
-  if (Phase == phase::Idle && !Reader.begun())
-    return closeAfterFlush();
+  if (Phase == phase::Idle && !Reader.begun()) {
+    armTimer();
+    return closeBetweenRequests();
+  }
   if (Phase == phase::Closing)
     onFlushCheck(readBootClock());
 }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -121,6 +121,11 @@
   /// Sends the remaining output as long as the client takes it, shuts down the
   /// write side and waits a limited time for the client to close.
   void closeAfterFlush();
+  /// Closes the connection between two requests, unless the next one has begun
+  /// to arrive.
+  void closeBetweenRequests();
+  /// Returns whether bytes have arrived that no request was read from.
+  bool hasUnreadInput() const;
   void endOutput();
   /// Returns the number of bytes that the system of the client has not taken.
   std::size_t untakenBytes() const;
@@ -146,6 +151,7 @@
   std::optional<flush_progress> Flush; ///< set while closing
   bool OutputEnded = false;
   bool CloseAfterResponse = false;
+  bool CloseAnnounced = false; ///< by the head of a response
   bool Streaming = false;
   bool BodyTooLarge = false;
   bool IsHeadRequest = false;
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -1,6 +1,7 @@
 #include "net/server_connection.h"
 
 #include "daemon/loop_runner.h"
+#include "net/timer.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -9,6 +10,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+#include <thread>
 #include <vector>
 
 using namespace ebonyvale;
@@ -71,13 +74,21 @@
     Closed = Closed || Count == 0;
     return Text;
   }
+  /// Returns whether the server has reset the connection.
+  bool wasReset() const {
+    int Error = 0;
+    socklen_t Length = sizeof(Error);
+    cr_assert(getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Length) == 0);
+    return Error == EPIPE || Error == ECONNRESET;
+  }
   int Socket;
   bool Closed = false;
 };
 
 struct fixture {
-  fixture() {
+  explicit fixture(span_ns IdleTimeout = 30s) {
     connection_bounds Bounds;
+    Bounds.IdleTimeout = IdleTimeout;
     Bounds.HeadBytes = 200;
     Bounds.BodyBytes = 10;
     Bounds.HeadTimeout = 50ms;
@@ -288,3 +299,62 @@
                          [&] { return Server.Listener.size() == 0; }));
   cr_assert(Server.Listener.unsentCount() == 0);
 }
+
+Test(server_connection, a_request_that_crosses_an_idle_close_is_not_consumed) {
+  fixture Server(50ms);
+  client Client(Server.Listener.port());
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    Client.receive();
+    return Client.Closed;
+  }));
+  Client.send("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab");
+  runLoopFor(Server.Base.get(), 50ms);
+  cr_assert(Client.wasReset());
+  cr_assert(Server.Handler.Requests.empty());
+  cr_assert(Server.Listener.size() == 0);
+}
+
+Test(server_connection,
+     a_request_that_arrives_with_the_idle_timeout_is_served) {
+  fixture Server(50ms);
+  const client Client(Server.Listener.port());
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 1; }));
+  callAfter(Server.Base.get(), 10ms,
+            [] { std::this_thread::sleep_for(100ms); });
+  callAfter(Server.Base.get(), 30ms,
+            [&] { Client.send("GET / HTTP/1.1\r\n\r\n"); });
+  runLoopFor(Server.Base.get(), 200ms);
+  cr_assert(Server.Handler.Requests.size() == 1);
+}
+
+Test(server_connection, a_request_that_waits_to_be_read_is_served_in_a_stop) {
+  fixture Server;
+  const client Client(Server.Listener.port());
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 1; }));
+  Client.send("GET / HTTP/1.1\r\n\r\n");
+  Server.Listener.closeAfterResponses();
+  Server.Listener.closeIdle();
+  runLoopFor(Server.Base.get(), 50ms);
+  cr_assert(Server.Handler.Requests.size() == 1);
+}
+
+Test(server_connection, a_request_after_an_unannounced_close_is_not_consumed) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  Client.send("GET / HTTP/1.1\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.Handler.Connections[0]->beginStream(200, {});
+  Server.Listener.closeAfterResponses();
+  Server.Listener.closeIdle();
+  Server.Handler.Connections[0]->endStream();
+  Client.send("GET /late HTTP/1.1\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 0; }));
+  const std::string Received = Client.receive();
+  cr_assert(Received.ends_with("0\r\n\r\n"));
+  cr_assert(Client.wasReset());
+  cr_assert(Server.Handler.Requests.size() == 1);
+}
