Bodies are timed out when they stop arriving, not by their length

The time was the idle timeout counted from the end of the head, and the much shorter head timeout if the first bytes of the body came in one segment with the head. With a short idle timeout in a new configuration, more bodies were cut.

Cause: the timer was started once at the head; read() then started it again for the head that had just ended.

Change: the idle timeout counts from the last byte of the body, and unread bytes in the socket count as progress. The total time of a body is bounded by its size only.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -72,7 +72,8 @@
 bool server_connection::onMessageHead(http_head &Head) {
   Incoming.Head = std::move(Head);
   // The head timeout does not apply to the body.
-  Deadline.startOnce(Owner.bounds().IdleTimeout);
+  ReceivingBody = true;
+  armTimer();
   // A client that sends `Expect` waits for this interim response before it
   // sends the body (RFC 9110, section 10.1.1).
   if (Incoming.Head.Headers.find("Expect")) {
@@ -83,6 +84,7 @@
 }
 
 void server_connection::onMessageBody(std::string_view Bytes) {
+  QuietSince = readBootClock();
   if (Incoming.Body.size() + Bytes.size() > Owner.bounds().BodyBytes)
     BodyTooLarge = true;
   else
@@ -117,6 +119,7 @@
     if (Reader.state() != read_state::Complete)
       continue;
     Phase = phase::Responding;
+    ReceivingBody = false;
     Deadline.stop();
     IsHeadRequest = Incoming.Head.Method == "HEAD";
     if (!Incoming.Head.KeepAlive || Owner.closing())
@@ -127,6 +130,7 @@
 
 void server_connection::rejectRequest(request_error Reason) {
   Phase = phase::Responding;
+  ReceivingBody = false;
   CloseAfterResponse = true;
   Owner.handler().onRequestError(*this, Reason);
 }
@@ -303,22 +307,36 @@
 }
 
 void server_connection::armTimer() {
-  if (Phase == phase::Idle)
-    Deadline.startOnce(Owner.bounds().IdleTimeout);
-  else if (Phase == phase::Reading)
-    Deadline.startOnce(Owner.bounds().HeadTimeout);
+  if (Phase == phase::Reading && !ReceivingBody)
+    return Deadline.startOnce(Owner.bounds().HeadTimeout);
+  QuietSince = readBootClock();
+  Deadline.startOnce(Owner.bounds().IdleTimeout);
+}
+
+std::optional<span_ns> server_connection::idleTimeLeft(instant Now) const {
+  const instant End = QuietSince + Owner.bounds().IdleTimeout;
+  if (Now >= End)
+    return std::nullopt;
+  return End - Now;
 }
 
 void server_connection::onTimer() {
   const auto Guard = shared_from_this();
+  const instant Now = readBootClock();
+  if (Phase == phase::Closing)
+    return onFlushCheck(Now);
+  const bool IsIdle = Phase == phase::Idle && !Reader.begun();
+  if (IsIdle || ReceivingBody)
+    if (const auto Left = idleTimeLeft(Now))
+      return Deadline.startOnce(*Left);
+  if (ReceivingBody && hasUnreadInput())
+    return armTimer();
   if (Phase == phase::Reading)
     return rejectRequest(request_error::TimedOut);
-  if (Phase == phase::Idle && !Reader.begun()) {
-    armTimer();
-    return closeBetweenRequests();
-  }
-  if (Phase == phase::Closing)
-    onFlushCheck(readBootClock());
+  if (!IsIdle)
+    return;
+  armTimer();
+  closeBetweenRequests();
 }
 
 void server_connection::onReadable(bufferevent *, void *Self) {
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -132,6 +132,8 @@
   void onFlushCheck(instant Now);
   void close();
   void armTimer();
+  /// Returns how long the client may still send nothing.
+  std::optional<span_ns> idleTimeLeft(instant Now) const;
   void onTimer();
   void onDisconnect();
   static void onReadable(bufferevent *, void *Self);
@@ -148,6 +150,8 @@
   std::vector<std::shared_ptr<const void>> BodyOwners; ///< of unsent bodies
   timer Deadline;
   phase Phase = phase::Idle;
+  bool ReceivingBody = false;
+  instant QuietSince{}; ///< start of the wait for a request or more of a body
   std::optional<flush_progress> Flush; ///< set while closing
   bool OutputEnded = false;
   bool CloseAfterResponse = false;
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -141,6 +141,11 @@
   }
 }
 
+/// A request whose body lacks 9 bytes.
+struct slow_body_row {
+  char Begin[60];
+};
+
 struct rejection_row {
   char Bytes[280];
   request_error Reason;
@@ -358,3 +363,35 @@
   cr_assert(Client.wasReset());
   cr_assert(Server.Handler.Requests.size() == 1);
 }
+
+ParameterizedTestParameters(server_connection,
+                            a_body_that_keeps_arriving_is_not_timed_out) {
+  static slow_body_row Rows[] = {
+      {"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n"},
+      {"POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n0"}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(slow_body_row *Row, server_connection,
+                  a_body_that_keeps_arriving_is_not_timed_out) {
+  fixture Server(300ms);
+  const client Client(Server.Listener.port());
+  Client.send(Row->Begin);
+  for (int Sent = 0; Sent < 9; ++Sent) {
+    runLoopFor(Server.Base.get(), 60ms);
+    Client.send("x");
+  }
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    return !Server.Handler.Requests.empty() || !Server.Handler.Errors.empty();
+  }));
+  cr_assert(Server.Handler.Errors.empty());
+}
+
+Test(server_connection, a_body_that_stops_arriving_is_timed_out) {
+  fixture Server(100ms);
+  const client Client(Server.Listener.port());
+  Client.send("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n0");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Errors.empty(); }));
+  cr_assert(Server.Handler.Errors[0] == request_error::TimedOut);
+}
