New limits reach open connections, a shorter idle timeout after notice

What callers saw: after a version with a longer idle timeout, a connection that was idle was still closed after the shorter one, although its caller could reuse it; after one with a shorter idle timeout, connections that became idle were closed while their callers still knew the longer one.

Cause: the limits were copied to the listeners by the next request, so an instance without requests kept the ones from before, also for connections of its peers; the timer of an idle connection kept the time that it had been started with.

Change: the core tells the gateway of each configuration in force, which sets the limits of both listeners and restarts the timers of open connections. Where the idle timeout becomes shorter, the longer one holds for the bound on applying versions, as callers may learn of it that much later (idle_limit). A longer one holds at once. A caller that learns of a longer one before the instance can still meet a close; the request is then unread and the connection reset.

--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -119,6 +119,8 @@
   updateEngineOptions();
   DividedBy = 0;
   updateShares(Now);
+  if (OnRouting)
+    OnRouting->onRoutingChanged(*Routing, Now);
 }
 
 /// Passes the cache sizes and transfer rates of engines and cache stores to the
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -39,6 +39,13 @@
 
 class origin_task;
 
+/// Is told of configurations that come into force.
+class routing_observer {
+public:
+  virtual ~routing_observer() = default;
+  virtual void onRoutingChanged(const routing_table &Table, instant Now) = 0;
+};
+
 /// Receives the outcome of a token request.
 class token_waiter {
 public:
@@ -171,6 +178,7 @@
 
   /// Brings \p Table into force if its version is newer than the one in force.
   void setRouting(routing_table Table, instant Now);
+  void setRoutingObserver(routing_observer *Target) { OnRouting = Target; }
 
   /// Applies the settings after a change at run time.
   void onSettingsChanged(instant Now);
@@ -371,6 +379,7 @@
   client_connection_pool Links;
   buffer_budget ResponseBuffers;
   routing_table_ptr Routing;
+  routing_observer *OnRouting = nullptr;
   upstream_directory Directory;
   software_history SoftwareHistory;
   unconfirmed_upstreams Unconfirmed;
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -85,6 +85,7 @@
   if (auto Problem = listen(RelayLinks, Settings.PeerEndpoint))
     return Problem;
   Core.setRelayPort(RelayLinks.port());
+  Core.setRoutingObserver(this);
   Core.log().info(event_category::Process, "started",
                   {{"instance", Settings.InstanceName},
                    {"domain", Settings.Domain},
@@ -111,7 +112,6 @@
 
 void gateway_task::onRequest(const std::shared_ptr<server_connection> &Link,
                              http_request Request) {
-  updateBounds();
   // The load balancer has stopped sending connections by then, and a later
   // request may not complete before the process must exit.
   if (StopRequested && readBootClock() - *StopRequested >= BalancerLag)
@@ -120,16 +120,18 @@
       ->begin();
 }
 
-void gateway_task::updateBounds() {
-  if (BoundsSource == Core.routing())
-    return;
-  BoundsSource = Core.routing();
-  const caller_bounds &Bounds = BoundsSource->Bounds;
-  Callers.setBounds({Bounds.HeaderBytes, Bounds.BodyBytes, Bounds.HeaderTimeout,
-                     Bounds.IdleTimeout});
-  RelayLinks.setBounds({Bounds.HeaderBytes + AttemptHeaderBytes,
-                        Bounds.BodyBytes, Bounds.HeaderTimeout,
-                        RelayIdleTimeout});
+void gateway_task::onRoutingChanged(const routing_table &Table, instant Now) {
+  const caller_bounds &Limits = Table.Bounds;
+  connection_bounds Bounds;
+  Bounds.HeadBytes = Limits.HeaderBytes;
+  Bounds.BodyBytes = Limits.BodyBytes;
+  Bounds.HeadTimeout = Limits.HeaderTimeout;
+  Bounds.IdleTimeout = Limits.IdleTimeout;
+  Bounds.IdleNotice = Core.freshnessOptions().MaxApplyDelay;
+  Callers.setBounds(Bounds, Now);
+  Bounds.HeadBytes += AttemptHeaderBytes;
+  Bounds.IdleTimeout = RelayIdleTimeout;
+  RelayLinks.setBounds(Bounds, Now);
 }
 
 void gateway_task::onRequestError(server_connection &Link,
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -31,6 +31,7 @@
 /// Runs one gateway on one event loop.
 class gateway_task final : public request_handler,
                            public session_observer,
+                           public routing_observer,
                            public follower_observer {
 public:
   gateway_task(event_base *Base, const gateway_settings &Settings,
@@ -63,6 +64,9 @@
   void onUpstreamWeights(std::string_view Upstream, std::string_view Model,
                          std::int64_t Version) override;
 
+  // routing_observer
+  void onRoutingChanged(const routing_table &Table, instant Now) override;
+
   // follower_observer
   void onFleetItem(const store_item &Item) override;
   void onFleetListing(const store_items &Items) override;
@@ -79,10 +83,6 @@
   void refuse(server_connection &Link, error_kind Kind, span_ns RetryAfter);
   void onStopTick();
 
-  /// Applies the caller bounds of a new configuration version; called by the
-  /// first request under it.
-  void updateBounds();
-
   event_base *Base;
   gateway_core Core;
   std::unique_ptr<fleet_store> Store;
@@ -102,7 +102,6 @@
   connection_listener MetricsLinks;
   std::optional<instant> StopRequested;
   timer StopTimer;
-  routing_table_ptr BoundsSource; ///< configuration of the bounds in force
 };
 
 } // namespace ebonyvale
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -310,14 +310,7 @@
   if (Phase == phase::Reading && !ReceivingBody)
     return Deadline.startOnce(Owner.bounds().HeadTimeout);
   QuietSince = readBootClock();
-  Deadline.startOnce(Owner.bounds().IdleTimeout);
-}
-
-std::optional<span_ns> server_connection::idleTimeLeft(instant Now) const {
-  const instant End = QuietSince + Owner.bounds().IdleTimeout;
-  if (Now >= End)
-    return std::nullopt;
-  return End - Now;
+  startIdleTimer(QuietSince);
 }
 
 void server_connection::onTimer() {
@@ -325,20 +318,29 @@
   const instant Now = readBootClock();
   if (Phase == phase::Closing)
     return onFlushCheck(Now);
-  const bool IsIdle = Phase == phase::Idle && !Reader.begun();
-  if (IsIdle || ReceivingBody)
-    if (const auto Left = idleTimeLeft(Now))
+  if (isIdle() || ReceivingBody)
+    if (const auto Left = Owner.idleLimit().timeLeft(QuietSince, Now))
       return Deadline.startOnce(*Left);
   if (ReceivingBody && hasUnreadInput())
     return armTimer();
   if (Phase == phase::Reading)
     return rejectRequest(request_error::TimedOut);
-  if (!IsIdle)
+  if (!isIdle())
     return;
   armTimer();
   closeBetweenRequests();
 }
 
+void server_connection::startIdleTimer(instant Now) {
+  Deadline.startOnce(
+      Owner.idleLimit().timeLeft(QuietSince, Now).value_or(span_ns(0)));
+}
+
+void server_connection::onBoundsChanged(instant Now) {
+  if (isIdle() || ReceivingBody)
+    startIdleTimer(Now);
+}
+
 void server_connection::onReadable(bufferevent *, void *Self) {
   static_cast<server_connection *>(Self)->read();
 }
@@ -386,6 +388,14 @@
   return std::nullopt;
 }
 
+void connection_listener::setBounds(const connection_bounds &Value,
+                                    instant Now) {
+  Bounds = Value;
+  IdleLimit.set(Value.IdleTimeout, Value.IdleNotice, Now);
+  for (server_connection *Connection : Connections)
+    Connection->onBoundsChanged(Now);
+}
+
 void connection_listener::closeIdle() {
   ClosingIdle = true;
   const std::vector<server_connection *> Open(Connections.begin(),
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -10,6 +10,7 @@
 #include "net/event_handles.h"
 #include "net/flush_progress.h"
 #include "net/http_message.h"
+#include "net/idle_limit.h"
 #include "net/timer.h"
 
 #include <cstdint>
@@ -32,6 +33,8 @@
   std::size_t BodyBytes = 4 * 1024 * 1024;
   span_ns HeadTimeout = std::chrono::seconds(10);
   span_ns IdleTimeout = std::chrono::seconds(30);
+  /// Time in which clients may still use an earlier, longer idle timeout.
+  span_ns IdleNotice{0};
   /// Time after which a client is given up that takes no byte of what is left
   /// on a connection to be closed.
   span_ns FlushStall = std::chrono::seconds(5);
@@ -102,6 +105,9 @@
   /// connection.
   void closeAfterResponse() { CloseAfterResponse = true; }
 
+  /// Applies the limits of the listener after a change.
+  void onBoundsChanged(instant Now);
+
   /// Closes the connection if no request is being received or handled.
   void closeIfIdle();
 
@@ -132,8 +138,8 @@
   void onFlushCheck(instant Now);
   void close();
   void armTimer();
-  /// Returns how long the client may still send nothing.
-  std::optional<span_ns> idleTimeLeft(instant Now) const;
+  void startIdleTimer(instant Now);
+  bool isIdle() const { return Phase == phase::Idle && !Reader.begun(); }
   void onTimer();
   void onDisconnect();
   static void onReadable(bufferevent *, void *Self);
@@ -200,8 +206,10 @@
   void closeIdle();
   bool closesIdle() const { return ClosingIdle; }
 
-  void setBounds(const connection_bounds &Value) { Bounds = Value; }
+  /// Sets the limits of all connections, also of those that are open.
+  void setBounds(const connection_bounds &Value, instant Now);
   const connection_bounds &bounds() const { return Bounds; }
+  const idle_limit &idleLimit() const { return IdleLimit; }
   std::uint16_t port() const { return BoundPort; }
   std::size_t size() const { return Connections.size(); }
   /// Returns the number of connections with bytes that wait to be sent to the
@@ -219,6 +227,7 @@
   event_base *Base;
   request_handler &Handler;
   connection_bounds Bounds;
+  idle_limit IdleLimit{Bounds.IdleTimeout};
   std::unique_ptr<evconnlistener, releaser<evconnlistener_free>> Listener;
   std::uint16_t BoundPort = 0;
   std::unordered_set<server_connection *> Connections;
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -85,6 +85,8 @@
   bool Closed = false;
 };
 
+constexpr span_ns IdleNotice = 300ms;
+
 struct fixture {
   explicit fixture(span_ns IdleTimeout = 30s) {
     connection_bounds Bounds;
@@ -92,9 +94,15 @@
     Bounds.HeadBytes = 200;
     Bounds.BodyBytes = 10;
     Bounds.HeadTimeout = 50ms;
-    Listener.setBounds(Bounds);
+    Listener.setBounds(Bounds, readBootClock());
     cr_assert(!Listener.listen("127.0.0.1", 0));
   }
+  void setIdleTimeout(span_ns Value) {
+    connection_bounds Bounds = Listener.bounds();
+    Bounds.IdleTimeout = Value;
+    Bounds.IdleNotice = IdleNotice;
+    Listener.setBounds(Bounds, readBootClock());
+  }
   event_base_ptr Base{event_base_new()};
   recording_handler Handler;
   connection_listener Listener{Base.get(), Handler};
@@ -293,7 +301,7 @@
   fixture Server;
   connection_bounds Bounds;
   Bounds.FlushStall = 200ms;
-  Server.Listener.setBounds(Bounds);
+  Server.Listener.setBounds(Bounds, readBootClock());
   const client Client(Server.Listener.port());
   Client.send("GET / HTTP/1.1\r\n\r\n");
   cr_assert(runLoopUntil(Server.Base.get(),
@@ -395,3 +403,43 @@
                          [&] { return !Server.Handler.Errors.empty(); }));
   cr_assert(Server.Handler.Errors[0] == request_error::TimedOut);
 }
+
+Test(server_connection, a_longer_idle_timeout_holds_for_idle_connections) {
+  fixture Server(100ms);
+  client Client(Server.Listener.port());
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 1; }));
+  Server.setIdleTimeout(10s);
+  runLoopFor(Server.Base.get(), 300ms);
+  Client.receive();
+  cr_assert(!Client.Closed);
+}
+
+Test(server_connection, a_shorter_idle_timeout_reaches_idle_connections) {
+  fixture Server(10s);
+  const client Client(Server.Listener.port());
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 1; }));
+  const instant ChangedAt = readBootClock();
+  Server.setIdleTimeout(50ms);
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 0; }));
+  const span_ns Open = readBootClock() - ChangedAt;
+  cr_assert(Open >= IdleNotice && Open < 5s, "%.0f ms", toMs(Open));
+}
+
+Test(server_connection, a_shorter_idle_timeout_spares_a_body_in_flight) {
+  fixture Server(10s);
+  const client Client(Server.Listener.port());
+  Client.send("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
+  runLoopFor(Server.Base.get(), 50ms);
+  Server.setIdleTimeout(300ms);
+  for (int Sent = 0; Sent < 9; ++Sent) {
+    runLoopFor(Server.Base.get(), 60ms);
+    Client.send("x");
+  }
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    return !Server.Handler.Requests.empty() || !Server.Handler.Errors.empty();
+  }));
+  cr_assert(Server.Handler.Errors.empty());
+}
