Requests that wait for a limit are admitted when it is lifted

What callers saw: a request that waited for tokens of its team was answered 429 when a new version had no limit for the team.

Cause: a team with rate 0 was left out of the names passed to keepTeams(), which refuses the waiting requests of teams that are gone.

Evidence: read in the code; with a share of 100 tokens per second and a request for 20 that waits, keepTeams() without the team returned one refusal. The test covers the ledger, not the gateway: there the wait is 250 ms at most.

Change: liftLimits() removes the team and admits its waiting requests without a reservation; requests of teams that are gone are refused as before.

--- a/src/decisions/process/quota_ledger.cpp
+++ b/src/decisions/process/quota_ledger.cpp
@@ -72,6 +72,17 @@
   return Actions;
 }
 
+std::vector<quota_action> quota_ledger::liftLimits(std::string_view Team) {
+  action_list Actions;
+  const auto Found = Teams.find(Team);
+  if (Found == Teams.end())
+    return Actions;
+  for (const waiter &Waiter : Found->second.Waiting)
+    Actions.push_back(admit_action{Waiter.Request, {}});
+  Teams.erase(Found);
+  return Actions;
+}
+
 void quota_ledger::setPeers(std::vector<std::string> Names) {
   Peers = std::move(Names);
   for (auto &[Name, Team] : Teams)
--- a/src/decisions/process/quota_ledger.h
+++ b/src/decisions/process/quota_ledger.h
@@ -146,6 +146,10 @@
   /// requests.
   std::vector<quota_action> keepTeams(std::span<const std::string> Teams);
 
+  /// Removes \p Team, which has no limits any more, and admits its waiting
+  /// requests.
+  std::vector<quota_action> liftLimits(std::string_view Team);
+
   /// Sets the peers that can lend tokens, nearest first.
   void setPeers(std::vector<std::string> Names);
 
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -1,6 +1,7 @@
 #include "gateway/process/gateway_core.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <spdlog/fmt/fmt.h>
@@ -227,12 +228,17 @@
   DividedBy = Count;
   updateUpstreamLimits(Now);
   std::vector<std::string> Names;
+  std::vector<quota_action> Admitted;
   for (const team_entry &Team : Routing->Teams) {
-    if (Team.Rate <= 0)
+    if (Team.Rate <= 0) {
+      std::ranges::copy(Shares.liftLimits(Team.Name),
+                        std::back_inserter(Admitted));
       continue;
+    }
     Names.push_back(Team.Name);
     Shares.setTeam(Team.Name, limitsOf(Team), Now);
   }
+  execute(Admitted);
   execute(Shares.keepTeams(Names));
 }
 
