Count connections of callers that are closed between requests

The counter ebonyvale_caller_connections_idle_closed_total counts them, also those of a planned stop. A request that meets the close is not read any more, so there is nothing to log for it.

--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -47,6 +47,10 @@
           addCounter("ebonyvale_response_buffers_refused_total",
                      "Attempts ended since their response could not be "
                      "buffered.")),
+      IdleConnectionsClosed(
+          addCounter("ebonyvale_caller_connections_idle_closed_total",
+                     "Connections of callers that were closed between two "
+                     "requests.")),
       OpenRequests(addGauge("ebonyvale_open_requests", "Requests in flight.")),
       RoutingVersion(addGauge("ebonyvale_configuration_version",
                               "Configuration version in force.")),
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -40,6 +40,7 @@
   prometheus::Counter &SentThroughRelays;
   prometheus::Counter &RelayedForPeers;
   prometheus::Counter &BuffersRefused;
+  prometheus::Counter &IdleConnectionsClosed;
   prometheus::Gauge &OpenRequests;
   prometheus::Gauge &RoutingVersion;
   prometheus::Gauge &ConfigurationAgeSeconds;
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -146,6 +146,10 @@
   refuse(Link, Kind, span_ns(0));
 }
 
+void gateway_task::onIdleClosed() {
+  Core.counters().IdleConnectionsClosed.Increment();
+}
+
 void gateway_task::refuse(server_connection &Link, error_kind Kind,
                           span_ns RetryAfter) {
   const caller_protocol &Protocol = Core.protocols().Callers;
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -59,6 +59,7 @@
   void onRequest(const std::shared_ptr<server_connection> &Link,
                  http_request Request) override;
   void onRequestError(server_connection &Link, request_error Reason) override;
+  void onIdleClosed() override;
 
   // session_observer
   void onUpstreamWeights(std::string_view Upstream, std::string_view Model,
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -244,6 +244,7 @@
 void server_connection::closeBetweenRequests() {
   if (hasUnreadInput())
     return;
+  Owner.handler().onIdleClosed();
   if (untakenBytes() == 0)
     return close();
   // A request that arrives from now on stays unread, so that the connection is
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -179,6 +179,8 @@
   /// after the response.
   virtual void onRequestError(server_connection &Connection,
                               request_error Reason) = 0;
+  /// A connection is closed that no response has announced to close.
+  virtual void onIdleClosed() {}
 };
 
 /// Listens on one address and tracks the accepted connections. Aborts those
--- a/tests/gateway/caller_connection_test.cpp
+++ b/tests/gateway/caller_connection_test.cpp
@@ -67,4 +67,5 @@
   cr_assert(Gateway.waitFor([&] { return Caller.isClosed(); }));
   const span_ns Open = readBootClock() - ChangedAt;
   cr_assert(Open >= 500ms && Open < 5s, "%.0f ms", toMs(Open));
+  cr_assert(Gateway.core().counters().IdleConnectionsClosed.Value() == 1);
 }
