--- a/tests/gateway/caller_connection_test.cpp
+++ b/tests/gateway/caller_connection_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/routing_document.h"
 
 #include <criterion/criterion.h>
+#include <criterion/parameterized.h>
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -38,11 +39,14 @@
   int Socket;
 };
 
-void configureIdle(gateway_fixture &Gateway, int Version, int IdleMs) {
+/// Brings a version into force in which \p To stands for each \p From.
+void configureWith(gateway_fixture &Gateway, int Version, std::string_view From,
+                   const std::string &To) {
   std::string Document = routingDocument(Version, "\"key-1\"", 1e6);
-  constexpr std::string_view Before = R"("idleTimeoutMs":5000)";
-  Document.replace(Document.find(Before), Before.size(),
-                   R"("idleTimeoutMs":)" + std::to_string(IdleMs));
+  std::size_t At = Document.find(From);
+  cr_assert(At != std::string::npos);
+  for (; At != std::string::npos; At = Document.find(From, At + To.size()))
+    Document.replace(At, From.size(), To);
   Gateway.Store.put("op/config", Document);
   cr_assert(Gateway.waitFor([&] {
     return Gateway.core().routing()->Version ==
@@ -50,6 +54,13 @@
   }));
 }
 
+/// A change of the configuration while a request to \p Path runs.
+struct change_row {
+  char Path[16];
+  char From[32];
+  char To[32];
+};
+
 gateway_settings shortApplyBound() {
   gateway_settings Settings = gateway_fixture::testSettings();
   Settings.ApplyBoundMs = 500;
@@ -63,9 +74,46 @@
   const idle_caller Caller(Gateway.makeRequest({}).Server);
   runLoopFor(Gateway.Base.get(), 20ms);
   const instant ChangedAt = readBootClock();
-  configureIdle(Gateway, 2, 100);
+  configureWith(Gateway, 2, R"("idleTimeoutMs":5000)",
+                R"("idleTimeoutMs":100)");
   cr_assert(Gateway.waitFor([&] { return Caller.isClosed(); }));
   const span_ns Open = readBootClock() - ChangedAt;
   cr_assert(Open >= 500ms && Open < 5s, "%.0f ms", toMs(Open));
   cr_assert(Gateway.core().counters().IdleConnectionsClosed.Value() == 1);
 }
+
+ParameterizedTestParameters(caller_connection,
+                            a_request_in_flight_survives_a_new_version) {
+  static change_row Rows[] = {
+      {"/order/1", R"("idleTimeoutMs":5000)", R"("idleTimeoutMs":10)"},
+      {"/stream-on/1", R"("idleTimeoutMs":5000)", R"("idleTimeoutMs":10)"},
+      {"/order/1", R"("timeoutMs":4000)", R"("timeoutMs":2000)"},
+      {"/stream-on/1", R"("timeoutMs":4000)", R"("timeoutMs":2000)"},
+      {"/order/1", R"("prefix":"/)", R"("prefix":"/new-)"},
+      {"/stream-on/1", R"("prefix":"/)", R"("prefix":"/new-)"},
+      {"/order/1", R"("backend":"s")", R"("backend":"s-2")"},
+      {"/stream-on/1", R"("backend":"s")", R"("backend":"s-2")"},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(change_row *Row, caller_connection,
+                  a_request_in_flight_survives_a_new_version) {
+  gateway_fixture Gateway(shortApplyBound());
+  for (const auto &Upstream : Gateway.Upstreams) {
+    Upstream->Delay = 800ms;
+    Upstream->EventInterval = 150ms;
+  }
+  Gateway.startRequest({.Path = Row->Path});
+  cr_assert(Gateway.waitFor([&] {
+    return Gateway.Upstreams[0]->runs() + Gateway.Upstreams[1]->runs() == 1;
+  }));
+  configureWith(Gateway, 2, Row->From, Row->To);
+  cr_assert(!Gateway.requestDone());
+  cr_assert(Gateway.waitFor([&] { return Gateway.requestDone(); }));
+  cr_assert(Gateway.result().Status == 200 && Gateway.result().IsComplete,
+            "status %d", Gateway.result().Status);
+  cr_assert(Gateway.Upstreams[0]->runs() + Gateway.Upstreams[1]->runs() == 1);
+  if (std::string_view(Row->Path).starts_with("/stream"))
+    cr_assert(Gateway.result().Body == fake_upstream::events(0));
+}
