--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -4,6 +4,7 @@
 #include "net/socket_options.h"
 
 #include <arpa/inet.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -31,6 +32,13 @@
 /// waiting for responses. Reading stops at this size.
 constexpr std::size_t MaxReadAheadBytes = 64 * 1024;
 
+/// Returns whether the peer has closed the connection and all that it has sent
+/// was read.
+bool isEnded(evutil_socket_t Socket) {
+  char Byte = 0;
+  return recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 } // namespace
 
 server_connection::server_connection(connection_listener &Owner,
@@ -64,7 +72,8 @@
 bool server_connection::onMessageHead(http_head &Head) {
   Incoming.Head = std::move(Head);
   // The head timeout does not apply to the body.
-  Deadline.startOnce(Owner.bounds().IdleTimeout);
+  ReceivingBody = true;
+  armTimer();
   // A client that sends `Expect` waits for this interim response before it
   // sends the body (RFC 9110, section 10.1.1).
   if (Incoming.Head.Headers.find("Expect")) {
@@ -75,6 +84,7 @@
 }
 
 void server_connection::onMessageBody(std::string_view Bytes) {
+  QuietSince = readBootClock();
   if (Incoming.Body.size() + Bytes.size() > Owner.bounds().BodyBytes)
     BodyTooLarge = true;
   else
@@ -109,6 +119,7 @@
     if (Reader.state() != read_state::Complete)
       continue;
     Phase = phase::Responding;
+    ReceivingBody = false;
     Deadline.stop();
     IsHeadRequest = Incoming.Head.Method == "HEAD";
     if (!Incoming.Head.KeepAlive || Owner.closing())
@@ -119,6 +130,7 @@
 
 void server_connection::rejectRequest(request_error Reason) {
   Phase = phase::Responding;
+  ReceivingBody = false;
   CloseAfterResponse = true;
   Owner.handler().onRequestError(*this, Reason);
 }
@@ -132,6 +144,7 @@
     fmt::format_to(fmt::appender(Out), "{}: {}\r\n", Field.Name, Field.Value);
   if (Owner.closing())
     CloseAfterResponse = true;
+  CloseAnnounced = CloseAfterResponse;
   fmt::format_to(fmt::appender(Out), "{}{}\r\n",
                  CloseAfterResponse ? "Connection: close\r\n" : "", Framing);
   bufferevent_write(Socket.get(), Out.data(), Out.size());
@@ -199,11 +212,15 @@
   const auto Guard = shared_from_this();
   Observer.reset();
   Streaming = false;
-  if (CloseAfterResponse || Owner.closesIdle())
+  if (CloseAnnounced)
     return closeAfterFlush();
   Phase = phase::Idle;
   Reader.reset();
   armTimer();
+  if (CloseAfterResponse || Owner.closesIdle())
+    closeBetweenRequests();
+  if (Phase != phase::Idle)
+    return;
   // Reads a pipelined request from the loop rather than within this call.
   if (evbuffer_get_length(bufferevent_get_input(Socket.get())) > 0)
     callLater(Owner.base(), [Guard] {
@@ -213,9 +230,27 @@
 }
 
 void server_connection::closeIfIdle() {
-  if (Phase == phase::Idle && !Reader.begun() &&
-      evbuffer_get_length(bufferevent_get_input(Socket.get())) == 0)
-    closeAfterFlush();
+  if (Phase == phase::Idle && !Reader.begun())
+    closeBetweenRequests();
+}
+
+bool server_connection::hasUnreadInput() const {
+  int Waiting = 0;
+  return evbuffer_get_length(bufferevent_get_input(Socket.get())) > 0 ||
+         (ioctl(bufferevent_getfd(Socket.get()), FIONREAD, &Waiting) == 0 &&
+          Waiting > 0);
+}
+
+void server_connection::closeBetweenRequests() {
+  if (hasUnreadInput())
+    return;
+  Owner.handler().onIdleClosed();
+  if (untakenBytes() == 0)
+    return close();
+  // A request that arrives from now on stays unread, so that the connection is
+  // reset and the client knows that the request was not handled.
+  bufferevent_disable(Socket.get(), EV_READ);
+  closeAfterFlush();
 }
 
 void server_connection::closeAfterFlush() {
@@ -242,7 +277,7 @@
 
 void server_connection::onFlushCheck(instant Now) {
   const auto Left = Flush->update(untakenBytes(), Now);
-  if (!Left)
+  if (!Left || isEnded(bufferevent_getfd(Socket.get())))
     return close();
   Deadline.startOnce(std::min(*Left, FlushCheckInterval));
 }
@@ -273,20 +308,38 @@
 }
 
 void server_connection::armTimer() {
-  if (Phase == phase::Idle)
-    Deadline.startOnce(Owner.bounds().IdleTimeout);
-  else if (Phase == phase::Reading)
-    Deadline.startOnce(Owner.bounds().HeadTimeout);
+  if (Phase == phase::Reading && !ReceivingBody)
+    return Deadline.startOnce(Owner.bounds().HeadTimeout);
+  QuietSince = readBootClock();
+  startIdleTimer(QuietSince);
 }
 
 void server_connection::onTimer() {
   const auto Guard = shared_from_this();
+  const instant Now = readBootClock();
+  if (Phase == phase::Closing)
+    return onFlushCheck(Now);
+  if (isIdle() || ReceivingBody)
+    if (const auto Left = Owner.idleLimit().timeLeft(QuietSince, Now))
+      return Deadline.startOnce(*Left);
+  if (ReceivingBody && hasUnreadInput())
+    return armTimer();
   if (Phase == phase::Reading)
     return rejectRequest(request_error::TimedOut);
-  if (Phase == phase::Idle && !Reader.begun())
-    return closeAfterFlush();
-  if (Phase == phase::Closing)
-    onFlushCheck(readBootClock());
+  if (!isIdle())
+    return;
+  armTimer();
+  closeBetweenRequests();
+}
+
+void server_connection::startIdleTimer(instant Now) {
+  Deadline.startOnce(
+      Owner.idleLimit().timeLeft(QuietSince, Now).value_or(span_ns(0)));
+}
+
+void server_connection::onBoundsChanged(instant Now) {
+  if (isIdle() || ReceivingBody)
+    startIdleTimer(Now);
 }
 
 void server_connection::onReadable(bufferevent *, void *Self) {
@@ -336,6 +389,14 @@
   return std::nullopt;
 }
 
+void connection_listener::setBounds(const connection_bounds &Value,
+                                    instant Now) {
+  Bounds = Value;
+  IdleLimit.set(Value.IdleTimeout, Value.IdleNotice, Now);
+  for (server_connection *Connection : Connections)
+    Connection->onBoundsChanged(Now);
+}
+
 void connection_listener::closeIdle() {
   ClosingIdle = true;
   const std::vector<server_connection *> Open(Connections.begin(),
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -10,6 +10,7 @@
 #include "net/event_handles.h"
 #include "net/flush_progress.h"
 #include "net/http_message.h"
+#include "net/idle_limit.h"
 #include "net/timer.h"
 
 #include <cstdint>
@@ -32,6 +33,8 @@
   std::size_t BodyBytes = 4 * 1024 * 1024;
   span_ns HeadTimeout = std::chrono::seconds(10);
   span_ns IdleTimeout = std::chrono::seconds(30);
+  /// Time in which clients may still use an earlier, longer idle timeout.
+  span_ns IdleNotice{0};
   /// Time after which a client is given up that takes no byte of what is left
   /// on a connection to be closed.
   span_ns FlushStall = std::chrono::seconds(5);
@@ -102,6 +105,9 @@
   /// connection.
   void closeAfterResponse() { CloseAfterResponse = true; }
 
+  /// Applies the limits of the listener after a change.
+  void onBoundsChanged(instant Now);
+
   /// Closes the connection if no request is being received or handled.
   void closeIfIdle();
 
@@ -121,12 +127,19 @@
   /// Sends the remaining output as long as the client takes it, shuts down the
   /// write side and waits a limited time for the client to close.
   void closeAfterFlush();
+  /// Closes the connection between two requests, unless the next one has begun
+  /// to arrive.
+  void closeBetweenRequests();
+  /// Returns whether bytes have arrived that no request was read from.
+  bool hasUnreadInput() const;
   void endOutput();
   /// Returns the number of bytes that the system of the client has not taken.
   std::size_t untakenBytes() const;
   void onFlushCheck(instant Now);
   void close();
   void armTimer();
+  void startIdleTimer(instant Now);
+  bool isIdle() const { return Phase == phase::Idle && !Reader.begun(); }
   void onTimer();
   void onDisconnect();
   static void onReadable(bufferevent *, void *Self);
@@ -143,9 +156,12 @@
   std::vector<std::shared_ptr<const void>> BodyOwners; ///< of unsent bodies
   timer Deadline;
   phase Phase = phase::Idle;
+  bool ReceivingBody = false;
+  instant QuietSince{}; ///< start of the wait for a request or more of a body
   std::optional<flush_progress> Flush; ///< set while closing
   bool OutputEnded = false;
   bool CloseAfterResponse = false;
+  bool CloseAnnounced = false; ///< by the head of a response
   bool Streaming = false;
   bool BodyTooLarge = false;
   bool IsHeadRequest = false;
@@ -163,6 +179,8 @@
   /// after the response.
   virtual void onRequestError(server_connection &Connection,
                               request_error Reason) = 0;
+  /// A connection is closed that no response has announced to close.
+  virtual void onIdleClosed() {}
 };
 
 /// Listens on one address and tracks the accepted connections. Aborts those
@@ -190,8 +208,10 @@
   void closeIdle();
   bool closesIdle() const { return ClosingIdle; }
 
-  void setBounds(const connection_bounds &Value) { Bounds = Value; }
+  /// Sets the limits of all connections, also of those that are open.
+  void setBounds(const connection_bounds &Value, instant Now);
   const connection_bounds &bounds() const { return Bounds; }
+  const idle_limit &idleLimit() const { return IdleLimit; }
   std::uint16_t port() const { return BoundPort; }
   std::size_t size() const { return Connections.size(); }
   /// Returns the number of connections with bytes that wait to be sent to the
@@ -209,6 +229,7 @@
   event_base *Base;
   request_handler &Handler;
   connection_bounds Bounds;
+  idle_limit IdleLimit{Bounds.IdleTimeout};
   std::unique_ptr<evconnlistener, releaser<evconnlistener_free>> Listener;
   std::uint16_t BoundPort = 0;
   std::unordered_set<server_connection *> Connections;
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -1,6 +1,7 @@
 #include "net/server_connection.h"
 
 #include "daemon/loop_runner.h"
+#include "net/timer.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -9,6 +10,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+#include <thread>
 #include <vector>
 
 using namespace ebonyvale;
@@ -71,19 +74,35 @@
     Closed = Closed || Count == 0;
     return Text;
   }
+  /// Returns whether the server has reset the connection.
+  bool wasReset() const {
+    int Error = 0;
+    socklen_t Length = sizeof(Error);
+    cr_assert(getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Length) == 0);
+    return Error == EPIPE || Error == ECONNRESET;
+  }
   int Socket;
   bool Closed = false;
 };
 
+constexpr span_ns IdleNotice = 300ms;
+
 struct fixture {
-  fixture() {
+  explicit fixture(span_ns IdleTimeout = 30s) {
     connection_bounds Bounds;
+    Bounds.IdleTimeout = IdleTimeout;
     Bounds.HeadBytes = 200;
     Bounds.BodyBytes = 10;
     Bounds.HeadTimeout = 50ms;
-    Listener.setBounds(Bounds);
+    Listener.setBounds(Bounds, readBootClock());
     cr_assert(!Listener.listen("127.0.0.1", 0));
   }
+  void setIdleTimeout(span_ns Value) {
+    connection_bounds Bounds = Listener.bounds();
+    Bounds.IdleTimeout = Value;
+    Bounds.IdleNotice = IdleNotice;
+    Listener.setBounds(Bounds, readBootClock());
+  }
   event_base_ptr Base{event_base_new()};
   recording_handler Handler;
   connection_listener Listener{Base.get(), Handler};
@@ -130,6 +149,11 @@
   }
 }
 
+/// A request whose body lacks 9 bytes.
+struct slow_body_row {
+  char Begin[60];
+};
+
 struct rejection_row {
   char Bytes[280];
   request_error Reason;
@@ -277,7 +301,7 @@
   fixture Server;
   connection_bounds Bounds;
   Bounds.FlushStall = 200ms;
-  Server.Listener.setBounds(Bounds);
+  Server.Listener.setBounds(Bounds, readBootClock());
   const client Client(Server.Listener.port());
   Client.send("GET / HTTP/1.1\r\n\r\n");
   cr_assert(runLoopUntil(Server.Base.get(),
@@ -288,3 +312,134 @@
                          [&] { return Server.Listener.size() == 0; }));
   cr_assert(Server.Listener.unsentCount() == 0);
 }
+
+Test(server_connection, a_request_that_crosses_an_idle_close_is_not_consumed) {
+  fixture Server(50ms);
+  client Client(Server.Listener.port());
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    Client.receive();
+    return Client.Closed;
+  }));
+  Client.send("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab");
+  runLoopFor(Server.Base.get(), 50ms);
+  cr_assert(Client.wasReset());
+  cr_assert(Server.Handler.Requests.empty());
+  cr_assert(Server.Listener.size() == 0);
+}
+
+Test(server_connection,
+     a_request_that_arrives_with_the_idle_timeout_is_served) {
+  fixture Server(50ms);
+  const client Client(Server.Listener.port());
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 1; }));
+  callAfter(Server.Base.get(), 10ms,
+            [] { std::this_thread::sleep_for(100ms); });
+  callAfter(Server.Base.get(), 30ms,
+            [&] { Client.send("GET / HTTP/1.1\r\n\r\n"); });
+  runLoopFor(Server.Base.get(), 200ms);
+  cr_assert(Server.Handler.Requests.size() == 1);
+}
+
+Test(server_connection, a_request_that_waits_to_be_read_is_served_in_a_stop) {
+  fixture Server;
+  const client Client(Server.Listener.port());
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 1; }));
+  Client.send("GET / HTTP/1.1\r\n\r\n");
+  Server.Listener.closeAfterResponses();
+  Server.Listener.closeIdle();
+  runLoopFor(Server.Base.get(), 50ms);
+  cr_assert(Server.Handler.Requests.size() == 1);
+}
+
+Test(server_connection, a_request_after_an_unannounced_close_is_not_consumed) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  Client.send("GET / HTTP/1.1\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.Handler.Connections[0]->beginStream(200, {});
+  Server.Listener.closeAfterResponses();
+  Server.Listener.closeIdle();
+  Server.Handler.Connections[0]->endStream();
+  Client.send("GET /late HTTP/1.1\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 0; }));
+  const std::string Received = Client.receive();
+  cr_assert(Received.ends_with("0\r\n\r\n"));
+  cr_assert(Client.wasReset());
+  cr_assert(Server.Handler.Requests.size() == 1);
+}
+
+ParameterizedTestParameters(server_connection,
+                            a_body_that_keeps_arriving_is_not_timed_out) {
+  static slow_body_row Rows[] = {
+      {"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n"},
+      {"POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n0"}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(slow_body_row *Row, server_connection,
+                  a_body_that_keeps_arriving_is_not_timed_out) {
+  fixture Server(300ms);
+  const client Client(Server.Listener.port());
+  Client.send(Row->Begin);
+  for (int Sent = 0; Sent < 9; ++Sent) {
+    runLoopFor(Server.Base.get(), 60ms);
+    Client.send("x");
+  }
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    return !Server.Handler.Requests.empty() || !Server.Handler.Errors.empty();
+  }));
+  cr_assert(Server.Handler.Errors.empty());
+}
+
+Test(server_connection, a_body_that_stops_arriving_is_timed_out) {
+  fixture Server(100ms);
+  const client Client(Server.Listener.port());
+  Client.send("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n0");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Errors.empty(); }));
+  cr_assert(Server.Handler.Errors[0] == request_error::TimedOut);
+}
+
+Test(server_connection, a_longer_idle_timeout_holds_for_idle_connections) {
+  fixture Server(100ms);
+  client Client(Server.Listener.port());
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 1; }));
+  Server.setIdleTimeout(10s);
+  runLoopFor(Server.Base.get(), 300ms);
+  Client.receive();
+  cr_assert(!Client.Closed);
+}
+
+Test(server_connection, a_shorter_idle_timeout_reaches_idle_connections) {
+  fixture Server(10s);
+  const client Client(Server.Listener.port());
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 1; }));
+  const instant ChangedAt = readBootClock();
+  Server.setIdleTimeout(50ms);
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 0; }));
+  const span_ns Open = readBootClock() - ChangedAt;
+  cr_assert(Open >= IdleNotice && Open < 5s, "%.0f ms", toMs(Open));
+}
+
+Test(server_connection, a_shorter_idle_timeout_spares_a_body_in_flight) {
+  fixture Server(10s);
+  const client Client(Server.Listener.port());
+  Client.send("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
+  runLoopFor(Server.Base.get(), 50ms);
+  Server.setIdleTimeout(300ms);
+  for (int Sent = 0; Sent < 9; ++Sent) {
+    runLoopFor(Server.Base.get(), 60ms);
+    Client.send("x");
+  }
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    return !Server.Handler.Requests.empty() || !Server.Handler.Errors.empty();
+  }));
+  cr_assert(Server.Handler.Errors.empty());
+}
