Soak: silences of upstream processes beside changes of the configuration

The checker reports requests that end without a complete answer, run twice or at two upstreams at a time, streams with events missing, twice or of several runs or services, and runs by a service that no configuration allows at that time; unit tests show each.

--- a/tests/platform/fake_upstream.cpp
+++ b/tests/platform/fake_upstream.cpp
@@ -12,12 +12,33 @@
 
 } // namespace
 
+/// Reports that the connection of a run has been closed.
+class fake_upstream::active_run final : public client_observer {
+public:
+  active_run(fake_upstream &Owner, const server_connection &Link,
+             std::string Id)
+      : Id(std::move(Id)), Owner(Owner), Link(Link) {}
+
+  void onClientDisconnected() override {
+    Owner.endRun(Link, /*Complete=*/false);
+  }
+  void onClientDrained() override {}
+
+  const std::string Id;
+
+private:
+  fake_upstream &Owner;
+  const server_connection &Link;
+};
+
 fake_upstream::fake_upstream(event_base *Base, std::string Id)
     : Id(std::move(Id)), Links(Base, *this) {
   // If listening fails, the port is 0, which gateway_fixture rejects.
   Links.listen("127.0.0.1", 0);
 }
 
+fake_upstream::~fake_upstream() = default;
+
 std::string fake_upstream::entryAt(std::uint16_t Port, std::string_view Service,
                                    bool Draining) const {
   nlohmann::json Entry{{"backend", Service},
@@ -43,6 +64,21 @@
   return Text;
 }
 
+std::string fake_upstream::ownEvents(int After, int Last) const {
+  const std::string &Writer = EventsNameProcess ? Id : Software;
+  return events(After, Last,
+                EventsNameProcess || EventsNameSoftware ? Writer : "");
+}
+
+void fake_upstream::endRun(const server_connection &Link, bool Complete) {
+  const auto Found = ActiveRuns.find(&Link);
+  if (Found == ActiveRuns.end())
+    return;
+  const auto Run = Found->second;
+  ActiveRuns.erase(Found);
+  OnRunEnd(Run->Id, Complete);
+}
+
 int fake_upstream::runs() const {
   int Sum = 0;
   for (const auto &[Request, Count] : Runs)
@@ -117,6 +153,13 @@
   ++Runs[std::string(Headers.find("Ebonyvale-Request-Id").value_or(""))];
   if (OnRun)
     OnRun(Request);
+  if (OnRunEnd) {
+    auto Run = std::make_shared<active_run>(
+        *this, *Link,
+        std::string(Headers.find("Ebonyvale-Request-Id").value_or("")));
+    Link->observe(Run);
+    ActiveRuns[Link.get()] = std::move(Run);
+  }
   if (Delay == span_ns(0))
     return respond(Link, Request, std::move(Headers));
   callAfter(Links.base(), Delay,
@@ -160,11 +203,13 @@
   if (Behavior == upstream_behavior::OversizedResponse)
     return Link->writeResponse(
         200, Headers, "data: " + std::string(OversizedBytes, 'x') + "\n\n");
-  if (Path.find("stream") == std::string_view::npos)
-    return Link->writeResponse(
+  if (Path.find("stream") == std::string_view::npos) {
+    Link->writeResponse(
         200, Headers,
         fmt::format("answer of {} to {}", Id,
                     Headers.find("Ebonyvale-Request-Id").value_or("")));
+    return endRun(*Link, /*Complete=*/true);
+  }
   Link->beginStream(200, Headers);
   respondStream(Link, Request, Behavior == upstream_behavior::TruncateStream);
 }
@@ -191,8 +236,10 @@
     const std::shared_ptr<server_connection> &Link, int After) {
   if (!Link->open())
     return;
-  if (After >= Events)
-    return Link->endStream();
+  if (After >= Events) {
+    Link->endStream();
+    return endRun(*Link, /*Complete=*/true);
+  }
   Link->writeChunk(ownEvents(After, After + 1));
   callAfter(Links.base(), EventInterval,
             [this, Link, After] { streamWithGaps(Link, After + 1); });
--- a/tests/platform/fake_upstream.h
+++ b/tests/platform/fake_upstream.h
@@ -30,6 +30,7 @@
 class fake_upstream final : public request_handler {
 public:
   fake_upstream(event_base *Base, std::string Id);
+  ~fake_upstream() override;
 
   /// Returns the upstream's store entry for \p Service.
   std::string entry(std::string_view Service, bool Draining = false) const {
@@ -54,6 +55,7 @@
   /// stated nowhere.
   std::int64_t Born = 0;
   bool EventsNameSoftware = false; ///< whether each event states its version
+  bool EventsNameProcess = false;  ///< whether each event states its id
   std::map<std::string, int> Runs; ///< executions by request id
   std::vector<http_request> ReceivedRequests; ///< including refused ones
   /// Connections of requests handled with `Hold`.
@@ -98,6 +100,9 @@
   std::function<void(const http_request &)> OnPause;
   /// Called with each request that runs.
   std::function<void(const http_request &)> OnRun;
+  /// Called with the id of each request whose run ends: its response is
+  /// complete, or its connection has been closed before.
+  std::function<void(std::string_view Id, bool Complete)> OnRunEnd;
 
   /// Returns the number of executions.
   int runs() const;
@@ -122,9 +127,10 @@
                      const http_request &Request, bool Broken);
   void streamWithGaps(const std::shared_ptr<server_connection> &Link,
                       int After);
-  std::string ownEvents(int After, int Last) const {
-    return events(After, Last, EventsNameSoftware ? Software : "");
-  }
+  std::string ownEvents(int After, int Last) const;
+  class active_run;
+  /// Reports the end of the run on \p Link, if there is one.
+  void endRun(const server_connection &Link, bool Complete);
   /// Adds the header of an upstream that leaves, if it does.
   void stateLeaving(const http_request &Request, header_list &Headers) const;
   void handleOrder(server_connection &Link, const http_request &Request);
@@ -132,6 +138,7 @@
   std::string Id;
   connection_listener Links;
   std::int64_t Orders = 0; ///< accepted so far
+  std::map<const server_connection *, std::shared_ptr<active_run>> ActiveRuns;
 };
 
 } // namespace ebonyvale
--- a/tests/platform/routing_document.cpp
+++ b/tests/platform/routing_document.cpp
@@ -4,27 +4,31 @@
 
 namespace ebonyvale {
 
-std::string routingDocument(int Version, const std::string &Keys, double Rate) {
-  const auto Route = [](const char *Path, const char *Kind, int Attempts,
-                        bool Resumable, bool Open) {
+std::string routingDocument(int Version, const std::string &Keys, double Rate,
+                            const routing_values &Values) {
+  const auto Route = [&Values](const char *Path, const char *Kind, int Attempts,
+                               bool Resumable, bool Open) {
     return fmt::format(
         R"({{"name":"{0}","hostname":"h.example","prefix":"/{0}/",)"
-        R"("routeType":"{1}","timeoutMs":4000,"targetLatencyMs":500,)"
-        R"("backend":"s","maxAttempts":{2},"resumable":{3},"anonymous":{4}}})",
-        Path, Kind, Attempts, Resumable, Open);
+        R"("routeType":"{1}","timeoutMs":{5},"targetLatencyMs":500,)"
+        R"("backend":"{6}","maxAttempts":{2},"resumable":{3},"anonymous":{4}}})",
+        Path, Kind, Attempts, Resumable, Open, Values.TimeoutMs,
+        Values.Moved.contains(Path) ? "t" : "s");
   };
   return fmt::format(R"({{"version":{},"routes":[{},{},{},{},{}],"services":[)"
-                     R"({{"name":"s"}}],"limits":{{"headerBytes":16384,)"
+                     R"({{"name":"s"}}{}],"limits":{{"headerBytes":16384,)"
                      R"("bodyBytes":1000,"headerTimeoutMs":3000,)"
-                     R"("idleTimeoutMs":5000}},"tenants":[{{"name":"t",)"
+                     R"("idleTimeoutMs":{}}},"tenants":[{{"name":"t",)"
                      R"("apiKeys":[{}],"unit":"tokens","uncachedTokens":{},)"
                      R"("ratePerS":{},"burst":{}}}]}})",
                      Version, Route("read", "safe", 2, false, false),
                      Route("order", "unsafe", 2, false, false),
                      Route("stream-on", "streaming", 2, true, false),
                      Route("stream-once", "streaming", 2, false, false),
-                     Route("open", "safe", 2, false, true), Keys,
-                     DefaultRequestTokens, Rate, Rate);
+                     Route("open", "safe", 2, false, true),
+                     Values.TwoServices ? R"(,{"name":"t"})" : "",
+                     Values.IdleTimeoutMs, Keys, DefaultRequestTokens, Rate,
+                     Rate);
 }
 
 } // namespace ebonyvale
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -3,12 +3,14 @@
 /// checks the guarantees to callers and upstreams.
 #include "soak/early_stop.h"
 #include "soak/folder_lock.h"
+#include "soak/silence_environment.h"
 #include "soak/soak_environment.h"
 
 #include <boost/program_options.hpp>
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 #include <iostream>
 
 #include <spdlog/fmt/fmt.h>
@@ -63,6 +65,40 @@
   return false;
 }
 
+/// Runs one seed with silent upstreams; otherwise as `runSeed`.
+bool runSilences(silence_options Options, const std::filesystem::path &Root) {
+  Options.Folder = Root / fmt::format("silences-{}", Options.Seed);
+  std::filesystem::remove_all(Options.Folder);
+  std::filesystem::create_directories(Options.Folder);
+  const silence_result Result = silence_environment(Options).run();
+  std::string Text = fmt::format("silences {}: {} requests;", Options.Seed,
+                                 Result.Counts.Requests);
+  for (const auto &[Status, Count] : Result.Statuses)
+    Text += fmt::format(" {}:{}", Status, Count);
+  const silence_counts &Counts = Result.Counts;
+  Text += fmt::format(
+      "; {} violations\n  {} runs; {} requests on idle connections; "
+      "incomplete: "
+      "{} given up, {} crossed a close, {} at the end of their time, {} beside "
+      "faults; {} early 502 or 504; {} resumed, {} at an earlier service\n",
+      Result.Violations.size(), Result.Runs, Counts.Idle, Counts.GaveUp,
+      Counts.Crossed, Counts.TimeUsed, Counts.Faulted, Counts.Early,
+      Counts.Resumed, Counts.OldServices);
+  for (const std::string &Violation : Result.Violations)
+    Text += "  " + Violation + "\n";
+  if (Result.Violations.empty()) {
+    std::filesystem::remove_all(Options.Folder);
+  } else {
+    Text += "event plan; logs are in " + Options.Folder.string() + "\n";
+    for (const silence_event &Event :
+         makeSilencePlan(Options.Seed, Options.Length, Options.Faults))
+      Text += "  " + describe(Event) + "\n";
+    std::ofstream(Options.Folder / "result.txt") << Text;
+  }
+  std::cout << Text << std::flush;
+  return Result.Violations.empty();
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -72,6 +108,9 @@
   size_request Request;
   std::string Folder;
   std::size_t EarlyStops = 0;
+  silence_options Silences;
+  bool WithSilences = false;
+  bool WithoutFaults = false;
   options::options_description Description(
       "ebonyvale-soak --daemon build/ebonyvaled --seed 1 --seeds "
       "50\n\nOptions");
@@ -97,6 +136,13 @@
       "instead of seeds, stop this many gateways while they start")(
       "judge-times", options::bool_switch(&RunOptions.CheckTimes),
       "check time bounds too");
+  Description.add_options()(
+      "silences", options::bool_switch(&WithSilences),
+      "silence upstream processes while the configuration changes")(
+      "upstream", options::value(&Silences.Upstream),
+      "path of ebonyvale-soak-upstream, for --silences; else beside this")(
+      "without-faults", options::bool_switch(&WithoutFaults),
+      "with --silences, no faults of gateways and their links");
   options::variables_map Values;
   try {
     options::store(options::parse_command_line(Count, Arguments, Description),
@@ -145,6 +191,25 @@
     return Problems.empty() ? 0 : 1;
   }
   std::uint32_t Failed = 0;
+  if (WithSilences) {
+    if (Silences.Upstream.empty())
+      Silences.Upstream = (std::filesystem::read_symlink("/proc/self/exe")
+                               .replace_filename("ebonyvale-soak-upstream"))
+                              .string();
+    if (access(Silences.Upstream.c_str(), X_OK) != 0)
+      return Refuse(Silences.Upstream + " cannot be run");
+    Silences.Daemon = RunOptions.Daemon;
+    Silences.Seed = RunOptions.Seed;
+    Silences.Gateways = RunOptions.Size.Gateways;
+    Silences.Callers = RunOptions.Size.Callers;
+    Silences.Length = RunOptions.Size.Length;
+    Silences.Faults = !WithoutFaults;
+    for (std::uint32_t Index = 0; Index < Seeds; ++Index, ++Silences.Seed)
+      Failed +=
+          runSilences(Silences, std::filesystem::absolute(Folder)) ? 0 : 1;
+    std::cout << fmt::format("{} of {} seeds had violations\n", Failed, Seeds);
+    return Failed == 0 ? 0 : 1;
+  }
   for (std::uint32_t Index = 0; Index < Seeds; ++Index, ++RunOptions.Seed)
     Failed += runSeed(RunOptions, std::filesystem::absolute(Folder)) ? 0 : 1;
   std::cout << fmt::format("{} of {} seeds had violations\n", Failed, Seeds);
--- /dev/null
+++ b/tests/soak/silence_checker.cpp
@@ -0,0 +1,290 @@
+#include "soak/silence_checker.h"
+
+#include "platform/fake_upstream.h"
+#include "soak/stream_events.h"
+
+#include <algorithm>
+
+#include <spdlog/fmt/fmt.h>
+
+namespace ebonyvale {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Tolerance of times that two processes read.
+constexpr span_ns Tolerance = 50ms;
+constexpr int StatusOk = 200;
+
+/// Returns the first word of \p Path, which names its route.
+std::string_view routeOf(std::string_view Path) {
+  Path.remove_prefix(1);
+  return Path.substr(0, Path.find('/'));
+}
+
+bool mayRepeat(std::string_view Route) {
+  return Route == "read" || Route == "open" || Route == "stream-on";
+}
+
+const std::string &streamOf(const sent_request &Request) {
+  return Request.Resumes.empty() ? Request.Id : Request.Resumes;
+}
+
+bool isWhole(const ended_request &Ended) {
+  return Ended.Response.Status != 0 && Ended.Response.Complete;
+}
+
+} // namespace
+
+void silence_checker::onConfiguration(const routing_values &Values,
+                                      instant Now) {
+  Configurations.push_back({Now, Values});
+}
+
+void silence_checker::addViolation(const ended_request &Ended,
+                                   std::string_view Rule,
+                                   const std::string &What) {
+  Violations.push_back(fmt::format(
+      "{}: {} ({} to gateway {}, sent at {:.3f} s, {:.0f} ms): {}", Rule,
+      Ended.Request.Id, Ended.Request.Path, Ended.Request.Gateway,
+      toSeconds(Ended.Request.At.time_since_epoch()),
+      toMs(Ended.EndedAt - Ended.Request.At), What));
+}
+
+const std::vector<upstream_run> &
+silence_checker::runsOf(const std::string &Id) const {
+  static const std::vector<upstream_run> None;
+  const auto Found = Runs.find(Id);
+  return Found == Runs.end() ? None : Found->second;
+}
+
+bool silence_checker::isFaulted(const times_by_gateway &Faults,
+                                std::size_t Gateway, instant From,
+                                instant Until) const {
+  const auto Found = Faults.find(Gateway);
+  return Found != Faults.end() &&
+         std::ranges::any_of(Found->second, [&](const fault_time &Time) {
+           return Time.From <= Until && Time.Until + Contact >= From;
+         });
+}
+
+bool silence_checker::isSilent(const std::string &Upstream, instant From,
+                               instant Until) const {
+  const auto Found = Silences.find(Upstream);
+  return Found != Silences.end() &&
+         std::ranges::any_of(Found->second, [&](const fault_time &Time) {
+           return Time.From <= From && Time.Until + Tolerance >= Until;
+         });
+}
+
+std::vector<const silence_checker::configuration *>
+silence_checker::inForce(std::size_t Gateway, instant At, instant Until) const {
+  instant Known = At - Apply;
+  for (const times_by_gateway *Faults : {&GatewayFaults, &StoreFaults}) {
+    const auto Found = Faults->find(Gateway);
+    if (Found == Faults->end())
+      continue;
+    for (const fault_time &Time : Found->second)
+      if (Time.From <= At && Time.Until + Apply >= At)
+        Known = std::min(Known, Time.From - Apply);
+  }
+  std::vector<const configuration *> Allowed;
+  for (const configuration &Each : Configurations) {
+    if (Each.At > Until)
+      break;
+    if (Each.At <= Known)
+      Allowed.clear();
+    Allowed.push_back(&Each);
+  }
+  return Allowed;
+}
+
+span_ns silence_checker::timeOf(const ended_request &Ended) const {
+  span_ns Time = Deadline;
+  for (const configuration *Each :
+       inForce(Ended.Request.Gateway, Ended.Request.At, Ended.EndedAt))
+    Time = std::min<span_ns>(Time,
+                             std::chrono::milliseconds(Each->Values.TimeoutMs));
+  return Time;
+}
+
+bool silence_checker::isExcused(const ended_request &Ended) {
+  const sent_request &Request = Ended.Request;
+  const bool HasRun = !runsOf(Request.Id).empty();
+  if (Ended.GaveUp) {
+    ++Counts.GaveUp;
+    return true;
+  }
+  if (Ended.Reused && !HasRun && Ended.Response.Status == 0 &&
+      Ended.EndedAt - Request.At < Crossing) {
+    ++Counts.Crossed;
+    return true;
+  }
+  if (Ended.EndedAt - Request.At >= timeOf(Ended) - Tolerance) {
+    ++Counts.TimeUsed;
+    return true;
+  }
+  if (isFaulted(GatewayFaults, Request.Gateway, Request.At,
+                Ended.EndedAt + Tolerance) ||
+      isLateInStop(Ended) || !Ended.Sent) {
+    ++Counts.Faulted;
+    return true;
+  }
+  return false;
+}
+
+bool silence_checker::isLateInStop(const ended_request &Ended) const {
+  const sent_request &Request = Ended.Request;
+  const bool HasRun = !runsOf(Request.Id).empty();
+  const auto Found = Stops.find(Request.Gateway);
+  return Found != Stops.end() &&
+         std::ranges::any_of(Found->second, [&](const fault_time &Stop) {
+           const bool Near = Stop.From <= Ended.EndedAt &&
+                             Stop.Until + Tolerance >= Request.At;
+           const bool Late = Request.At - Stop.From > StopDelay ||
+                             Ended.EndedAt - Stop.From >= StopGrace;
+           const bool Gone = !HasRun && Ended.EndedAt + Tolerance >= Stop.Until;
+           return Near && (Late || Gone);
+         });
+}
+
+void silence_checker::checkAnswer(const ended_request &Ended) {
+  constexpr int BadGateway = 502;
+  constexpr int GatewayTimeout = 504;
+  const int Status = Ended.Response.Status;
+  if (!isWhole(Ended)) {
+    if (!isExcused(Ended))
+      addViolation(Ended, "LOST",
+                   fmt::format("ended without a complete answer, status {}, "
+                               "{} bytes, {} runs",
+                               Status, Ended.Response.Body.size(),
+                               runsOf(Ended.Request.Id).size()));
+    return;
+  }
+  const bool Failed = Status == BadGateway || Status == GatewayTimeout;
+  if (Failed && Ended.EndedAt - Ended.Request.At < timeOf(Ended) - Tolerance)
+    ++Counts.Early;
+  if (Status == StatusOk && !Ended.Request.Path.starts_with("/stream") &&
+      !Ended.Response.Body.ends_with(" to " + Ended.Request.Id))
+    addViolation(Ended, "MIXED", "another request's answer");
+  if (Status == StatusOk && !Ended.Response.FromUpstream)
+    addViolation(Ended, "MIXED", "status 200 that no upstream gave");
+}
+
+void silence_checker::checkEvents(const ended_request &Ended) {
+  const sent_request &Request = Ended.Request;
+  if (Ended.Response.Status != StatusOk || !Request.Path.starts_with("/stream"))
+    return;
+  const stream_events Read = readEvents(Ended.Response.Body, Request.After);
+  const bool Resumable = Request.Path.starts_with("/stream-on/");
+  if (!Read.InOrder)
+    return addViolation(Ended, "ORDER",
+                        "events missing, twice or out of order: '" +
+                            Ended.Response.Body + "'");
+  if (Ended.Response.Complete && Read.Last != fake_upstream::Events)
+    addViolation(Ended, "ORDER",
+                 fmt::format("complete after event {}", Read.Last));
+  if (!Read.EndsWhole && Ended.Response.Complete)
+    addViolation(Ended, "ORDER", "complete within an event");
+  if (!Resumable && Read.Writers.size() > 1)
+    addViolation(Ended, "ORDER", "events of several runs");
+  std::set<std::string> &Services = StreamServices[streamOf(Request)];
+  const std::size_t Before = Services.size();
+  for (const upstream_run &Run : runsOf(Request.Id))
+    if (Read.Writers.contains(Run.Upstream))
+      Services.insert(Run.Service);
+  if (Services.size() > 1 && Services.size() > Before)
+    addViolation(Ended, "ORDER", "events of runs of two services");
+}
+
+void silence_checker::checkRuns(const ended_request &Ended) {
+  const sent_request &Request = Ended.Request;
+  const std::string Route(routeOf(Request.Path));
+  const auto &RunsOfRequest = runsOf(Request.Id);
+  if (!mayRepeat(Route) && RunsOfRequest.size() > 1)
+    addViolation(Ended, "TWICE",
+                 fmt::format("ran {} times", RunsOfRequest.size()));
+  const bool Promised = Ended.Response.ReportsNotRun && isWhole(Ended);
+  if (Promised && !mayRepeat(Route) && !RunsOfRequest.empty())
+    addViolation(Ended, "REFUSED",
+                 fmt::format("status {} and ran", Ended.Response.Status));
+  const auto Leads = [&Route](const configuration &Each,
+                              const std::string &Service) {
+    return Each.Values.Moved.contains(Route) == (Service == "t");
+  };
+  for (const upstream_run &Run : RunsOfRequest) {
+    const auto Allowed = inForce(Request.Gateway, Request.At, Run.From);
+    if (std::ranges::any_of(Allowed, [&](const configuration *Each) {
+          return Leads(*Each, Run.Service);
+        }))
+      continue;
+    const auto Began = StreamServices.find(streamOf(Request));
+    if (!Request.Resumes.empty() && Began != StreamServices.end() &&
+        Began->second.contains(Run.Service)) {
+      ++Counts.OldServices;
+      continue;
+    }
+    const bool Ever =
+        std::ranges::any_of(Configurations, [&](const configuration &Each) {
+          return Leads(Each, Run.Service);
+        });
+    addViolation(Ended, Ever ? "CONFIG" : "ROUTE",
+                 fmt::format("run by service {}, which {}", Run.Service,
+                             Ever ? "only other configurations allow"
+                                  : "no configuration allows"));
+  }
+}
+
+/// Compares the runs of each request, and of all attempts at one stream.
+void silence_checker::checkOverlaps() {
+  std::map<std::string, std::vector<const ended_request *>> Streams;
+  for (const ended_request &Ended : Requests)
+    Streams[streamOf(Ended.Request)].push_back(&Ended);
+  struct placed_run {
+    const ended_request *Request;
+    const upstream_run *Run;
+  };
+  for (const auto &[Stream, Attempts] : Streams) {
+    std::vector<placed_run> Placed;
+    for (const ended_request *Attempt : Attempts)
+      for (const upstream_run &Run : runsOf(Attempt->Request.Id))
+        Placed.push_back({Attempt, &Run});
+    std::ranges::sort(Placed, {},
+                      [](const placed_run &Each) { return Each.Run->From; });
+    for (std::size_t Later = 1; Later < Placed.size(); ++Later) {
+      const auto &[Request, Run] = Placed[Later];
+      const auto &[First, Before] = Placed[Later - 1];
+      const instant Bound = Run->From + Overlap;
+      if (Before->Until <= Bound ||
+          isFaulted(GatewayFaults, First->Request.Gateway, First->Request.At,
+                    Bound))
+        continue;
+      // A silent upstream cannot see that another attempt's gateway has closed
+      // its connection.
+      const bool Silent = isSilent(Before->Upstream, Bound, Before->Until);
+      if (Silent && First != Request)
+        continue;
+      addViolation(
+          *Request, "TWICE",
+          fmt::format("went on at {}, {:.0f} ms before {} ended it as {}{}",
+                      Run->Upstream, toMs(Before->Until - Run->From),
+                      Before->Upstream, First->Request.Id,
+                      Silent ? ", silent" : ""));
+    }
+  }
+}
+
+std::vector<std::string> silence_checker::finish() {
+  Counts.Requests = Requests.size();
+  for (const ended_request &Ended : Requests) {
+    checkAnswer(Ended);
+    checkRuns(Ended);
+    checkEvents(Ended);
+    Counts.Idle += Ended.Reused && Ended.Idle >= 1s ? 1U : 0U;
+    Counts.Resumed += Ended.Request.Resumes.empty() ? 0U : 1U;
+  }
+  checkOverlaps();
+  return Violations;
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/tests/soak/silence_checker.h
@@ -0,0 +1,147 @@
+/// \file
+/// Checks answers, runs and streams beside silent upstreams and changes of the
+/// configuration.
+#ifndef EBONYVALE_TESTS_SOAK_SILENCE_CHECKER_H
+#define EBONYVALE_TESTS_SOAK_SILENCE_CHECKER_H
+
+#include "common/instant.h"
+#include "platform/routing_document.h"
+#include "soak/guarantee_checker.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace ebonyvale {
+
+/// The execution of a request, as its upstream saw it.
+struct upstream_run {
+  std::string Id; ///< of the request
+  std::string Upstream;
+  std::string Service;
+  instant From;
+  instant Until = instant::max(); ///< its end, or when its connection closed
+  bool Complete = false;
+};
+
+/// A request that has ended, as its caller saw it.
+struct ended_request {
+  sent_request Request;
+  received_response Response;
+  instant EndedAt;
+  bool Sent = true;    ///< some of it
+  bool Reused = false; ///< an earlier request used the connection
+  bool GaveUp = false; ///< its caller closed the connection
+  span_ns Idle{0};     ///< time for which a reused connection was idle
+};
+
+/// A time at which a gateway or an upstream has a fault.
+struct fault_time {
+  instant From;
+  instant Until;
+};
+
+/// What the checker saw besides violations. Incomplete answers count once, by
+/// the first reason for which they are allowed.
+struct silence_counts {
+  std::size_t Requests = 0;
+  std::size_t Idle = 0;     ///< sent on connections idle for a second or more
+  std::size_t GaveUp = 0;   ///< incomplete: closed by their callers
+  std::size_t Crossed = 0;  ///< incomplete: crossed an idle connection's end
+  std::size_t TimeUsed = 0; ///< incomplete: at the end of their time
+  std::size_t Faulted = 0;  ///< incomplete: fault or late in a stop
+  std::size_t Early = 0;    ///< 502 and 504 before the time was used
+  std::size_t Resumed = 0;  ///< requests that resume a stream
+  std::size_t OldServices = 0; ///< of them, run by the service that began the
+                               ///< stream, though the route has moved
+};
+
+/// Collects a run and checks it at its end.
+class silence_checker {
+public:
+  /// Time that a caller gives each request.
+  static constexpr span_ns Deadline = std::chrono::seconds(8);
+  /// Longest time until each gateway follows a configuration.
+  static constexpr span_ns Apply = std::chrono::milliseconds(800);
+  /// Longest time for which a request may go on at two upstreams.
+  static constexpr span_ns Overlap = std::chrono::milliseconds(400);
+  /// A request that was sent longer ago did not cross the end of an idle
+  /// connection.
+  static constexpr span_ns Crossing = std::chrono::milliseconds(100);
+  /// Time after a fault in which its gateway is not counted.
+  static constexpr span_ns Contact = std::chrono::seconds(3);
+  /// Time after a stop in which callers still send requests.
+  static constexpr span_ns StopDelay = std::chrono::seconds(2);
+  /// Time after a stop at which its grace ends for what still runs.
+  static constexpr span_ns StopGrace = std::chrono::seconds(5);
+
+  /// Operators wrote \p Values; the store completed the write at \p Now.
+  void onConfiguration(const routing_values &Values, instant Now);
+  void onEnded(const ended_request &Ended) { Requests.push_back(Ended); }
+  void onRun(const upstream_run &Run) { Runs[Run.Id].push_back(Run); }
+  /// \p Gateway, or its link to callers, has a fault.
+  void onGatewayFault(std::size_t Gateway, const fault_time &Time) {
+    GatewayFaults[Gateway].push_back(Time);
+  }
+  /// \p Gateway cannot reach the store.
+  void onStoreFault(std::size_t Gateway, const fault_time &Time) {
+    StoreFaults[Gateway].push_back(Time);
+  }
+  /// \p Gateway is stopped in an orderly way and ends at the end of \p Time.
+  void onStop(std::size_t Gateway, const fault_time &Time) {
+    Stops[Gateway].push_back(Time);
+  }
+  void onSilence(const std::string &Upstream, const fault_time &Time) {
+    Silences[Upstream].push_back(Time);
+  }
+
+  /// Returns one line for each violation. Call it once, after all else.
+  std::vector<std::string> finish();
+  const silence_counts &counts() const { return Counts; }
+
+private:
+  using times_by_gateway = std::map<std::size_t, std::vector<fault_time>>;
+  struct configuration {
+    instant At;
+    routing_values Values;
+  };
+
+  void checkAnswer(const ended_request &Ended);
+  bool isExcused(const ended_request &Ended);
+  bool isLateInStop(const ended_request &Ended) const;
+  void checkEvents(const ended_request &Ended);
+  void checkRuns(const ended_request &Ended);
+  void checkOverlaps();
+  /// Returns the configurations that may apply to a request that \p Gateway
+  /// received at \p At, until \p Until.
+  std::vector<const configuration *> inForce(std::size_t Gateway, instant At,
+                                             instant Until) const;
+  /// Returns the time that a request has at its route.
+  span_ns timeOf(const ended_request &Ended) const;
+  const std::vector<upstream_run> &runsOf(const std::string &Id) const;
+  bool isFaulted(const times_by_gateway &Faults, std::size_t Gateway,
+                 instant From, instant Until) const;
+  /// Returns whether \p Upstream is silent from \p From to \p Until.
+  bool isSilent(const std::string &Upstream, instant From, instant Until) const;
+  void addViolation(const ended_request &Ended, std::string_view Rule,
+                    const std::string &What);
+
+  std::vector<configuration> Configurations; ///< in order of time
+  std::vector<ended_request> Requests;       ///< in order of their ends
+  std::map<std::string, std::vector<upstream_run>, std::less<>> Runs;
+  times_by_gateway GatewayFaults;
+  times_by_gateway StoreFaults;
+  times_by_gateway Stops;
+  std::map<std::string, std::vector<fault_time>, std::less<>> Silences;
+  /// Services that ran each stream, by the id of its first attempt.
+  std::map<std::string, std::set<std::string>, std::less<>> StreamServices;
+  std::vector<std::string> Violations;
+  silence_counts Counts;
+};
+
+} // namespace ebonyvale
+
+#endif
--- /dev/null
+++ b/tests/soak/silence_environment.h
@@ -0,0 +1,87 @@
+/// \file
+/// The environment of a soak run with silent upstreams. Gateways and upstreams
+/// are child processes; this process simulates the store and the callers.
+#ifndef EBONYVALE_TESTS_SOAK_SILENCE_ENVIRONMENT_H
+#define EBONYVALE_TESTS_SOAK_SILENCE_ENVIRONMENT_H
+
+#include "fakes/fake_fleet_store.h"
+#include "net/client_connection.h"
+#include "soak/silence_checker.h"
+#include "soak/silence_plan.h"
+#include "soak/soak_gateway.h"
+#include "soak/upstream_process.h"
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace ebonyvale {
+
+/// Options of a run.
+struct silence_options {
+  std::string Daemon;   ///< path of ebonyvaled
+  std::string Upstream; ///< path of ebonyvale-soak-upstream
+  std::uint32_t Seed = 1;
+  std::size_t Gateways = 3;
+  std::size_t Callers = 24;
+  span_ns Length = std::chrono::seconds(8);
+  bool Faults = true; ///< of gateways and their links
+  std::filesystem::path Folder;
+};
+
+/// The outcome of a run.
+struct silence_result {
+  std::vector<std::string> Violations; ///< one line each
+  silence_counts Counts;
+  std::map<int, std::size_t> Statuses; ///< number of responses by status
+  std::size_t Runs = 0;                ///< at all upstreams
+};
+
+/// Runs the plan of one seed and checks it.
+class silence_environment {
+public:
+  explicit silence_environment(const silence_options &Options);
+  ~silence_environment();
+
+  silence_result run();
+
+private:
+  class caller;
+
+  void startUpstreams();
+  void publishConfiguration();
+  void tick();
+  void applyEvent(const silence_event &Event);
+  void silence(const silence_event &Event);
+  void applyToGateway(const silence_event &Event);
+  bool waitFor(const std::function<bool()> &Done, span_ns Timeout);
+  /// Returns the index of a gateway that listens, other than \p Avoided if
+  /// there is one; nothing if none listens.
+  std::optional<std::size_t> chooseGateway(std::optional<std::size_t> Avoided);
+  int anyNumber(int Least, int Most);
+
+  silence_options Options;
+  std::mt19937 Random;
+  event_base_ptr Base;
+  fake_fleet_store Store;
+  silence_checker Checker;
+  std::vector<std::unique_ptr<upstream_process>> Upstreams;
+  std::vector<std::unique_ptr<soak_gateway>> Gateways;
+  std::vector<std::unique_ptr<caller>> Callers;
+  routing_values Routing;
+  int Version = 0;
+  std::size_t LastId = 0;
+  bool TrafficEnabled = false;
+  std::map<int, std::size_t> Statuses;
+  std::vector<std::string> Violations; ///< besides those of the checker
+  timer TickTimer;
+};
+
+} // namespace ebonyvale
+
+#endif
--- /dev/null
+++ b/tests/soak/upstream_process.cpp
@@ -0,0 +1,61 @@
+#include "soak/upstream_process.h"
+
+#include <csignal>
+#include <fstream>
+#include <map>
+#include <utility>
+
+namespace ebonyvale {
+
+upstream_process::upstream_process(const std::string &Program,
+                                   upstream_values Wanted,
+                                   const std::filesystem::path &Folder)
+    : Values(std::move(Wanted)),
+      PortsFile((Folder / (Values.Id + ".ports")).string()),
+      LogFile((Folder / (Values.Id + ".log")).string()),
+      Process(Program,
+              {"--id", Values.Id, "--service", Values.Service, "--ports",
+               PortsFile, "--delay-ms", std::to_string(Values.DelayMs),
+               "--interval-ms", std::to_string(Values.IntervalMs)},
+              LogFile) {}
+
+std::string upstream_process::entry() const {
+  std::ifstream File(PortsFile);
+  std::string Port;
+  std::string Entry;
+  if (std::getline(File, Port))
+    std::getline(File, Entry);
+  return Entry;
+}
+
+void upstream_process::beginSilence() {
+  if (++Silences == 1)
+    Process.signal(SIGSTOP);
+}
+
+void upstream_process::endSilence() {
+  if (--Silences == 0)
+    Process.signal(SIGCONT);
+}
+
+std::vector<upstream_run> upstream_process::runs() const {
+  std::vector<upstream_run> Runs;
+  std::map<std::string, std::size_t> Open; // index by request
+  std::ifstream File(LogFile);
+  std::int64_t Nanos = 0;
+  std::string What;
+  std::string Id;
+  while (File >> Nanos >> What >> Id) {
+    const instant At{span_ns(Nanos)};
+    if (What == "run") {
+      Open[Id] = Runs.size();
+      Runs.push_back({Id, Values.Id, Values.Service, At});
+    } else if (const auto Found = Open.find(Id); Found != Open.end()) {
+      Runs[Found->second].Until = At;
+      Runs[Found->second].Complete = What == "completed";
+    }
+  }
+  return Runs;
+}
+
+} // namespace ebonyvale
--- /dev/null
+++ b/tests/soak_checks/silence_checker_test.cpp
@@ -0,0 +1,289 @@
+// Tests that the checker of runs with silences reports each kind of violation.
+#include "platform/fake_upstream.h"
+#include "soak/silence_checker.h"
+#include "soak/silence_plan.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <algorithm>
+
+using namespace ebonyvale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant Start(100s);
+
+/// Returns a request to gateway 0 that ends after \p Time.
+ended_request request(const char *Id, const std::string &Path, span_ns Time) {
+  ended_request Ended;
+  Ended.Request.Id = Id;
+  Ended.Request.Path = Path;
+  Ended.Request.At = Start;
+  Ended.EndedAt = Start + Time;
+  return Ended;
+}
+
+/// Returns a run from \p From to \p Until after the start, in ms.
+upstream_run run(const char *Id, const char *Upstream, int From, int Until) {
+  return {Id, Upstream, std::string(Upstream, 1),
+          Start + std::chrono::milliseconds(From),
+          Start + std::chrono::milliseconds(Until)};
+}
+
+/// Adds a configuration written \p Before the start.
+void configure(silence_checker &Checker, span_ns Before,
+               std::set<std::string, std::less<>> Moved = {}) {
+  routing_values Values;
+  Values.Moved = std::move(Moved);
+  Checker.onConfiguration(Values, Start - Before);
+}
+
+/// Returns whether \p Checker reports a violation of \p Rule, or any if it is
+/// empty.
+bool reports(silence_checker &Checker, std::string_view Rule) {
+  return std::ranges::any_of(Checker.finish(),
+                             [Rule](const std::string &Violation) {
+                               return Violation.starts_with(Rule);
+                             });
+}
+
+struct loss_row {
+  int Status;
+  int Ms; ///< from its sending to its end
+  bool Reused;
+  bool Ran;
+  bool GaveUp;
+  int FaultMs; ///< of the gateway's fault, from the sending; 0: none
+  int StopMs;  ///< of the gateway's stop, as well
+  bool Violation;
+};
+
+} // namespace
+
+ParameterizedTestParameters(silence_checker, answers_end_whole) {
+  static loss_row Rows[] = {
+      {0, 700, false, true, false, 0, 0, true},
+      {200, 700, false, true, false, 0, 0, true},
+      {0, 700, false, false, false, 0, 0, true},
+      {0, 50, true, true, false, 0, 0, true},
+      {0, 50, false, false, false, 0, 0, true},
+      {0, 50, true, false, false, 0, 0, false},     // crossed the close
+      {0, 150, true, false, false, 0, 0, true},     // too late for that
+      {200, 4000, false, true, false, 0, 0, false}, // the route's timeout
+      {200, 3900, false, true, false, 0, 0, true},
+      {0, 700, false, true, true, 0, 0, false}, // the caller closed it
+      {0, 700, false, true, false, 500, 0, false},
+      {0, 700, false, true, false, -2500, 0, false},
+      {0, 700, false, true, false, -3500, 0, true},
+      {0, 700, false, true, false, 0, -1000, true},
+      {0, 700, false, true, false, 0, -2500, false},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(loss_row *Row, silence_checker, answers_end_whole) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  ended_request Ended =
+      request("r", "/order/", std::chrono::milliseconds(Row->Ms));
+  Ended.Response.Status = Row->Status;
+  Ended.Response.FromUpstream = true;
+  Ended.Reused = Row->Reused;
+  Ended.GaveUp = Row->GaveUp;
+  Checker.onEnded(Ended);
+  if (Row->Ran)
+    Checker.onRun(run("r", "s-0", 10, 300));
+  const auto After = [](int Ms) {
+    return Start + std::chrono::milliseconds(Ms);
+  };
+  if (Row->FaultMs != 0)
+    Checker.onGatewayFault(0, {After(Row->FaultMs), After(Row->FaultMs)});
+  if (Row->StopMs != 0)
+    Checker.onStop(0, {After(Row->StopMs), After(Row->StopMs) + 6s});
+  const bool Found = reports(Checker, "LOST");
+  cr_assert(Found == Row->Violation);
+}
+
+namespace {
+
+struct run_row {
+  char Path[16];
+  char Second[8];    ///< upstream of the second run
+  int FirstEnd;      ///< of the first run, in ms; the second begins at 1000
+  bool Silent;       ///< the first upstream, from 900 on
+  bool OtherAttempt; ///< the second run is that of an attempt to resume
+  char Rule[8];      ///< that is broken; empty: none
+};
+
+} // namespace
+
+ParameterizedTestParameters(silence_checker, requests_run_once_at_a_time) {
+  static run_row Rows[] = {
+      {"/read/", "s-1", 900, false, false, ""},
+      {"/read/", "s-1", 1390, false, false, ""},
+      {"/read/", "s-1", 1410, false, false, "TWICE"},
+      {"/read/", "s-1", 1410, true, false, "TWICE"},
+      {"/order/", "s-1", 900, false, false, "TWICE"},
+      {"/order/", "s-0", 900, false, false, "TWICE"},
+      {"/stream-once/", "s-1", 900, false, false, "TWICE"},
+      {"/stream-on/", "s-1", 900, false, true, ""},
+      {"/stream-on/", "s-1", 1410, false, true, "TWICE"},
+      {"/stream-on/", "s-1", 1410, true, true, ""},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(run_row *Row, silence_checker, requests_run_once_at_a_time) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  ended_request First = request("r", Row->Path, 2s);
+  First.Response = {502, true, false, false, ""};
+  Checker.onEnded(First);
+  if (Row->OtherAttempt) {
+    ended_request Second = request("q", Row->Path, 2s);
+    Second.Response = {502, true, false, false, ""};
+    Second.Request.Resumes = "r";
+    Checker.onEnded(Second);
+  }
+  Checker.onRun(run("r", "s-0", 10, Row->FirstEnd));
+  Checker.onRun(run(Row->OtherAttempt ? "q" : "r", Row->Second, 1000, 1100));
+  if (Row->Silent)
+    Checker.onSilence("s-0", {Start + 900ms, Start + 1400ms});
+  const bool Found = reports(Checker, Row->Rule);
+  cr_assert(Found == (Row->Rule[0] != '\0'));
+}
+
+namespace {
+
+struct events_row {
+  char Path[16];
+  int Ranges[2][2];   ///< numbers of the first and last event of each part
+  char Writers[2][8]; ///< upstream of each part; empty: no part
+  bool Complete;
+  bool Violation;
+};
+
+} // namespace
+
+ParameterizedTestParameters(silence_checker, streams_are_whole) {
+  static events_row Rows[] = {
+      {"/stream-on/", {{1, 6}}, {"s-0"}, true, false},
+      {"/stream-on/", {{1, 3}, {4, 6}}, {"s-0", "s-1"}, true, false},
+      {"/stream-on/", {{1, 3}, {4, 6}}, {"s-0", "t-1"}, true, true},
+      {"/stream-on/", {{1, 3}, {5, 6}}, {"s-0", "s-1"}, true, true},
+      {"/stream-on/", {{1, 3}, {3, 6}}, {"s-0", "s-1"}, true, true},
+      {"/stream-on/", {{1, 5}}, {"s-0"}, true, true},
+      {"/stream-on/", {{2, 6}}, {"s-0"}, true, true},
+      {"/stream-once/", {{1, 3}, {4, 6}}, {"s-0", "s-1"}, true, true},
+      {"/stream-once/", {{1, 3}}, {"s-0"}, true, true},
+      {"/stream-once/", {{1, 3}}, {"s-0"}, false, false},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(events_row *Row, silence_checker, streams_are_whole) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  ended_request Ended = request("r", Row->Path, 2s);
+  Ended.Response = {200, Row->Complete, false, true, ""};
+  for (std::size_t Part = 0; Part < 2; ++Part) {
+    if (Row->Writers[Part][0] == '\0')
+      continue;
+    Ended.Response.Body += fake_upstream::events(
+        Row->Ranges[Part][0] - 1, Row->Ranges[Part][1], Row->Writers[Part]);
+    Checker.onRun(run("r", Row->Writers[Part], 10, 20));
+  }
+  Checker.onEnded(Ended);
+  cr_assert(reports(Checker, "ORDER") == Row->Violation);
+}
+
+Test(silence_checker, streams_stay_at_the_service_that_began_them) {
+  for (const char *Second : {"s-1", "t-1"}) {
+    silence_checker Checker;
+    configure(Checker, 10s);
+    ended_request First = request("r", "/stream-on/", 1s);
+    First.GaveUp = true;
+    First.Response = {200, false, false, true,
+                      fake_upstream::events(0, 2, "s-0")};
+    Checker.onEnded(First);
+    Checker.onRun(run("r", "s-0", 10, 1000));
+    ended_request Next = request("q", "/stream-on/", 2s);
+    Next.Request.Resumes = "r";
+    Next.Request.After = 2;
+    Next.Response = {200, true, false, true,
+                     fake_upstream::events(2, fake_upstream::Events, Second)};
+    Checker.onEnded(Next);
+    Checker.onRun(run("q", Second, 1100, 1500));
+    cr_assert(reports(Checker, "ORDER") == (Second[0] == 't'), "%s", Second);
+  }
+}
+
+namespace {
+
+struct service_row {
+  int ChangedMs; ///< when the route moved to "t", before the request
+  bool MovesBack;
+  int StoreFaultMs; ///< from this time before the request on; 0: none
+  char Upstream[8];
+  char Rule[8]; ///< that is broken; empty: none
+};
+
+} // namespace
+
+ParameterizedTestParameters(silence_checker, services_follow_configurations) {
+  static service_row Rows[] = {
+      {0, false, 0, "s-0", ""},         {0, false, 0, "t-0", "ROUTE"},
+      {700, false, 0, "s-0", ""},       {700, false, 0, "t-0", ""},
+      {900, false, 0, "s-0", "CONFIG"}, {900, false, 0, "t-0", ""},
+      {900, false, 1000, "s-0", ""},    {5000, false, 1000, "s-0", "CONFIG"},
+      {5000, true, 0, "t-0", "CONFIG"}, {5000, true, 0, "s-0", ""},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(service_row *Row, silence_checker,
+                  services_follow_configurations) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  if (Row->ChangedMs != 0)
+    configure(Checker, std::chrono::milliseconds(Row->ChangedMs), {"read"});
+  if (Row->MovesBack)
+    configure(Checker, 2s);
+  if (Row->StoreFaultMs != 0)
+    Checker.onStoreFault(
+        0, {Start - std::chrono::milliseconds(Row->StoreFaultMs), Start});
+  ended_request Ended = request("r", "/read/", 100ms);
+  Ended.Response = {200, true, false, true, "answer of u to r"};
+  Checker.onEnded(Ended);
+  Checker.onRun(run("r", Row->Upstream, 10, 90));
+  const bool Found = reports(Checker, Row->Rule);
+  cr_assert(Found == (Row->Rule[0] != '\0'));
+}
+
+Test(silence_checker, refusals_promise_that_nothing_runs) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  ended_request Ended = request("r", "/order/", 100ms);
+  Ended.Response = {503, true, true, false, ""};
+  Checker.onEnded(Ended);
+  Checker.onRun(run("r", "s-0", 200, 300));
+  cr_assert(reports(Checker, "REFUSED"));
+}
+
+Test(silence_plan, faults_only_add_events) {
+  const auto Quiet = makeSilencePlan(1, 20s, /*Faults=*/false);
+  const auto Faulty = makeSilencePlan(1, 20s, /*Faults=*/true);
+  std::vector<std::string> QuietLines;
+  std::vector<std::string> FaultyLines;
+  for (const silence_event &Event : Quiet) {
+    cr_assert(Event.Kind <= silence_event_kind::Route);
+    QuietLines.push_back(describe(Event));
+  }
+  for (const silence_event &Event : Faulty)
+    if (Event.Kind <= silence_event_kind::Route)
+      FaultyLines.push_back(describe(Event));
+  cr_assert(QuietLines == FaultyLines);
+  cr_assert(Faulty.size() > Quiet.size());
+}
--- /dev/null
+++ b/tests/soak_upstream/main.cpp
@@ -0,0 +1,79 @@
+/// \file
+/// ebonyvale-soak-upstream: runs one fake upstream as a process of its own and
+/// prints when its runs begin and end, in nanoseconds of the boot clock.
+#include "net/timer.h"
+#include "platform/fake_upstream.h"
+
+#include <boost/program_options.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include <spdlog/fmt/fmt.h>
+
+namespace {
+
+using namespace ebonyvale;
+namespace options = boost::program_options;
+
+/// Prints at once, since the process is ended by a signal.
+void report(std::string_view What, std::string_view Id) {
+  std::cout << fmt::format("{} {} {}\n",
+                           readBootClock().time_since_epoch().count(), What, Id)
+            << std::flush;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  std::string Id;
+  std::string Service;
+  std::string PortsFile;
+  int DelayMs = 0;
+  int IntervalMs = 0;
+  options::options_description Description(
+      "ebonyvale-soak-upstream\n\nOptions");
+  Description.add_options()("id", options::value(&Id)->required(),
+                            "id of the process")(
+      "service", options::value(&Service)->required(),
+      "its service")("ports", options::value(&PortsFile)->required(),
+                     "file for its port and its entry in the store")(
+      "delay-ms", options::value(&DelayMs),
+      "time before each response")("interval-ms", options::value(&IntervalMs),
+                                   "time between two events of a stream");
+  try {
+    options::variables_map Values;
+    options::store(options::parse_command_line(Count, Arguments, Description),
+                   Values);
+    options::notify(Values);
+  } catch (const options::error &Error) {
+    std::cerr << "ebonyvale-soak-upstream: " << Error.what() << "\n";
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  const event_base_ptr Base(event_base_new());
+  fake_upstream Upstream(Base.get(), Id);
+  Upstream.Delay = std::chrono::milliseconds(DelayMs);
+  Upstream.EventInterval = std::chrono::milliseconds(IntervalMs);
+  Upstream.EventsNameProcess = true;
+  Upstream.Born = std::chrono::duration_cast<std::chrono::milliseconds>(
+                      std::chrono::system_clock::now().time_since_epoch())
+                      .count();
+  Upstream.OnRun = [](const http_request &Request) {
+    report("run",
+           Request.Head.Headers.find("Ebonyvale-Request-Id").value_or("-"));
+  };
+  Upstream.OnRunEnd = [](std::string_view Request, bool Complete) {
+    report(Complete ? "completed" : "closed", Request);
+  };
+  const std::string Unfinished = PortsFile + ".new";
+  std::ofstream(Unfinished) << fmt::format("callers {}\n{}\n", Upstream.port(),
+                                           Upstream.entry(Service));
+  std::filesystem::rename(Unfinished, PortsFile);
+  event_base_dispatch(Base.get());
+  return 0;
+}
