--- a/tests/soak/silence_environment.cpp
+++ b/tests/soak/silence_environment.cpp
@@ -130,6 +130,7 @@
   case silence_event_kind::Silence:
     return silence(Event);
   case silence_event_kind::IdleTimeout:
+    EarlierIdleMs = Routing.IdleTimeoutMs;
     Routing.IdleTimeoutMs = IdleMs[Variant % IdleMs.size()];
     return publishConfiguration();
   case silence_event_kind::RouteTimeout:
--- a/tests/soak/silence_environment.h
+++ b/tests/soak/silence_environment.h
@@ -74,6 +74,7 @@
   std::vector<std::unique_ptr<soak_gateway>> Gateways;
   std::vector<std::unique_ptr<caller>> Callers;
   routing_values Routing;
+  int EarlierIdleMs = 0; ///< idle timeout before the present one
   int Version = 0;
   std::size_t LastId = 0;
   bool TrafficEnabled = false;
--- a/tests/soak_checks/silence_checker_test.cpp
+++ b/tests/soak_checks/silence_checker_test.cpp
@@ -262,6 +262,24 @@
   cr_assert(Found == (Row->Rule[0] != '\0'));
 }
 
+Test(silence_checker, closed_attempts_may_run_late_and_shortly) {
+  for (const int Until : {1390, 1410}) {
+    silence_checker Checker;
+    configure(Checker, 10s);
+    ended_request First = request("r", "/stream-on/", 100ms);
+    First.GaveUp = true;
+    ended_request Second = request("q", "/stream-on/", 2s);
+    Second.Request.At += 200ms;
+    Second.Request.Resumes = "r";
+    Second.Response = {502, true, false, false, ""};
+    Checker.onEnded(First);
+    Checker.onEnded(Second);
+    Checker.onRun(run("r", "s-0", 1000, Until));
+    Checker.onRun(run("q", "s-1", 300, 1900));
+    cr_assert(reports(Checker, "TWICE") == (Until > 1400), "%d", Until);
+  }
+}
+
 Test(silence_checker, refusals_promise_that_nothing_runs) {
   silence_checker Checker;
   configure(Checker, 10s);
