Soak: gateways that all but one are killed beside silences

A stream's origin is lost with the gateways that keep it; callers resume it at the one that is left, whose route may have moved. Upstream processes that end by themselves are reported with their status.

--- a/tests/soak/silence_environment.cpp
+++ b/tests/soak/silence_environment.cpp
@@ -186,6 +186,13 @@
   case silence_event_kind::Kill:
     Checker.onGatewayFault(Gateway.Index, {Now, Now});
     return Gateway.kill();
+  case silence_event_kind::KillOthers:
+    for (const auto &Each : Gateways)
+      if (Each.get() != &Gateway) {
+        Checker.onGatewayFault(Each->Index, {Now, Now});
+        Each->kill();
+      }
+    return;
   case silence_event_kind::Terminate:
     if (Gateway.StoppingSince == instant{})
       Gateway.StoppingSince = Now;
@@ -253,7 +260,9 @@
   silence_result Result;
   for (const auto &Upstream : Upstreams) {
     if (!Upstream->running())
-      Violations.push_back(Upstream->values().Id + " ended by itself");
+      Violations.push_back(fmt::format("{} ended by itself with {}",
+                                       Upstream->values().Id,
+                                       Upstream->exitStatus()));
     for (const upstream_run &Run : Upstream->runs()) {
       Checker.onRun(Run);
       ++Result.Runs;
--- a/tests/soak/silence_plan.cpp
+++ b/tests/soak/silence_plan.cpp
@@ -11,9 +11,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::array<std::string_view, 10> Names{
-    "silence",   "idle timeout", "route timeout", "route",      "kill",
-    "terminate", "pause",        "caller link",   "store link", "store"};
+constexpr std::array<std::string_view, 11> Names{
+    "silence",    "idle timeout", "route timeout", "route",
+    "kill",       "terminate",    "pause",         "caller link",
+    "store link", "store",        "kill others"};
 constexpr span_ns Lead = 600ms; ///< from a change to the silence after it
 constexpr int AnyNumber = 1 << 20;
 
@@ -58,9 +59,12 @@
   };
   AppendOften(1, Silence, Silence, 6000, MinSilenceMs, MaxSilenceMs);
   AppendOften(2, FirstChange, LastChange, 2500, 0, 1);
-  if (Faults)
+  if (Faults) {
     AppendOften(3, static_cast<int>(silence_event_kind::Kill),
                 static_cast<int>(silence_event_kind::Store), 2500, 200, 1500);
+    constexpr int KillOthers = static_cast<int>(silence_event_kind::KillOthers);
+    AppendOften(4, KillOthers, KillOthers, 8000, 0, 1);
+  }
   std::ranges::stable_sort(Plan, {}, &silence_event::At);
   return Plan;
 }
--- a/tests/soak/silence_plan.h
+++ b/tests/soak/silence_plan.h
@@ -22,6 +22,7 @@
   CallerLink,   ///< link between callers and a gateway
   StoreLink,    ///< link between a gateway and its store
   Store,        ///< the store, for one gateway or for all
+  KillOthers,   ///< SIGKILL to all gateways but one; they are restarted
 };
 
 /// One event; events may overlap.
--- a/tests/soak/upstream_process.h
+++ b/tests/soak/upstream_process.h
@@ -32,6 +32,8 @@
   std::string entry() const;
   const upstream_values &values() const { return Values; }
   bool running() { return Process.running(); }
+  /// Returns the exit code, or the negated number of the signal that ended it.
+  int exitStatus() const { return Process.exitStatus(); }
 
   /// Stops the process with SIGSTOP; overlapping calls add up.
   void beginSilence();
