A head that has arrived is read before its timeout counts

Cause: the same as for the idle close: the timer acted on what the loop had read.

Change: with unread input, the timer of a head or a body fires again in the next turn of the loop, after the input was read.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -322,8 +322,9 @@
   if (isIdle() || ReceivingBody)
     if (const auto Left = Owner.idleLimit().timeLeft(QuietSince, Now))
       return Deadline.startOnce(*Left);
-  if (ReceivingBody && hasUnreadInput())
-    return armTimer();
+  // What has arrived is read before the next call.
+  if (Phase == phase::Reading && hasUnreadInput())
+    return Deadline.startOnce(span_ns(0));
   if (Phase == phase::Reading)
     return rejectRequest(request_error::TimedOut);
   if (!isIdle())
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -443,3 +443,15 @@
   }));
   cr_assert(Server.Handler.Errors.empty());
 }
+
+Test(server_connection, a_head_that_ends_with_the_head_timeout_is_read) {
+  fixture Server;
+  const client Client(Server.Listener.port());
+  Client.send("GET / HTTP/1.1\r\n");
+  runLoopFor(Server.Base.get(), 5ms);
+  callAfter(Server.Base.get(), 5ms, [] { std::this_thread::sleep_for(100ms); });
+  callAfter(Server.Base.get(), 30ms, [&] { Client.send("\r\n"); });
+  runLoopFor(Server.Base.get(), 200ms);
+  cr_assert(Server.Handler.Errors.empty());
+  cr_assert(Server.Handler.Requests.size() == 1);
+}
