A stream of unknown origin goes on only where its path led to one service

Cause: an instance that finds no record of a stream's origin asked the history of software versions, but took the service from the configuration of now. The configurations of the last minute are remembered now; an unknown origin is assumed only if none of them led the path elsewhere, none can have been missed and this instance is up to date. Everything else is refused as not run, at once. Open: an instance that has just started does not know what others followed before.

--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -111,6 +111,10 @@
     return;
   const std::uint64_t Before = Routing ? Routing->Version : 0;
   Routing = std::make_shared<const routing_table>(std::move(Table));
+  // Others may have followed versions that this instance has not read.
+  if (ConfigFreshness.age(Now) > FreshnessOptions.MaxApplyDelay)
+    RoutingHistory.onGap();
+  RoutingHistory.onInForce(Routing, Now);
   Metrics.RoutingVersion.Set(static_cast<double>(Routing->Version));
   Log.info(event_category::Process, "configuration_in_force",
            {{"version", Routing->Version},
@@ -199,6 +203,14 @@
   return SoftwareHistory.only(Service, Now - Period);
 }
 
+bool gateway_core::ledOnlyTo(std::string_view Service, std::string_view Host,
+                             std::string_view Path, span_ns Period,
+                             instant Now) const {
+  const auto Age = ConfigFreshness.age(Now);
+  return Age && *Age < FreshnessOptions.MaxApplyDelay &&
+         RoutingHistory.ledOnlyTo(Service, Host, Path, Now - Period);
+}
+
 /// Returns the quota share of \p Team. Operators tolerate, over all instances
 /// and for any window, (rate x window + burst) x (1 + excess) + slack.
 team_limits gateway_core::limitsOf(const team_entry &Team) const {
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -19,6 +19,7 @@
 #include "decisions/process/upstream_limits.h"
 #include "decisions/process/upstream_paths.h"
 #include "decisions/process/upstream_scheduler.h"
+#include "decisions/version/routing_history.h"
 #include "gateway/process/change_exchange.h"
 #include "gateway/process/event_log.h"
 #include "gateway/process/fleet_protocol.h"
@@ -250,6 +251,12 @@
   std::optional<std::string> onlySoftware(std::string_view Service,
                                           span_ns Period, instant Now) const;
 
+  /// Returns whether no stream of \p Path of \p Host can have begun at another
+  /// service than \p Service lately. Returns false if the configurations of the
+  /// last \p Period are not all known.
+  bool ledOnlyTo(std::string_view Service, std::string_view Host,
+                 std::string_view Path, span_ns Period, instant Now) const;
+
   /// Returns a request number that is unique in the process.
   std::uint64_t nextRequestNumber() { return ++LastNumber; }
   void requestStarted(open_request *Request);
@@ -379,6 +386,7 @@
   client_connection_pool Links;
   buffer_budget ResponseBuffers;
   routing_table_ptr Routing;
+  routing_history RoutingHistory;
   routing_observer *OnRouting = nullptr;
   upstream_directory Directory;
   software_history SoftwareHistory;
--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -46,6 +46,14 @@
 }
 
 bool forward_session::assumeOrigin(instant Now) {
+  if (!Core.ledOnlyTo(Service, ParsedRequest.Host, ParsedRequest.Path,
+                      Route->Timeout, Now)) {
+    refuse({error_kind::NoUpstream,
+            fmt::format("the service that began stream '{}' is not known",
+                        ParsedRequest.Resumes),
+            OriginRetryAfter});
+    return false;
+  }
   std::optional<std::string> Only =
       Core.onlySoftware(Service, Route->Timeout, Now);
   if (!Only) {
--- a/tests/gateway/software_versions_test.cpp
+++ b/tests/gateway/software_versions_test.cpp
@@ -18,6 +18,25 @@
 
 namespace {
 
+/// Returns a configuration whose routes lead to \p Backends, members of a
+/// route.
+std::string routesTo(int Version, std::string_view Backends) {
+  std::string Document = routingDocument(Version, "\"key-1\"", 1e6);
+  const std::string Before = "\"backend\":\"s\"";
+  for (std::size_t At = 0;
+       (At = Document.find(Before, At)) != std::string::npos;
+       At += Backends.size())
+    Document.replace(At, Before.size(), Backends);
+  return Document;
+}
+
+struct moved_row {
+  char Name[40];
+  char Resumes[24];
+  char Backends[2][96]; ///< of the next configurations
+  int Status;
+};
+
 struct resumed_row {
   char Name[32];
   std::size_t Instances;
@@ -122,11 +141,7 @@
   const std::string Begun = Fleet.begin(0, "s-1");
   for (const auto &Upstream : Fleet.Gateway.Upstreams)
     Fleet.Gateway.Store.put(Upstream->key(), Upstream->entry("t"));
-  std::string Document = routingDocument(2, "\"key-1\"", 1e6);
-  const std::string Before = "\"backend\":\"s\"";
-  for (std::size_t At = 0; (At = Document.find(Before)) != std::string::npos;)
-    Document.replace(At, Before.size(), "\"backend\":\"t\"");
-  Fleet.Gateway.Store.put("op/config", Document);
+  Fleet.Gateway.Store.put("op/config", routesTo(2, R"("backend":"t")"));
   cr_assert(Fleet.Gateway.waitFor([&] {
     return Fleet.Gateway.core().routing()->Version == 2 &&
            Fleet.Gateway.core().directory().usable("t").size() == 4;
@@ -149,3 +164,47 @@
                            .Resumes = "s-nobody-knows"});
   cr_assert(Response.Status == 200, "%d", Response.Status);
 }
+
+ParameterizedTestParameters(
+    software_versions, no_stream_goes_on_at_a_service_that_did_not_begin_it) {
+#define TO_S R"("backend":"s")"
+#define TO_T R"("backend":"t")"
+#define SPLIT                                                                  \
+  R"("trafficSplit":[{"backend":"s","weight":1},{"backend":"t","weight":1}])"
+  static moved_row Rows[] = {
+      {"moved, names its origin", "s-lost", {TO_T, ""}, 503},
+      {"moved, names no origin", "", {TO_T, ""}, 503},
+      {"moved and back", "", {TO_T, TO_S}, 503},
+      {"split", "", {SPLIT, ""}, 503},
+      {"another version, not moved", "", {TO_S, ""}, 200},
+      {"another version, names its origin", "s-lost", {TO_S, ""}, 200},
+  };
+#undef TO_S
+#undef TO_T
+#undef SPLIT
+  return criterion_test_params(Rows);
+}
+
+/// The route is changed while the stream runs, and no instance knows its
+/// origin.
+ParameterizedTest(moved_row *Row, software_versions,
+                  no_stream_goes_on_at_a_service_that_did_not_begin_it) {
+  gateway_fixture Gateway;
+  Gateway.Store.put(Gateway.Upstreams[1]->key(),
+                    Gateway.Upstreams[1]->entry("t"));
+  // As long as a stream may last, and longer than versions take.
+  runLoopFor(Gateway.Base.get(), 7s);
+  std::uint64_t Version = 1;
+  for (const char *Backends : Row->Backends) {
+    if (*Backends == '\0')
+      continue;
+    Gateway.Store.put("op/config",
+                      routesTo(static_cast<int>(++Version), Backends));
+    cr_assert(Gateway.waitFor(
+        [&] { return Gateway.core().routing()->Version == Version; }));
+  }
+  const caller_response Response = Gateway.sendRequest(
+      {.Path = "/stream-on/1", .ResumeAfter = "2", .Resumes = Row->Resumes});
+  cr_assert(Response.Status == Row->Status, "%s: %d", Row->Name,
+            Response.Status);
+}
