A shorter timeout makes no stream younger

What a caller saw, in the test: a stream that began at one version of an upstream's software went on at another (ORDER). Cause: an instance that finds no record of a stream's origin takes the only version that served for as long as a stream may last, by the route's timeout of now; a configuration that shortens the timeout hides the version that began it. Evidence: software_versions::a_shorter_timeout_makes_no_stream_younger answered 200 before. A stream that is resumed more than once may be older still; that is open.

--- a/src/decisions/version/routing_history.cpp
+++ b/src/decisions/version/routing_history.cpp
@@ -27,4 +27,13 @@
   });
 }
 
+span_ns routing_history::longestTimeout(std::string_view Host,
+                                        std::string_view Path) const {
+  span_ns Longest{0};
+  for (const period &Period : Periods)
+    if (const forward_route *Route = Period.Table->findRoute(Host, Path))
+      Longest = std::max(Longest, Route->Timeout);
+  return Longest;
+}
+
 } // namespace ebonyvale
--- a/src/decisions/version/routing_history.h
+++ b/src/decisions/version/routing_history.h
@@ -33,6 +33,10 @@
   bool ledOnlyTo(std::string_view Service, std::string_view Host,
                  std::string_view Path, instant Since) const;
 
+  /// Returns the longest timeout that \p Path of \p Host has had in the
+  /// configurations of late; zero if none has a route for it.
+  span_ns longestTimeout(std::string_view Host, std::string_view Path) const;
+
 private:
   struct period {
     routing_table_ptr Table;
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -257,6 +257,12 @@
   bool ledOnlyTo(std::string_view Service, std::string_view Host,
                  std::string_view Path, span_ns Period, instant Now) const;
 
+  /// Returns how long a response to \p Path of \p Host may have lasted, by the
+  /// configurations of late.
+  span_ns longestTimeout(std::string_view Host, std::string_view Path) const {
+    return RoutingHistory.longestTimeout(Host, Path);
+  }
+
   /// Returns a request number that is unique in the process.
   std::uint64_t nextRequestNumber() { return ++LastNumber; }
   void requestStarted(open_request *Request);
--- a/tests/decisions/version/routing_history_test.cpp
+++ b/tests/decisions/version/routing_history_test.cpp
@@ -137,3 +137,20 @@
   cr_assert(!History.ledOnlyTo("s", "h", "/a/b", Start + 5s));
   cr_assert(History.ledOnlyTo("s", "h", "/a/b", Start + 10s));
 }
+
+Test(routing_history, knows_the_longest_timeout_of_late) {
+  routing_history History;
+  int Seconds = 0;
+  for (const auto Timeout : {4s, 9s, 1s}) {
+    auto Table = std::make_shared<routing_table>();
+    forward_route Route;
+    Route.Host = "h";
+    Route.Prefix = "/a/";
+    Route.Timeout = Timeout;
+    Table->Routes.push_back(Route);
+    Table->index();
+    History.onInForce(Table, Start + std::chrono::seconds(Seconds++));
+  }
+  cr_assert(History.longestTimeout("h", "/a/b") == 9s);
+  cr_assert(History.longestTimeout("h", "/b/") == 0s);
+}
--- a/tests/gateway/software_versions_test.cpp
+++ b/tests/gateway/software_versions_test.cpp
@@ -208,3 +208,25 @@
   cr_assert(Response.Status == Row->Status, "%s: %d", Row->Name,
             Response.Status);
 }
+
+/// The route's timeout is shortened after another version has come up.
+Test(software_versions, a_shorter_timeout_makes_no_stream_younger) {
+  gateway_fixture Gateway;
+  runLoopFor(Gateway.Base.get(), 5s);
+  for (const auto &Upstream : Gateway.Upstreams) {
+    Upstream->Software = "v2";
+    Gateway.Store.put(Upstream->key(), Upstream->entry("s"));
+  }
+  std::string Document = routingDocument(2, "\"key-1\"", 1e6);
+  const std::string Before = "\"timeoutMs\":4000";
+  for (std::size_t At = 0; (At = Document.find(Before)) != std::string::npos;)
+    Document.replace(At, Before.size(), "\"timeoutMs\":500");
+  Gateway.Store.put("op/config", Document);
+  runLoopFor(Gateway.Base.get(), 1s);
+  cr_assert(Gateway.core().routing()->Version == 2);
+  const caller_response Response =
+      Gateway.sendRequest({.Path = "/stream-on/1",
+                           .ResumeAfter = "2",
+                           .Resumes = "s-nobody-knows"});
+  cr_assert(Response.Status == 503, "%d", Response.Status);
+}
