A body that arrives slowly is timed out in the end

What was possible: since bodies are timed out when they stop arriving, a caller that sends a byte within each idle timeout held a connection for as long as the body allows. Evidence: a_body_does_not_arrive_for_ever, written with the change; without it the timer starts anew with each byte, so 100 bytes hold the connection to their end.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -32,6 +32,9 @@
 /// waiting for responses. Reading stops at this size.
 constexpr std::size_t MaxReadAheadBytes = 64 * 1024;
 
+/// Longest time of a body that keeps arriving, in idle timeouts.
+constexpr int MaxBodyIdleTimeouts = 10;
+
 /// Returns whether the peer has closed the connection and all that it has sent
 /// was read.
 bool isEnded(evutil_socket_t Socket) {
@@ -74,6 +77,7 @@
   // The head timeout does not apply to the body.
   ReceivingBody = true;
   armTimer();
+  BodySince = QuietSince;
   // A client that sends `Expect` waits for this interim response before it
   // sends the body (RFC 9110, section 10.1.1).
   if (Incoming.Head.Headers.find("Expect")) {
@@ -319,6 +323,9 @@
   const instant Now = readBootClock();
   if (Phase == phase::Closing)
     return onFlushCheck(Now);
+  if (ReceivingBody &&
+      Now - BodySince >= MaxBodyIdleTimeouts * Owner.bounds().IdleTimeout)
+    return rejectRequest(request_error::TimedOut);
   if (isIdle() || ReceivingBody)
     if (const auto Left = Owner.idleLimit().timeLeft(QuietSince, Now))
       return Deadline.startOnce(*Left);
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -158,6 +158,7 @@
   phase Phase = phase::Idle;
   bool ReceivingBody = false;
   instant QuietSince{}; ///< start of the wait for a request or more of a body
+  instant BodySince{};  ///< while a body arrives
   std::optional<flush_progress> Flush; ///< set while closing
   bool OutputEnded = false;
   bool CloseAfterResponse = false;
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -395,6 +395,22 @@
   cr_assert(Server.Handler.Errors.empty());
 }
 
+Test(server_connection, a_body_does_not_arrive_for_ever) {
+  fixture Server;
+  connection_bounds Bounds;
+  Bounds.IdleTimeout = 50ms;
+  Server.Listener.setBounds(Bounds, readBootClock());
+  const client Client(Server.Listener.port());
+  Client.send("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n");
+  for (int Sent = 0; Sent < 99 && Server.Handler.Errors.empty(); ++Sent) {
+    runLoopFor(Server.Base.get(), 20ms);
+    Client.send("x");
+  }
+  cr_assert(Server.Handler.Requests.empty());
+  cr_assert(Server.Handler.Errors.size() == 1);
+  cr_assert(Server.Handler.Errors[0] == request_error::TimedOut);
+}
+
 Test(server_connection, a_body_that_stops_arriving_is_timed_out) {
   fixture Server(100ms);
   const client Client(Server.Listener.port());
