The route of the request counts for the age of its stream as well

A request keeps the route that it was admitted by. If that has been removed and the history begins later, no configuration of late has a timeout for the path, so the period was zero. Found by reading; no test, the gap is within one lookup.

--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -47,7 +47,8 @@
 
 bool forward_session::assumeOrigin(instant Now) {
   const span_ns Period =
-      Core.longestTimeout(ParsedRequest.Host, ParsedRequest.Path);
+      std::max(Route->Timeout,
+               Core.longestTimeout(ParsedRequest.Host, ParsedRequest.Path));
   if (!Core.ledOnlyTo(Service, ParsedRequest.Host, ParsedRequest.Path, Period,
                       Now)) {
     refuse({error_kind::NoUpstream,
