--- a/tests/gateway/broken_stream_test.cpp
+++ b/tests/gateway/broken_stream_test.cpp
@@ -51,6 +51,19 @@
     Peer.close();
 }
 
+/// Sends a request for a stream to \p Server, which sets \p Asked when it
+/// arrives, and lists a sound upstream beside it then.
+void sendToFirstOfTwo(gateway_fixture &Gateway, const scripted_server &Server,
+                      scripted_server::peer *const &Asked) {
+  Gateway.useOnlyUpstream(Server.address().Port);
+  Gateway.startRequest({.Path = "/stream-on/1"});
+  cr_assert(Gateway.waitFor([&] { return Asked != nullptr; }));
+  Gateway.Store.put(Gateway.Upstreams[1]->key(),
+                    Gateway.Upstreams[1]->entry("s"));
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.core().directory().find("u-2") != nullptr; }));
+}
+
 #define EVENT "id: 1\ndata: piece 1\n\n"
 
 } // namespace
@@ -101,13 +114,7 @@
   scripted_server Server(
       Gateway.Base.get(),
       [&Asked](scripted_server::peer &Peer) { Asked = &Peer; });
-  Gateway.useOnlyUpstream(Server.address().Port);
-  Gateway.startRequest({.Path = "/stream-on/1"});
-  cr_assert(Gateway.waitFor([&] { return Asked != nullptr; }));
-  Gateway.Store.put(Gateway.Upstreams[1]->key(),
-                    Gateway.Upstreams[1]->entry("s"));
-  cr_assert(Gateway.waitFor(
-      [&] { return Gateway.core().directory().find("u-2") != nullptr; }));
+  sendToFirstOfTwo(Gateway, Server, Asked);
   answer(*Asked, Broken);
   cr_assert(Gateway.waitFor([&] { return Gateway.requestDone(); }));
   cr_assert(Gateway.result().IsComplete, "'%s'", Gateway.result().Body.c_str());
@@ -137,13 +144,7 @@
   scripted_server Server(
       Gateway.Base.get(),
       [&Asked](scripted_server::peer &Peer) { Asked = &Peer; });
-  Gateway.useOnlyUpstream(Server.address().Port);
-  Gateway.startRequest({.Path = "/stream-on/1"});
-  cr_assert(Gateway.waitFor([&] { return Asked != nullptr; }));
-  Gateway.Store.put(Gateway.Upstreams[1]->key(),
-                    Gateway.Upstreams[1]->entry("s"));
-  cr_assert(Gateway.waitFor(
-      [&] { return Gateway.core().directory().find("u-2") != nullptr; }));
+  sendToFirstOfTwo(Gateway, Server, Asked);
   Asked->send("HTTP/1.1 200 OK\r\nEbonyvale-Request-Id: id-1\r\n"
               "Content-Type: text/event-stream\r\n\r\n" +
               fake_upstream::events(0, 2) + Row->After);
