Soak: upstream processes that are killed, responses that end with their connection

An answer may end incomplete if an upstream that ran it was killed between the begin of its run and the end of the answer; all other checks apply. server_connection can frame a response by its close.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -179,18 +179,27 @@
   finishResponse();
 }
 
-void server_connection::beginStream(int Status, const header_list &Headers) {
+void server_connection::beginStream(int Status, const header_list &Headers,
+                                    stream_framing Framing) {
   if (!Socket || Phase != phase::Responding)
     return;
   Streaming = true;
-  writeHead(Status, Headers, "Transfer-Encoding: chunked\r\n");
+  StreamFraming = Framing;
+  if (Framing == stream_framing::Chunked)
+    return writeHead(Status, Headers, "Transfer-Encoding: chunked\r\n");
+  CloseAfterResponse = true;
+  writeHead(Status, Headers, "");
 }
 
 void server_connection::writeChunk(std::string_view Bytes) {
   if (!Socket || !Streaming || Bytes.empty())
     return;
-  const std::string Size = fmt::format("{:x}\r\n", Bytes.size());
   evbuffer *Output = bufferevent_get_output(Socket.get());
+  if (StreamFraming == stream_framing::CloseDelimited) {
+    evbuffer_add(Output, Bytes.data(), Bytes.size());
+    return;
+  }
+  const std::string Size = fmt::format("{:x}\r\n", Bytes.size());
   evbuffer_add(Output, Size.data(), Size.size());
   evbuffer_add(Output, Bytes.data(), Bytes.size());
   evbuffer_add(Output, "\r\n", 2);
@@ -200,7 +209,8 @@
   if (!Socket || !Streaming)
     return;
   constexpr std::string_view LastChunk = "0\r\n\r\n";
-  bufferevent_write(Socket.get(), LastChunk.data(), LastChunk.size());
+  if (StreamFraming == stream_framing::Chunked)
+    bufferevent_write(Socket.get(), LastChunk.data(), LastChunk.size());
   finishResponse();
 }
 
@@ -208,6 +218,11 @@
   if (!Socket)
     return;
   Observer.reset();
+  // An orderly end would mark the response as complete.
+  if (Streaming && StreamFraming == stream_framing::CloseDelimited) {
+    resetOnClose(Socket.get());
+    return close();
+  }
   if (Phase != phase::Closing)
     closeAfterFlush();
 }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -60,6 +60,12 @@
   virtual void onClientDrained() = 0;
 };
 
+/// How the end of a response of unknown length is marked.
+enum class stream_framing {
+  Chunked,
+  CloseDelimited, ///< by an orderly end of the connection
+};
+
 class connection_listener;
 
 /// An accepted connection. Keeps itself alive until it is closed, and longer if
@@ -89,16 +95,17 @@
   void writeResponse(int Status, const header_list &Headers, evbuffer &Body,
                      std::shared_ptr<const void> Owner);
 
-  /// Starts a response of unknown length, which is sent in chunks.
-  void beginStream(int Status, const header_list &Headers);
-  /// Sends \p Bytes as the next chunk of the response.
+  /// Starts a response of unknown length.
+  void beginStream(int Status, const header_list &Headers,
+                   stream_framing Framing = stream_framing::Chunked);
+  /// Sends \p Bytes as the next part of the response.
   void writeChunk(std::string_view Bytes);
   /// Ends the response.
   void endStream();
 
-  /// Closes the connection within a response, without the last chunk, so that
-  /// the client sees that the response is incomplete. What was written before
-  /// is sent.
+  /// Closes the connection within a response, so that the client sees that the
+  /// response is incomplete. What was written before is sent if the response is
+  /// chunked; otherwise the connection is reset.
   void abortResponse();
 
   /// Makes the next response announce `Connection: close` and close the
@@ -164,6 +171,7 @@
   bool CloseAfterResponse = false;
   bool CloseAnnounced = false; ///< by the head of a response
   bool Streaming = false;
+  stream_framing StreamFraming = stream_framing::Chunked;
   bool BodyTooLarge = false;
   bool IsHeadRequest = false;
   std::shared_ptr<server_connection> Self; ///< set until closed
--- a/tests/soak/silence_checker.cpp
+++ b/tests/soak/silence_checker.cpp
@@ -127,6 +127,10 @@
     ++Counts.TimeUsed;
     return true;
   }
+  if (wasUpstreamKilled(Ended)) {
+    ++Counts.Killed;
+    return true;
+  }
   if (isFaulted(GatewayFaults, Request.Gateway, Request.At,
                 Ended.EndedAt + Tolerance) ||
       isLateInStop(Ended) || !Ended.Sent) {
@@ -136,6 +140,18 @@
   return false;
 }
 
+bool silence_checker::wasUpstreamKilled(const ended_request &Ended) const {
+  return std::ranges::any_of(
+      runsOf(Ended.Request.Id), [&](const upstream_run &Run) {
+        const auto Found = UpstreamKills.find(Run.Upstream);
+        return Found != UpstreamKills.end() &&
+               std::ranges::any_of(Found->second, [&](instant Kill) {
+                 return Run.From <= Kill + Tolerance &&
+                        Kill <= Ended.EndedAt + Tolerance;
+               });
+      });
+}
+
 bool silence_checker::isLateInStop(const ended_request &Ended) const {
   const sent_request &Request = Ended.Request;
   const bool HasRun = !runsOf(Request.Id).empty();
--- a/tests/soak/silence_checker.h
+++ b/tests/soak/silence_checker.h
@@ -52,6 +52,7 @@
   std::size_t GaveUp = 0;   ///< incomplete: closed by their callers
   std::size_t Crossed = 0;  ///< incomplete: crossed an idle connection's end
   std::size_t TimeUsed = 0; ///< incomplete: at the end of their time
+  std::size_t Killed = 0;   ///< incomplete: an upstream that ran it was killed
   std::size_t Faulted = 0;  ///< incomplete: fault or late in a stop
   std::size_t Early = 0;    ///< 502 and 504 before the time was used
   std::size_t Resumed = 0;  ///< requests that resume a stream
@@ -98,6 +99,10 @@
     Silences[Upstream].push_back(Time);
   }
 
+  void onUpstreamKill(const std::string &Upstream, instant Now) {
+    UpstreamKills[Upstream].push_back(Now);
+  }
+
   /// Returns one line for each violation. Call it once, after all else.
   std::vector<std::string> finish();
   const silence_counts &counts() const { return Counts; }
@@ -126,6 +131,9 @@
                  instant From, instant Until) const;
   /// Returns whether \p Upstream is silent from \p From to \p Until.
   bool isSilent(const std::string &Upstream, instant From, instant Until) const;
+  /// Returns whether an upstream was killed between the begin of its run of the
+  /// request and the end of the answer.
+  bool wasUpstreamKilled(const ended_request &Ended) const;
   void addViolation(const ended_request &Ended, std::string_view Rule,
                     const std::string &What);
 
@@ -136,6 +144,7 @@
   times_by_gateway StoreFaults;
   times_by_gateway Stops;
   std::map<std::string, std::vector<fault_time>, std::less<>> Silences;
+  std::map<std::string, std::vector<instant>, std::less<>> UpstreamKills;
   /// Services that ran each stream, by the id of its first attempt.
   std::map<std::string, std::set<std::string>, std::less<>> StreamServices;
   std::vector<std::string> Violations;
--- a/tests/soak/silence_environment.h
+++ b/tests/soak/silence_environment.h
@@ -31,6 +31,9 @@
   std::size_t Callers = 24;
   span_ns Length = std::chrono::seconds(8);
   bool Faults = true; ///< of gateways and their links
+  bool UpstreamKills = false;
+  /// See `fake_upstream::CloseDelimitedEvery`.
+  unsigned CloseDelimitedEvery = 0;
   std::filesystem::path Folder;
 };
 
@@ -58,6 +61,10 @@
   void tick();
   void applyEvent(const silence_event &Event);
   void silence(const silence_event &Event);
+  void killUpstreams(const silence_event &Event);
+  void restart(upstream_process &Upstream, bool SamePort);
+  /// Puts the entry of \p Upstream into the store as soon as it listens.
+  void registerUpstream(upstream_process &Upstream);
   void applyToGateway(const silence_event &Event);
   bool waitFor(const std::function<bool()> &Done, span_ns Timeout);
   /// Returns the index of a gateway that listens, other than \p Avoided if
--- a/tests/soak_checks/silence_checker_test.cpp
+++ b/tests/soak_checks/silence_checker_test.cpp
@@ -108,6 +108,41 @@
 
 namespace {
 
+struct kill_row {
+  int Status;
+  int KillMs;     ///< of an upstream, from the sending of the request
+  char Killed[8]; ///< the upstream; s-0 ran the request from 10 ms on
+  bool Violation;
+};
+
+} // namespace
+
+ParameterizedTestParameters(silence_checker, answers_end_with_their_upstream) {
+  static kill_row Rows[] = {
+      {200, 690, "s-0", false}, {0, 690, "s-0", false},
+      {200, 690, "s-1", true},  {200, -500, "s-0", true},
+      {200, 900, "s-0", true},  {0, -500, "s-0", true},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(kill_row *Row, silence_checker,
+                  answers_end_with_their_upstream) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  ended_request Ended = request("r", "/stream-on/", 700ms);
+  Ended.Response.Status = Row->Status;
+  Ended.Response.Body = fake_upstream::events(0, 2, "s-0");
+  Checker.onEnded(Ended);
+  Checker.onRun(run("r", "s-0", 10, 690));
+  Checker.onUpstreamKill(Row->Killed,
+                         Start + std::chrono::milliseconds(Row->KillMs));
+  const bool Found = reports(Checker, "LOST");
+  cr_assert(Found == Row->Violation);
+}
+
+namespace {
+
 struct run_row {
   char Path[16];
   char Second[8];    ///< upstream of the second run
