A response that ends with its connection counts only if its upstream outlives it

Cause: a response without a length or chunks was complete when its connection ended in order. The system of a killed process ends all its connections in order, between two events as a rule.

What an end proves depends on whether its sender outlives it. The end of such a response is held, not its bytes, until its upstream has answered a report that was asked for afterwards, and states the same start. A refused connection, another start or another process means that the response is broken: it is lost as after a reset, goes on elsewhere or the caller knows. Bodies that are no streams, and relays, do the same.

The upstreams of broken_stream answered no report; they do now, so that its rows still tell whole from broken streams.

--- a/src/gateway/connection/upstream_call.cpp
+++ b/src/gateway/connection/upstream_call.cpp
@@ -35,9 +35,10 @@
   }
   Status = Head.Status;
   KeepsConnection = Head.KeepAlive && !Head.CloseDelimited;
-  Core.onUpstreamStatement(
-      Target, Core.protocols().Upstreams.readResponse(Head, Target.Id),
-      readBootClock());
+  const response_info Stated =
+      Core.protocols().Upstreams.readResponse(Head, Target.Id);
+  FromOtherProcess = Stated.OtherProcess;
+  Core.onUpstreamStatement(Target, Stated, readBootClock());
   return response_action::Take;
 }
 
@@ -52,10 +53,11 @@
   finish(Status);
 }
 
-void upstream_call::onResponseLost(const exchange_loss &Loss) {
+void upstream_call::onResponseLost(const exchange_loss &Lost) {
   Link.reset();
-  if (Loss.Stage != exchange_stage::NotSent)
-    Core.onSoftwareUncertain(Target, lossName(Loss.Reason), readBootClock());
+  Loss = Lost.Reason;
+  if (Lost.Stage != exchange_stage::NotSent)
+    Core.onSoftwareUncertain(Target, lossName(Lost.Reason), readBootClock());
   finish(0);
 }
 
--- a/src/gateway/connection/upstream_call.h
+++ b/src/gateway/connection/upstream_call.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,10 @@
 
   /// Returns whether the connection stayed open after the response.
   bool keepsConnection() const { return KeepsConnection; }
+  /// Returns whether another process than the one asked has responded.
+  bool isFromOtherProcess() const { return FromOtherProcess; }
+  /// Returns why the connection was lost, if it was.
+  std::optional<loss_reason> loss() const { return Loss; }
 
   upstream_call(gateway_core &Core, upstream_process Target, callback Done);
   ~upstream_call() override;
@@ -37,7 +42,7 @@
                                  bool FirstOnConnection) override;
   void onResponseBody(std::string_view Bytes) override;
   void onResponseEnd() override;
-  void onResponseLost(const exchange_loss &Loss) override;
+  void onResponseLost(const exchange_loss &Lost) override;
 
 private:
   void finish(int Result);
@@ -49,6 +54,8 @@
   std::shared_ptr<client_connection> Link;
   int Status = 0;
   bool KeepsConnection = false;
+  bool FromOtherProcess = false;
+  std::optional<loss_reason> Loss;
   std::string Body;
 };
 
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -12,6 +12,7 @@
 #include "decisions/process/quota_ledger.h"
 #include "decisions/process/refusal_aggregator.h"
 #include "decisions/process/refusal_log.h"
+#include "decisions/process/response_ends.h"
 #include "decisions/process/segment_quarantine.h"
 #include "decisions/process/software_history.h"
 #include "decisions/process/unknown_fields.h"
@@ -131,6 +132,23 @@
                       instant Now) = 0;
 };
 
+/// Waits for a response to be judged that ended with its connection.
+class end_waiter {
+public:
+  virtual ~end_waiter() = default;
+  virtual void onEndJudged(end_verdict Verdict) = 0;
+};
+
+/// Finds out whether the processes of upstreams outlive their responses.
+class response_end_verifier {
+public:
+  virtual ~response_end_verifier() = default;
+  /// Judges a response of \p Process that has ended at \p Now. \p Waiter is
+  /// called once, from the event loop.
+  virtual void verifyEnd(const upstream_process &Process,
+                         std::weak_ptr<end_waiter> Waiter, instant Now) = 0;
+};
+
 /// Adapters to the platform in use.
 struct platform_protocols {
   const document_reader &Documents;
@@ -208,6 +226,9 @@
 
   void setVerifier(software_verifier *Target) { Verifier = Target; }
 
+  void setEndVerifier(response_end_verifier *Target) { EndVerifier = Target; }
+  response_end_verifier &endVerifier() { return *EndVerifier; }
+
   software_history &softwareHistory() { return SoftwareHistory; }
 
   /// Records that the list of upstreams was current at \p At.
@@ -425,6 +446,7 @@
   std::size_t OpenRelays = 0;
   peer_messenger *Messenger = nullptr;
   software_verifier *Verifier = nullptr;
+  response_end_verifier *EndVerifier = nullptr;
   origin_task *Origins = nullptr;
   change_exchange *Changes = nullptr;
   std::uint16_t PeerPort = 0;
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -17,6 +17,8 @@
       OriginLookups(
           addFamily("ebonyvale_origin_lookups_total",
                     "Questions to peers for the version that began a stream.")),
+      JudgedEnds(addFamily("ebonyvale_response_ends_total",
+                           "Responses without length or chunks by verdict.")),
       Requests(addCounter("ebonyvale_requests_total", "Requests received.")),
       CompletedResponses(
           addCounter("ebonyvale_answers_total",
@@ -86,6 +88,11 @@
   OriginLookups.Add({{"result", IsKnown ? "known" : "unknown"}}).Increment();
 }
 
+void gateway_metrics::onEndJudged(end_verdict Verdict) {
+  JudgedEnds.Add({{"verdict", std::string(endVerdictName(Verdict))}})
+      .Increment();
+}
+
 void gateway_metrics::onUpstreamLoss(std::string_view Reason) {
   UpstreamLosses.Add({{"reason", std::string(Reason)}}).Increment();
 }
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -3,6 +3,7 @@
 #ifndef EBONYVALE_GATEWAY_PROCESS_GATEWAY_METRICS_H
 #define EBONYVALE_GATEWAY_PROCESS_GATEWAY_METRICS_H
 
+#include "decisions/process/response_ends.h"
 #include "telemetry/metric_registry.h"
 
 #include <string_view>
@@ -21,11 +22,14 @@
   void onUpstreamLoss(std::string_view Reason);
   /// Counts a question to peers for the origin of a stream.
   void onOriginLookup(bool IsKnown);
+  /// Counts a response that ended with its connection.
+  void onEndJudged(end_verdict Verdict);
 
 private:
   counter_family &StoreCalls;
   counter_family &UpstreamLosses;
   counter_family &OriginLookups;
+  counter_family &JudgedEnds;
 
 public:
   prometheus::Counter &Requests;
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -3,6 +3,7 @@
 #ifndef EBONYVALE_GATEWAY_PROCESS_GATEWAY_TASK_H
 #define EBONYVALE_GATEWAY_PROCESS_GATEWAY_TASK_H
 
+#include "gateway/connection/end_verifier.h"
 #include "gateway/connection/operator_handler.h"
 #include "gateway/connection/path_prober.h"
 #include "gateway/connection/peer_gossip.h"
@@ -92,6 +93,7 @@
   store_follower Follower;
   origin_task Origins;
   upstream_verifier Verifier;
+  end_verifier Ends;
   peer_gossip Gossip;
   refusal_writer Refusals;
   operator_handler Operators;
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -1,4 +1,5 @@
 // The responses of upstreams: which of them count, and their way to the caller.
+#include "gateway/connection/end_verifier.h"
 #include "gateway/request/forward_session.h"
 
 #include <charconv>
@@ -39,7 +40,9 @@
     if (RelayOutcome)
       return response_action::Take;
     http_head Relayed = Head;
-    Relayed.CloseDelimited = Head.Headers.find(RelayFramingHeader) == "close";
+    const auto Framing = Head.Headers.find(RelayFramingHeader);
+    EndProvenByRelay = Framing == RelayProvenEnd;
+    Relayed.CloseDelimited = EndProvenByRelay || Framing == "close";
     eraseRelayHeaders(Relayed.Headers);
     Core.upstreamPaths().onRelayed(Choice->Relay);
     return onUpstreamHead(Relayed, /*FirstOnConnection=*/true, Now);
@@ -216,6 +219,29 @@
     return onAttemptEnd(attempt_outcome::ServerError, "server_error");
   if (isBrokenStream())
     return loseAttempt("incomplete_stream", /*MayBeCrash=*/true);
+  if (!isEndUnproven())
+    return completeResponse();
+  AwaitingEnd = true;
+  Core.endVerifier().verifyEnd(Target, weak_from_this(), readBootClock());
+}
+
+bool forward_session::isEndUnproven() const {
+  return endsWithConnection(Response, Request.Head.Method) &&
+         !(isRelayed() && EndProvenByRelay);
+}
+
+void forward_session::onEndJudged(end_verdict Verdict) {
+  const auto Guard = shared_from_this();
+  if (!std::exchange(AwaitingEnd, false))
+    return;
+  if (Verdict == end_verdict::Whole)
+    return completeResponse();
+  loseAttempt(Verdict == end_verdict::Broken ? "ended_with_upstream"
+                                             : "unproven_end",
+              /*MayBeCrash=*/Verdict == end_verdict::Broken);
+}
+
+void forward_session::completeResponse() {
   if (Streaming) {
     deliver(Splitter.rest());
     endAttempt(readBootClock());
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -264,6 +264,7 @@
   RelayOutcome.reset();
   BodyReceived = false;
   ResponseBegun = false;
+  EndProvenByRelay = false;
   ReusedConnection = false;
   RefusalBodyBytes = 0;
   ResponseBody.clear();
@@ -419,10 +420,16 @@
   giveUp({error_kind::Draining, "the grace period is over"}, readBootClock());
 }
 
+bool forward_session::cancelAttempt() {
+  const auto Running = std::exchange(Exchange, nullptr);
+  if (Running)
+    Running->cancel();
+  return std::exchange(AwaitingEnd, false) || Running;
+}
+
 void forward_session::giveUp(const forward_refusal &Reason, instant Now) {
   forward_decision Next = Flow.failureDecision();
-  if (const auto Running = std::exchange(Exchange, nullptr)) {
-    Running->cancel();
+  if (cancelAttempt()) {
     endAttempt(Now);
     // The request was sent and got no complete response, so it may have run.
     Flow.onEnd(attempt_outcome::Lost, false);
@@ -434,8 +441,7 @@
 void forward_session::onClientDisconnected() {
   const auto Guard = shared_from_this();
   Core.counters().CallersGone.Increment();
-  if (const auto Running = std::exchange(Exchange, nullptr)) {
-    Running->cancel();
+  if (cancelAttempt()) {
     endAttempt(readBootClock());
     Flow.onEnd(attempt_outcome::Lost, false);
   }
@@ -453,8 +459,7 @@
   const instant Now = readBootClock();
   DeadlineTimer.stop();
   VerifyTimer.stop();
-  if (const auto Running = std::exchange(Exchange, nullptr))
-    Running->cancel();
+  cancelAttempt();
   if (AwaitingTokens)
     Core.withdrawTokens(SessionNumber, Team->Name);
   if (Reserved) {
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -37,6 +37,7 @@
       public token_waiter,
       public origin_waiter,
       public verification_waiter,
+      public end_waiter,
       public client_observer,
       public response_observer,
       public std::enable_shared_from_this<forward_session> {
@@ -62,6 +63,9 @@
   // verification_waiter
   void onVerified() override;
 
+  // end_waiter
+  void onEndJudged(end_verdict Verdict) override;
+
   // client_observer
   void onClientDisconnected() override;
   void onClientDrained() override;
@@ -114,6 +118,14 @@
   /// Returns whether the current response, whose end was read, is a stream that
   /// its upstream broke off.
   bool isBrokenStream() const;
+  /// Returns whether the current response, whose end was read, is complete only
+  /// if its upstream's process has outlived it.
+  bool isEndUnproven() const;
+  /// Ends the response to the caller with that of the upstream, which is
+  /// complete.
+  void completeResponse();
+  /// Cancels the current attempt, if there is one. Returns whether there was.
+  bool cancelAttempt();
   /// Handles a response that was lost after the request was sent. \p MayBeCrash
   /// tells whether the request may have crashed the upstream.
   void loseAttempt(std::string_view Reason, bool MayBeCrash);
@@ -192,8 +204,10 @@
   std::optional<relay_outcome> RelayOutcome;
   response_info ResponseInfo;
   bool HeadReceived = false;
-  bool BodyReceived = false;        ///< of this attempt, at least a byte
-  bool ResponseBegun = false;       ///< an event, or a byte of another body
+  bool BodyReceived = false;  ///< of this attempt, at least a byte
+  bool ResponseBegun = false; ///< an event, or a byte of another body
+  bool AwaitingEnd = false;   ///< until the response's end is judged
+  bool EndProvenByRelay = false;
   bool ReusedConnection = false;    ///< that was lost in this attempt
   std::size_t RefusalBodyBytes = 0; ///< of a response that states "not run"
   timer RefusalTimer;               ///< ends the wait for the rest of it
--- a/src/gateway/request/relay_session.cpp
+++ b/src/gateway/request/relay_session.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request/relay_session.h"
 
+#include "gateway/connection/end_verifier.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -148,7 +150,10 @@
   header_list Headers =
       Core.protocols().Callers.responseHeaders(Response.Headers);
   eraseRelayHeaders(Headers);
-  Headers.add(RelayFramingHeader, framingName(Response));
+  Headers.add(RelayFramingHeader,
+              endsWithConnection(Response, Request.Head.Method)
+                  ? RelayProvenEnd
+                  : framingName(Response));
   Headers.add("Keep-Alive", KeepAlive);
   return Headers;
 }
@@ -169,6 +174,24 @@
 void relay_session::onResponseEnd() {
   const auto Guard = shared_from_this();
   Exchange.reset();
+  if (!endsWithConnection(Response, Request.Head.Method))
+    return completeResponse();
+  Core.endVerifier().verifyEnd(Target, weak_from_this(), readBootClock());
+}
+
+void relay_session::onEndJudged(end_verdict Verdict) {
+  const auto Guard = shared_from_this();
+  if (Ended)
+    return;
+  if (Verdict == end_verdict::Whole)
+    return completeResponse();
+  if (Verdict == end_verdict::Unproven)
+    return fail(relay_outcome::Lost);
+  Core.onConnectionLost(Target, readBootClock());
+  fail(relay_outcome::LostBegun);
+}
+
+void relay_session::completeResponse() {
   if (Forwarding)
     Peer->endStream();
   else
--- a/src/gateway/request/relay_session.h
+++ b/src/gateway/request/relay_session.h
@@ -16,6 +16,7 @@
 /// passes the response back. Sends nothing to an upstream that this instance
 /// itself may not send to. Keeps itself alive until the response has ended.
 class relay_session final : public client_observer,
+                            public end_waiter,
                             public response_observer,
                             public std::enable_shared_from_this<relay_session> {
 public:
@@ -25,6 +26,9 @@
 
   void begin();
 
+  // end_waiter
+  void onEndJudged(end_verdict Verdict) override;
+
   // client_observer
   void onClientDisconnected() override;
   void onClientDrained() override;
@@ -41,6 +45,9 @@
   std::optional<relay_outcome> checkUpstream(instant Now) const;
   void send(instant Now);
   header_list responseHeaders() const;
+  /// Ends the response to the peer with that of the upstream, which is
+  /// complete.
+  void completeResponse();
   void fail(relay_outcome Outcome);
   void finish(std::string_view Outcome);
   void onDeadline();
--- a/tests/gateway/broken_stream_test.cpp
+++ b/tests/gateway/broken_stream_test.cpp
@@ -42,6 +42,10 @@
 /// Sends the response of \p Row and ends the connection, once \p Peer has
 /// received the whole request.
 void answer(scripted_server::peer &Peer, const stream_row &Row) {
+  if (Peer.Received.starts_with("GET /v1/report")) {
+    Peer.Received.clear();
+    return Peer.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+  }
   if (!Peer.Received.ends_with("the body"))
     return;
   Peer.send(responseOf(Row));
--- /dev/null
+++ b/tests/gateway/ended_upstream_test.cpp
@@ -0,0 +1,156 @@
+// Responses without length or chunks whose upstream ends with them, or not.
+#include "gateway/gateway_fixture.h"
+#include "net/scripted_server.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <string>
+
+#include <spdlog/fmt/fmt.h>
+
+using namespace ebonyvale;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::int64_t Born = 1'700'000'000'000;
+
+/// What answers at the upstream's address after it has ended its response.
+enum class successor {
+  Itself,
+  ItselfLate,   ///< after a second of silence
+  NoReport,     ///< an upstream that states no start
+  OtherStart,   ///< the next process
+  OtherProcess, ///< another upstream
+  Nobody,       ///< connections are refused
+  Silence,      ///< no answer at all
+};
+
+struct end_row {
+  char Name[40];
+  successor Successor;
+  bool IsWhole;
+};
+
+std::string reportOf(std::int64_t Start) {
+  const std::string Body = fmt::format(
+      R"({{"models":[],"busy":false,"sequence":0,"born":{}}})", Start);
+  return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                     Body.size(), Body);
+}
+
+/// Plays an upstream whose responses are all delimited by the close of their
+/// connections.
+class closing_upstream {
+public:
+  closing_upstream(event_base *Base, successor Successor)
+      : Successor(Successor),
+        Server(Base, [this](scripted_server::peer &Peer) { answer(Peer); }) {}
+
+  std::uint16_t port() const { return Server.address().Port; }
+  /// Keeps requests without a response until `respond`.
+  void hold() { Holding = true; }
+  bool holds() const { return Held != nullptr; }
+  void respond() {
+    Holding = false;
+    answer(*Held);
+  }
+
+private:
+  void answer(scripted_server::peer &Peer) {
+    if (Peer.Received.starts_with("GET /v1/report"))
+      return answerReport(Peer);
+    if (!Peer.Received.ends_with("the body"))
+      return;
+    if (Holding) {
+      Held = &Peer;
+      return;
+    }
+    const bool Streams = Peer.Received.starts_with("POST /stream");
+    Peer.send(fmt::format("HTTP/1.1 200 OK\r\nEbonyvale-Request-Id: id-1\r\n"
+                          "Content-Type: {}\r\nConnection: close\r\n\r\n{}",
+                          Streams ? "text/event-stream" : "text/plain",
+                          Streams ? fake_upstream::events(0, 2) : "answer"));
+    if (Successor == successor::Nobody)
+      Server.stopListening();
+    Peer.close();
+  }
+
+  void answerReport(scripted_server::peer &Peer) {
+    ++Reports;
+    switch (Successor) {
+    case successor::Itself:
+      return Peer.send(reportOf(Born));
+    case successor::ItselfLate:
+      if (Reports > 2)
+        Peer.send(reportOf(Born));
+      return;
+    case successor::NoReport:
+      return Peer.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    case successor::OtherStart:
+      return Peer.send(reportOf(Born + 1));
+    case successor::OtherProcess:
+      return Peer.send("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n"
+                       "Ebonyvale-Instance-Id: u-9\r\n\r\n");
+    case successor::Nobody:
+    case successor::Silence:
+      return;
+    }
+  }
+
+  successor Successor;
+  scripted_server Server;
+  int Reports = 0;
+  bool Holding = false;
+  scripted_server::peer *Held = nullptr;
+};
+
+} // namespace
+
+ParameterizedTestParameters(ended_upstream,
+                            response_is_not_passed_on_as_complete) {
+  static end_row Rows[] = {
+      {"outlives it", successor::Itself, true},
+      {"outlives it, silent for a second", successor::ItselfLate, true},
+      {"states no start", successor::NoReport, true},
+      {"has restarted", successor::OtherStart, false},
+      {"another one at its address", successor::OtherProcess, false},
+      {"refuses connections", successor::Nobody, false},
+      {"silent", successor::Silence, false},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(end_row *Row, ended_upstream,
+                  response_is_not_passed_on_as_complete) {
+  for (const char *Path : {"/stream-once/1", "/stream-on/1", "/order/1"}) {
+    gateway_fixture Gateway;
+    closing_upstream Upstream(Gateway.Base.get(), Row->Successor);
+    Gateway.Upstreams[0]->Born = Born;
+    Gateway.useOnlyUpstream(Upstream.port());
+    const caller_response Response = Gateway.sendRequest({.Path = Path});
+    const bool PassedAsComplete = Response.Status == 200 && Response.IsComplete;
+    cr_assert(PassedAsComplete == Row->IsWhole, "%s, %s: %d '%s'", Row->Name,
+              Path, Response.Status, Response.Body.c_str());
+  }
+}
+
+Test(ended_upstream, stream_goes_on_at_another_upstream) {
+  gateway_fixture Gateway;
+  closing_upstream Upstream(Gateway.Base.get(), successor::Nobody);
+  Gateway.Upstreams[0]->Born = Born;
+  Gateway.useOnlyUpstream(Upstream.port());
+  Upstream.hold();
+  Gateway.startRequest({.Path = "/stream-on/1"});
+  cr_assert(Gateway.waitFor([&] { return Upstream.holds(); }));
+  Gateway.Store.put(Gateway.Upstreams[1]->key(),
+                    Gateway.Upstreams[1]->entry("s"));
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.core().directory().find("u-2") != nullptr; }));
+  Upstream.respond();
+  cr_assert(Gateway.waitFor([&] { return Gateway.requestDone(); }));
+  cr_assert(Gateway.result().IsComplete);
+  cr_assert(Gateway.result().Body == fake_upstream::events(0), "'%s'",
+            Gateway.result().Body.c_str());
+}
--- a/tests/net/scripted_server.h
+++ b/tests/net/scripted_server.h
@@ -46,6 +46,8 @@
   scripted_server(event_base *Base, std::function<void(peer &)> OnReceived);
 
   endpoint address() const { return {"127.0.0.1", Port}; }
+  /// Refuses connections from now on.
+  void stopListening() { Listener.reset(); }
   std::vector<std::unique_ptr<peer>> Peers;
   /// Whether connections accepted from now on leave received bytes unread.
   bool ReadNothing = false;
