--- a/tests/gateway/silent_upstream_test.cpp
+++ b/tests/gateway/silent_upstream_test.cpp
@@ -1,25 +1,14 @@
 // Upstreams in processes of their own that are stopped for about a second. The
 // system still accepts their connections and takes bytes for them.
-#include "gateway/gateway_fleet.h"
+#include "gateway/upstream_children.h"
 #include "platform/routing_document.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
-#include <algorithm>
-#include <array>
-#include <csignal>
-#include <memory>
 #include <string>
-#include <vector>
 
-#include <fcntl.h>
-#include <netinet/in.h>
 #include <spdlog/fmt/fmt.h>
-#include <sys/prctl.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 using namespace ebonyvale;
 using namespace std::chrono_literals;
@@ -28,141 +17,11 @@
 
 constexpr span_ns Silence = 1200ms;
 
-struct upstream_pace {
-  span_ns Delay{0};
-  span_ns EventInterval{0};
-  int Backlog = 0; ///< connections that its system accepts for it; 0: many
-};
-
-/// Limits the connections that the system accepts for the listeners of this
-/// process.
-void setBacklog(int Backlog) {
-  constexpr int MaxDescriptor = 256;
-  for (int Descriptor = 0; Descriptor < MaxDescriptor; ++Descriptor) {
-    int Listens = 0;
-    socklen_t Length = sizeof(Listens);
-    if (getsockopt(Descriptor, SOL_SOCKET, SO_ACCEPTCONN, &Listens, &Length) ==
-            0 &&
-        Listens != 0)
-      listen(Descriptor, Backlog);
-  }
-}
-
-/// A fake upstream in a child process.
-class child_upstream {
-public:
-  child_upstream(const std::string &Id, upstream_pace Pace) {
-    std::array<int, 2> Ends{};
-    cr_assert(pipe(Ends.data()) == 0);
-    Child = fork();
-    cr_assert(Child >= 0);
-    if (Child == 0) {
-      close(Ends[0]);
-      serve(Id, Pace, Ends[1]);
-    }
-    close(Ends[1]);
-    Reports = Ends[0];
-    cr_assert(read(Reports, &Port, sizeof(Port)) == sizeof(Port));
-    fcntl(Reports, F_SETFL, O_NONBLOCK);
-  }
-  ~child_upstream() {
-    kill(Child, SIGKILL);
-    waitpid(Child, nullptr, 0);
-    close(Reports);
-  }
-  child_upstream(const child_upstream &) = delete;
-  child_upstream &operator=(const child_upstream &) = delete;
-
-  /// Returns once the process has stopped.
-  void stop() const {
-    kill(Child, SIGSTOP);
-    waitpid(Child, nullptr, WUNTRACED);
-  }
-  void resume() const { kill(Child, SIGCONT); }
-  std::uint16_t port() const { return Port; }
-
-  /// Returns how often the upstream has run the request \p Id.
-  std::ptrdiff_t runsOf(std::string_view Id) {
-    std::array<char, 4096> Part{};
-    for (ssize_t Length = 0;
-         (Length = read(Reports, Part.data(), Part.size())) > 0;)
-      Lines.append(Part.data(), static_cast<std::size_t>(Length));
-    std::ptrdiff_t Runs = 0;
-    const std::string Line = fmt::format("{}\n", Id);
-    for (std::size_t At = 0; (At = Lines.find(Line, At)) != std::string::npos;
-         At += Line.size())
-      ++Runs;
-    return Runs;
-  }
-
-private:
-  [[noreturn]] static void serve(const std::string &Id, upstream_pace Pace,
-                                 int Reports) {
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    std::signal(SIGPIPE, SIG_IGN);
-    const event_base_ptr Base(event_base_new());
-    fake_upstream Upstream(Base.get(), Id);
-    Upstream.Delay = Pace.Delay;
-    Upstream.EventInterval = Pace.EventInterval;
-    Upstream.OnRun = [Reports](const http_request &Request) {
-      const std::string Line = fmt::format(
-          "{}\n", Request.Head.Headers.find("Ebonyvale-Request-Id").value());
-      (void)!write(Reports, Line.data(), Line.size());
-    };
-    if (Pace.Backlog > 0)
-      setBacklog(Pace.Backlog);
-    const std::uint16_t Port = Upstream.port();
-    (void)!write(Reports, &Port, sizeof(Port));
-    event_base_loop(Base.get(), EVLOOP_NO_EXIT_ON_EMPTY);
-    _exit(0);
-  }
-
-  pid_t Child = -1;
-  int Reports = -1;
-  std::uint16_t Port = 0;
-  std::string Lines;
-};
-
-/// Two instances and two upstreams in processes of their own.
-class silence_fleet {
+/// A fleet whose configuration changes while its upstreams are silent.
+class silence_fleet : public child_fleet {
 public:
-  explicit silence_fleet(upstream_pace Pace,
-                         upstream_links Links = upstream_links::Direct)
-      : Fleet(makeChildren(Pace), Links) {
-    gateway_fixture &Gateway = Fleet.Gateway;
-    list();
-    // A request that reaches one of the replaced upstreams may still do so.
-    runLoopFor(Gateway.Base.get(), 500ms);
-  }
+  using child_fleet::child_fleet;
 
-  void stopAll() const {
-    for (const auto &Child : Children)
-      Child->stop();
-  }
-  void resumeAll() const {
-    for (const auto &Child : Children)
-      Child->resume();
-  }
-  std::ptrdiff_t runsOf(std::string_view Id) const {
-    std::ptrdiff_t Runs = 0;
-    for (const auto &Child : Children)
-      Runs += Child->runsOf(Id);
-    return Runs;
-  }
-  /// Writes the entries of the upstreams to the store.
-  void list() {
-    for (std::size_t Index = 0; Index < Children.size(); ++Index) {
-      const fake_upstream &Listed = *Fleet.Gateway.Upstreams[Index];
-      Fleet.Gateway.Store.put(Listed.key(),
-                              Listed.entryAt(Children[Index]->port(), "s",
-                                             /*Draining=*/false));
-    }
-  }
-  /// Removes the entries, as the store does when their leases have expired.
-  void unlist() {
-    for (const auto &Listed : Fleet.Gateway.Upstreams)
-      Fleet.Gateway.Store.erase(Listed->key());
-  }
   /// Passes the time of a silence while the bounds of callers change and the
   /// routes move to another service and back.
   void changeConfiguration() {
@@ -188,17 +47,7 @@
     }));
   }
 
-  std::vector<std::unique_ptr<child_upstream>> Children;
-  gateway_fleet Fleet;
-
 private:
-  /// Before the event loop of this process, which a child must not share.
-  std::size_t makeChildren(upstream_pace Pace) {
-    for (const char *Id : {"u-1", "u-2"})
-      Children.push_back(std::make_unique<child_upstream>(Id, Pace));
-    return Children.size();
-  }
-
   void configure(std::string_view From, std::string_view To) {
     std::string Document = routingDocument(++Version, "\"key-1\"", 1e6);
     for (std::size_t At = 0;
@@ -294,12 +143,8 @@
                        Row->Relayed ? upstream_links::Proxied
                                     : upstream_links::Direct);
   gateway_fleet &Fleet = Silent.Fleet;
-  if (Row->Relayed) {
-    Fleet.links(0).setFault(proxy_fault::RefuseNew);
-    for (int Sent = 0; Sent < 10; ++Sent)
-      Fleet.requestTo(0, "/read/1");
-    cr_assert(Fleet.requestTo(0, "/read/1").Status == 200);
-  }
+  if (Row->Relayed)
+    Silent.useRelay();
   Fleet.Gateway.targetFirst();
   sendAndStop(Silent, *Row);
   if (Row->Unlisted)
