Proof of ends: only what shows that a process has ended breaks its responses

Cause: the absence of a proof was handled as a proof of the opposite, and the listed start as that of the process that had answered.

A process that states a start before the request was sent has run it and lives on; a later one has replaced it. Only ECONNREFUSED shows that nobody listens, and not while a connection from before is open, on which the question is asked then. Silence decides nothing: the response ends with its deadline, or when its caller leaves. An answer counts for what had ended before its own question. Responses with other statuses than 2xx are proved as well; relays prove by themselves, those of earlier builds are believed as before. An upstream that is known to leave and ends with a response is no sign of a crash.

--- a/src/decisions/process/response_ends.cpp
+++ b/src/decisions/process/response_ends.cpp
@@ -10,11 +10,9 @@
   case end_verdict::Whole:
     return "whole";
   case end_verdict::Broken:
-    return "broken";
-  case end_verdict::Unproven:
     break;
   }
-  return "unproven";
+  return "broken";
 }
 
 std::vector<response_ends::waiting_process>::iterator
@@ -22,15 +20,28 @@
   return std::ranges::find(Processes, Process, &waiting_process::Process);
 }
 
-std::uint64_t response_ends::add(const upstream_process &Process, instant Now) {
+std::uint64_t response_ends::add(const upstream_process &Process,
+                                 std::int64_t SentAtMs, instant Now) {
   auto Waiting = find(Process);
   if (Waiting == Processes.end())
     Waiting = Processes.insert(Waiting, {Process, {}, {}, Now});
-  Waiting->AskFrom = Now;
-  Waiting->Ends.push_back({++LastNumber, Now});
+  Waiting->Ends.push_back({++LastNumber, SentAtMs, Now});
   return LastNumber;
 }
 
+void response_ends::withdraw(std::uint64_t Number) {
+  for (waiting_process &Waiting : Processes)
+    std::erase_if(Waiting.Ends, [Number](const waiting_end &End) {
+      return End.Number == Number;
+    });
+  dropEmpty();
+}
+
+void response_ends::dropEmpty() {
+  std::erase_if(Processes,
+                [](const auto &Waiting) { return Waiting.Ends.empty(); });
+}
+
 std::vector<upstream_process> response_ends::takeQuestions(instant Now) {
   std::vector<upstream_process> Asked;
   for (waiting_process &Waiting : Processes)
@@ -41,67 +52,57 @@
   return Asked;
 }
 
-void response_ends::judge(waiting_process &Waiting, instant After,
-                          instant Until, end_verdict Verdict,
-                          std::vector<judged_end> &Judged) {
-  std::erase_if(Waiting.Ends, [&](const waiting_end &End) {
-    if (End.At <= After || End.At > Until)
-      return false;
-    Judged.push_back({End.Number, Verdict});
-    return true;
-  });
-}
-
-void response_ends::dropEmpty() {
-  std::erase_if(Processes,
-                [](const auto &Waiting) { return Waiting.Ends.empty(); });
-}
-
-std::vector<response_ends::judged_end>
-response_ends::onEvidence(const upstream_process &Process,
-                          process_evidence Evidence, instant Now) {
-  std::vector<judged_end> Judged;
-  const auto Waiting = find(Process);
-  if (Waiting == Processes.end() || !Waiting->AskedAt)
-    return Judged;
-  const instant AskedAt = *std::exchange(Waiting->AskedAt, std::nullopt);
-  Waiting->AskFrom = Now;
-  constexpr instant Always = instant::min();
-  switch (Evidence) {
-  case process_evidence::Gone:
-    judge(*Waiting, Always, Now, end_verdict::Broken, Judged);
-    break;
-  case process_evidence::Running:
-    judge(*Waiting, Always, AskedAt, end_verdict::Whole, Judged);
-    break;
+std::optional<end_verdict> response_ends::judge(const upstream_process &Process,
+                                                const waiting_end &End,
+                                                const answer &Answer) {
+  if (Answer.Evidence == process_evidence::Gone)
+    return end_verdict::Broken;
+  if (End.At > Answer.AskedAt)
+    return std::nullopt;
+  switch (Answer.Evidence) {
+  case process_evidence::Started:
+    // The entry may be that of an earlier process than the one that was sent
+    // the request.
+    return Answer.Born == Process.Born || Answer.Born <= End.SentAtMs
+               ? end_verdict::Whole
+               : end_verdict::Broken;
   case process_evidence::Unnamed:
-    judge(*Waiting, Now - MinStartTime, AskedAt, end_verdict::Whole, Judged);
-    [[fallthrough]];
+    if (Answer.AskedAt - End.At < MinStartTime)
+      return end_verdict::Whole;
+    return std::nullopt;
   case process_evidence::None:
-    Waiting->AskFrom = Now + AskAgain;
+  case process_evidence::Gone:
     break;
   }
-  dropEmpty();
-  return Judged;
+  return std::nullopt;
 }
 
-std::vector<response_ends::judged_end> response_ends::expire(instant Now) {
+std::vector<response_ends::judged_end>
+response_ends::onAnswer(const upstream_process &Process, const answer &Answer,
+                        instant Now) {
   std::vector<judged_end> Judged;
-  for (waiting_process &Waiting : Processes)
-    judge(Waiting, instant::min(), Now - MaxWait, end_verdict::Unproven,
-          Judged);
+  const auto Waiting = find(Process);
+  if (Waiting == Processes.end())
+    return Judged;
+  std::erase_if(Waiting->Ends, [&](const waiting_end &End) {
+    const auto Verdict = judge(Process, End, Answer);
+    if (Verdict)
+      Judged.push_back({End.Number, *Verdict});
+    return Verdict.has_value();
+  });
+  if (Waiting->AskedAt == Answer.AskedAt) {
+    Waiting->AskedAt.reset();
+    Waiting->AskFrom = Judged.empty() ? Now + AskAgain : Now;
+  }
   dropEmpty();
   return Judged;
 }
 
 std::optional<instant> response_ends::nextAt() const {
   std::optional<instant> Next;
-  for (const waiting_process &Waiting : Processes) {
-    instant At = Waiting.Ends.front().At + MaxWait;
+  for (const waiting_process &Waiting : Processes)
     if (!Waiting.AskedAt)
-      At = std::min(At, Waiting.AskFrom);
-    Next = std::min(Next.value_or(At), At);
-  }
+      Next = std::min(Next.value_or(Waiting.AskFrom), Waiting.AskFrom);
   return Next;
 }
 
--- a/src/decisions/process/response_ends.h
+++ b/src/decisions/process/response_ends.h
@@ -17,16 +17,15 @@
 /// What a question to an upstream's process has shown.
 enum class process_evidence {
   None,    ///< no answer: the process may be silent or out of reach
-  Running, ///< the process has answered
+  Started, ///< a process has stated its start
   Unnamed, ///< an answer that does not state which process gave it
-  Gone,    ///< its address refuses connections, or another process answered
+  Gone,    ///< its address refuses connections, or another upstream answered
 };
 
 /// Whether a response is complete.
 enum class end_verdict {
   Whole,
-  Broken,   ///< its process ended with it
-  Unproven, ///< nothing shows whether its process has outlived it
+  Broken, ///< its process ended with it
 };
 
 /// Returns the name of \p Verdict for logs and metrics.
@@ -35,41 +34,50 @@
 /// A response without a length or chunks ends with its connection. A process
 /// that has sent all of it closes the connection in order, and so does the
 /// system of a process that is killed within it. The response counts as whole
-/// if its process has outlived it. A process that closes a connection within a
-/// response and goes on is not told apart.
+/// if its process has outlived it, and as broken if that has ended; until
+/// either is known it has no end. A process that closes a connection within a
+/// response and goes on is not told apart, nor one that ends by itself right
+/// after a whole response.
 class response_ends {
 public:
-  /// Longest time that a response waits for evidence; then it is `Unproven`.
-  /// Callers abandon a stream that pauses for two seconds.
-  static constexpr span_ns MaxWait = std::chrono::milliseconds(1800);
   /// Pause after a question without evidence.
-  static constexpr span_ns AskAgain = std::chrono::milliseconds(100);
-  /// Shorter than any process takes to start: an answer so soon after the end
-  /// of a response is not that of the next process.
+  static constexpr span_ns AskAgain = std::chrono::milliseconds(50);
+  /// Shorter than any process takes to start: an answer to a question so soon
+  /// after the end of a response is not that of the next process.
   static constexpr span_ns MinStartTime = std::chrono::milliseconds(100);
 
+  /// The answer to a question.
+  struct answer {
+    instant AskedAt;
+    process_evidence Evidence = process_evidence::None;
+    /// Start in ms since the Unix epoch, where a process has stated it.
+    std::int64_t Born = 0;
+  };
+
   struct judged_end {
     std::uint64_t Number;
     end_verdict Verdict;
   };
 
-  /// Adds a response of \p Process that ended at \p Now. Returns its number.
-  std::uint64_t add(const upstream_process &Process, instant Now);
+  /// Adds a response of \p Process that ended at \p Now; its request was sent
+  /// at \p SentAtMs in ms since the Unix epoch. Returns its number.
+  std::uint64_t add(const upstream_process &Process, std::int64_t SentAtMs,
+                    instant Now);
+
+  /// Forgets the response \p Number, which nobody waits for any more.
+  void withdraw(std::uint64_t Number);
 
   /// Returns the processes to ask at \p Now, and counts them as asked then. One
   /// answer serves all responses that ended before the question.
   std::vector<upstream_process> takeQuestions(instant Now);
 
-  /// Records the outcome of the question to \p Process, and returns what it
+  /// Records the answer to a question to \p Process, and returns what it
   /// decides.
-  std::vector<judged_end> onEvidence(const upstream_process &Process,
-                                     process_evidence Evidence, instant Now);
-
-  /// Returns the responses that have waited too long.
-  std::vector<judged_end> expire(instant Now);
+  std::vector<judged_end> onAnswer(const upstream_process &Process,
+                                   const answer &Answer, instant Now);
 
-  /// Returns when `takeQuestions` or `expire` next returns something; nothing
-  /// if no response waits.
+  /// Returns when `takeQuestions` next returns something; nothing while no
+  /// response waits for a question.
   std::optional<instant> nextAt() const;
 
   /// Returns the number of responses that wait.
@@ -78,6 +86,7 @@
 private:
   struct waiting_end {
     std::uint64_t Number;
+    std::int64_t SentAtMs;
     instant At;
   };
   struct waiting_process {
@@ -88,10 +97,10 @@
   };
 
   std::vector<waiting_process>::iterator find(const upstream_process &Process);
-  /// Judges the responses of \p Waiting that ended after \p After and up to
-  /// \p Until.
-  static void judge(waiting_process &Waiting, instant After, instant Until,
-                    end_verdict Verdict, std::vector<judged_end> &Judged);
+  /// Returns what \p Answer shows of \p End, a response of \p Process.
+  static std::optional<end_verdict> judge(const upstream_process &Process,
+                                          const waiting_end &End,
+                                          const answer &Answer);
   /// Forgets processes of which no response waits.
   void dropEmpty();
 
--- a/src/gateway/connection/end_verifier.h
+++ b/src/gateway/connection/end_verifier.h
@@ -18,7 +18,7 @@
 namespace ebonyvale {
 
 /// Returns whether only the end of its connection has marked the end of
-/// \p Response, a successful one to a request with \p Method.
+/// \p Response, which was to a request with \p Method.
 bool endsWithConnection(const http_head &Response, std::string_view Method);
 
 /// Requests status reports from the processes of responses that ended with
@@ -29,18 +29,26 @@
   ~end_verifier() override;
 
   // response_end_verifier
-  void verifyEnd(const upstream_process &Process,
+  void verifyEnd(const upstream_process &Process, instant SentAt,
                  std::weak_ptr<end_waiter> Waiter, instant Now) override;
 
 private:
-  /// Judges what has waited too long, and asks the processes that are due.
+  /// Asks the processes that are due.
   void proceed();
-  void ask(const upstream_process &Process, instant Now);
-  void onAnswer(const upstream_process &Asked, instant SentAt,
-                const upstream_call &Call, int Status, std::string_view Body);
-  process_evidence readEvidence(const upstream_process &Asked, instant SentAt,
-                                const upstream_call &Call, int Status,
-                                std::int64_t Born);
+  /// Forgets the responses that nobody waits for any more.
+  void dropAbandoned();
+  /// Asks \p Process on a new connection, or on an idle one.
+  void ask(const upstream_process &Process, bool OnNewConnection,
+           instant AskedAt);
+  /// Returns whether \p Process may be running though it refuses connections:
+  /// one that is open from before has not ended.
+  bool mayHaveStoppedListening(const upstream_process &Process,
+                               const upstream_call &Call) const;
+  void onAnswer(const upstream_process &Asked, const upstream_call &Call,
+                instant AskedAt, int Status, std::string_view Body);
+  response_ends::answer readAnswer(const upstream_process &Asked,
+                                   const upstream_call &Call, instant AskedAt,
+                                   int Status, std::string_view Body);
   void tell(std::span<const response_ends::judged_end> Judged);
 
   gateway_core &Core;
--- a/src/gateway/connection/upstream_call.cpp
+++ b/src/gateway/connection/upstream_call.cpp
@@ -20,9 +20,9 @@
     Link->cancel();
 }
 
-void upstream_call::start(const client_request &Request) {
+void upstream_call::start(const client_request &Request, span_ns MaxTime) {
   Link = Core.links().start(Request, *this);
-  Deadline.startOnce(Timeout);
+  Deadline.startOnce(MaxTime);
 }
 
 response_action upstream_call::onResponseHead(const http_head &Head, bool) {
@@ -55,7 +55,7 @@
 
 void upstream_call::onResponseLost(const exchange_loss &Lost) {
   Link.reset();
-  Loss = Lost.Reason;
+  Refused = Lost.Refused;
   if (Lost.Stage != exchange_stage::NotSent)
     Core.onSoftwareUncertain(Target, lossName(Lost.Reason), readBootClock());
   finish(0);
--- a/src/gateway/connection/upstream_call.h
+++ b/src/gateway/connection/upstream_call.h
@@ -7,13 +7,12 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
 namespace ebonyvale {
 
-/// Sends an order or a request for a status report, limited by `Timeout`.
+/// Sends an order or a request for a status report, limited in time.
 /// Cancelled when it is destroyed.
 class upstream_call final : public response_observer,
                             public std::enable_shared_from_this<upstream_call> {
@@ -29,13 +28,13 @@
   bool keepsConnection() const { return KeepsConnection; }
   /// Returns whether another process than the one asked has responded.
   bool isFromOtherProcess() const { return FromOtherProcess; }
-  /// Returns why the connection was lost, if it was.
-  std::optional<loss_reason> loss() const { return Loss; }
+  /// Returns whether the connection was refused, see `exchange_loss`.
+  bool isRefused() const { return Refused; }
 
   upstream_call(gateway_core &Core, upstream_process Target, callback Done);
   ~upstream_call() override;
 
-  void start(const client_request &Request);
+  void start(const client_request &Request, span_ns MaxTime = Timeout);
 
   // response_observer
   response_action onResponseHead(const http_head &Head,
@@ -55,7 +54,7 @@
   int Status = 0;
   bool KeepsConnection = false;
   bool FromOtherProcess = false;
-  std::optional<loss_reason> Loss;
+  bool Refused = false;
   std::string Body;
 };
 
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -143,9 +143,9 @@
 class response_end_verifier {
 public:
   virtual ~response_end_verifier() = default;
-  /// Judges a response of \p Process that has ended at \p Now. \p Waiter is
-  /// called once, from the event loop.
-  virtual void verifyEnd(const upstream_process &Process,
+  /// Judges a response of \p Process that has ended at \p Now, to a request
+  /// sent at \p SentAt. \p Waiter is called at most once, from the event loop.
+  virtual void verifyEnd(const upstream_process &Process, instant SentAt,
                          std::weak_ptr<end_waiter> Waiter, instant Now) = 0;
 };
 
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -40,9 +40,7 @@
     if (RelayOutcome)
       return response_action::Take;
     http_head Relayed = Head;
-    const auto Framing = Head.Headers.find(RelayFramingHeader);
-    EndProvenByRelay = Framing == RelayProvenEnd;
-    Relayed.CloseDelimited = EndProvenByRelay || Framing == "close";
+    Relayed.CloseDelimited = Head.Headers.find(RelayFramingHeader) == "close";
     eraseRelayHeaders(Relayed.Headers);
     Core.upstreamPaths().onRelayed(Choice->Relay);
     return onUpstreamHead(Relayed, /*FirstOnConnection=*/true, Now);
@@ -214,20 +212,14 @@
     return onRelayOutcome(*RelayOutcome);
   if (ResponseInfo.NotRun)
     return onNotRun();
-  if (Response.Status >= FirstServerError ||
-      Core.protocols().Callers.promisesNotRun(Response.Status))
-    return onAttemptEnd(attempt_outcome::ServerError, "server_error");
   if (isBrokenStream())
     return loseAttempt("incomplete_stream", /*MayBeCrash=*/true);
-  if (!isEndUnproven())
+  // A relay proves the end by itself.
+  if (isRelayed() || !endsWithConnection(Response, Request.Head.Method))
     return completeResponse();
   AwaitingEnd = true;
-  Core.endVerifier().verifyEnd(Target, weak_from_this(), readBootClock());
-}
-
-bool forward_session::isEndUnproven() const {
-  return endsWithConnection(Response, Request.Head.Method) &&
-         !(isRelayed() && EndProvenByRelay);
+  Core.endVerifier().verifyEnd(Target, SentAt, weak_from_this(),
+                               readBootClock());
 }
 
 void forward_session::onEndJudged(end_verdict Verdict) {
@@ -236,12 +228,15 @@
     return;
   if (Verdict == end_verdict::Whole)
     return completeResponse();
-  loseAttempt(Verdict == end_verdict::Broken ? "ended_with_upstream"
-                                             : "unproven_end",
-              /*MayBeCrash=*/Verdict == end_verdict::Broken);
+  // An upstream that leaves may end by itself.
+  const upstream_entry *Entry = Core.directory().find(Choice->Upstream);
+  loseAttempt("ended_with_upstream", /*MayBeCrash=*/Entry && Entry->isOpen());
 }
 
 void forward_session::completeResponse() {
+  if (Response.Status >= FirstServerError ||
+      Core.protocols().Callers.promisesNotRun(Response.Status))
+    return onAttemptEnd(attempt_outcome::ServerError, "server_error");
   if (Streaming) {
     deliver(Splitter.rest());
     endAttempt(readBootClock());
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -264,7 +264,6 @@
   RelayOutcome.reset();
   BodyReceived = false;
   ResponseBegun = false;
-  EndProvenByRelay = false;
   ReusedConnection = false;
   RefusalBodyBytes = 0;
   ResponseBody.clear();
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -118,11 +118,7 @@
   /// Returns whether the current response, whose end was read, is a stream that
   /// its upstream broke off.
   bool isBrokenStream() const;
-  /// Returns whether the current response, whose end was read, is complete only
-  /// if its upstream's process has outlived it.
-  bool isEndUnproven() const;
-  /// Ends the response to the caller with that of the upstream, which is
-  /// complete.
+  /// Handles the current response, which is complete.
   void completeResponse();
   /// Cancels the current attempt, if there is one. Returns whether there was.
   bool cancelAttempt();
@@ -204,10 +200,9 @@
   std::optional<relay_outcome> RelayOutcome;
   response_info ResponseInfo;
   bool HeadReceived = false;
-  bool BodyReceived = false;  ///< of this attempt, at least a byte
-  bool ResponseBegun = false; ///< an event, or a byte of another body
-  bool AwaitingEnd = false;   ///< until the response's end is judged
-  bool EndProvenByRelay = false;
+  bool BodyReceived = false;        ///< of this attempt, at least a byte
+  bool ResponseBegun = false;       ///< an event, or a byte of another body
+  bool AwaitingEnd = false;         ///< until the response's end is judged
   bool ReusedConnection = false;    ///< that was lost in this attempt
   std::size_t RefusalBodyBytes = 0; ///< of a response that states "not run"
   timer RefusalTimer;               ///< ends the wait for the rest of it
--- a/src/gateway/request/relay_protocol.h
+++ b/src/gateway/request/relay_protocol.h
@@ -15,12 +15,10 @@
 inline constexpr std::string_view RelayUpstreamHeader = "Relay-Upstream";
 /// Name of a `relay_outcome`; absent if an upstream has responded.
 inline constexpr std::string_view RelayOutcomeHeader = "Relay-Outcome";
-/// `framingName` of the upstream's response, or `RelayProvenEnd`.
+/// `framingName` of the upstream's response. The relay ends a response with the
+/// framing "close" only if the upstream's process has outlived it; builds
+/// before that rule end it with its connection.
 inline constexpr std::string_view RelayFramingHeader = "Relay-Framing";
-/// The upstream's response ends with its connection, and the relay ends it only
-/// if the upstream's process has outlived it. Earlier builds take that for a
-/// length.
-inline constexpr std::string_view RelayProvenEnd = "proven-close";
 
 /// How a request ended for which a relay has no response of an upstream.
 enum class relay_outcome {
--- a/src/gateway/request/relay_session.cpp
+++ b/src/gateway/request/relay_session.cpp
@@ -150,10 +150,7 @@
   header_list Headers =
       Core.protocols().Callers.responseHeaders(Response.Headers);
   eraseRelayHeaders(Headers);
-  Headers.add(RelayFramingHeader,
-              endsWithConnection(Response, Request.Head.Method)
-                  ? RelayProvenEnd
-                  : framingName(Response));
+  Headers.add(RelayFramingHeader, framingName(Response));
   Headers.add("Keep-Alive", KeepAlive);
   return Headers;
 }
@@ -176,7 +173,8 @@
   Exchange.reset();
   if (!endsWithConnection(Response, Request.Head.Method))
     return completeResponse();
-  Core.endVerifier().verifyEnd(Target, weak_from_this(), readBootClock());
+  Core.endVerifier().verifyEnd(Target, SentAt, weak_from_this(),
+                               readBootClock());
 }
 
 void relay_session::onEndJudged(end_verdict Verdict) {
@@ -185,8 +183,6 @@
     return;
   if (Verdict == end_verdict::Whole)
     return completeResponse();
-  if (Verdict == end_verdict::Unproven)
-    return fail(relay_outcome::Lost);
   Core.onConnectionLost(Target, readBootClock());
   fail(relay_outcome::LostBegun);
 }
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <utility>
 
@@ -79,9 +80,13 @@
   evbuffer_add_cb(bufferevent_get_output(Socket.get()),
                   &client_connection::onOutput, this);
   ++Pool.Opened;
-  if (bufferevent_socket_connect(Socket.get(),
-                                 reinterpret_cast<sockaddr *>(&Address),
-                                 sizeof(Address)) != 0)
+  EVUTIL_SET_SOCKET_ERROR(0);
+  const bool Started = bufferevent_socket_connect(
+                           Socket.get(), reinterpret_cast<sockaddr *>(&Address),
+                           sizeof(Address)) == 0;
+  // A refusal that arrives at once is reported later, without its reason.
+  Refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+  if (!Started)
     return false;
   setNoDelay(Socket.get());
   setTcpUserTimeout(Socket.get(), Pool.options().TcpUserTimeout);
@@ -265,7 +270,7 @@
   if (Probed)
     Probed(Reason);
   if (Receiver)
-    Receiver->onResponseLost({Stage, Reason, Exchanges > 1});
+    Receiver->onResponseLost({Stage, Reason, Exchanges > 1, Refused});
 }
 
 void client_connection::releaseSelf() {
@@ -288,8 +293,11 @@
     }
     return;
   }
-  if (!Connection->Connected)
+  if (!Connection->Connected) {
+    Connection->Refused =
+        Connection->Refused || EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
     return Connection->fail(loss_reason::ConnectFailed);
+  }
   const bool Orderly = (Events & BEV_EVENT_EOF) != 0;
   Connection->onClosed(Orderly ? loss_reason::Closed : loss_reason::Reset,
                        Orderly);
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -49,6 +49,7 @@
   exchange_stage Stage = exchange_stage::NotSent;
   loss_reason Reason = loss_reason::Closed;
   bool ReusedConnection = false; ///< an earlier exchange used the connection
+  bool Refused = false; ///< the server's system listens for no process there
 };
 
 /// Receives the response of an exchange. Nothing is called after
@@ -133,6 +134,7 @@
   timer ConnectDeadline;
   exchange_stage Stage = exchange_stage::NotSent;
   bool Connected = false;
+  bool Refused = false;          ///< see `exchange_loss`
   bool SkippingResponse = false; ///< the current response is being skipped
   bool Reusable = false; ///< the current response keeps the connection open
   bool SkippedResponse = false; ///< a response was skipped in this exchange
@@ -189,6 +191,9 @@
     OnIdleLost = std::move(Callback);
   }
 
+  /// Returns whether there is an idle connection to \p Server.
+  bool hasIdle(const endpoint &Server) const { return Idle.contains(Server); }
+
   /// Closes all idle connections to \p Server.
   void closeIdleConnections(const endpoint &Server);
 
--- a/tests/gateway/ended_upstream_test.cpp
+++ b/tests/gateway/ended_upstream_test.cpp
@@ -14,16 +14,21 @@
 
 namespace {
 
+/// Before and after all requests of the tests.
 constexpr std::int64_t Born = 1'700'000'000'000;
+constexpr std::int64_t LaterBorn = 9'000'000'000'000;
 
 /// What answers at the upstream's address after it has ended its response.
 enum class successor {
   Itself,
   ItselfLate,   ///< after a second of silence
   NoReport,     ///< an upstream that states no start
-  OtherStart,   ///< the next process
+  Earlier,      ///< itself, but its entry is that of the process before
+  Next,         ///< the next process
   OtherProcess, ///< another upstream
   Nobody,       ///< connections are refused
+  NoListener,   ///< itself, but on open connections only
+  Full,         ///< itself, but it resets new connections for a while
   Silence,      ///< no answer at all
 };
 
@@ -72,7 +77,7 @@
                           "Content-Type: {}\r\nConnection: close\r\n\r\n{}",
                           Streams ? "text/event-stream" : "text/plain",
                           Streams ? fake_upstream::events(0, 2) : "answer"));
-    if (Successor == successor::Nobody)
+    if (Successor == successor::Nobody || Successor == successor::NoListener)
       Server.stopListening();
     Peer.close();
   }
@@ -81,15 +86,21 @@
     ++Reports;
     switch (Successor) {
     case successor::Itself:
+    case successor::NoListener:
       return Peer.send(reportOf(Born));
     case successor::ItselfLate:
-      if (Reports > 2)
-        Peer.send(reportOf(Born));
-      return;
+      return callAfter(Server.base(), 1200ms,
+                       [&Peer] { Peer.send(reportOf(Born)); });
     case successor::NoReport:
       return Peer.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
-    case successor::OtherStart:
+    case successor::Earlier:
       return Peer.send(reportOf(Born + 1));
+    case successor::Next:
+      return Peer.send(reportOf(LaterBorn));
+    case successor::Full:
+      if (Reports > 3)
+        return Peer.send(reportOf(Born));
+      return Peer.reset();
     case successor::OtherProcess:
       return Peer.send("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n"
                        "Ebonyvale-Instance-Id: u-9\r\n\r\n");
@@ -114,9 +125,12 @@
       {"outlives it", successor::Itself, true},
       {"outlives it, silent for a second", successor::ItselfLate, true},
       {"states no start", successor::NoReport, true},
-      {"has restarted", successor::OtherStart, false},
+      {"has not been listed yet", successor::Earlier, true},
+      {"has restarted", successor::Next, false},
       {"another one at its address", successor::OtherProcess, false},
       {"refuses connections", successor::Nobody, false},
+      {"refuses new connections", successor::NoListener, true},
+      {"resets new connections", successor::Full, true},
       {"silent", successor::Silence, false},
   };
   return criterion_test_params(Rows);
@@ -129,6 +143,14 @@
     closing_upstream Upstream(Gateway.Base.get(), Row->Successor);
     Gateway.Upstreams[0]->Born = Born;
     Gateway.useOnlyUpstream(Upstream.port());
+    int Opened = 0;
+    for (int Connection = 0; Connection < 2; ++Connection)
+      Gateway.core().links().probe({"127.0.0.1", Upstream.port()},
+                                   [&Opened](auto) { ++Opened; });
+    cr_assert(Gateway.waitFor([&] { return Opened == 2; }));
+    if (Row->Successor == successor::Nobody)
+      Gateway.core().links().closeIdleConnections(
+          {"127.0.0.1", Upstream.port()});
     const caller_response Response = Gateway.sendRequest({.Path = Path});
     const bool PassedAsComplete = Response.Status == 200 && Response.IsComplete;
     cr_assert(PassedAsComplete == Row->IsWhole, "%s, %s: %d '%s'", Row->Name,
--- a/tests/net/scripted_server.h
+++ b/tests/net/scripted_server.h
@@ -46,6 +46,7 @@
   scripted_server(event_base *Base, std::function<void(peer &)> OnReceived);
 
   endpoint address() const { return {"127.0.0.1", Port}; }
+  event_base *base() const { return Base; }
   /// Refuses connections from now on.
   void stopListening() { Listener.reset(); }
   std::vector<std::unique_ptr<peer>> Peers;
