A resumed stream with nothing left may end with its connection

The next upstream was asked to go on after the last event, answered without a further one, and a close-delimited stream without an event counted as broken.

Such a stream that resumes is judged by the proof of its end as others are. resumed_stream_without_further_events_is_complete failed before.

--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -253,9 +253,10 @@
     return false;
   // The system of an upstream that crashes closes its connections in order. If
   // only the end of the connection marks the end of the response, a stream
-  // without an event proves nothing.
-  const bool LacksBody =
-      !BodyReceived && Response.CloseDelimited && Request.Head.Method != "HEAD";
+  // without an event proves nothing, unless it had only to be ended.
+  const bool LacksBody = !BodyReceived && !LastEvent &&
+                         Response.CloseDelimited &&
+                         Request.Head.Method != "HEAD";
   return Boundaries.insideEvent() || LacksBody;
 }
 
--- a/tests/gateway/ended_upstream_test.cpp
+++ b/tests/gateway/ended_upstream_test.cpp
@@ -176,3 +176,39 @@
   cr_assert(Gateway.result().Body == fake_upstream::events(0), "'%s'",
             Gateway.result().Body.c_str());
 }
+
+Test(ended_upstream, resumed_stream_without_further_events_is_complete) {
+  gateway_fixture Gateway;
+  scripted_server::peer *Asked = nullptr;
+  scripted_server First(
+      Gateway.Base.get(),
+      [&Asked](scripted_server::peer &Peer) { Asked = &Peer; });
+  scripted_server Second(Gateway.Base.get(), [](scripted_server::peer &Peer) {
+    if (Peer.Received.starts_with("GET /v1/report"))
+      return Peer.send(reportOf(Born));
+    if (!Peer.Received.ends_with("the body"))
+      return;
+    Peer.send("HTTP/1.1 200 OK\r\nEbonyvale-Request-Id: id-1\r\n"
+              "Content-Type: text/event-stream\r\n\r\n");
+    Peer.close();
+  });
+  Gateway.useOnlyUpstream(First.address().Port);
+  Gateway.startRequest({.Path = "/stream-on/1"});
+  cr_assert(Gateway.waitFor([&] { return Asked != nullptr; }));
+  Gateway.Upstreams[1]->Born = Born;
+  Gateway.Store.put(Gateway.Upstreams[1]->key(),
+                    Gateway.Upstreams[1]->entryAt(Second.address().Port, "s",
+                                                  /*Draining=*/false));
+  cr_assert(Gateway.waitFor(
+      [&] { return Gateway.core().directory().find("u-2") != nullptr; }));
+  const std::string Events = fake_upstream::events(0);
+  Asked->send(fmt::format("HTTP/1.1 200 OK\r\nEbonyvale-Request-Id: id-1\r\n"
+                          "Content-Type: text/event-stream\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n",
+                          Events.size(), Events));
+  Asked->close();
+  cr_assert(Gateway.waitFor([&] { return Gateway.requestDone(); }));
+  cr_assert(Gateway.result().IsComplete);
+  cr_assert(Gateway.result().Body == Events, "'%s'",
+            Gateway.result().Body.c_str());
+}
