HTTP/1.0 callers: streams end with their connection, broken ones with a reset

An HTTP/1.0 caller got a stream in chunks, which it cannot read (RFC 9112, section 7.1): the sizes stood in its body. With "Connection: keep-alive" the connection stayed open after the stream, so a caller that reads to the end waited for the idle timeout. When a stream broke off, its connection ended in order, which an HTTP/1.0 caller takes for the end of a complete response.

Cause: beginStream did not look at the version of the request. The parser now reports whether the sender reads chunks; if not, the stream is delimited by the close of the connection. SO_LINGER with zero time holds from its head until the last byte has been written to the socket, so an abort, a caller that is given up for a stall and the death of the process all reset the connection. Framing that a server asks for by the parameter ends as before.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -25,6 +25,11 @@
   return HasBody && !HasLength;
 }
 
+bool isHttp11(const http_parser &Parser) {
+  return Parser.http_major > 1 ||
+         (Parser.http_major == 1 && Parser.http_minor >= 1);
+}
+
 /// Returns whether every field name is a token (RFC 9110, section 5.6.2) and no
 /// value contains a control character. http_parser accepts blanks in names; the
 /// next hop may then read another length than this process, which allows
@@ -215,6 +220,7 @@
   auto *Self = static_cast<message_reader *>(Parser->data);
   Self->HeadDone = true;
   http_head &Head = Self->Head;
+  Head.IsHttp11 = isHttp11(*Parser);
   Head.KeepAlive = http_should_keep_alive(Parser) != 0;
   if (Self->Side == side::Requests) {
     Head.Method = http_method_str(static_cast<http_method>(Parser->method));
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -62,6 +62,7 @@
   std::string Target; ///< path and query
   int Status = 0;
   header_list Headers;
+  bool IsHttp11 = false;       ///< the sender's version is HTTP/1.1 or later
   bool KeepAlive = false;      ///< the connection stays open after this message
   bool CloseDelimited = false; ///< the response has no length and ends with the
                                ///< connection
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -126,6 +126,7 @@
     ReceivingBody = false;
     Deadline.stop();
     IsHeadRequest = Incoming.Head.Method == "HEAD";
+    IsHttp11 = Incoming.Head.IsHttp11;
     if (!Incoming.Head.KeepAlive || Owner.closing())
       CloseAfterResponse = true;
     Owner.handler().onRequest(Guard, std::exchange(Incoming, {}));
@@ -185,8 +186,14 @@
     return;
   Streaming = true;
   StreamFraming = Framing;
-  if (Framing == stream_framing::Chunked)
+  if (Framing == stream_framing::Chunked && IsHttp11)
     return writeHead(Status, Headers, "Transfer-Encoding: chunked\r\n");
+  if (Framing == stream_framing::Chunked) {
+    StreamFraming = stream_framing::CloseDelimited;
+    // The system would otherwise end the response in order if this process
+    // ends.
+    resetOnClose(Socket.get());
+  }
   CloseAfterResponse = true;
   writeHead(Status, Headers, "");
 }
@@ -284,6 +291,7 @@
 }
 
 void server_connection::endOutput() {
+  finishOnClose(Socket.get());
   shutdown(bufferevent_getfd(Socket.get()), SHUT_WR);
   OutputEnded = true;
 }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -95,7 +95,9 @@
   void writeResponse(int Status, const header_list &Headers, evbuffer &Body,
                      std::shared_ptr<const void> Owner);
 
-  /// Starts a response of unknown length.
+  /// Starts a response of unknown length. A client that cannot read chunks gets
+  /// it delimited by the close of the connection; whatever ends the connection
+  /// before all of the response has been sent then resets it.
   void beginStream(int Status, const header_list &Headers,
                    stream_framing Framing = stream_framing::Chunked);
   /// Sends \p Bytes as the next part of the response.
@@ -174,6 +176,7 @@
   stream_framing StreamFraming = stream_framing::Chunked;
   bool BodyTooLarge = false;
   bool IsHeadRequest = false;
+  bool IsHttp11 = false;                   ///< the client can read chunks
   std::shared_ptr<server_connection> Self; ///< set until closed
 };
 
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -13,6 +13,14 @@
 #include <event2/http.h>
 
 namespace ebonyvale {
+namespace {
+
+void setLinger(bufferevent *Socket, const linger &Value) {
+  setsockopt(bufferevent_getfd(Socket), SOL_SOCKET, SO_LINGER, &Value,
+             sizeof(Value));
+}
+
+} // namespace
 
 void setNoDelay(bufferevent *Socket) {
   const int On = 1;
@@ -32,9 +40,11 @@
 }
 
 void resetOnClose(bufferevent *Socket) {
-  const linger Abortive{.l_onoff = 1, .l_linger = 0};
-  setsockopt(bufferevent_getfd(Socket), SOL_SOCKET, SO_LINGER, &Abortive,
-             sizeof(Abortive));
+  setLinger(Socket, {.l_onoff = 1, .l_linger = 0});
+}
+
+void finishOnClose(bufferevent *Socket) {
+  setLinger(Socket, {.l_onoff = 0, .l_linger = 0});
 }
 
 bool isConnected(bufferevent *Socket) {
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -1,16 +1,17 @@
 #include "net/server_connection.h"
 
 #include "daemon/loop_runner.h"
+#include "net/socket_client.h"
 #include "net/timer.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
-#include <cerrno>
+#include <csignal>
+#include <cstdlib>
 #include <thread>
 #include <vector>
 
@@ -44,46 +45,7 @@
   bool Disconnected = false;
 };
 
-/// A client with a blocking socket.
-class client {
-public:
-  explicit client(std::uint16_t Port)
-      : Socket(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_port = htons(Port);
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    cr_assert(connect(Socket, reinterpret_cast<sockaddr *>(&Address),
-                      sizeof(Address)) == 0);
-  }
-  ~client() { close(Socket); }
-  void send(std::string_view Bytes) const {
-    cr_assert(write(Socket, Bytes.data(), Bytes.size()) ==
-              static_cast<ssize_t>(Bytes.size()));
-  }
-  /// Returns the bytes received since the last call without waiting, about
-  /// \p MaxBytes at most. Sets `Closed` if the server has closed the
-  /// connection.
-  std::string receive(std::size_t MaxBytes = SIZE_MAX) {
-    std::string Text;
-    char Buffer[4096];
-    ssize_t Count = 1;
-    while (Text.size() < MaxBytes &&
-           (Count = recv(Socket, Buffer, sizeof(Buffer), MSG_DONTWAIT)) > 0)
-      Text.append(Buffer, static_cast<std::size_t>(Count));
-    Closed = Closed || Count == 0;
-    return Text;
-  }
-  /// Returns whether the server has reset the connection.
-  bool wasReset() const {
-    int Error = 0;
-    socklen_t Length = sizeof(Error);
-    cr_assert(getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Length) == 0);
-    return Error == EPIPE || Error == ECONNRESET;
-  }
-  int Socket;
-  bool Closed = false;
-};
+using client = socket_client;
 
 constexpr span_ns IdleNotice = 300ms;
 
@@ -154,6 +116,45 @@
   char Begin[60];
 };
 
+/// Serves on its listener until it is killed, within a stream.
+class killed_server {
+public:
+  killed_server() {
+    cr_assert(pipe(Port) == 0);
+    Process = fork();
+    if (Process == 0)
+      run();
+  }
+  ~killed_server() { waitpid(Process, nullptr, 0); }
+  killed_server(const killed_server &) = delete;
+  killed_server &operator=(const killed_server &) = delete;
+  std::uint16_t port() const {
+    std::uint16_t Value = 0;
+    cr_assert(read(Port[0], &Value, sizeof(Value)) == sizeof(Value));
+    return Value;
+  }
+
+private:
+  [[noreturn]] void run() const {
+    fixture Server;
+    const std::uint16_t Value = Server.Listener.port();
+    cr_assert(write(Port[1], &Value, sizeof(Value)) == sizeof(Value));
+    runLoopUntil(Server.Base.get(),
+                 [&] { return !Server.Handler.Connections.empty(); });
+    Server.Handler.Connections[0]->beginStream(200, {});
+    Server.Handler.Connections[0]->writeChunk("part");
+    runLoopFor(Server.Base.get(), 20ms);
+    kill(getpid(), SIGKILL);
+    abort();
+  }
+  int Port[2]{};
+  pid_t Process = 0;
+};
+
+struct version_row {
+  char Request[60];
+};
+
 struct rejection_row {
   char Bytes[280];
   request_error Reason;
@@ -471,3 +472,105 @@
   cr_assert(Server.Handler.Errors.empty());
   cr_assert(Server.Handler.Requests.size() == 1);
 }
+
+ParameterizedTestParameters(server_connection,
+                            an_http_1_0_client_is_not_sent_chunks) {
+  static version_row Rows[] = {
+      {"GET / HTTP/1.0\r\n\r\n"},
+      {"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(version_row *Row, server_connection,
+                  an_http_1_0_client_is_not_sent_chunks) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  Client.send(Row->Request);
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.Handler.Connections[0]->beginStream(200, {});
+  Server.Handler.Connections[0]->writeChunk("part");
+  runLoopFor(Server.Base.get(), 5ms);
+  Server.Handler.Connections[0]->writeChunk("rest");
+  Server.Handler.Connections[0]->endStream();
+  std::string Received;
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    Received += Client.receive();
+    return Client.Closed || Client.Reset;
+  }));
+  cr_assert(!Client.Reset);
+  cr_assert(Received.find("Connection: close\r\n") != std::string::npos);
+  cr_assert(Received.ends_with("\r\n\r\npartrest"), "%s", Received.c_str());
+}
+
+Test(server_connection,
+     an_aborted_stream_does_not_look_complete_to_an_http_1_0_client) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  Client.send("GET / HTTP/1.0\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.Handler.Connections[0]->beginStream(200, {});
+  Server.Handler.Connections[0]->writeChunk("part");
+  runLoopFor(Server.Base.get(), 5ms);
+  Server.Handler.Connections[0]->abortResponse();
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    Client.receive();
+    return Client.Closed || Client.Reset;
+  }));
+  cr_assert(Client.Reset);
+}
+
+Test(server_connection,
+     a_stream_given_up_for_a_stall_does_not_look_complete_to_http_1_0) {
+  fixture Server;
+  connection_bounds Bounds;
+  Bounds.FlushStall = 200ms;
+  Server.Listener.setBounds(Bounds, readBootClock());
+  client Client(Server.Listener.port());
+  Client.send("GET / HTTP/1.0\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.Handler.Connections[0]->beginStream(200, {});
+  Server.Handler.Connections[0]->writeChunk(std::string(LongBytes, 'x'));
+  Server.Handler.Connections[0]->endStream();
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Listener.size() == 0; }));
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    Client.receive();
+    return Client.Closed || Client.Reset;
+  }));
+  cr_assert(Client.Reset);
+}
+
+Test(server_connection,
+     a_stream_of_a_killed_process_does_not_look_complete_to_http_1_0) {
+  const killed_server Server;
+  client Client(Server.port());
+  Client.send("GET / HTTP/1.0\r\n\r\n");
+  for (int Pause = 0; Pause < 500 && !Client.Closed && !Client.Reset; ++Pause) {
+    std::this_thread::sleep_for(10ms);
+    Client.receive();
+  }
+  cr_assert(!Client.Closed);
+  cr_assert(Client.Reset);
+}
+
+Test(server_connection, an_http_1_0_client_receives_a_long_stream_whole) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  Client.send("GET / HTTP/1.0\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.Handler.Connections[0]->beginStream(200, {});
+  Server.Handler.Connections[0]->writeChunk(std::string(LongBytes, 'x'));
+  Server.Handler.Connections[0]->endStream();
+  std::string Received;
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    Received += Client.receive();
+    return Client.Closed || Client.Reset;
+  }));
+  cr_assert(!Client.Reset);
+  const std::size_t Head = Received.find("\r\n\r\n") + 4;
+  cr_assert(Received.size() - Head == LongBytes, "%zu", Received.size() - Head);
+}
