Streams without a body end with their head

A response to HEAD, or with status 204 or 304, that was begun as a stream was sent with "Transfer-Encoding: chunked" and its chunks. A caller that knows that there is no body (RFC 9110, section 6.4.1) reads the chunks, or the last one alone, as the beginning of the next response on the connection.

Cause: beginStream, writeChunk and endStream looked at neither the method nor the status. Such a stream now has its head only, and its connection stays usable.

a_stream_without_a_body_ends_with_its_head (3 cases) and a_response_of_status_204_announces_no_body failed before and pass now.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -42,6 +42,13 @@
   return recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+/// Returns whether a response with \p Status may have a body.
+bool allowsBody(int Status) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return Status != NoContent && Status != NotModified;
+}
+
 } // namespace
 
 server_connection::server_connection(connection_listener &Owner,
@@ -186,6 +193,9 @@
     return;
   Streaming = true;
   StreamFraming = Framing;
+  StreamHasBody = !IsHeadRequest && allowsBody(Status);
+  if (!StreamHasBody)
+    return writeHead(Status, Headers, "");
   if (Framing == stream_framing::Chunked && IsHttp11)
     return writeHead(Status, Headers, "Transfer-Encoding: chunked\r\n");
   if (Framing == stream_framing::Chunked) {
@@ -199,7 +209,7 @@
 }
 
 void server_connection::writeChunk(std::string_view Bytes) {
-  if (!Socket || !Streaming || Bytes.empty())
+  if (!Socket || !Streaming || !StreamHasBody || Bytes.empty())
     return;
   evbuffer *Output = bufferevent_get_output(Socket.get());
   if (StreamFraming == stream_framing::CloseDelimited) {
@@ -216,7 +226,7 @@
   if (!Socket || !Streaming)
     return;
   constexpr std::string_view LastChunk = "0\r\n\r\n";
-  if (StreamFraming == stream_framing::Chunked)
+  if (StreamHasBody && StreamFraming == stream_framing::Chunked)
     bufferevent_write(Socket.get(), LastChunk.data(), LastChunk.size());
   finishResponse();
 }
@@ -226,7 +236,8 @@
     return;
   Observer.reset();
   // An orderly end would mark the response as complete.
-  if (Streaming && StreamFraming == stream_framing::CloseDelimited) {
+  if (Streaming && StreamHasBody &&
+      StreamFraming == stream_framing::CloseDelimited) {
     resetOnClose(Socket.get());
     return close();
   }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -95,9 +95,11 @@
   void writeResponse(int Status, const header_list &Headers, evbuffer &Body,
                      std::shared_ptr<const void> Owner);
 
-  /// Starts a response of unknown length. A client that cannot read chunks gets
-  /// it delimited by the close of the connection; whatever ends the connection
-  /// before all of the response has been sent then resets it.
+  /// Starts a response of unknown length, which ends with its head if the
+  /// request or \p Status allows no body (RFC 9110, section 6.4.1). A client
+  /// that cannot read chunks gets it delimited by the close of the connection;
+  /// whatever ends the connection before all of the response has been sent then
+  /// resets it.
   void beginStream(int Status, const header_list &Headers,
                    stream_framing Framing = stream_framing::Chunked);
   /// Sends \p Bytes as the next part of the response.
@@ -174,6 +176,7 @@
   bool CloseAnnounced = false; ///< by the head of a response
   bool Streaming = false;
   stream_framing StreamFraming = stream_framing::Chunked;
+  bool StreamHasBody = true;
   bool BodyTooLarge = false;
   bool IsHeadRequest = false;
   bool IsHttp11 = false;                   ///< the client can read chunks
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -155,6 +155,11 @@
   char Request[60];
 };
 
+struct bodiless_row {
+  char Request[60];
+  int Status;
+};
+
 struct rejection_row {
   char Bytes[280];
   request_error Reason;
@@ -574,3 +579,52 @@
   const std::size_t Head = Received.find("\r\n\r\n") + 4;
   cr_assert(Received.size() - Head == LongBytes, "%zu", Received.size() - Head);
 }
+
+ParameterizedTestParameters(server_connection,
+                            a_stream_without_a_body_ends_with_its_head) {
+  static bodiless_row Rows[] = {{"HEAD / HTTP/1.1\r\n\r\n", 200},
+                                {"GET / HTTP/1.1\r\n\r\n", 204},
+                                {"GET / HTTP/1.1\r\n\r\n", 304}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(bodiless_row *Row, server_connection,
+                  a_stream_without_a_body_ends_with_its_head) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  Client.send(Row->Request);
+  Client.send("GET /2 HTTP/1.1\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.Handler.Connections[0]->beginStream(Row->Status, {});
+  Server.Handler.Connections[0]->writeChunk("part");
+  Server.Handler.Connections[0]->endStream();
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Handler.Requests.size() == 2; }));
+  Server.Handler.Connections[1]->writeResponse(200, {}, "two");
+  std::string Received;
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    Received += Client.receive();
+    return Received.ends_with("two");
+  }));
+  const std::size_t HeadEnd = Received.find("\r\n\r\n") + 4;
+  cr_assert(Received.substr(HeadEnd).starts_with("HTTP/1.1 200 "), "%s",
+            Received.c_str());
+}
+
+Test(server_connection, a_response_of_status_204_announces_no_body) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  Client.send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.Handler.Connections[0]->beginStream(204, {});
+  Server.Handler.Connections[0]->endStream();
+  std::string Received;
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    Received += Client.receive();
+    return Client.Closed;
+  }));
+  cr_assert(Received.find("Transfer-Encoding") == std::string::npos, "%s",
+            Received.c_str());
+}
