HTTP/1.0 callers get no interim response

An HTTP/1.0 caller that sent "Expect: 100-continue" got "HTTP/1.1 100 Continue" before the response. Interim responses are of HTTP/1.1, and such a caller takes this one for the final one; RFC 9110, section 10.1.1, requires that the field is ignored there.

Cause: onMessageHead did not look at the version.

an_http_1_0_client_gets_no_interim_response failed before and passes now.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -86,8 +86,9 @@
   armTimer();
   BodySince = QuietSince;
   // A client that sends `Expect` waits for this interim response before it
-  // sends the body (RFC 9110, section 10.1.1).
-  if (Incoming.Head.Headers.find("Expect")) {
+  // sends the body; one of HTTP/1.0 takes it for the response (RFC 9110,
+  // section 10.1.1).
+  if (Incoming.Head.IsHttp11 && Incoming.Head.Headers.find("Expect")) {
     constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
     bufferevent_write(Socket.get(), Continue.data(), Continue.size());
   }
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -628,3 +628,15 @@
   cr_assert(Received.find("Transfer-Encoding") == std::string::npos, "%s",
             Received.c_str());
 }
+
+Test(server_connection, an_http_1_0_client_gets_no_interim_response) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  Client.send("POST / HTTP/1.0\r\nExpect: 100-continue\r\n"
+              "Content-Length: 1\r\n\r\n");
+  runLoopFor(Server.Base.get(), 20ms);
+  cr_assert(Client.receive().empty());
+  Client.send("x");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Requests.empty(); }));
+}
