HTTP/1.0 callers that keep their connection are told that it stays open

A response to an HTTP/1.0 request with "Connection: keep-alive" kept the connection open but did not say so. Without the option in the response such a caller expects the close (RFC 9112, section 9.3), and one that reads to the end waits for the idle timeout.

Cause: writeHead named only the close. It now writes "Connection: keep-alive" to such callers.

an_http_1_0_client_that_keeps_alive_is_told_so failed before and passes now; an_http_1_0_client_gets_a_response_until_its_close passed before, too.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -158,8 +158,11 @@
   if (Owner.closing())
     CloseAfterResponse = true;
   CloseAnnounced = CloseAfterResponse;
-  fmt::format_to(fmt::appender(Out), "{}{}\r\n",
-                 CloseAfterResponse ? "Connection: close\r\n" : "", Framing);
+  if (CloseAfterResponse)
+    Out.append(std::string_view("Connection: close\r\n"));
+  else if (!IsHttp11)
+    Out.append(std::string_view("Connection: keep-alive\r\n"));
+  fmt::format_to(fmt::appender(Out), "{}\r\n", Framing);
   bufferevent_write(Socket.get(), Out.data(), Out.size());
 }
 
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -629,6 +629,43 @@
             Received.c_str());
 }
 
+Test(server_connection, an_http_1_0_client_that_keeps_alive_is_told_so) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  const std::string Request =
+      "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
+  Client.send(Request);
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.Handler.Connections[0]->writeResponse(200, {}, "one");
+  std::string Received;
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    Received += Client.receive();
+    return Received.ends_with("one");
+  }));
+  cr_assert(Received.find("Connection: keep-alive\r\n") != std::string::npos,
+            "%s", Received.c_str());
+  Client.send(Request);
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return Server.Handler.Requests.size() == 2; }));
+}
+
+Test(server_connection, an_http_1_0_client_gets_a_response_until_its_close) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  Client.send("GET / HTTP/1.0\r\n\r\n");
+  cr_assert(runLoopUntil(Server.Base.get(),
+                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.Handler.Connections[0]->writeResponse(200, {}, "one");
+  std::string Received;
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    Received += Client.receive();
+    return Client.Closed;
+  }));
+  cr_assert(Received.find("Content-Length: 3\r\n") != std::string::npos);
+  cr_assert(Received.ends_with("\r\n\r\none"), "%s", Received.c_str());
+}
+
 Test(server_connection, an_http_1_0_client_gets_no_interim_response) {
   fixture Server;
   client Client(Server.Listener.port());
