Refusals of unreadable requests: a body for all but HEAD

A HEAD request that was refused while it was being read (body too large, timed out) got the body of the refusal, and bytes that are no request, after a HEAD on the same connection, got a refusal without the body that its length announced.

Cause: rejectRequest used the method of the last complete request. It now uses the one of the request that is refused.

only_a_refused_head_request_gets_no_body (2 cases) failed before and passes now.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -145,6 +145,7 @@
   Phase = phase::Responding;
   ReceivingBody = false;
   CloseAfterResponse = true;
+  IsHeadRequest = Incoming.Head.Method == "HEAD";
   Owner.handler().onRequestError(*this, Reason);
 }
 
--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -160,6 +160,11 @@
   int Status;
 };
 
+struct refused_row {
+  char Bytes[80];
+  bool HasBody;
+};
+
 struct rejection_row {
   char Bytes[280];
   request_error Reason;
@@ -677,3 +682,32 @@
   cr_assert(runLoopUntil(Server.Base.get(),
                          [&] { return !Server.Handler.Requests.empty(); }));
 }
+
+ParameterizedTestParameters(server_connection,
+                            only_a_refused_head_request_gets_no_body) {
+  static refused_row Rows[] = {
+      {"HEAD / HTTP/1.1\r\nContent-Length: 11\r\n\r\n01234567890", false},
+      {"HEAD / HTTP/1.1\r\n\r\nnonsense\r\n\r\n", true}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(refused_row *Row, server_connection,
+                  only_a_refused_head_request_gets_no_body) {
+  fixture Server;
+  client Client(Server.Listener.port());
+  Client.send(Row->Bytes);
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    return Server.Listener.size() == 1 &&
+           (!Server.Handler.Requests.empty() || !Server.Handler.Errors.empty());
+  }));
+  if (!Server.Handler.Connections.empty())
+    Server.Handler.Connections[0]->writeResponse(200, {}, "");
+  std::string Received;
+  cr_assert(runLoopUntil(Server.Base.get(), [&] {
+    Received += Client.receive();
+    return Client.Closed;
+  }));
+  cr_assert(Server.Handler.Errors.size() == 1);
+  cr_assert(Received.ends_with("\r\n\r\nno") == Row->HasBody, "%s",
+            Received.c_str());
+}
