Dropped streams of evhttp's server are broken off, not ended

A stream whose response_writer was destroyed before its end got the last chunk, or the orderly close that ends it for an HTTP/1.0 client, and looked complete. In the daemon sessions end their streams themselves, so no case at callers is known; the watches of the fake key-value store ended so.

Cause: ~response_writer called endStream. It now shuts down reading, and evhttp frees the connection without the last chunk; a stream that ends with its connection is reset at once, since evhttp shuts down the write side before it closes a socket, which SO_LINGER does not prevent.

a_dropped_stream_does_not_look_complete and, in two cases, the one for HTTP/1.0 failed before and pass now.

--- a/src/net/response_writer.cpp
+++ b/src/net/response_writer.cpp
@@ -1,8 +1,13 @@
 #include "net/response_writer.h"
 
+#include "net/socket_options.h"
+
+#include <sys/socket.h>
+
 #include <utility>
 
 #include <event2/bufferevent.h>
+#include <event2/http_struct.h>
 
 namespace ebonyvale {
 namespace {
@@ -23,7 +28,7 @@
   if (!Request)
     return;
   if (Streaming)
-    endStream();
+    abortStream();
   else
     sendComplete(500, "text/plain", "");
 }
@@ -44,6 +49,8 @@
   if (!Request)
     return;
   Streaming = true;
+  CloseDelimited =
+      Request->major < 1 || (Request->major == 1 && Request->minor < 1);
   setOutputHeader(Request, "Content-Type", "text/event-stream");
   setOutputHeader(Request, "Cache-Control", "no-cache");
   evhttp_send_reply_start(Request, 200, "OK");
@@ -64,6 +71,18 @@
   evhttp_send_reply_end(detach());
 }
 
+void response_writer::abortStream() {
+  evhttp_connection *Connection =
+      evhttp_request_get_connection(std::exchange(Request, nullptr));
+  evhttp_connection_set_closecb(Connection, nullptr, nullptr);
+  bufferevent *Socket = evhttp_connection_get_bufferevent(Connection);
+  // evhttp may be using the connection; it reads the end and frees it.
+  if (CloseDelimited)
+    resetNow(Socket);
+  else
+    shutdown(bufferevent_getfd(Socket), SHUT_RD);
+}
+
 std::size_t response_writer::unsentBytes() const {
   if (!Request)
     return 0;
--- a/src/net/response_writer.h
+++ b/src/net/response_writer.h
@@ -27,7 +27,7 @@
 };
 
 /// Owns an evhttp request until its response has ended. If it is destroyed
-/// before, it ends an open stream or responds with status 500.
+/// before, it breaks off an open stream or responds with status 500.
 class response_writer {
 public:
   response_writer(evhttp_request *Request, response_writer_observer &Observer);
@@ -70,12 +70,15 @@
   static void onClosedUnflushed(evhttp_connection *, void *);
   static void onClose(evhttp_connection *, void *Self);
   static void onWritten(evhttp_connection *, void *Self);
+  /// Breaks off the stream, so that the client sees that it is incomplete.
+  void abortStream();
   /// Gives up the request, whose response ends now, and counts it as unflushed.
   evhttp_request *detach();
 
   evhttp_request *Request;
   response_writer_observer *Observer;
   bool Streaming = false;
+  bool CloseDelimited = false; ///< the close of the connection ends the stream
 };
 
 } // namespace ebonyvale
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -47,6 +47,12 @@
   setLinger(Socket, {.l_onoff = 0, .l_linger = 0});
 }
 
+void resetNow(bufferevent *Socket) {
+  sockaddr Unspecified{};
+  Unspecified.sa_family = AF_UNSPEC;
+  connect(bufferevent_getfd(Socket), &Unspecified, sizeof(Unspecified));
+}
+
 bool isConnected(bufferevent *Socket) {
   sockaddr_storage Peer{};
   socklen_t Length = sizeof(Peer);
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -25,6 +25,10 @@
 /// system has yet to send.
 void resetOnClose(bufferevent *Socket);
 
+/// Sends a reset on the connection of \p Socket, which stays open as a socket
+/// that is not connected.
+void resetNow(bufferevent *Socket);
+
 /// Makes closing \p Socket end the stream in order, after the bytes that the
 /// system has yet to send.
 void finishOnClose(bufferevent *Socket);
--- /dev/null
+++ b/tests/net/response_writer_test.cpp
@@ -0,0 +1,93 @@
+#include "net/response_writer.h"
+
+#include "daemon/loop_runner.h"
+#include "net/socket_client.h"
+#include "net/timer.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <memory>
+
+using namespace ebonyvale;
+using namespace std::chrono_literals;
+
+namespace {
+
+class observer final : public response_writer_observer {
+public:
+  void onClientDisconnected() override {}
+  void onDrained() override {}
+};
+
+/// Starts a stream for each request and leaves it open.
+struct fixture {
+  fixture() { cr_assert(!Server.listen("127.0.0.1", 0)); }
+  /// Waits until the stream for \p Client has started and received its first
+  /// chunk.
+  void startStream(const socket_client &Client, std::string_view Request) {
+    Client.send(Request);
+    cr_assert(runLoopUntil(Base.get(), [&] { return Writer != nullptr; }));
+    Writer->startStream();
+    Writer->sendChunk("part");
+    runLoopFor(Base.get(), 5ms);
+  }
+  std::string receiveAll(socket_client &Client) const {
+    std::string Received;
+    cr_assert(runLoopUntil(Base.get(), [&] {
+      Received += Client.receive();
+      return Client.Closed || Client.Reset;
+    }));
+    return Received;
+  }
+  event_base_ptr Base{event_base_new()};
+  observer Observer;
+  std::unique_ptr<response_writer> Writer;
+  http_server Server{
+      Base.get(), http_bounds{}, [this](evhttp_request *Request) {
+        Writer = std::make_unique<response_writer>(Request, Observer);
+      }};
+};
+
+struct version_row {
+  char Request[60];
+};
+
+} // namespace
+
+Test(response_writer, a_dropped_stream_does_not_look_complete) {
+  fixture Fixture;
+  socket_client Client(Fixture.Server.port());
+  Fixture.startStream(Client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  Fixture.Writer.reset();
+  const std::string Received = Fixture.receiveAll(Client);
+  cr_assert(Received.ends_with("4\r\npart\r\n"), "%s", Received.c_str());
+}
+
+ParameterizedTestParameters(
+    response_writer, a_dropped_stream_does_not_look_complete_to_http_1_0) {
+  static version_row Rows[] = {
+      {"GET / HTTP/1.0\r\n\r\n"},
+      {"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(version_row *Row, response_writer,
+                  a_dropped_stream_does_not_look_complete_to_http_1_0) {
+  fixture Fixture;
+  socket_client Client(Fixture.Server.port());
+  Fixture.startStream(Client, Row->Request);
+  Fixture.Writer.reset();
+  Fixture.receiveAll(Client);
+  cr_assert(Client.Reset);
+}
+
+Test(response_writer, a_stream_in_response_to_head_has_no_body) {
+  fixture Fixture;
+  socket_client Client(Fixture.Server.port());
+  Fixture.startStream(Client, "HEAD / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  Fixture.Writer->endStream();
+  const std::string Received = Fixture.receiveAll(Client);
+  cr_assert(Received.ends_with("\r\n\r\n"), "%s", Received.c_str());
+  cr_assert(Received.find("part") == std::string::npos);
+}
