evhttp's server: HTTP/1.0 callers that keep their connection get their streams

A stream for an HTTP/1.0 caller with "Connection: keep-alive" had the field "Content-Length: 0" and then its events: the caller saw an empty response, and the events as the beginning of the next one. The connection stayed open.

Cause: evhttp adds a length to each response on such a connection, here that of the body before the first event. startStream now removes the option from the request, so that evhttp closes the connection after the stream.

an_http_1_0_client_reads_a_stream_until_its_close failed before with keep-alive (1 of 2 cases) and passes now; a_long_stream_reaches_an_http_1_0_client_whole passed before, too.

--- a/src/net/response_writer.cpp
+++ b/src/net/response_writer.cpp
@@ -8,6 +8,7 @@
 
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
 
 namespace ebonyvale {
 namespace {
@@ -51,6 +52,10 @@
   Streaming = true;
   CloseDelimited =
       Request->major < 1 || (Request->major == 1 && Request->minor < 1);
+  // evhttp would announce an empty body to keep such a connection.
+  if (CloseDelimited)
+    evhttp_remove_header(evhttp_request_get_input_headers(Request),
+                         "Connection");
   setOutputHeader(Request, "Content-Type", "text/event-stream");
   setOutputHeader(Request, "Cache-Control", "no-cache");
   evhttp_send_reply_start(Request, 200, "OK");
--- a/tests/net/response_writer_test.cpp
+++ b/tests/net/response_writer_test.cpp
@@ -22,7 +22,7 @@
 
 /// Starts a stream for each request and leaves it open.
 struct fixture {
-  fixture() { cr_assert(!Server.listen("127.0.0.1", 0)); }
+  fixture() { cr_assert(!Server->listen("127.0.0.1", 0)); }
   /// Waits until the stream for \p Client has started and received its first
   /// chunk.
   void startStream(const socket_client &Client, std::string_view Request) {
@@ -43,10 +43,10 @@
   event_base_ptr Base{event_base_new()};
   observer Observer;
   std::unique_ptr<response_writer> Writer;
-  http_server Server{
+  std::unique_ptr<http_server> Server = std::make_unique<http_server>(
       Base.get(), http_bounds{}, [this](evhttp_request *Request) {
         Writer = std::make_unique<response_writer>(Request, Observer);
-      }};
+      });
 };
 
 struct version_row {
@@ -57,7 +57,7 @@
 
 Test(response_writer, a_dropped_stream_does_not_look_complete) {
   fixture Fixture;
-  socket_client Client(Fixture.Server.port());
+  socket_client Client(Fixture.Server->port());
   Fixture.startStream(Client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   Fixture.Writer.reset();
   const std::string Received = Fixture.receiveAll(Client);
@@ -75,19 +75,54 @@
 ParameterizedTest(version_row *Row, response_writer,
                   a_dropped_stream_does_not_look_complete_to_http_1_0) {
   fixture Fixture;
-  socket_client Client(Fixture.Server.port());
+  socket_client Client(Fixture.Server->port());
   Fixture.startStream(Client, Row->Request);
   Fixture.Writer.reset();
   Fixture.receiveAll(Client);
   cr_assert(Client.Reset);
 }
 
+ParameterizedTestParameters(response_writer,
+                            an_http_1_0_client_reads_a_stream_until_its_close) {
+  static version_row Rows[] = {
+      {"GET / HTTP/1.0\r\n\r\n"},
+      {"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(version_row *Row, response_writer,
+                  an_http_1_0_client_reads_a_stream_until_its_close) {
+  fixture Fixture;
+  socket_client Client(Fixture.Server->port());
+  Fixture.startStream(Client, Row->Request);
+  Fixture.Writer->sendChunk("rest");
+  Fixture.Writer->endStream();
+  const std::string Received = Fixture.receiveAll(Client);
+  cr_assert(!Client.Reset);
+  cr_assert(Received.find("Content-Length") == std::string::npos, "%s",
+            Received.c_str());
+  cr_assert(Received.ends_with("\r\n\r\npartrest"), "%s", Received.c_str());
+}
+
 Test(response_writer, a_stream_in_response_to_head_has_no_body) {
   fixture Fixture;
-  socket_client Client(Fixture.Server.port());
+  socket_client Client(Fixture.Server->port());
   Fixture.startStream(Client, "HEAD / HTTP/1.1\r\nConnection: close\r\n\r\n");
   Fixture.Writer->endStream();
   const std::string Received = Fixture.receiveAll(Client);
   cr_assert(Received.ends_with("\r\n\r\n"), "%s", Received.c_str());
   cr_assert(Received.find("part") == std::string::npos);
 }
+
+Test(response_writer, a_long_stream_reaches_an_http_1_0_client_whole) {
+  constexpr std::size_t LongBytes = 16'000'000;
+  fixture Fixture;
+  socket_client Client(Fixture.Server->port());
+  Fixture.startStream(Client, "GET / HTTP/1.0\r\n\r\n");
+  Fixture.Writer->sendChunk(std::string(LongBytes, 'x'));
+  Fixture.Writer->endStream();
+  const std::string Received = Fixture.receiveAll(Client);
+  cr_assert(!Client.Reset);
+  const std::size_t BodyBegin = Received.find("\r\n\r\npart") + 8;
+  cr_assert(Received.size() - BodyBegin == LongBytes);
+}
