evhttp's server: streams for HTTP/1.0 callers that end early are reset

When the process died or the server was destroyed (a second stop request, the end of the drain time) during a stream for an HTTP/1.0 caller, or before all of an ended one had been sent, the connection ended in order and the stream looked complete.

Cause: such a stream is delimited by the close of its connection, and the system as well as evhttp close in order. SO_LINGER with zero time now holds from the head of such a stream until its last byte has been written to the socket, and a connection that evhttp frees before is reset first.

--- a/src/net/response_writer.cpp
+++ b/src/net/response_writer.cpp
@@ -8,7 +8,6 @@
 
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 
 namespace ebonyvale {
 namespace {
@@ -16,6 +15,11 @@
 /// Ended responses whose last bytes have not been written to the socket.
 thread_local std::size_t Unflushed = 0;
 
+bufferevent *socketOf(evhttp_request *Request) {
+  return evhttp_connection_get_bufferevent(
+      evhttp_request_get_connection(Request));
+}
+
 } // namespace
 
 response_writer::response_writer(evhttp_request *Request,
@@ -53,9 +57,12 @@
   CloseDelimited =
       Request->major < 1 || (Request->major == 1 && Request->minor < 1);
   // evhttp would announce an empty body to keep such a connection.
-  if (CloseDelimited)
+  if (CloseDelimited) {
     evhttp_remove_header(evhttp_request_get_input_headers(Request),
                          "Connection");
+    // The system would otherwise end the stream in order if this process ends.
+    resetOnClose(socketOf(Request));
+  }
   setOutputHeader(Request, "Content-Type", "text/event-stream");
   setOutputHeader(Request, "Cache-Control", "no-cache");
   evhttp_send_reply_start(Request, 200, "OK");
@@ -91,13 +98,14 @@
 std::size_t response_writer::unsentBytes() const {
   if (!Request)
     return 0;
-  bufferevent *Socket =
-      evhttp_connection_get_bufferevent(evhttp_request_get_connection(Request));
-  return evbuffer_get_length(bufferevent_get_output(Socket));
+  return evbuffer_get_length(bufferevent_get_output(socketOf(Request)));
 }
 
-void response_writer::onClose(evhttp_connection *, void *Self) {
+void response_writer::onClose(evhttp_connection *Connection, void *Self) {
   auto *Writer = static_cast<response_writer *>(Self);
+  // evhttp ends the stream in order when it frees a connection.
+  if (Writer->CloseDelimited)
+    resetNow(evhttp_connection_get_bufferevent(Connection));
   // evhttp frees the request together with its connection.
   Writer->Request = nullptr;
   Writer->Observer->onClientDisconnected();
@@ -115,7 +123,10 @@
   evhttp_request_set_on_complete_cb(Ended, &response_writer::onFlushed,
                                     nullptr);
   evhttp_connection_set_closecb(evhttp_request_get_connection(Ended),
-                                &response_writer::onClosedUnflushed, nullptr);
+                                CloseDelimited
+                                    ? &response_writer::onStreamClosedUnflushed
+                                    : &response_writer::onClosedUnflushed,
+                                nullptr);
   return Ended;
 }
 
@@ -123,6 +134,7 @@
 
 void response_writer::onFlushed(evhttp_request *Ended, void *) {
   --Unflushed;
+  finishOnClose(socketOf(Ended));
   evhttp_connection_set_closecb(evhttp_request_get_connection(Ended), nullptr,
                                 nullptr);
 }
@@ -131,4 +143,10 @@
   --Unflushed;
 }
 
+void response_writer::onStreamClosedUnflushed(evhttp_connection *Connection,
+                                              void *) {
+  --Unflushed;
+  resetNow(evhttp_connection_get_bufferevent(Connection));
+}
+
 } // namespace ebonyvale
--- a/src/net/response_writer.h
+++ b/src/net/response_writer.h
@@ -68,7 +68,8 @@
 private:
   static void onFlushed(evhttp_request *Ended, void *);
   static void onClosedUnflushed(evhttp_connection *, void *);
-  static void onClose(evhttp_connection *, void *Self);
+  static void onStreamClosedUnflushed(evhttp_connection *Connection, void *);
+  static void onClose(evhttp_connection *Connection, void *Self);
   static void onWritten(evhttp_connection *, void *Self);
   /// Breaks off the stream, so that the client sees that it is incomplete.
   void abortStream();
--- a/tests/net/response_writer_test.cpp
+++ b/tests/net/response_writer_test.cpp
@@ -7,7 +7,13 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <csignal>
+#include <cstdlib>
 #include <memory>
+#include <thread>
+
+#include <event2/event.h>
+#include <sys/wait.h>
 
 using namespace ebonyvale;
 using namespace std::chrono_literals;
@@ -114,6 +120,16 @@
   cr_assert(Received.find("part") == std::string::npos);
 }
 
+Test(response_writer,
+     a_stream_of_a_destroyed_server_does_not_look_complete_to_http_1_0) {
+  fixture Fixture;
+  socket_client Client(Fixture.Server->port());
+  Fixture.startStream(Client, "GET / HTTP/1.0\r\n\r\n");
+  Fixture.Server.reset();
+  Fixture.receiveAll(Client);
+  cr_assert(Client.Reset);
+}
+
 Test(response_writer, a_long_stream_reaches_an_http_1_0_client_whole) {
   constexpr std::size_t LongBytes = 16'000'000;
   fixture Fixture;
@@ -126,3 +142,41 @@
   const std::size_t BodyBegin = Received.find("\r\n\r\npart") + 8;
   cr_assert(Received.size() - BodyBegin == LongBytes);
 }
+
+Test(response_writer,
+     an_unsent_end_of_a_destroyed_server_does_not_look_complete_to_http_1_0) {
+  fixture Fixture;
+  socket_client Client(Fixture.Server->port());
+  Fixture.startStream(Client, "GET / HTTP/1.0\r\n\r\n");
+  Fixture.Writer->sendChunk(std::string(16'000'000, 'x'));
+  Fixture.Writer->endStream();
+  Fixture.Server.reset();
+  Fixture.receiveAll(Client);
+  cr_assert(Client.Reset);
+}
+
+Test(response_writer,
+     a_stream_of_a_killed_process_does_not_look_complete_to_http_1_0) {
+  fixture Fixture;
+  const std::uint16_t Port = Fixture.Server->port();
+  const pid_t Process = fork();
+  if (Process == 0) {
+    event_reinit(Fixture.Base.get());
+    runLoopUntil(Fixture.Base.get(), [&] { return Fixture.Writer != nullptr; });
+    Fixture.Writer->startStream();
+    Fixture.Writer->sendChunk("part");
+    runLoopFor(Fixture.Base.get(), 20ms);
+    kill(getpid(), SIGKILL);
+    abort();
+  }
+  Fixture.Server.reset();
+  socket_client Client(Port);
+  Client.send("GET / HTTP/1.0\r\n\r\n");
+  for (int Pause = 0; Pause < 500 && !Client.Closed && !Client.Reset; ++Pause) {
+    std::this_thread::sleep_for(10ms);
+    Client.receive();
+  }
+  waitpid(Process, nullptr, 0);
+  cr_assert(!Client.Closed);
+  cr_assert(Client.Reset);
+}
