evhttp's server: complete responses to HTTP/1.0 callers announce their length

A response to an HTTP/1.0 caller that does not keep its connection had no Content-Length. It ended with its connection, so one of which only a part had been sent when the process ended looked complete.

Cause: evhttp adds the length only where the connection may stay open. sendResponse now sets it itself.

a_complete_response_announces_its_length failed before for HTTP/1.0 without keep-alive (1 of 3 cases) and passes now.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -149,6 +149,12 @@
 void sendResponse(evhttp_request *Request, int Status,
                   const std::string &ContentType, std::string_view Body) {
   setOutputHeader(Request, "Content-Type", ContentType);
+  // evhttp announces no length to HTTP/1.0 clients, which would take a response
+  // that breaks off for a complete one.
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  if (Status != NoContent && Status != NotModified)
+    setOutputHeader(Request, "Content-Length", fmt::format("{}", Body.size()));
   const evbuffer_ptr Buffer(evbuffer_new());
   evbuffer_add(Buffer.get(), Body.data(), Body.size());
   evhttp_send_reply(Request, Status, reasonPhrase(Status), Buffer.get());
--- a/tests/net/response_writer_test.cpp
+++ b/tests/net/response_writer_test.cpp
@@ -55,6 +55,11 @@
       });
 };
 
+struct complete_row {
+  char Request[60];
+  bool HasBody;
+};
+
 struct version_row {
   char Request[60];
 };
@@ -180,3 +185,33 @@
   cr_assert(!Client.Closed);
   cr_assert(Client.Reset);
 }
+
+ParameterizedTestParameters(response_writer,
+                            a_complete_response_announces_its_length) {
+  static complete_row Rows[] = {
+      {"GET / HTTP/1.0\r\n\r\n", true},
+      {"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", true},
+      {"GET / HTTP/1.1\r\n\r\n", true}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(complete_row *Row, response_writer,
+                  a_complete_response_announces_its_length) {
+  fixture Fixture;
+  socket_client Client(Fixture.Server->port());
+  Client.send(Row->Request);
+  cr_assert(runLoopUntil(Fixture.Base.get(),
+                         [&] { return Fixture.Writer != nullptr; }));
+  Fixture.Writer->sendComplete(200, "text/plain", "whole");
+  std::string Received;
+  cr_assert(runLoopUntil(Fixture.Base.get(), [&] {
+    Received += Client.receive();
+    return Received.find("\r\n\r\n") != std::string::npos;
+  }));
+  runLoopFor(Fixture.Base.get(), 10ms);
+  Received += Client.receive();
+  cr_assert(Received.ends_with("\r\n\r\nwhole") == Row->HasBody, "%s",
+            Received.c_str());
+  cr_assert(Received.find("Content-Length: 5\r\n") != std::string::npos, "%s",
+            Received.c_str());
+}
