evhttp's server: responses to HEAD have no body

A complete response to HEAD had its body. On a connection that stays open the caller takes it for the beginning of the next response.

Cause: evhttp_send_reply sends the body whatever the method. sendResponse now passes none for HEAD and still announces the length.

The HEAD cases of a_complete_response_announces_its_length (2 of 5) failed before and pass now.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -156,7 +156,9 @@
   if (Status != NoContent && Status != NotModified)
     setOutputHeader(Request, "Content-Length", fmt::format("{}", Body.size()));
   const evbuffer_ptr Buffer(evbuffer_new());
-  evbuffer_add(Buffer.get(), Body.data(), Body.size());
+  // evhttp would send the body in response to HEAD, too.
+  if (evhttp_request_get_command(Request) != EVHTTP_REQ_HEAD)
+    evbuffer_add(Buffer.get(), Body.data(), Body.size());
   evhttp_send_reply(Request, Status, reasonPhrase(Status), Buffer.get());
 }
 
--- a/tests/net/response_writer_test.cpp
+++ b/tests/net/response_writer_test.cpp
@@ -191,7 +191,9 @@
   static complete_row Rows[] = {
       {"GET / HTTP/1.0\r\n\r\n", true},
       {"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", true},
-      {"GET / HTTP/1.1\r\n\r\n", true}};
+      {"GET / HTTP/1.1\r\n\r\n", true},
+      {"HEAD / HTTP/1.0\r\n\r\n", false},
+      {"HEAD / HTTP/1.1\r\n\r\n", false}};
   return criterion_test_params(Rows);
 }
 
