--- a/src/net/response_writer.cpp
+++ b/src/net/response_writer.cpp
@@ -1,8 +1,13 @@
 #include "net/response_writer.h"
 
+#include "net/socket_options.h"
+
+#include <sys/socket.h>
+
 #include <utility>
 
 #include <event2/bufferevent.h>
+#include <event2/http_struct.h>
 
 namespace ebonyvale {
 namespace {
@@ -10,6 +15,11 @@
 /// Ended responses whose last bytes have not been written to the socket.
 thread_local std::size_t Unflushed = 0;
 
+bufferevent *socketOf(evhttp_request *Request) {
+  return evhttp_connection_get_bufferevent(
+      evhttp_request_get_connection(Request));
+}
+
 } // namespace
 
 response_writer::response_writer(evhttp_request *Request,
@@ -23,7 +33,7 @@
   if (!Request)
     return;
   if (Streaming)
-    endStream();
+    abortStream();
   else
     sendComplete(500, "text/plain", "");
 }
@@ -44,6 +54,15 @@
   if (!Request)
     return;
   Streaming = true;
+  CloseDelimited =
+      Request->major < 1 || (Request->major == 1 && Request->minor < 1);
+  // evhttp would announce an empty body to keep such a connection.
+  if (CloseDelimited) {
+    evhttp_remove_header(evhttp_request_get_input_headers(Request),
+                         "Connection");
+    // The system would otherwise end the stream in order if this process ends.
+    resetOnClose(socketOf(Request));
+  }
   setOutputHeader(Request, "Content-Type", "text/event-stream");
   setOutputHeader(Request, "Cache-Control", "no-cache");
   evhttp_send_reply_start(Request, 200, "OK");
@@ -64,16 +83,29 @@
   evhttp_send_reply_end(detach());
 }
 
+void response_writer::abortStream() {
+  evhttp_connection *Connection =
+      evhttp_request_get_connection(std::exchange(Request, nullptr));
+  evhttp_connection_set_closecb(Connection, nullptr, nullptr);
+  bufferevent *Socket = evhttp_connection_get_bufferevent(Connection);
+  // evhttp may be using the connection; it reads the end and frees it.
+  if (CloseDelimited)
+    resetNow(Socket);
+  else
+    shutdown(bufferevent_getfd(Socket), SHUT_RD);
+}
+
 std::size_t response_writer::unsentBytes() const {
   if (!Request)
     return 0;
-  bufferevent *Socket =
-      evhttp_connection_get_bufferevent(evhttp_request_get_connection(Request));
-  return evbuffer_get_length(bufferevent_get_output(Socket));
+  return evbuffer_get_length(bufferevent_get_output(socketOf(Request)));
 }
 
-void response_writer::onClose(evhttp_connection *, void *Self) {
+void response_writer::onClose(evhttp_connection *Connection, void *Self) {
   auto *Writer = static_cast<response_writer *>(Self);
+  // evhttp ends the stream in order when it frees a connection.
+  if (Writer->CloseDelimited)
+    resetNow(evhttp_connection_get_bufferevent(Connection));
   // evhttp frees the request together with its connection.
   Writer->Request = nullptr;
   Writer->Observer->onClientDisconnected();
@@ -91,7 +123,10 @@
   evhttp_request_set_on_complete_cb(Ended, &response_writer::onFlushed,
                                     nullptr);
   evhttp_connection_set_closecb(evhttp_request_get_connection(Ended),
-                                &response_writer::onClosedUnflushed, nullptr);
+                                CloseDelimited
+                                    ? &response_writer::onStreamClosedUnflushed
+                                    : &response_writer::onClosedUnflushed,
+                                nullptr);
   return Ended;
 }
 
@@ -99,6 +134,7 @@
 
 void response_writer::onFlushed(evhttp_request *Ended, void *) {
   --Unflushed;
+  finishOnClose(socketOf(Ended));
   evhttp_connection_set_closecb(evhttp_request_get_connection(Ended), nullptr,
                                 nullptr);
 }
@@ -107,4 +143,10 @@
   --Unflushed;
 }
 
+void response_writer::onStreamClosedUnflushed(evhttp_connection *Connection,
+                                              void *) {
+  --Unflushed;
+  resetNow(evhttp_connection_get_bufferevent(Connection));
+}
+
 } // namespace ebonyvale
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -42,6 +42,13 @@
   return recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+/// Returns whether a response with \p Status may have a body.
+bool allowsBody(int Status) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return Status != NoContent && Status != NotModified;
+}
+
 } // namespace
 
 server_connection::server_connection(connection_listener &Owner,
@@ -79,8 +86,9 @@
   armTimer();
   BodySince = QuietSince;
   // A client that sends `Expect` waits for this interim response before it
-  // sends the body (RFC 9110, section 10.1.1).
-  if (Incoming.Head.Headers.find("Expect")) {
+  // sends the body; one of HTTP/1.0 takes it for the response (RFC 9110,
+  // section 10.1.1).
+  if (Incoming.Head.IsHttp11 && Incoming.Head.Headers.find("Expect")) {
     constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
     bufferevent_write(Socket.get(), Continue.data(), Continue.size());
   }
@@ -126,6 +134,7 @@
     ReceivingBody = false;
     Deadline.stop();
     IsHeadRequest = Incoming.Head.Method == "HEAD";
+    IsHttp11 = Incoming.Head.IsHttp11;
     if (!Incoming.Head.KeepAlive || Owner.closing())
       CloseAfterResponse = true;
     Owner.handler().onRequest(Guard, std::exchange(Incoming, {}));
@@ -136,6 +145,7 @@
   Phase = phase::Responding;
   ReceivingBody = false;
   CloseAfterResponse = true;
+  IsHeadRequest = Incoming.Head.Method == "HEAD";
   Owner.handler().onRequestError(*this, Reason);
 }
 
@@ -149,8 +159,11 @@
   if (Owner.closing())
     CloseAfterResponse = true;
   CloseAnnounced = CloseAfterResponse;
-  fmt::format_to(fmt::appender(Out), "{}{}\r\n",
-                 CloseAfterResponse ? "Connection: close\r\n" : "", Framing);
+  if (CloseAfterResponse)
+    Out.append(std::string_view("Connection: close\r\n"));
+  else if (!IsHttp11)
+    Out.append(std::string_view("Connection: keep-alive\r\n"));
+  fmt::format_to(fmt::appender(Out), "{}\r\n", Framing);
   bufferevent_write(Socket.get(), Out.data(), Out.size());
 }
 
@@ -185,14 +198,23 @@
     return;
   Streaming = true;
   StreamFraming = Framing;
-  if (Framing == stream_framing::Chunked)
+  StreamHasBody = !IsHeadRequest && allowsBody(Status);
+  if (!StreamHasBody)
+    return writeHead(Status, Headers, "");
+  if (Framing == stream_framing::Chunked && IsHttp11)
     return writeHead(Status, Headers, "Transfer-Encoding: chunked\r\n");
+  if (Framing == stream_framing::Chunked) {
+    StreamFraming = stream_framing::CloseDelimited;
+    // The system would otherwise end the response in order if this process
+    // ends.
+    resetOnClose(Socket.get());
+  }
   CloseAfterResponse = true;
   writeHead(Status, Headers, "");
 }
 
 void server_connection::writeChunk(std::string_view Bytes) {
-  if (!Socket || !Streaming || Bytes.empty())
+  if (!Socket || !Streaming || !StreamHasBody || Bytes.empty())
     return;
   evbuffer *Output = bufferevent_get_output(Socket.get());
   if (StreamFraming == stream_framing::CloseDelimited) {
@@ -209,7 +231,7 @@
   if (!Socket || !Streaming)
     return;
   constexpr std::string_view LastChunk = "0\r\n\r\n";
-  if (StreamFraming == stream_framing::Chunked)
+  if (StreamHasBody && StreamFraming == stream_framing::Chunked)
     bufferevent_write(Socket.get(), LastChunk.data(), LastChunk.size());
   finishResponse();
 }
@@ -219,7 +241,8 @@
     return;
   Observer.reset();
   // An orderly end would mark the response as complete.
-  if (Streaming && StreamFraming == stream_framing::CloseDelimited) {
+  if (Streaming && StreamHasBody &&
+      StreamFraming == stream_framing::CloseDelimited) {
     resetOnClose(Socket.get());
     return close();
   }
@@ -284,6 +307,7 @@
 }
 
 void server_connection::endOutput() {
+  finishOnClose(Socket.get());
   shutdown(bufferevent_getfd(Socket.get()), SHUT_WR);
   OutputEnded = true;
 }
