The record of a stream outlasts a chain of resumptions

A caller may resume a stream several times, each time for another timeout of its route. The record of what began the stream was kept for 60 s from its begin, so that a later resumption found none and the instance assumed an origin from the configuration of now, which may join events of two services.

An instance that goes on with a stream records it again, and tells the keepers; a record older than 5 s is renewed by that, so repeated messages about one resumption cost nothing.

a_record_outlasts_a_chain_of_resumptions failed with the old stream_origins.cpp and passes now.

--- a/src/decisions/process/stream_origins.cpp
+++ b/src/decisions/process/stream_origins.cpp
@@ -114,9 +114,18 @@
                                   std::string_view Software, instant Now) {
   if (Software.empty() || Software.size() > MaxNameBytes)
     return record_result::InvalidName;
-  if (const auto Known = find(Stream, Now))
-    return *Known == Software ? record_result::Known : record_result::Conflict;
   dropExpired(Now);
+  if (const auto Found = Records.find(Stream); Found != Records.end()) {
+    if (Names[Found->second.Software].Name != Software)
+      return record_result::Conflict;
+    if (millisOf(Now) - Found->second.AtMs <
+        RenewAfter / std::chrono::milliseconds(1))
+      return record_result::Known;
+    Found->second.AtMs = millisOf(Now);
+    Order.erase(std::ranges::find(Order, Stream));
+    Order.push_back(Stream);
+    return record_result::New;
+  }
   if (Records.size() >= MaxRecords) {
     dropOldest();
     ++Dropped;
--- a/src/decisions/process/stream_origins.h
+++ b/src/decisions/process/stream_origins.h
@@ -39,7 +39,7 @@
 
 /// What the record on a stream has become.
 enum class record_result {
-  New,
+  New, ///< or renewed
   Known,
   Conflict,   ///< another version is recorded, and stays
   InvalidName ///< empty, or longer than `MaxNameBytes`; nothing is recorded
@@ -51,6 +51,9 @@
 public:
   /// Records are kept for the longest deadline of a stream and its pauses.
   static constexpr span_ns KeepFor = std::chrono::seconds(60);
+  /// Age at which a record is renewed by what is told of its stream again, so
+  /// that it outlasts a stream that is resumed several times.
+  static constexpr span_ns RenewAfter = std::chrono::seconds(5);
   /// Of more records the oldest are dropped.
   static constexpr std::size_t MaxRecords = 20'000;
   /// Bytes a second to peers: at most a quarter of what an instance may send
@@ -77,7 +80,8 @@
   /// Sets all instances, this one included. Without members nothing is told.
   void setMembers(const std::vector<fleet_member> &Members, instant Now);
 
-  /// Records that this instance has passed on the first event of \p Stream.
+  /// Records that this instance has passed on the first event of \p Stream, or
+  /// that it goes on with it.
   record_result onBegun(std::uint64_t Stream, std::string_view Software,
                         instant Now);
   /// Records what the peer \p From has told. Returns the records that conflict
--- a/src/gateway/process/origin_task.h
+++ b/src/gateway/process/origin_task.h
@@ -61,6 +61,11 @@
   void find(std::string_view RequestId,
             const std::weak_ptr<origin_waiter> &Waiter);
 
+  /// Records that the stream of \p RequestId, which \p Writer began, goes on.
+  void onResumed(std::string_view RequestId, const stream_writer &Writer) {
+    onBegun(RequestId, Writer);
+  }
+
   /// Handles the records that the peer \p From has sent.
   void onPeerRecords(std::string_view From, std::string_view Text);
   /// Handles a question of a peer.
--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -42,6 +42,8 @@
     StreamSoftware = Known->Software;
   else if (!assumeOrigin(readBootClock()))
     return;
+  if (Core.origins() && !ParsedRequest.Resumes.empty())
+    Core.origins()->onResumed(ParsedRequest.Resumes, {Service, StreamSoftware});
   schedule();
 }
 
--- a/tests/decisions/process/stream_origins_test.cpp
+++ b/tests/decisions/process/stream_origins_test.cpp
@@ -374,3 +374,23 @@
   cr_log_info("found %zu of %zu", Found, Open);
   cr_assert(2 * Found >= Open && Open > 0, "found %zu of %zu", Found, Open);
 }
+
+/// Each resumption may last for another timeout.
+Test(stream_origins, a_record_outlasts_a_chain_of_resumptions) {
+  const std::vector<fleet_member> Members{{"i-1", "d-1"}, {"i-2", "d-1"}};
+  stream_origins Resuming("i-1", "d-1");
+  stream_origins Keeper("i-2", "d-1");
+  Resuming.setMembers(Members, instant(0s));
+  Keeper.setMembers(Members, instant(0s));
+  for (const span_ns At : {0s, 40s, 80s, 120s}) {
+    Resuming.onBegun(7, "v1", instant(At));
+    for (const auto &[Peer, Records] : Resuming.takeForKeepers(instant(At)))
+      Keeper.onPeerRecords("i-1", Records, instant(At));
+    Resuming.expire(instant(At));
+    Keeper.expire(instant(At));
+  }
+  cr_assert(Resuming.find(7, instant(170s)) == "v1");
+  cr_assert(Keeper.find(7, instant(170s)) == "v1");
+  cr_assert(!Keeper.find(7, instant(190s)));
+  cr_assert(Resuming.count() == 1);
+}
