A stream of unknown origin goes on only where its whole life is known

The instance assumed the only service and software version that it knew of for the longest timeout of the route. A stream that is resumed is older than that after a pause or a second resumption, and others may have followed an earlier configuration for the bound on applying it.

Otherwise the request is refused as before, with Retry-After. An answer counts only if it was asked for after the own last gap.

--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -169,6 +169,34 @@
   json Message{{"k", "origin_reply"}, {"s", Stream}};
   if (Software)
     Message["w"] = *Software;
+  reply(Message);
+}
+
+void peer_gossip::sendHistoryQuestion(const std::string &Peer,
+                                      std::uint64_t Number,
+                                      std::uint64_t Version) {
+  sendTo(Peer, {{"k", "origin_history_query"}, {"q", Number}, {"n", Version}});
+}
+
+void peer_gossip::sendHistoryAnswer(std::uint64_t Number,
+                                    const stream_history &Known) {
+  const instant Now = readBootClock();
+  const auto AgeOf = [Now](instant Since) -> json {
+    return Since == instant::min() ? json() : json(toMillis(Now - Since));
+  };
+  json Message{{"k", "origin_history"},
+               {"q", Number},
+               {"n", Known.Version},
+               {"s", json::array()}};
+  if (Known.NoneBefore)
+    Message["a"] = AgeOf(*Known.NoneBefore);
+  for (const auto &Sole : Known.Software)
+    Message["s"].push_back(
+        json::array({Sole.Service, Sole.Version, AgeOf(Sole.Since)}));
+  reply(Message);
+}
+
+void peer_gossip::reply(const json &Message) {
   // A peer that leaves, or has just started, may not be listed.
   const std::vector<std::uint8_t> Bytes = encode(Message);
   sendto(Socket, Bytes.data(), Bytes.size(), MSG_DONTWAIT,
@@ -369,6 +397,23 @@
     if (const auto Known = Message.find("w"); Known != Message.end())
       Software = Known->get<std::string>();
     Origins->onPeerAnswer(From, Message.at("s"), Software);
+  } else if (Kind == "origin_history_query") {
+    sendHistoryAnswer(Message.at("q"),
+                      Core.historySince(Message.at("n"), readBootClock()));
+  } else if (Kind == "origin_history") {
+    const instant Now = readBootClock();
+    const auto SinceOf = [Now](const json &Age) {
+      return Age.is_null()
+                 ? instant::min()
+                 : Now - std::chrono::milliseconds(Age.get<std::int64_t>());
+    };
+    stream_history Known;
+    Known.Version = Message.at("n");
+    if (const auto Age = Message.find("a"); Age != Message.end())
+      Known.NoneBefore = SinceOf(*Age);
+    for (const json &Sole : Message.at("s"))
+      Known.Software.push_back({Sole.at(0), Sole.at(1), SinceOf(Sole.at(2))});
+    Origins->onPeerHistory(Message.at("q"), Known);
   }
   return true;
 }
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -55,10 +55,16 @@
                           std::uint64_t Stream) override;
   void sendOriginAnswer(std::uint64_t Stream,
                         std::optional<std::string_view> Software) override;
+  void sendHistoryQuestion(const std::string &Peer, std::uint64_t Number,
+                           std::uint64_t Version) override;
+  void sendHistoryAnswer(std::uint64_t Number,
+                         const stream_history &Known) override;
   void sendBrittleRefusal(const brittle_refusal &Refusal) override;
   void sendLeaving(const upstream_process &Upstream) override;
 
 private:
+  /// Sends \p Message to the sender of the one that is being handled.
+  void reply(const nlohmann::json &Message);
   static void onReadable(evutil_socket_t, short, void *Self);
   void onDatagram(std::string_view Bytes);
   void onOtherVersion(const nlohmann::json &Message);
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -1,5 +1,7 @@
 #include "gateway/process/gateway_core.h"
 
+#include "decisions/process/stream_origins.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -112,8 +114,10 @@
   const std::uint64_t Before = Routing ? Routing->Version : 0;
   Routing = std::make_shared<const routing_table>(std::move(Table));
   // Others may have followed versions that this instance has not read.
-  if (ConfigFreshness.age(Now) > FreshnessOptions.MaxApplyDelay)
+  if (ConfigFreshness.age(Now) > FreshnessOptions.MaxApplyDelay) {
     RoutingHistory.onGap();
+    RoutingGapAt = Now;
+  }
   RoutingHistory.onInForce(Routing, Now);
   Metrics.RoutingVersion.Set(static_cast<double>(Routing->Version));
   Log.info(event_category::Process, "configuration_in_force",
@@ -181,7 +185,7 @@
 gateway_core::unconfirmedUpstreams(std::string_view Service,
                                    instant Now) const {
   const bool HadOne =
-      SoftwareHistory.only(Service, Now - software_history::Memory).has_value();
+      SoftwareHistory.only(Service, Now - stream_origins::KeepFor).has_value();
   return HadOne ? nullptr : &Unconfirmed;
 }
 
@@ -192,23 +196,65 @@
   return !Doubts || Doubts->isListed(Entry, UpstreamsConfirmedAt);
 }
 
+void gateway_core::onFirstInstance() {
+  RoutingHistory.onFirstInstance();
+  SoftwareHistory.onFirstInstance();
+}
+
+// A caller may resume a stream several times, so the timeout of the route does
+// not bound its age. Others may still have followed what was replaced.
+span_ns gateway_core::originPeriod() const {
+  return stream_origins::KeepFor + FreshnessOptions.MaxApplyDelay;
+}
+
+std::optional<std::uint64_t> gateway_core::oldestUncertain(instant Now) const {
+  const std::uint64_t Version = RoutingHistory.oldestVersion();
+  const instant Since = Now - originPeriod();
+  const auto NoneBefore = RoutingHistory.noneBefore(Version);
+  if (!NoneBefore ||
+      (*NoneBefore <= Since && SoftwareHistory.knowsBeginners(Since)))
+    return std::nullopt;
+  return Version;
+}
+
+stream_history gateway_core::historySince(std::uint64_t Version,
+                                          instant Now) const {
+  stream_history Known;
+  Known.Version = Version;
+  const auto Age = ConfigFreshness.age(Now);
+  if (Age && *Age < FreshnessOptions.MaxApplyDelay)
+    Known.NoneBefore = RoutingHistory.noneBefore(Version);
+  if (UpstreamsConfirmedAt &&
+      Now - *UpstreamsConfirmedAt < FreshnessOptions.MaxApplyDelay)
+    Known.Software = SoftwareHistory.soleVersions();
+  return Known;
+}
+
+void gateway_core::onPeerHistory(const stream_history &Known, instant AskedAt) {
+  if (Known.NoneBefore && RoutingGapAt < AskedAt)
+    RoutingHistory.onPeerKnows(Known.Version, *Known.NoneBefore);
+  if (UpstreamsListedAt < AskedAt)
+    for (const software_history::sole_version &Sole : Known.Software)
+      SoftwareHistory.onPeerKnows(Sole);
+}
+
 std::optional<std::string> gateway_core::onlySoftware(std::string_view Service,
-                                                      span_ns Period,
                                                       instant Now) const {
   const bool IsFresh =
       UpstreamsConfirmedAt &&
       Now - *UpstreamsConfirmedAt < FreshnessOptions.MaxApplyDelay;
-  if (!IsFresh || Period > software_history::Memory)
+  if (!IsFresh || originPeriod() > software_history::Memory)
     return std::nullopt;
-  return SoftwareHistory.only(Service, Now - Period);
+  return SoftwareHistory.onlyBeginner(Service, Now - originPeriod());
 }
 
 bool gateway_core::ledOnlyTo(std::string_view Service, std::string_view Host,
-                             std::string_view Path, span_ns Period,
-                             instant Now) const {
+                             std::string_view Path, instant Now) const {
   const auto Age = ConfigFreshness.age(Now);
   return Age && *Age < FreshnessOptions.MaxApplyDelay &&
-         RoutingHistory.ledOnlyTo(Service, Host, Path, Now - Period);
+         originPeriod() <= routing_history::Memory &&
+         RoutingHistory.longestTimeout(Host, Path) <= stream_origins::KeepFor &&
+         RoutingHistory.ledOnlyTo(Service, Host, Path, Now - originPeriod());
 }
 
 /// Returns the quota share of \p Team. Operators tolerate, over all instances
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -63,6 +63,14 @@
   virtual void endForStop() = 0;
 };
 
+/// What an instance knows of the beginning of streams.
+struct stream_history {
+  std::uint64_t Version = 0; ///< of the configuration
+  /// See `routing_history::noneBefore`.
+  std::optional<instant> NoneBefore;
+  std::vector<software_history::sole_version> Software;
+};
+
 /// Sends messages to peers; delivery is not guaranteed.
 class peer_messenger {
 public:
@@ -104,6 +112,15 @@
   /// version is not known.
   virtual void sendOriginAnswer(std::uint64_t Stream,
                                 std::optional<std::string_view> Software) = 0;
+  /// Asks \p Peer what can have begun streams before this instance started.
+  /// \p Version is the oldest configuration that this one knows. Answers state
+  /// \p Number.
+  virtual void sendHistoryQuestion(const std::string &Peer,
+                                   std::uint64_t Number,
+                                   std::uint64_t Version) = 0;
+  /// Answers the question \p Number, whose message is being handled.
+  virtual void sendHistoryAnswer(std::uint64_t Number,
+                                 const stream_history &Known) = 0;
   /// Reports to all peers that a brittle upstream has turned a request away.
   virtual void sendBrittleRefusal(const brittle_refusal &Refusal) = 0;
   /// Reports to all peers that \p Upstream has stated that it leaves.
@@ -210,6 +227,11 @@
 
   software_history &softwareHistory() { return SoftwareHistory; }
 
+  /// Records that the list of upstreams was read anew at \p Now.
+  void onUpstreamsListed(instant Now) {
+    SoftwareHistory.onGap(Now);
+    UpstreamsListedAt = Now;
+  }
   /// Records that the list of upstreams was current at \p At.
   void onUpstreamsConfirmed(instant At);
   std::optional<instant> upstreamsConfirmedAt() const {
@@ -246,22 +268,26 @@
   /// Returns whether \p Entry states the software of the process that runs.
   bool isSoftwareCertain(const upstream_entry &Entry, instant Now) const;
 
+  /// Records that no instance has served before this one.
+  void onFirstInstance();
+  /// Returns the oldest configuration that is known without gaps, or nothing if
+  /// it is known for all streams that may be resumed what can have begun them.
+  std::optional<std::uint64_t> oldestUncertain(instant Now) const;
+  /// Returns what this instance knows, for a peer that knows the configurations
+  /// from \p Version on.
+  stream_history historySince(std::uint64_t Version, instant Now) const;
+  /// Records what a peer knows that was asked at \p AskedAt.
+  void onPeerHistory(const stream_history &Known, instant AskedAt);
+
   /// Returns the only software version that can have begun a stream of
-  /// \p Service within the last \p Period, or nothing if that is not certain.
+  /// \p Service that is resumed at \p Now, or nothing if that is not certain.
   std::optional<std::string> onlySoftware(std::string_view Service,
-                                          span_ns Period, instant Now) const;
+                                          instant Now) const;
 
-  /// Returns whether no stream of \p Path of \p Host can have begun at another
-  /// service than \p Service lately. Returns false if the configurations of the
-  /// last \p Period are not all known.
+  /// Returns whether no stream of \p Path of \p Host that is resumed at \p Now
+  /// can have begun at another service than \p Service.
   bool ledOnlyTo(std::string_view Service, std::string_view Host,
-                 std::string_view Path, span_ns Period, instant Now) const;
-
-  /// Returns how long a response to \p Path of \p Host may have lasted, by the
-  /// configurations of late.
-  span_ns longestTimeout(std::string_view Host, std::string_view Path) const {
-    return RoutingHistory.longestTimeout(Host, Path);
-  }
+                 std::string_view Path, instant Now) const;
 
   /// Returns a request number that is unique in the process.
   std::uint64_t nextRequestNumber() { return ++LastNumber; }
@@ -380,6 +406,9 @@
   void armShareTimer();
   void updateEngineOptions();
   team_limits limitsOf(const team_entry &Team) const;
+  /// Returns how long ago a configuration or a listing may have been followed
+  /// under which a resumed stream has begun.
+  span_ns originPeriod() const;
 
   event_base *Base;
   const gateway_settings &Settings;
@@ -398,6 +427,8 @@
   software_history SoftwareHistory;
   unconfirmed_upstreams Unconfirmed;
   std::optional<instant> UpstreamsConfirmedAt;
+  instant UpstreamsListedAt; ///< the last complete listing
+  instant RoutingGapAt;      ///< the last gap of the configurations
   upstream_scheduler Scheduler;
   upstream_limits UpstreamLimits;
   upstream_pauses UpstreamPauses;
--- a/src/gateway/process/membership_task.cpp
+++ b/src/gateway/process/membership_task.cpp
@@ -1,8 +1,11 @@
 #include "gateway/process/membership_task.h"
 
+#include "gateway/process/store_revision.h"
+
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <nlohmann/json.hpp>
@@ -137,7 +140,22 @@
   }
 }
 
+bool membership_task::isOwn(const store_item &Item) const {
+  if (Item.Key == PresenceKey)
+    return Item.Value == fmt::format("{}", Core.boot());
+  if (Item.Key != EntryKey)
+    return false;
+  const auto Entry = nlohmann::json::parse(Item.Value, nullptr, false);
+  return Entry.is_object() && Entry.contains("boot") &&
+         Entry["boot"] == Core.boot();
+}
+
 void membership_task::onListing(const store_items &Items) {
+  // The entry of an instance outlasts it, unless the store was restored.
+  if (!std::exchange(HasListed, true) && eraOf(Items.Revision) == 0 &&
+      std::ranges::all_of(
+          Items.Items, [this](const store_item &Item) { return isOwn(Item); }))
+    Core.onFirstInstance();
   std::set<std::string_view> Live;
   for (const store_item &Item : Items.Items) {
     onItem(Item);
--- a/src/gateway/process/membership_task.h
+++ b/src/gateway/process/membership_task.h
@@ -43,12 +43,15 @@
 private:
   void announce();
   void onTick();
+  /// Returns whether this process has written \p Item.
+  bool isOwn(const store_item &Item) const;
 
   gateway_core &Core;
   fleet_store &Store;
   std::string EntryKey;
   std::string PresenceKey;
   bool Announced = false; ///< entry and presence are written
+  bool HasListed = false; ///< the fleet's items have been read
   lease_keeper Lease;
   timer AnnounceTimer; ///< next attempt after a failed one
   timer TickTimer;
--- a/src/gateway/process/origin_task.cpp
+++ b/src/gateway/process/origin_task.cpp
@@ -16,6 +16,8 @@
 /// Streams that wait for the confirmation of their upstream; of more the oldest
 /// get no record.
 constexpr std::size_t MaxUnconfirmed = 2000;
+/// Peers that are asked for their history at a time.
+constexpr std::size_t HistoryPeers = 3;
 /// Between service and version in a record.
 constexpr char WriterSeparator = '\n';
 
@@ -216,11 +218,34 @@
 void origin_task::onTick() {
   const instant Now = readBootClock();
   updateMembers(Now);
+  askForHistory(Now);
   recordListed(Now);
   Origins.expire(Now);
   Core.counters().StreamOrigins.Set(static_cast<double>(Origins.count()));
 }
 
+void origin_task::askForHistory(instant Now) {
+  const auto Version = Core.oldestUncertain(Now);
+  const auto &Peers = Core.roster().peers();
+  if (!Version || !Core.messenger() || Peers.empty())
+    return;
+  HistoryAskedAt = Now;
+  ++HistoryNumber;
+  for (std::size_t Count = std::min(HistoryPeers, Peers.size()); Count > 0;
+       --Count)
+    Core.messenger()->sendHistoryQuestion(
+        std::next(Peers.begin(),
+                  static_cast<std::ptrdiff_t>(NextPeer++ % Peers.size()))
+            ->first,
+        HistoryNumber, *Version);
+}
+
+void origin_task::onPeerHistory(std::uint64_t Number,
+                                const stream_history &Known) {
+  if (Number == HistoryNumber)
+    Core.onPeerHistory(Known, HistoryAskedAt);
+}
+
 void origin_task::updateMembers(instant Now) {
   const instance_roster &Roster = Core.roster();
   if (!Core.rosterKnown() ||
--- a/src/gateway/process/origin_task.h
+++ b/src/gateway/process/origin_task.h
@@ -19,6 +19,7 @@
 namespace ebonyvale {
 
 class gateway_core;
+struct stream_history;
 
 /// The service and the software version of the upstream that began a stream.
 struct stream_writer {
@@ -66,6 +67,10 @@
     onBegun(RequestId, Writer);
   }
 
+  /// Handles the answer of a peer to the question \p Number what can have begun
+  /// streams.
+  void onPeerHistory(std::uint64_t Number, const stream_history &Known);
+
   /// Handles the records that the peer \p From has sent.
   void onPeerRecords(std::string_view From, std::string_view Text);
   /// Handles a question of a peer.
@@ -97,6 +102,9 @@
   /// Records the streams whose upstreams the store has confirmed.
   void recordListed(instant Now);
   void onTick();
+  /// Asks some peers what can have begun streams, if this instance does not
+  /// know.
+  void askForHistory(instant Now);
   /// Passes the instances on after a change of them.
   void updateMembers(instant Now);
   void logConflict(std::uint64_t Stream, std::string_view Software);
@@ -106,6 +114,9 @@
   std::vector<unconfirmed_stream> Unconfirmed; ///< the oldest first
   lookup_map Lookups;                          ///< by stream
   std::uint64_t MembersGeneration = 0;         ///< of the roster
+  std::size_t NextPeer = 0;                    ///< to ask for its history
+  std::uint64_t HistoryNumber = 0;             ///< of the last question
+  instant HistoryAskedAt;
   bool SendArmed = false;
   timer SendTimer;
   timer LookupTimer;
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -181,7 +181,7 @@
                    {"after_restore", Kind == listing_kind::AfterRestore}});
   Relay.log().restart(Items.Revision, Kind);
   Core.directory().setAll(std::move(Entries), Kind, Now);
-  Core.softwareHistory().onGap(Now);
+  Core.onUpstreamsListed(Now);
   Core.onUpstreamsConfirmed(Items.SentAt);
   Revision = Items.Revision;
   notifyOfDirectory();
--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -48,18 +48,14 @@
 }
 
 bool forward_session::assumeOrigin(instant Now) {
-  const span_ns Period =
-      std::max(Route->Timeout,
-               Core.longestTimeout(ParsedRequest.Host, ParsedRequest.Path));
-  if (!Core.ledOnlyTo(Service, ParsedRequest.Host, ParsedRequest.Path, Period,
-                      Now)) {
+  if (!Core.ledOnlyTo(Service, ParsedRequest.Host, ParsedRequest.Path, Now)) {
     refuse({error_kind::NoUpstream,
             fmt::format("the service that began stream '{}' is not known",
                         ParsedRequest.Resumes),
             OriginRetryAfter});
     return false;
   }
-  std::optional<std::string> Only = Core.onlySoftware(Service, Period, Now);
+  std::optional<std::string> Only = Core.onlySoftware(Service, Now);
   if (!Only) {
     refuse({error_kind::NoUpstream,
             fmt::format("the software version that began stream '{}' is not "
