--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -86,7 +86,7 @@
       Counts.Early, Counts.Resumed, Counts.OldServices);
   for (const std::string &Violation : Result.Violations)
     Text += "  " + Violation + "\n";
-  if (Result.Violations.empty()) {
+  if (Result.Violations.empty() && !Options.KeepLogs) {
     std::filesystem::remove_all(Options.Folder);
   } else {
     Text += "event plan; logs are in " + Options.Folder.string() + "\n";
@@ -146,6 +146,8 @@
       "with --silences, no faults of gateways and their links")(
       "kill-upstreams", options::bool_switch(&Silences.UpstreamKills),
       "with --silences, kill and restart upstream processes, too")(
+      "keep-logs", options::bool_switch(&Silences.KeepLogs),
+      "with --silences, keep the logs of seeds without violations")(
       "close-delimited-every", options::value(&Silences.CloseDelimitedEvery),
       "with --silences, one response of an upstream in so many is delimited by "
       "the close of its connection; 0: none");
--- a/tests/soak/silence_checker.cpp
+++ b/tests/soak/silence_checker.cpp
@@ -34,6 +34,8 @@
   return Ended.Response.Status != 0 && Ended.Response.Complete;
 }
 
+std::int64_t nanos(instant At) { return At.time_since_epoch().count(); }
+
 } // namespace
 
 void silence_checker::onConfiguration(const routing_values &Values,
@@ -296,6 +298,34 @@
   }
 }
 
+std::vector<std::string> silence_checker::record() const {
+  std::vector<std::string> Lines;
+  for (const ended_request &Ended : Requests) {
+    const sent_request &Request = Ended.Request;
+    Lines.push_back(fmt::format(
+        "request {} {} resumes '{}' gateway {} sent {} ended {} status {} "
+        "complete {} bytes {} reused {} idle {} written {} gave up {}",
+        Request.Id, Request.Path, Request.Resumes, Request.Gateway,
+        nanos(Request.At), nanos(Ended.EndedAt), Ended.Response.Status,
+        Ended.Response.Complete, Ended.Response.Body.size(), Ended.Reused,
+        Ended.Idle.count(), Ended.Sent, Ended.GaveUp));
+  }
+  const auto AddTimes = [&Lines](std::string_view Kind, const auto &ByName) {
+    for (const auto &[Name, Times] : ByName)
+      for (const fault_time &Time : Times)
+        Lines.push_back(fmt::format("{} {} from {} until {}", Kind, Name,
+                                    nanos(Time.From), nanos(Time.Until)));
+  };
+  AddTimes("gateway-fault", GatewayFaults);
+  AddTimes("store-fault", StoreFaults);
+  AddTimes("stop", Stops);
+  AddTimes("silence", Silences);
+  for (const auto &[Upstream, Kills] : UpstreamKills)
+    for (const instant Kill : Kills)
+      Lines.push_back(fmt::format("kill {} at {}", Upstream, nanos(Kill)));
+  return Lines;
+}
+
 std::vector<std::string> silence_checker::finish() {
   Counts.Requests = Requests.size();
   for (const ended_request &Ended : Requests) {
--- a/tests/soak/silence_checker.h
+++ b/tests/soak/silence_checker.h
@@ -106,6 +106,9 @@
   /// Returns one line for each violation. Call it once, after all else.
   std::vector<std::string> finish();
   const silence_counts &counts() const { return Counts; }
+  /// Returns one line for each request, fault and kill, with times in ns as in
+  /// the logs of upstreams.
+  std::vector<std::string> record() const;
 
 private:
   using times_by_gateway = std::map<std::size_t, std::vector<fault_time>>;
--- a/tests/soak/silence_environment.cpp
+++ b/tests/soak/silence_environment.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <fstream>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -306,6 +307,9 @@
     }
   }
   Result.Violations = Checker.finish();
+  std::ofstream Record(Options.Folder / "record.txt");
+  for (const std::string &Line : Checker.record())
+    Record << Line << "\n";
   Result.Violations.insert(Result.Violations.end(), Violations.begin(),
                            Violations.end());
   Result.Counts = Checker.counts();
--- a/tests/soak/silence_environment.h
+++ b/tests/soak/silence_environment.h
@@ -34,6 +34,7 @@
   bool UpstreamKills = false;
   /// See `fake_upstream::CloseDelimitedEvery`.
   unsigned CloseDelimitedEvery = 0;
+  bool KeepLogs = false; ///< of runs without violations, too
   std::filesystem::path Folder;
 };
 
