Soak: faults of gateways excuse only the requests that they touch

The checker of runs with silences excused each incomplete answer, and each run that went on too long, from a fault of the request's gateway until 3 s after it, although the request was sent after the fault was over. A fault now excuses requests that were under way within it, or whose reused connection was idle then: a link may keep such a connection unusable.

Rows: a fault that ended 60 ms and 2.5 s before the request, idle connections used after and before the fault, a new connection. Four of them fail with the checker before: it reports nothing.

--- a/tests/soak/silence_checker.cpp
+++ b/tests/soak/silence_checker.cpp
@@ -60,13 +60,14 @@
   return Found == Runs.end() ? None : Found->second;
 }
 
-bool silence_checker::isFaulted(const times_by_gateway &Faults,
-                                std::size_t Gateway, instant From,
+bool silence_checker::isTouched(const ended_request &Ended,
                                 instant Until) const {
-  const auto Found = Faults.find(Gateway);
-  return Found != Faults.end() &&
+  const instant From =
+      Ended.Request.At - (Ended.Reused ? Ended.Idle : span_ns(0));
+  const auto Found = GatewayFaults.find(Ended.Request.Gateway);
+  return Found != GatewayFaults.end() &&
          std::ranges::any_of(Found->second, [&](const fault_time &Time) {
-           return Time.From <= Until && Time.Until + Contact >= From;
+           return Time.From <= Until && Time.Until + Tolerance >= From;
          });
 }
 
@@ -133,9 +134,8 @@
     ++Counts.Killed;
     return true;
   }
-  if (isFaulted(GatewayFaults, Request.Gateway, Request.At,
-                Ended.EndedAt + Tolerance) ||
-      isLateInStop(Ended) || !Ended.Sent) {
+  if (isTouched(Ended, Ended.EndedAt + Tolerance) || isLateInStop(Ended) ||
+      !Ended.Sent) {
     ++Counts.Faulted;
     return true;
   }
@@ -280,8 +280,7 @@
       // silent, which then sees that its connection has been closed.
       const bool SentBefore = Request->Request.At < First->Request.At;
       if (Before->Until <= Bound || (SentBefore && Run->Until <= Bound) ||
-          isFaulted(GatewayFaults, First->Request.Gateway, First->Request.At,
-                    Bound))
+          isTouched(*First, Bound))
         continue;
       // A silent upstream cannot see that another attempt's gateway has closed
       // its connection.
--- a/tests/soak/silence_checker.h
+++ b/tests/soak/silence_checker.h
@@ -72,8 +72,6 @@
   /// A request that was sent longer ago did not cross the end of an idle
   /// connection.
   static constexpr span_ns Crossing = std::chrono::milliseconds(100);
-  /// Time after a fault in which its gateway is not counted.
-  static constexpr span_ns Contact = std::chrono::seconds(3);
   /// Time after a stop in which callers still send requests.
   static constexpr span_ns StopDelay = std::chrono::seconds(2);
   /// Time after a stop at which its grace ends for what still runs.
@@ -130,8 +128,9 @@
   /// Returns the time that a request has at its route.
   span_ns timeOf(const ended_request &Ended) const;
   const std::vector<upstream_run> &runsOf(const std::string &Id) const;
-  bool isFaulted(const times_by_gateway &Faults, std::size_t Gateway,
-                 instant From, instant Until) const;
+  /// Returns whether a fault of its gateway can have touched \p Ended or its
+  /// connection up to \p Until. Connections may stay unusable after a fault.
+  bool isTouched(const ended_request &Ended, instant Until) const;
   /// Returns whether \p Upstream is silent from \p From to \p Until.
   bool isSilent(const std::string &Upstream, instant From, instant Until) const;
   /// Returns whether an upstream was killed between the begin of its run of the
--- a/tests/soak_checks/silence_checker_test.cpp
+++ b/tests/soak_checks/silence_checker_test.cpp
@@ -75,8 +75,9 @@
       {200, 3900, false, true, false, 0, 0, true},
       {0, 700, false, true, true, 0, 0, false}, // the caller closed it
       {0, 700, false, true, false, 500, 0, false},
-      {0, 700, false, true, false, -2500, 0, false},
-      {0, 700, false, true, false, -3500, 0, true},
+      {0, 700, false, true, false, -40, 0, false},
+      {0, 700, false, true, false, -60, 0, true},
+      {0, 700, false, true, false, -2500, 0, true},
       {0, 700, false, true, false, 0, -1000, true},
       {0, 700, false, true, false, 0, -2500, false},
   };
@@ -108,6 +109,36 @@
 
 namespace {
 
+struct idle_row {
+  bool Reused;
+  int IdleMs;
+  bool Violation;
+};
+
+} // namespace
+
+ParameterizedTestParameters(silence_checker,
+                            faults_touch_idle_connections_only) {
+  static idle_row Rows[] = {
+      {true, 900, false}, {true, 400, true}, {false, 900, true}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(idle_row *Row, silence_checker,
+                  faults_touch_idle_connections_only) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  ended_request Ended = request("r", "/order/", 700ms);
+  Ended.Reused = Row->Reused;
+  Ended.Idle = std::chrono::milliseconds(Row->IdleMs);
+  Checker.onEnded(Ended);
+  Checker.onGatewayFault(0, {Start - 800ms, Start - 500ms});
+  const bool Found = reports(Checker, "LOST");
+  cr_assert(Found == Row->Violation);
+}
+
+namespace {
+
 struct kill_row {
   int Status;
   int KillMs;     ///< of an upstream, from the sending of the request
