Soak: a killed upstream excuses only what its own run left incomplete

A kill excused an incomplete answer whenever it hit any upstream that had ever run the request, also long after that run had ended or another upstream had taken the request over. Now it must hit the upstream of the last run: within the run, or within 2 s after a complete one, as long as nothing may have shown that the run was complete.

Four of the six new rows fail with the checker before: it reports nothing.

--- a/tests/soak/silence_checker.cpp
+++ b/tests/soak/silence_checker.cpp
@@ -143,15 +143,19 @@
 }
 
 bool silence_checker::wasUpstreamKilled(const ended_request &Ended) const {
-  return std::ranges::any_of(
-      runsOf(Ended.Request.Id), [&](const upstream_run &Run) {
-        const auto Found = UpstreamKills.find(Run.Upstream);
-        return Found != UpstreamKills.end() &&
-               std::ranges::any_of(Found->second, [&](instant Kill) {
-                 return Run.From <= Kill + Tolerance &&
-                        Kill <= Ended.EndedAt + Tolerance;
-               });
-      });
+  const auto &RunsOfRequest = runsOf(Ended.Request.Id);
+  const auto Last =
+      std::ranges::max_element(RunsOfRequest, {}, &upstream_run::From);
+  if (Last == RunsOfRequest.end())
+    return false;
+  const auto Kills = UpstreamKills.find(Last->Upstream);
+  if (Kills == UpstreamKills.end())
+    return false;
+  const instant Until = std::min(
+      Ended.EndedAt, Last->Complete ? Last->Until + Doubt : Last->Until);
+  return std::ranges::any_of(Kills->second, [&](instant Kill) {
+    return Last->From <= Kill + Tolerance && Kill <= Until + Tolerance;
+  });
 }
 
 bool silence_checker::isLateInStop(const ended_request &Ended) const {
--- a/tests/soak/silence_checker.h
+++ b/tests/soak/silence_checker.h
@@ -72,6 +72,9 @@
   /// A request that was sent longer ago did not cross the end of an idle
   /// connection.
   static constexpr span_ns Crossing = std::chrono::milliseconds(100);
+  /// Longest time for which the end of a complete run may be in doubt. Callers
+  /// abandon a stream that pauses for longer.
+  static constexpr span_ns Doubt = std::chrono::seconds(2);
   /// Time after a stop in which callers still send requests.
   static constexpr span_ns StopDelay = std::chrono::seconds(2);
   /// Time after a stop at which its grace ends for what still runs.
@@ -133,8 +136,9 @@
   bool isTouched(const ended_request &Ended, instant Until) const;
   /// Returns whether \p Upstream is silent from \p From to \p Until.
   bool isSilent(const std::string &Upstream, instant From, instant Until) const;
-  /// Returns whether an upstream was killed between the begin of its run of the
-  /// request and the end of the answer.
+  /// Returns whether the upstream of the last run was killed before the end of
+  /// the answer: within the run, or so soon after it that nothing may have
+  /// shown that its answer was complete.
   bool wasUpstreamKilled(const ended_request &Ended) const;
   void addViolation(const ended_request &Ended, std::string_view Rule,
                     const std::string &What);
--- a/tests/soak_checks/silence_checker_test.cpp
+++ b/tests/soak_checks/silence_checker_test.cpp
@@ -174,6 +174,48 @@
 
 namespace {
 
+struct last_run_row {
+  int Until[2];   ///< of both runs; they begin at 10 and 300 ms, at s-0 and s-1
+  bool Complete;  ///< the second run
+  int KillMs;     ///< from the sending of the request
+  char Killed[8]; ///< the upstream
+  bool Violation; ///< at 3000 ms, its end
+};
+
+} // namespace
+
+ParameterizedTestParameters(silence_checker, only_the_last_run_ends_answers) {
+  static last_run_row Rows[] = {
+      {{200, 2990}, false, 2990, "s-1", false},
+      {{200, 2990}, false, 200, "s-0", true},
+      {{200, 2990}, false, 1000, "s-0", true},
+      {{200, 500}, false, 1000, "s-1", true},
+      {{200, 500}, true, 2400, "s-1", false},
+      {{200, 500}, true, 2600, "s-1", true},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(last_run_row *Row, silence_checker,
+                  only_the_last_run_ends_answers) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  ended_request Ended = request("r", "/stream-on/", 3s);
+  Ended.Response.Status = 200;
+  Ended.Response.Body = fake_upstream::events(0, 2, "s-0");
+  Checker.onEnded(Ended);
+  Checker.onRun(run("r", "s-0", 10, Row->Until[0]));
+  upstream_run Second = run("r", "s-1", 300, Row->Until[1]);
+  Second.Complete = Row->Complete;
+  Checker.onRun(Second);
+  Checker.onUpstreamKill(Row->Killed,
+                         Start + std::chrono::milliseconds(Row->KillMs));
+  const bool Found = reports(Checker, "LOST");
+  cr_assert(Found == Row->Violation);
+}
+
+namespace {
+
 struct run_row {
   char Path[16];
   char Second[8];    ///< upstream of the second run
