Soak: callers that wait past their deadline are no excuse

Callers leave a request 1 s after its deadline of 8 s. The checker counted that as an answer that the caller had closed, and excused it, so that a gateway that never ended an answer broke no rule. Callers now excuse what they leave before the deadline; later, only a fault of the gateway does.

Two of three new rows (left after 9 s, with and without a run's answer begun) fail with the checker before: it reports nothing. The third, beside a fault, stays allowed.

--- a/tests/soak/silence_checker.cpp
+++ b/tests/soak/silence_checker.cpp
@@ -117,16 +117,17 @@
 bool silence_checker::isExcused(const ended_request &Ended) {
   const sent_request &Request = Ended.Request;
   const bool HasRun = !runsOf(Request.Id).empty();
-  if (Ended.GaveUp) {
+  const span_ns Time = Ended.EndedAt - Request.At;
+  if (Ended.GaveUp && Time <= Deadline) {
     ++Counts.GaveUp;
     return true;
   }
   if (Ended.Reused && !HasRun && Ended.Response.Status == 0 &&
-      Ended.EndedAt - Request.At < Crossing) {
+      Time < Crossing) {
     ++Counts.Crossed;
     return true;
   }
-  if (Ended.EndedAt - Request.At >= timeOf(Ended) - Tolerance) {
+  if (!Ended.GaveUp && Time >= timeOf(Ended) - Tolerance) {
     ++Counts.TimeUsed;
     return true;
   }
--- a/tests/soak_checks/silence_checker_test.cpp
+++ b/tests/soak_checks/silence_checker_test.cpp
@@ -74,6 +74,9 @@
       {200, 4000, false, true, false, 0, 0, false}, // the route's timeout
       {200, 3900, false, true, false, 0, 0, true},
       {0, 700, false, true, true, 0, 0, false}, // the caller closed it
+      {0, 9000, false, true, true, 0, 0, true}, // long after its deadline
+      {200, 9000, true, false, true, 0, 0, true},
+      {0, 9000, false, true, true, 4000, 0, false},
       {0, 700, false, true, false, 500, 0, false},
       {0, 700, false, true, false, -40, 0, false},
       {0, 700, false, true, false, -60, 0, true},
