--- a/tests/soak/silence_checker.cpp
+++ b/tests/soak/silence_checker.cpp
@@ -34,6 +34,8 @@
   return Ended.Response.Status != 0 && Ended.Response.Complete;
 }
 
+std::int64_t nanos(instant At) { return At.time_since_epoch().count(); }
+
 } // namespace
 
 void silence_checker::onConfiguration(const routing_values &Values,
@@ -58,13 +60,14 @@
   return Found == Runs.end() ? None : Found->second;
 }
 
-bool silence_checker::isFaulted(const times_by_gateway &Faults,
-                                std::size_t Gateway, instant From,
+bool silence_checker::isTouched(const ended_request &Ended,
                                 instant Until) const {
-  const auto Found = Faults.find(Gateway);
-  return Found != Faults.end() &&
+  const instant From =
+      Ended.Request.At - (Ended.Reused ? Ended.Idle : span_ns(0));
+  const auto Found = GatewayFaults.find(Ended.Request.Gateway);
+  return Found != GatewayFaults.end() &&
          std::ranges::any_of(Found->second, [&](const fault_time &Time) {
-           return Time.From <= Until && Time.Until + Contact >= From;
+           return Time.From <= Until && Time.Until + Tolerance >= From;
          });
 }
 
@@ -114,16 +117,17 @@
 bool silence_checker::isExcused(const ended_request &Ended) {
   const sent_request &Request = Ended.Request;
   const bool HasRun = !runsOf(Request.Id).empty();
-  if (Ended.GaveUp) {
+  const span_ns Time = Ended.EndedAt - Request.At;
+  if (Ended.GaveUp && Time <= Deadline) {
     ++Counts.GaveUp;
     return true;
   }
   if (Ended.Reused && !HasRun && Ended.Response.Status == 0 &&
-      Ended.EndedAt - Request.At < Crossing) {
+      Time < Crossing) {
     ++Counts.Crossed;
     return true;
   }
-  if (Ended.EndedAt - Request.At >= timeOf(Ended) - Tolerance) {
+  if (!Ended.GaveUp && Time >= timeOf(Ended) - Tolerance) {
     ++Counts.TimeUsed;
     return true;
   }
@@ -131,9 +135,8 @@
     ++Counts.Killed;
     return true;
   }
-  if (isFaulted(GatewayFaults, Request.Gateway, Request.At,
-                Ended.EndedAt + Tolerance) ||
-      isLateInStop(Ended) || !Ended.Sent) {
+  if (isTouched(Ended, Ended.EndedAt + Tolerance) || isLateInStop(Ended) ||
+      !Ended.Sent) {
     ++Counts.Faulted;
     return true;
   }
@@ -141,15 +144,19 @@
 }
 
 bool silence_checker::wasUpstreamKilled(const ended_request &Ended) const {
-  return std::ranges::any_of(
-      runsOf(Ended.Request.Id), [&](const upstream_run &Run) {
-        const auto Found = UpstreamKills.find(Run.Upstream);
-        return Found != UpstreamKills.end() &&
-               std::ranges::any_of(Found->second, [&](instant Kill) {
-                 return Run.From <= Kill + Tolerance &&
-                        Kill <= Ended.EndedAt + Tolerance;
-               });
-      });
+  const auto &RunsOfRequest = runsOf(Ended.Request.Id);
+  const auto Last =
+      std::ranges::max_element(RunsOfRequest, {}, &upstream_run::From);
+  if (Last == RunsOfRequest.end())
+    return false;
+  const auto Kills = UpstreamKills.find(Last->Upstream);
+  if (Kills == UpstreamKills.end())
+    return false;
+  const instant Until = std::min(
+      Ended.EndedAt, Last->Complete ? Last->Until + Doubt : Last->Until);
+  return std::ranges::any_of(Kills->second, [&](instant Kill) {
+    return Last->From <= Kill + Tolerance && Kill <= Until + Tolerance;
+  });
 }
 
 bool silence_checker::isLateInStop(const ended_request &Ended) const {
@@ -278,8 +285,7 @@
       // silent, which then sees that its connection has been closed.
       const bool SentBefore = Request->Request.At < First->Request.At;
       if (Before->Until <= Bound || (SentBefore && Run->Until <= Bound) ||
-          isFaulted(GatewayFaults, First->Request.Gateway, First->Request.At,
-                    Bound))
+          isTouched(*First, Bound))
         continue;
       // A silent upstream cannot see that another attempt's gateway has closed
       // its connection.
@@ -296,6 +302,34 @@
   }
 }
 
+std::vector<std::string> silence_checker::record() const {
+  std::vector<std::string> Lines;
+  for (const ended_request &Ended : Requests) {
+    const sent_request &Request = Ended.Request;
+    Lines.push_back(fmt::format(
+        "request {} {} resumes '{}' gateway {} sent {} ended {} status {} "
+        "complete {} bytes {} reused {} idle {} written {} gave up {}",
+        Request.Id, Request.Path, Request.Resumes, Request.Gateway,
+        nanos(Request.At), nanos(Ended.EndedAt), Ended.Response.Status,
+        Ended.Response.Complete, Ended.Response.Body.size(), Ended.Reused,
+        Ended.Idle.count(), Ended.Sent, Ended.GaveUp));
+  }
+  const auto AddTimes = [&Lines](std::string_view Kind, const auto &ByName) {
+    for (const auto &[Name, Times] : ByName)
+      for (const fault_time &Time : Times)
+        Lines.push_back(fmt::format("{} {} from {} until {}", Kind, Name,
+                                    nanos(Time.From), nanos(Time.Until)));
+  };
+  AddTimes("gateway-fault", GatewayFaults);
+  AddTimes("store-fault", StoreFaults);
+  AddTimes("stop", Stops);
+  AddTimes("silence", Silences);
+  for (const auto &[Upstream, Kills] : UpstreamKills)
+    for (const instant Kill : Kills)
+      Lines.push_back(fmt::format("kill {} at {}", Upstream, nanos(Kill)));
+  return Lines;
+}
+
 std::vector<std::string> silence_checker::finish() {
   Counts.Requests = Requests.size();
   for (const ended_request &Ended : Requests) {
--- a/tests/soak/silence_checker.h
+++ b/tests/soak/silence_checker.h
@@ -72,8 +72,9 @@
   /// A request that was sent longer ago did not cross the end of an idle
   /// connection.
   static constexpr span_ns Crossing = std::chrono::milliseconds(100);
-  /// Time after a fault in which its gateway is not counted.
-  static constexpr span_ns Contact = std::chrono::seconds(3);
+  /// Longest time for which the end of a complete run may be in doubt. Callers
+  /// abandon a stream that pauses for longer.
+  static constexpr span_ns Doubt = std::chrono::seconds(2);
   /// Time after a stop in which callers still send requests.
   static constexpr span_ns StopDelay = std::chrono::seconds(2);
   /// Time after a stop at which its grace ends for what still runs.
@@ -106,6 +107,9 @@
   /// Returns one line for each violation. Call it once, after all else.
   std::vector<std::string> finish();
   const silence_counts &counts() const { return Counts; }
+  /// Returns one line for each request, fault and kill, with times in ns as in
+  /// the logs of upstreams.
+  std::vector<std::string> record() const;
 
 private:
   using times_by_gateway = std::map<std::size_t, std::vector<fault_time>>;
@@ -127,12 +131,14 @@
   /// Returns the time that a request has at its route.
   span_ns timeOf(const ended_request &Ended) const;
   const std::vector<upstream_run> &runsOf(const std::string &Id) const;
-  bool isFaulted(const times_by_gateway &Faults, std::size_t Gateway,
-                 instant From, instant Until) const;
+  /// Returns whether a fault of its gateway can have touched \p Ended or its
+  /// connection up to \p Until. Connections may stay unusable after a fault.
+  bool isTouched(const ended_request &Ended, instant Until) const;
   /// Returns whether \p Upstream is silent from \p From to \p Until.
   bool isSilent(const std::string &Upstream, instant From, instant Until) const;
-  /// Returns whether an upstream was killed between the begin of its run of the
-  /// request and the end of the answer.
+  /// Returns whether the upstream of the last run was killed before the end of
+  /// the answer: within the run, or so soon after it that nothing may have
+  /// shown that its answer was complete.
   bool wasUpstreamKilled(const ended_request &Ended) const;
   void addViolation(const ended_request &Ended, std::string_view Rule,
                     const std::string &What);
--- a/tests/soak_checks/silence_checker_test.cpp
+++ b/tests/soak_checks/silence_checker_test.cpp
@@ -74,9 +74,13 @@
       {200, 4000, false, true, false, 0, 0, false}, // the route's timeout
       {200, 3900, false, true, false, 0, 0, true},
       {0, 700, false, true, true, 0, 0, false}, // the caller closed it
+      {0, 9000, false, true, true, 0, 0, true}, // long after its deadline
+      {200, 9000, true, false, true, 0, 0, true},
+      {0, 9000, false, true, true, 4000, 0, false},
       {0, 700, false, true, false, 500, 0, false},
-      {0, 700, false, true, false, -2500, 0, false},
-      {0, 700, false, true, false, -3500, 0, true},
+      {0, 700, false, true, false, -40, 0, false},
+      {0, 700, false, true, false, -60, 0, true},
+      {0, 700, false, true, false, -2500, 0, true},
       {0, 700, false, true, false, 0, -1000, true},
       {0, 700, false, true, false, 0, -2500, false},
   };
@@ -108,6 +112,36 @@
 
 namespace {
 
+struct idle_row {
+  bool Reused;
+  int IdleMs;
+  bool Violation;
+};
+
+} // namespace
+
+ParameterizedTestParameters(silence_checker,
+                            faults_touch_idle_connections_only) {
+  static idle_row Rows[] = {
+      {true, 900, false}, {true, 400, true}, {false, 900, true}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(idle_row *Row, silence_checker,
+                  faults_touch_idle_connections_only) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  ended_request Ended = request("r", "/order/", 700ms);
+  Ended.Reused = Row->Reused;
+  Ended.Idle = std::chrono::milliseconds(Row->IdleMs);
+  Checker.onEnded(Ended);
+  Checker.onGatewayFault(0, {Start - 800ms, Start - 500ms});
+  const bool Found = reports(Checker, "LOST");
+  cr_assert(Found == Row->Violation);
+}
+
+namespace {
+
 struct kill_row {
   int Status;
   int KillMs;     ///< of an upstream, from the sending of the request
@@ -143,6 +177,48 @@
 
 namespace {
 
+struct last_run_row {
+  int Until[2];   ///< of both runs; they begin at 10 and 300 ms, at s-0 and s-1
+  bool Complete;  ///< the second run
+  int KillMs;     ///< from the sending of the request
+  char Killed[8]; ///< the upstream
+  bool Violation; ///< at 3000 ms, its end
+};
+
+} // namespace
+
+ParameterizedTestParameters(silence_checker, only_the_last_run_ends_answers) {
+  static last_run_row Rows[] = {
+      {{200, 2990}, false, 2990, "s-1", false},
+      {{200, 2990}, false, 200, "s-0", true},
+      {{200, 2990}, false, 1000, "s-0", true},
+      {{200, 500}, false, 1000, "s-1", true},
+      {{200, 500}, true, 2400, "s-1", false},
+      {{200, 500}, true, 2600, "s-1", true},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(last_run_row *Row, silence_checker,
+                  only_the_last_run_ends_answers) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  ended_request Ended = request("r", "/stream-on/", 3s);
+  Ended.Response.Status = 200;
+  Ended.Response.Body = fake_upstream::events(0, 2, "s-0");
+  Checker.onEnded(Ended);
+  Checker.onRun(run("r", "s-0", 10, Row->Until[0]));
+  upstream_run Second = run("r", "s-1", 300, Row->Until[1]);
+  Second.Complete = Row->Complete;
+  Checker.onRun(Second);
+  Checker.onUpstreamKill(Row->Killed,
+                         Start + std::chrono::milliseconds(Row->KillMs));
+  const bool Found = reports(Checker, "LOST");
+  cr_assert(Found == Row->Violation);
+}
+
+namespace {
+
 struct run_row {
   char Path[16];
   char Second[8];    ///< upstream of the second run
