--- a/tests/gateway/earlier_build_test.cpp
+++ b/tests/gateway/earlier_build_test.cpp
@@ -317,6 +317,7 @@
   Messenger.sendLimit({"u-1", 5.0, Now});
   Messenger.sendOrigins(Peer, "\x04s\nv1");
   Messenger.sendOriginQuestion(Peer, 11);
+  Messenger.sendHistoryQuestion(Peer, 12, 3);
   Messenger.sendLeaving({"u-1", 17, "127.0.0.1", 9});
 }
 
