--- a/tests/net/client_connection_test.cpp
+++ b/tests/net/client_connection_test.cpp
@@ -205,6 +205,39 @@
   cr_assert(Observer.Loss->Reason == loss_reason::ConnectFailed);
 }
 
+struct connect_row {
+  char Address[16];
+  bool Listens;
+  bool Refused;
+};
+
+ParameterizedTestParameters(client_connection,
+                            only_a_refusal_shows_that_nobody_listens) {
+  static connect_row Rows[] = {
+      {"127.0.0.1", false, true},
+      {"127.0.0.1", true, false}, // reset once it is open
+      {"no address", false, false},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(connect_row *Row, client_connection,
+                  only_a_refusal_shows_that_nobody_listens) {
+  const event_base_ptr Base(event_base_new());
+  client_connection_pool Pool(Base.get(), {});
+  scripted_server Server(Base.get(),
+                         [](scripted_server::peer &Peer) { Peer.reset(); });
+  client_request Request = requestTo(Server);
+  Request.Server.Address = Row->Address;
+  if (!Row->Listens)
+    Server.stopListening();
+  recording_observer Observer;
+  Pool.start(Request, Observer);
+  cr_assert(runLoopUntil(Base.get(), [&] { return Observer.over(); }));
+  cr_assert(Observer.Loss && Observer.Loss->Refused == Row->Refused, "%s",
+            Row->Address);
+}
+
 /// The server responds before it has read the long body and never reads the
 /// rest. The response must be delivered although the request cannot be written.
 Test(client_connection, early_response_is_delivered_and_connection_not_reused) {
