--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -50,7 +50,9 @@
 void resetNow(bufferevent *Socket) {
   sockaddr Unspecified{};
   Unspecified.sa_family = AF_UNSPEC;
-  connect(bufferevent_getfd(Socket), &Unspecified, sizeof(Unspecified));
+  if (connect(bufferevent_getfd(Socket), &Unspecified, sizeof(Unspecified)) !=
+      0)
+    resetOnClose(Socket);
 }
 
 bool isConnected(bufferevent *Socket) {
