--- a/tests/net/server_connection_test.cpp
+++ b/tests/net/server_connection_test.cpp
@@ -1,17 +1,12 @@
 #include "net/server_connection.h"
 
 #include "daemon/loop_runner.h"
-#include "net/socket_client.h"
+#include "net/server_fixture.h"
 #include "net/timer.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
-#include <sys/wait.h>
-#include <unistd.h>
-
-#include <csignal>
-#include <cstdlib>
 #include <thread>
 #include <vector>
 
@@ -20,58 +15,8 @@
 
 namespace {
 
-/// Records requests and responds to unreadable ones with status 400.
-class recording_handler final : public request_handler {
-public:
-  void onRequest(const std::shared_ptr<server_connection> &Connection,
-                 http_request Request) override {
-    Requests.push_back(std::move(Request));
-    Connections.push_back(Connection);
-  }
-  void onRequestError(server_connection &Connection,
-                      request_error Reason) override {
-    Errors.push_back(Reason);
-    Connection.writeResponse(400, {}, "no");
-  }
-  std::vector<http_request> Requests;
-  std::vector<std::shared_ptr<server_connection>> Connections;
-  std::vector<request_error> Errors;
-};
-
-class observer final : public client_observer {
-public:
-  void onClientDisconnected() override { Disconnected = true; }
-  void onClientDrained() override {}
-  bool Disconnected = false;
-};
-
 using client = socket_client;
-
-constexpr span_ns IdleNotice = 300ms;
-
-struct fixture {
-  explicit fixture(span_ns IdleTimeout = 30s) {
-    connection_bounds Bounds;
-    Bounds.IdleTimeout = IdleTimeout;
-    Bounds.HeadBytes = 200;
-    Bounds.BodyBytes = 10;
-    Bounds.HeadTimeout = 50ms;
-    Listener.setBounds(Bounds, readBootClock());
-    cr_assert(!Listener.listen("127.0.0.1", 0));
-  }
-  void setIdleTimeout(span_ns Value) {
-    connection_bounds Bounds = Listener.bounds();
-    Bounds.IdleTimeout = Value;
-    Bounds.IdleNotice = IdleNotice;
-    Listener.setBounds(Bounds, readBootClock());
-  }
-  event_base_ptr Base{event_base_new()};
-  recording_handler Handler;
-  connection_listener Listener{Base.get(), Handler};
-};
-
-/// Larger than what the system buffers for a connection.
-constexpr std::size_t LongBytes = 16'000'000;
+using fixture = server_fixture;
 
 /// Ways in which a connection is closed after a long response.
 enum class ending {
@@ -116,45 +61,6 @@
   char Begin[60];
 };
 
-/// Serves on its listener until it is killed, within a stream.
-class killed_server {
-public:
-  killed_server() {
-    cr_assert(pipe(Port) == 0);
-    Process = fork();
-    if (Process == 0)
-      run();
-  }
-  ~killed_server() { waitpid(Process, nullptr, 0); }
-  killed_server(const killed_server &) = delete;
-  killed_server &operator=(const killed_server &) = delete;
-  std::uint16_t port() const {
-    std::uint16_t Value = 0;
-    cr_assert(read(Port[0], &Value, sizeof(Value)) == sizeof(Value));
-    return Value;
-  }
-
-private:
-  [[noreturn]] void run() const {
-    fixture Server;
-    const std::uint16_t Value = Server.Listener.port();
-    cr_assert(write(Port[1], &Value, sizeof(Value)) == sizeof(Value));
-    runLoopUntil(Server.Base.get(),
-                 [&] { return !Server.Handler.Connections.empty(); });
-    Server.Handler.Connections[0]->beginStream(200, {});
-    Server.Handler.Connections[0]->writeChunk("part");
-    runLoopFor(Server.Base.get(), 20ms);
-    kill(getpid(), SIGKILL);
-    abort();
-  }
-  int Port[2]{};
-  pid_t Process = 0;
-};
-
-struct version_row {
-  char Request[60];
-};
-
 struct bodiless_row {
   char Request[60];
   int Status;
@@ -229,8 +135,7 @@
   fixture Server;
   auto Client = std::make_unique<client>(Server.Listener.port());
   Client->send("GET / HTTP/1.1\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.awaitRequest();
   const auto Observer = std::make_shared<observer>();
   Server.Handler.Connections[0]->observe(Observer);
   Server.Handler.Connections[0]->beginStream(200, {});
@@ -244,8 +149,7 @@
   fixture Server;
   client Client(Server.Listener.port());
   Client.send("GET / HTTP/1.1\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.awaitRequest();
   Server.Handler.Connections[0]->beginStream(200, {});
   Server.Handler.Connections[0]->writeChunk("part");
   Server.Handler.Connections[0]->abortResponse();
@@ -265,8 +169,7 @@
   fixture Server;
   client Client(Server.Listener.port());
   Client.send("GET / HTTP/1.1\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.awaitRequest();
   Server.Handler.Connections[0]->beginStream(200, {});
   Server.Listener.closeAfterResponses();
   Server.Listener.closeIdle();
@@ -296,8 +199,7 @@
   Client.send(Row->Ending == ending::CloseRequested
                   ? "GET / HTTP/1.1\r\nConnection: close\r\n\r\n"
                   : "GET / HTTP/1.1\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.awaitRequest();
   respondAtLength(Server, *Server.Handler.Connections[0], Row->Ending);
   std::size_t Received = 0;
   for (int Pause = 0; Pause < 100 && !Client.Closed; ++Pause) {
@@ -315,8 +217,7 @@
   Server.Listener.setBounds(Bounds, readBootClock());
   const client Client(Server.Listener.port());
   Client.send("GET / HTTP/1.1\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.awaitRequest();
   respondAtLength(Server, *Server.Handler.Connections[0], ending::ClosedIdle);
   cr_assert(Server.Listener.unsentCount() == 1);
   cr_assert(runLoopUntil(Server.Base.get(),
@@ -368,8 +269,7 @@
   fixture Server;
   client Client(Server.Listener.port());
   Client.send("GET / HTTP/1.1\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.awaitRequest();
   Server.Handler.Connections[0]->beginStream(200, {});
   Server.Listener.closeAfterResponses();
   Server.Listener.closeIdle();
@@ -483,108 +383,6 @@
   cr_assert(Server.Handler.Requests.size() == 1);
 }
 
-ParameterizedTestParameters(server_connection,
-                            an_http_1_0_client_is_not_sent_chunks) {
-  static version_row Rows[] = {
-      {"GET / HTTP/1.0\r\n\r\n"},
-      {"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"}};
-  return criterion_test_params(Rows);
-}
-
-ParameterizedTest(version_row *Row, server_connection,
-                  an_http_1_0_client_is_not_sent_chunks) {
-  fixture Server;
-  client Client(Server.Listener.port());
-  Client.send(Row->Request);
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
-  Server.Handler.Connections[0]->beginStream(200, {});
-  Server.Handler.Connections[0]->writeChunk("part");
-  runLoopFor(Server.Base.get(), 5ms);
-  Server.Handler.Connections[0]->writeChunk("rest");
-  Server.Handler.Connections[0]->endStream();
-  std::string Received;
-  cr_assert(runLoopUntil(Server.Base.get(), [&] {
-    Received += Client.receive();
-    return Client.Closed || Client.Reset;
-  }));
-  cr_assert(!Client.Reset);
-  cr_assert(Received.find("Connection: close\r\n") != std::string::npos);
-  cr_assert(Received.ends_with("\r\n\r\npartrest"), "%s", Received.c_str());
-}
-
-Test(server_connection,
-     an_aborted_stream_does_not_look_complete_to_an_http_1_0_client) {
-  fixture Server;
-  client Client(Server.Listener.port());
-  Client.send("GET / HTTP/1.0\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
-  Server.Handler.Connections[0]->beginStream(200, {});
-  Server.Handler.Connections[0]->writeChunk("part");
-  runLoopFor(Server.Base.get(), 5ms);
-  Server.Handler.Connections[0]->abortResponse();
-  cr_assert(runLoopUntil(Server.Base.get(), [&] {
-    Client.receive();
-    return Client.Closed || Client.Reset;
-  }));
-  cr_assert(Client.Reset);
-}
-
-Test(server_connection,
-     a_stream_given_up_for_a_stall_does_not_look_complete_to_http_1_0) {
-  fixture Server;
-  connection_bounds Bounds;
-  Bounds.FlushStall = 200ms;
-  Server.Listener.setBounds(Bounds, readBootClock());
-  client Client(Server.Listener.port());
-  Client.send("GET / HTTP/1.0\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
-  Server.Handler.Connections[0]->beginStream(200, {});
-  Server.Handler.Connections[0]->writeChunk(std::string(LongBytes, 'x'));
-  Server.Handler.Connections[0]->endStream();
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return Server.Listener.size() == 0; }));
-  cr_assert(runLoopUntil(Server.Base.get(), [&] {
-    Client.receive();
-    return Client.Closed || Client.Reset;
-  }));
-  cr_assert(Client.Reset);
-}
-
-Test(server_connection,
-     a_stream_of_a_killed_process_does_not_look_complete_to_http_1_0) {
-  const killed_server Server;
-  client Client(Server.port());
-  Client.send("GET / HTTP/1.0\r\n\r\n");
-  for (int Pause = 0; Pause < 500 && !Client.Closed && !Client.Reset; ++Pause) {
-    std::this_thread::sleep_for(10ms);
-    Client.receive();
-  }
-  cr_assert(!Client.Closed);
-  cr_assert(Client.Reset);
-}
-
-Test(server_connection, an_http_1_0_client_receives_a_long_stream_whole) {
-  fixture Server;
-  client Client(Server.Listener.port());
-  Client.send("GET / HTTP/1.0\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
-  Server.Handler.Connections[0]->beginStream(200, {});
-  Server.Handler.Connections[0]->writeChunk(std::string(LongBytes, 'x'));
-  Server.Handler.Connections[0]->endStream();
-  std::string Received;
-  cr_assert(runLoopUntil(Server.Base.get(), [&] {
-    Received += Client.receive();
-    return Client.Closed || Client.Reset;
-  }));
-  cr_assert(!Client.Reset);
-  const std::size_t Head = Received.find("\r\n\r\n") + 4;
-  cr_assert(Received.size() - Head == LongBytes, "%zu", Received.size() - Head);
-}
-
 ParameterizedTestParameters(server_connection,
                             a_stream_without_a_body_ends_with_its_head) {
   static bodiless_row Rows[] = {{"HEAD / HTTP/1.1\r\n\r\n", 200},
@@ -599,8 +397,7 @@
   client Client(Server.Listener.port());
   Client.send(Row->Request);
   Client.send("GET /2 HTTP/1.1\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.awaitRequest();
   Server.Handler.Connections[0]->beginStream(Row->Status, {});
   Server.Handler.Connections[0]->writeChunk("part");
   Server.Handler.Connections[0]->endStream();
@@ -621,8 +418,7 @@
   fixture Server;
   client Client(Server.Listener.port());
   Client.send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
+  Server.awaitRequest();
   Server.Handler.Connections[0]->beginStream(204, {});
   Server.Handler.Connections[0]->endStream();
   std::string Received;
@@ -634,55 +430,6 @@
             Received.c_str());
 }
 
-Test(server_connection, an_http_1_0_client_that_keeps_alive_is_told_so) {
-  fixture Server;
-  client Client(Server.Listener.port());
-  const std::string Request =
-      "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
-  Client.send(Request);
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
-  Server.Handler.Connections[0]->writeResponse(200, {}, "one");
-  std::string Received;
-  cr_assert(runLoopUntil(Server.Base.get(), [&] {
-    Received += Client.receive();
-    return Received.ends_with("one");
-  }));
-  cr_assert(Received.find("Connection: keep-alive\r\n") != std::string::npos,
-            "%s", Received.c_str());
-  Client.send(Request);
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return Server.Handler.Requests.size() == 2; }));
-}
-
-Test(server_connection, an_http_1_0_client_gets_a_response_until_its_close) {
-  fixture Server;
-  client Client(Server.Listener.port());
-  Client.send("GET / HTTP/1.0\r\n\r\n");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Connections.empty(); }));
-  Server.Handler.Connections[0]->writeResponse(200, {}, "one");
-  std::string Received;
-  cr_assert(runLoopUntil(Server.Base.get(), [&] {
-    Received += Client.receive();
-    return Client.Closed;
-  }));
-  cr_assert(Received.find("Content-Length: 3\r\n") != std::string::npos);
-  cr_assert(Received.ends_with("\r\n\r\none"), "%s", Received.c_str());
-}
-
-Test(server_connection, an_http_1_0_client_gets_no_interim_response) {
-  fixture Server;
-  client Client(Server.Listener.port());
-  Client.send("POST / HTTP/1.0\r\nExpect: 100-continue\r\n"
-              "Content-Length: 1\r\n\r\n");
-  runLoopFor(Server.Base.get(), 20ms);
-  cr_assert(Client.receive().empty());
-  Client.send("x");
-  cr_assert(runLoopUntil(Server.Base.get(),
-                         [&] { return !Server.Handler.Requests.empty(); }));
-}
-
 ParameterizedTestParameters(server_connection,
                             only_a_refused_head_request_gets_no_body) {
   static refused_row Rows[] = {
