--- a/src/decisions/process/software_history.cpp
+++ b/src/decisions/process/software_history.cpp
@@ -19,10 +19,9 @@
 
 software_history::service_state &
 software_history::stateOf(std::string_view Service, instant Now) {
-  const instant BeginnersSince =
-      KnowsAll ? instant::min() : GapAt.value_or(Now);
+  const instant OriginsSince = IsFirst ? instant::min() : GapAt.value_or(Now);
   return Services
-      .try_emplace(std::string(Service), service_state{Now, BeginnersSince, {}})
+      .try_emplace(std::string(Service), service_state{Now, OriginsSince, {}})
       .first->second;
 }
 
@@ -33,23 +32,23 @@
 }
 
 void software_history::onGap(instant Now) {
-  KnowsAll = false;
+  IsFirst = false;
   GapAt = Now;
   for (auto &[Service, State] : Services)
-    State.KnownSince = State.BeginnersSince = Now;
+    State.KnownSince = State.OriginsSince = Now;
 }
 
 void software_history::onFirstInstance() {
-  KnowsAll = true;
+  IsFirst = true;
   for (auto &[Service, State] : Services)
-    State.BeginnersSince = instant::min();
+    State.OriginsSince = instant::min();
 }
 
 std::vector<software_history::sole_version>
 software_history::soleVersions() const {
   std::vector<sole_version> Known;
   for (const auto &[Service, State] : Services) {
-    sole_version Sole{Service, "", State.BeginnersSince};
+    sole_version Sole{Service, "", State.OriginsSince};
     std::size_t Listed = 0;
     for (const auto &[Version, Last] : State.LastListed) {
       if (Last == instant::max()) {
@@ -70,13 +69,13 @@
   if (Found == Services.end() ||
       !Found->second.LastListed.contains(Known.Version))
     return;
-  instant &Since = Found->second.BeginnersSince;
+  instant &Since = Found->second.OriginsSince;
   Since = std::min(Since, Known.Since);
 }
 
-bool software_history::knowsBeginners(instant Since) const {
+bool software_history::knowsOrigins(instant Since) const {
   return std::ranges::all_of(Services, [Since](const auto &Service) {
-    return Service.second.BeginnersSince <= Since;
+    return Service.second.OriginsSince <= Since;
   });
 }
 
@@ -89,9 +88,9 @@
 }
 
 std::optional<std::string>
-software_history::onlyBeginner(std::string_view Service, instant Since) const {
+software_history::onlyOrigin(std::string_view Service, instant Since) const {
   const auto State = Services.find(Service);
-  if (State == Services.end() || State->second.BeginnersSince > Since)
+  if (State == Services.end() || State->second.OriginsSince > Since)
     return std::nullopt;
   return onlyListed(State->second, Since);
 }
--- a/src/decisions/process/software_history.h
+++ b/src/decisions/process/software_history.h
@@ -51,8 +51,8 @@
   void onPeerKnows(const sole_version &Known);
 
   /// Returns whether the services that have upstreams are all known since
-  /// \p Since, in the sense of `onlyBeginner`.
-  bool knowsBeginners(instant Since) const;
+  /// \p Since, in the sense of `onlyOrigin`.
+  bool knowsOrigins(instant Since) const;
 
   /// Returns the only version that the upstreams of \p Service have had since
   /// \p Since. Returns nothing if there were several or none, or if the
@@ -63,15 +63,15 @@
   /// Returns the only version that can have begun a stream of \p Service since
   /// \p Since. In contrast to `only`, this counts what peers know as well, and
   /// what cannot have been used before the first instance.
-  std::optional<std::string> onlyBeginner(std::string_view Service,
-                                          instant Since) const;
+  std::optional<std::string> onlyOrigin(std::string_view Service,
+                                        instant Since) const;
 
 private:
   struct service_state {
     instant KnownSince;
     /// Since when only upstreams of remembered versions can have been used; not
     /// after `KnownSince`.
-    instant BeginnersSince;
+    instant OriginsSince;
     /// When each version was last listed; `instant::max()` for those that are.
     std::map<std::string, instant, std::less<>> LastListed;
   };
@@ -83,7 +83,7 @@
 
   std::map<std::string, service_state, std::less<>> Services;
   std::optional<instant> GapAt; ///< the last one
-  bool KnowsAll = false;        ///< that any instance can have used
+  bool IsFirst = false;         ///< no instance has served before this one
 };
 
 } // namespace ebonyvale
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -291,9 +291,10 @@
 
   /// Records that no instance has served before this one.
   void onFirstInstance();
-  /// Returns the oldest configuration that is known without gaps, or nothing if
-  /// it is known for all streams that may be resumed what can have begun them.
-  std::optional<std::uint64_t> oldestUncertain(instant Now) const;
+  /// Returns the configuration about which peers are to be asked: the oldest
+  /// one since which all are known. Nothing if the possible origins of all
+  /// streams that may be resumed are known.
+  std::optional<std::uint64_t> versionToAskAbout(instant Now) const;
   /// Returns what this instance knows, for a peer that knows the configurations
   /// from \p Version on.
   stream_history historySince(std::uint64_t Version, instant Now) const;
--- a/src/gateway/process/origin_task.cpp
+++ b/src/gateway/process/origin_task.cpp
@@ -225,7 +225,7 @@
 }
 
 void origin_task::askForHistory(instant Now) {
-  const auto Version = Core.oldestUncertain(Now);
+  const auto Version = Core.versionToAskAbout(Now);
   const auto &Peers = Core.roster().peers();
   if (!Version || !Core.messenger() || Peers.empty())
     return;
--- a/tests/decisions/process/software_history_test.cpp
+++ b/tests/decisions/process/software_history_test.cpp
@@ -87,16 +87,16 @@
 }
 
 /// What the first instance has not seen, no stream has begun at.
-Test(software_history, a_first_instance_needs_no_time_to_know_the_beginner) {
+Test(software_history, a_first_instance_needs_no_time_to_know_the_origin) {
   software_history History;
   History.onGap(instant(1s));
   History.update(listing("v1"), instant(1s));
-  cr_assert(!History.onlyBeginner("s", instant(-50s)));
+  cr_assert(!History.onlyOrigin("s", instant(-50s)));
   History.onFirstInstance();
-  cr_assert(History.onlyBeginner("s", instant(-50s)) == "v1");
+  cr_assert(History.onlyOrigin("s", instant(-50s)) == "v1");
   cr_assert(!History.only("s", instant(-50s)));
   History.onListed("s", "v2", instant(3s));
-  cr_assert(!History.onlyBeginner("s", instant(-50s)));
+  cr_assert(!History.onlyOrigin("s", instant(-50s)));
 }
 
 Test(software_history, a_first_instance_does_not_know_what_it_missed) {
@@ -104,12 +104,12 @@
   History.update(listing("v1"), instant(1s));
   History.onFirstInstance();
   History.onGap(instant(20s));
-  cr_assert(!History.onlyBeginner("s", instant(15s)));
-  cr_assert(History.onlyBeginner("s", instant(20s)) == "v1");
+  cr_assert(!History.onlyOrigin("s", instant(15s)));
+  cr_assert(History.onlyOrigin("s", instant(20s)) == "v1");
 }
 
 /// A peer that has started earlier knows what was listed before.
-Test(software_history, learns_from_a_peer_since_when_it_knows_the_beginner) {
+Test(software_history, learns_from_a_peer_since_when_it_knows_the_origin) {
   software_history Peer;
   Peer.onGap(instant(1s));
   Peer.update(listing("v1 v2"), instant(1s));
@@ -121,11 +121,11 @@
             Known[0].Since == instant(10s) + span_ns(1));
   software_history Later;
   Later.update(listing("v2"), instant(30s));
-  cr_assert(!Later.knowsBeginners(instant(11s)));
+  cr_assert(!Later.knowsOrigins(instant(11s)));
   Later.onPeerKnows({"s", "v1", instant::min()});
-  cr_assert(!Later.onlyBeginner("s", instant(11s)));
+  cr_assert(!Later.onlyOrigin("s", instant(11s)));
   Later.onPeerKnows(Known[0]);
-  cr_assert(Later.knowsBeginners(instant(11s)));
-  cr_assert(Later.onlyBeginner("s", instant(11s)) == "v2");
-  cr_assert(!Later.onlyBeginner("s", instant(10s)));
+  cr_assert(Later.knowsOrigins(instant(11s)));
+  cr_assert(Later.onlyOrigin("s", instant(11s)) == "v2");
+  cr_assert(!Later.onlyOrigin("s", instant(10s)));
 }
