Responses of peers whose stream is reset do not pass for whole

A peer's response that was cut by a reset of its stream, or by a peer that goes away, was handed over as whole, with the body received so far.

Cause: h2_connection took the close of a stream for the end of its response whenever a status had been received; neither the frame nor the error code that closed the stream was looked at.

Which message of a peer a cut body would have harmed was not played.

--- a/src/net/h2_connection.cpp
+++ b/src/net/h2_connection.cpp
@@ -159,7 +159,7 @@
   if (Node.empty() || !Node.mapped().Done)
     return;
   stream &Stream = Node.mapped();
-  if (Stream.Response.Status == 0)
+  if (Stream.Response.Status == 0 || !Stream.Whole)
     Stream.Done(std::nullopt);
   else
     Stream.Done(std::move(Stream.Response));
@@ -250,8 +250,12 @@
   const bool IsMessage =
       Frame->hd.type == NGHTTP2_HEADERS || Frame->hd.type == NGHTTP2_DATA;
   const bool IsLast = (Frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
-  if (Connection->IsServer && IsMessage && IsLast)
+  if (!IsMessage || !IsLast)
+    return 0;
+  if (Connection->IsServer)
     Connection->respondToStream(Frame->hd.stream_id);
+  else
+    Connection->Streams[Frame->hd.stream_id].Whole = true;
   return 0;
 }
 
--- a/src/net/h2_connection.h
+++ b/src/net/h2_connection.h
@@ -36,7 +36,8 @@
 /// closed, even if its owner drops it earlier.
 class h2_connection : public std::enable_shared_from_this<h2_connection> {
 public:
-  /// Called with the response, or with nothing if there was none.
+  /// Called with the response, or with nothing if there was none or its stream
+  /// ended before it was complete.
   using response_callback = std::function<void(std::optional<h2_response>)>;
   /// Returns the response to a request.
   using request_handler = std::function<h2_response(const h2_request &)>;
@@ -80,6 +81,7 @@
     h2_response Response;
     std::string Outgoing; ///< body to send
     std::size_t Sent = 0; ///< bytes of `Outgoing` given to nghttp2
+    bool Whole = false;   ///< the peer has marked the end of its response
     response_callback Done;
   };
 
