Responses of the admin listener that are cut off are no success of ctl

Where the response of a daemon had neither a length nor chunks and its connection closed within it, the tool took what it had for the response: 'note apply' printed 'accepted as version 7' and exited with 0. A response that was short of its length, had no last chunk or was reset ended as 'cannot be reached', as if the daemon had not got the request.

Cause: admin_client took the end of the connection for the end of the response, and had one result for every kind of loss.

A response is whole only by its length or its last chunk, one of which the admin listeners of daemons and gateways always send. One that is cut off exits with 3 as before and says 'the response was cut off; whether the request was carried out is not known'.

--- a/src/ctl/admin_client.cpp
+++ b/src/ctl/admin_client.cpp
@@ -11,18 +11,20 @@
 
   void onHead(const response_head &Head) override {
     Response.Status = Head.status();
+    IsFramed = !Head.header("Content-Length").empty() ||
+               !Head.header("Transfer-Encoding").empty();
   }
   void onBody(std::string_view Bytes) override { Response.Body += Bytes; }
   void onComplete() override {
-    Completed = true;
+    Response.IsWhole = IsFramed;
     event_base_loopbreak(Base);
   }
   void onLost(exchange_stage) override { event_base_loopbreak(Base); }
 
-  bool Completed = false; ///< false if the connection was lost
-  admin_response Response;
+  admin_response Response; ///< with status 0 before its head
 
 private:
+  bool IsFramed = false; ///< the response has a length or chunks
   event_base *Base;
 };
 
@@ -45,7 +47,7 @@
   blocking_call Call(Base.get());
   upstream_exchange::start(Pool, Request, Call);
   event_base_dispatch(Base.get());
-  if (!Call.Completed)
+  if (Call.Response.Status == 0)
     return std::nullopt;
   return Call.Response;
 }
--- a/src/ctl/admin_client.h
+++ b/src/ctl/admin_client.h
@@ -15,17 +15,20 @@
 struct admin_response {
   int Status = 0; ///< HTTP status code
   std::string Body;
+  /// Whether all of the body was received, as its length or its last chunk
+  /// proves. The end of the connection alone proves nothing.
+  bool IsWhole = false;
 };
 
 /// Sends requests to one admin listener, one at a time, and blocks until each
-/// response is complete.
+/// response has ended.
 class admin_client {
 public:
   admin_client(endpoint Server, std::string Token);
 
   /// Sends a request with the given HTTP method, target and body. Returns
   /// nothing if the daemon cannot be reached or the connection is lost before
-  /// the response is complete.
+  /// the head of the response is complete.
   std::optional<admin_response> call(const std::string &Method,
                                      const std::string &Target,
                                      std::string_view Body = {});
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -29,6 +29,7 @@
   std::string Admin; ///< "address:port"
   exit_code Code = exit_code::Done;
   json Body;
+  bool IsCutOff = false; ///< a part of the response was received
 };
 
 instance_result sendRequest(const ctl_options &Options,
@@ -43,7 +44,8 @@
   }
   admin_client Client(*Server, Options.Token);
   const auto Response = Client.call(Method, Target, Body);
-  if (!Response)
+  Result.IsCutOff = Response && !Response->IsWhole;
+  if (!Response || Result.IsCutOff)
     return Result;
   Result.Body = json::parse(Response->Body, nullptr, false);
   Result.Code = Response->Status >= FirstErrorStatus || !Result.Body.is_object()
@@ -64,7 +66,10 @@
   if (Result.Code == exit_code::Usage)
     Err << Result.Admin << ": expected address:port\n";
   if (Result.Code == exit_code::Unreachable)
-    Err << Result.Admin << ": cannot be reached\n";
+    Err << Result.Admin
+        << (Result.IsCutOff ? ": the response was cut off; whether the request "
+                              "was carried out is not known\n"
+                            : ": cannot be reached\n");
   if (Result.Code == exit_code::Refused) {
     const json Error = errorOf(Result.Body);
     Err << Result.Admin << ": " << Error.value("kind", "unreadable response")
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -15,7 +15,7 @@
   Done = 0,
   Refused = 1,     ///< a daemon refused the request
   Usage = 2,       ///< the command line is wrong
-  Unreachable = 3, ///< a daemon cannot be reached
+  Unreachable = 3, ///< a daemon cannot be reached, or its response was cut off
 };
 
 /// Command-line options, shared by all commands.
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -23,7 +23,7 @@
     return ExitUsage;
   const auto Response =
       admin_client(*Server, "").call("POST", "/control", Body);
-  return Response ? 0 : ExitFailure;
+  return Response && Response->IsWhole ? 0 : ExitFailure;
 }
 
 int runLoad(const load_test_settings &Settings) {
--- a/tests/ctl/commands_test.cpp
+++ b/tests/ctl/commands_test.cpp
@@ -16,19 +16,30 @@
 
 namespace {
 
+/// What follows a response.
+enum class response_end { Open, Closed, Reset };
+
 /// Serves one response to every request, on a thread of its own.
 class admin_stand_in {
 public:
-  admin_stand_in(int Status, std::string Body)
+  admin_stand_in(int Status, const std::string &Body)
+      : admin_stand_in("HTTP/1.1 " + std::to_string(Status) +
+                           " x\r\nConnection: close\r\nContent-Length: " +
+                           std::to_string(Body.size()) + "\r\n\r\n" + Body,
+                       response_end::Open) {}
+  /// Sends \p Response to every request, and then \p End.
+  admin_stand_in(const std::string &Response, response_end End)
       : Base(event_base_new()),
         Server(Base.get(),
-               [Status, Body](scripted_server::peer &Peer) {
+               [Response, End](scripted_server::peer &Peer) {
                  if (Peer.Received.find("\r\n\r\n") == std::string::npos)
                    return;
-                 Peer.send("HTTP/1.1 " + std::to_string(Status) +
-                           " x\r\nConnection: close\r\nContent-Length: " +
-                           std::to_string(Body.size()) + "\r\n\r\n" + Body);
                  Peer.Received.clear();
+                 Peer.send(Response);
+                 if (End == response_end::Closed)
+                   Peer.close();
+                 if (End == response_end::Reset)
+                   Peer.reset();
                }),
         Stop(event_new(
             Base.get(), Pipe.Ends[0], EV_READ,
@@ -74,8 +85,69 @@
   char Output[64]; ///< part of the output, or of the error if `Code` is one
 };
 
+struct cut_row {
+  char Command[24];
+  char Response[112];
+  response_end End;
+  bool IsSent; ///< whether a part of the response has been sent
+};
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+
+/// Runs \p Words against \p Admin.
+exit_code runAgainst(const admin_stand_in &Admin, const std::string &Words,
+                     std::ostream &Out, std::ostream &Err) {
+  char Note[] = "/tmp/ebonyvale-note-XXXXXX";
+  close(mkstemp(Note));
+  ctl_options Options;
+  Options.Admins = {Admin.address()};
+  std::vector<std::string> Arguments;
+  std::istringstream Command(Words);
+  for (std::string Word; Command >> Word;)
+    Arguments.push_back(Word == "FILE" ? Note : Word);
+  const exit_code Code = runCtl(Options, Arguments, Out, Err);
+  std::remove(Note);
+  return Code;
+}
+
 } // namespace
 
+ParameterizedTestParameters(ctl_commands, a_cut_response_is_no_success) {
+  static cut_row Rows[] = {
+      {"status", OK_HEAD "Content-Length: 40\r\n\r\n{\"version\":7}",
+       response_end::Closed, true},
+      {"status", OK_HEAD "Content-Length: 40\r\n\r\n{\"version\":7}",
+       response_end::Reset, true},
+      {"note apply FILE", OK_HEAD "Content-Length: 40\r\n\r\n{\"version\":7}",
+       response_end::Closed, true},
+      {"status",
+       OK_HEAD "Transfer-Encoding: chunked\r\n\r\nd\r\n{\"version\":7}\r\n",
+       response_end::Closed, true},
+      {"status", OK_HEAD "\r\n{\"version\":7}", response_end::Closed, true},
+      {"note apply FILE", OK_HEAD "Connection: close\r\n\r\n{\"version\":7}",
+       response_end::Closed, true},
+      {"status", OK_HEAD "\r\n{\"version\":7}", response_end::Reset, true},
+      {"note check FILE", OK_HEAD "\r\n{\"would_make_ver", response_end::Closed,
+       true},
+      {"status", OK_HEAD "Content-Len", response_end::Closed, false},
+      {"status", "", response_end::Reset, false},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(cut_row *Row, ctl_commands, a_cut_response_is_no_success) {
+  const admin_stand_in Admin(Row->Response, Row->End);
+  std::ostringstream Out;
+  std::ostringstream Err;
+  const exit_code Code = runAgainst(Admin, Row->Command, Out, Err);
+  cr_assert(Code == exit_code::Unreachable, "%d: '%s' '%s'",
+            static_cast<int>(Code), Out.str().c_str(), Err.str().c_str());
+  const std::string Expected =
+      Admin.address() +
+      (Row->IsSent ? ": the response was cut off" : ": cannot be reached");
+  cr_assert(Err.str().starts_with(Expected), "%s", Err.str().c_str());
+}
+
 ParameterizedTestParameters(ctl_commands, responses) {
   static command_row Rows[] = {
       {"status", 200,
@@ -132,19 +204,10 @@
 }
 
 ParameterizedTest(command_row *Row, ctl_commands, responses) {
-  char Note[] = "/tmp/ebonyvale-note-XXXXXX";
-  close(mkstemp(Note));
   const admin_stand_in Admin(Row->Status, Row->Body);
-  ctl_options Options;
-  Options.Admins = {Admin.address()};
-  std::vector<std::string> Words;
-  std::istringstream Command(Row->Command);
-  for (std::string Word; Command >> Word;)
-    Words.push_back(Word == "FILE" ? Note : Word);
   std::ostringstream Out;
   std::ostringstream Err;
-  const exit_code Code = runCtl(Options, Words, Out, Err);
-  std::remove(Note);
+  const exit_code Code = runAgainst(Admin, Row->Command, Out, Err);
   cr_assert(Code == Row->Code, "%d: %s", static_cast<int>(Code),
             Err.str().c_str());
   const std::string Printed = Code == exit_code::Done ? Out.str() : Err.str();
