Tests of how responses of plain upstreams end

A body that is short of its length or has no last chunk, a reset, an error and a timeout were suspected to pass for whole at plain upstreams.

--- a/tests/daemon/request/broken_response_test.cpp
+++ b/tests/daemon/request/broken_response_test.cpp
@@ -22,6 +22,12 @@
   bool IsComplete;
 };
 
+struct bodiless_row {
+  char Method[8];
+  char Response[96];
+  int Status;
+};
+
 #define CHAT "/v1/chat/completions"
 #define WHOLE "{\"choices\":[]}"
 #define HALF "{\"choices\":["
@@ -44,6 +50,25 @@
        "Content-Length: 5\r\n\r\nwho", false, false},
       {"plain, no last chunk", "/orders/1",
        "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n", false, false},
+      {"plain, cut chunk", "/orders/1",
+       "Transfer-Encoding: chunked\r\n\r\n5\r\nwho", false, false},
+      {"plain, half the last chunk", "/orders/1",
+       "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n0\r\n", false, false},
+      {"plain, chunks in a coding", "/orders/1",
+       "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nwho", false, false},
+      {"plain, other chunks", "/orders/1",
+       "Transfer-Encoding: Chunked\r\n\r\n5\r\nwho", false, false},
+      {"plain, length and chunks", "/orders/1",
+       "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwho", false,
+       false},
+      {"plain, length of no number", "/orders/1",
+       "Content-Length: five\r\n\r\nwho", false, false},
+      {"plain, whole, close", "/orders/1", "Connection: close\r\n\r\nwhole",
+       false, true},
+      {"plain, reset, close", "/orders/1", "Connection: close\r\n\r\nwho", true,
+       false},
+      {"plain, reset, length", "/orders/1", "Content-Length: 5\r\n\r\nwho",
+       true, false},
       {"plain, status line only", "/orders/1", "", false, false},
       {"plain, half a name", "/orders/1", "Content-Len", false, false},
       {"plain, half a value", "/orders/1", "Content-Length: 5", false, false},
@@ -81,3 +106,56 @@
   cr_assert(PassedAsComplete == Row->IsComplete, "%s: %d '%s'", Row->Name,
             Response.Status, Response.Body.c_str());
 }
+
+Test(broken_response, a_silent_upstream_does_not_end_its_response) {
+  router_fixture Router;
+  scripted_server Server(Router.Base.get(), [&](scripted_server::peer &Peer) {
+    if (Peer.Received.find("\r\n\r\n") == std::string::npos)
+      return;
+    Peer.Received.clear();
+    Peer.send("HTTP/1.1 200 OK\r\n\r\nwho");
+  });
+  Router.applyNote(
+      fmt::format("id = \"moved\"\n[[changed.upstream]]\n"
+                  "name = \"application-1\"\nport = {}\n"
+                  "[[changed.route]]\nname = \"orders\"\ndeadline_ms = 200\n",
+                  Server.address().Port));
+  const client_response Response = Router.call({.Path = "/orders/1"});
+  cr_assert(Response.Status >= 500, "%d '%s'", Response.Status,
+            Response.Body.c_str());
+}
+
+ParameterizedTestParameters(broken_response, without_a_body_is_whole) {
+  static bodiless_row Rows[] = {
+      {"GET", "HTTP/1.1 204 No Content\r\n\r\n", 204},
+      {"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", 304},
+      {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", 200},
+      {"HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 200},
+      {"HEAD", "HTTP/1.1 200 OK\r\n\r\n", 200},
+      {"GET",
+       "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n"
+       "Content-Length: 0\r\n\r\n",
+       200},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(bodiless_row *Row, broken_response, without_a_body_is_whole) {
+  router_fixture Router;
+  scripted_server Server(Router.Base.get(), [&](scripted_server::peer &Peer) {
+    if (Peer.Received.find("\r\n\r\n") == std::string::npos)
+      return;
+    Peer.Received.clear();
+    Peer.send(Row->Response);
+  });
+  Router.applyNote(fmt::format(
+      "id = \"moved\"\n[[changed.upstream]]\nname = \"application-1\"\n"
+      "port = {}\n[[changed.route]]\nname = \"stock\"\n"
+      "methods = [\"GET\", \"HEAD\"]\ndeadline_ms = 500\n",
+      Server.address().Port));
+  const client_response Response =
+      Router.call({.Method = Row->Method, .Path = "/stock/1"});
+  cr_assert(Response.Completed);
+  cr_assert(Response.Status == Row->Status, "%s %s: %d '%s'", Row->Method,
+            Row->Response, Response.Status, Response.Body.c_str());
+}
