The bodies of kept HTTP connections without a length are not empty

A response of a plain upstream with a header 'Connection: keep-alive' (or any value but 'close') and neither a length nor chunks reached its caller as status 200 with an empty body, whatever followed its head: a body, a reset or silence.

Cause: evhttp takes such a response for one without a body and reports it as complete at its head. HTTP ends it with its connection (RFC 9112, 6.3).

The head of such a response is read as if it said 'close', which evhttp reads to the end of the connection, and which keeps the connection out of the pool.

--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -53,6 +53,29 @@
   return true;
 }
 
+/// Lets the end of the connection end a response that has a body, but neither a
+/// length nor chunks. evhttp takes such a body for empty if a header
+/// "Connection" does not say "close".
+void endWithConnection(evhttp_request *Response) {
+  constexpr int FirstFinal = 200;
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  const int Status = evhttp_request_get_response_code(Response);
+  evkeyvalq *Headers = evhttp_request_get_input_headers(Response);
+  const char *Coding = evhttp_find_header(Headers, "Transfer-Encoding");
+  const bool IsFramed =
+      evhttp_find_header(Headers, "Content-Length") ||
+      (Coding && evutil_ascii_strcasecmp(Coding, "chunked") == 0);
+  const bool HasBody = Status >= FirstFinal && Status != NoContent &&
+                       Status != NotModified &&
+                       evhttp_request_get_command(Response) != EVHTTP_REQ_HEAD;
+  if (IsFramed || !HasBody || !evhttp_find_header(Headers, "Connection"))
+    return;
+  while (evhttp_remove_header(Headers, "Connection") == 0) {
+  }
+  evhttp_add_header(Headers, "Connection", "close");
+}
+
 } // namespace
 
 std::string_view response_head::header(const char *Name) const {
@@ -169,6 +192,7 @@
     return 0;
   const auto Guard = Exchange->Self;
   Exchange->Stage = exchange_stage::Responding;
+  endWithConnection(Request);
   const evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
   if (!statesOneLength(Headers)) {
     Exchange->fail();
--- a/tests/daemon/request/broken_response_test.cpp
+++ b/tests/daemon/request/broken_response_test.cpp
@@ -67,6 +67,8 @@
        "Content-Length: 5\r\nContent-Length: 5\r\n\r\nwhole", false, true},
       {"plain, length of no number", "/orders/1",
        "Content-Length: five\r\n\r\nwho", false, false},
+      {"plain, reset, keep-alive", "/orders/1",
+       "Connection: keep-alive\r\n\r\nwho", true, false},
       {"plain, whole, close", "/orders/1", "Connection: close\r\n\r\nwhole",
        false, true},
       {"plain, reset, close", "/orders/1", "Connection: close\r\n\r\nwho", true,
@@ -111,6 +113,23 @@
             Response.Status, Response.Body.c_str());
 }
 
+Test(broken_response, a_kept_connection_does_not_empty_a_response) {
+  router_fixture Router;
+  scripted_server Server(Router.Base.get(), [&](scripted_server::peer &Peer) {
+    if (Peer.Received.find("\r\n\r\n") == std::string::npos)
+      return;
+    Peer.Received.clear();
+    Peer.send("HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nwhole");
+    Peer.close();
+  });
+  Router.applyNote(fmt::format("id = \"moved\"\n[[changed.upstream]]\n"
+                               "name = \"application-1\"\nport = {}\n",
+                               Server.address().Port));
+  const client_response Response = Router.call({.Path = "/orders/1"});
+  cr_assert(Response.Status == 200 && Response.Body == "whole", "%d '%s'",
+            Response.Status, Response.Body.c_str());
+}
+
 Test(broken_response, a_silent_upstream_does_not_end_its_response) {
   router_fixture Router;
   scripted_server Server(Router.Base.get(), [&](scripted_server::peer &Peer) {
