Soak: killed upstreams come back at once, by clocks that are apart

The soak restarted killed upstreams after 1.0 to 1.3 s, with clocks alike and beside running gateways.

--restart-ms N: killed upstreams are back at their ports after N ms.

The result line tells kills, starts by a shifted clock, and frozen gateways.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -84,6 +84,11 @@
       Result.Violations.size(), Result.Runs, Counts.Idle, Counts.GaveUp,
       Counts.Crossed, Counts.TimeUsed, Counts.Killed, Counts.Faulted,
       Counts.Early, Counts.Resumed, Counts.OldServices);
+  if (Options.UpstreamKills)
+    Text +=
+        fmt::format("  upstreams: {} killed, {} starts by a shifted clock; "
+                    "{} gateways frozen\n",
+                    Result.UpstreamKills, Result.ShiftedStarts, Result.Freezes);
   for (const std::string &Violation : Result.Violations)
     Text += "  " + Violation + "\n";
   if (Result.Violations.empty() && !Options.KeepLogs) {
@@ -150,7 +155,15 @@
       "with --silences, keep the logs of seeds without violations")(
       "close-delimited-every", options::value(&Silences.CloseDelimitedEvery),
       "with --silences, one response of an upstream in so many is delimited by "
-      "the close of its connection; 0: none");
+      "the close of its connection; 0: none")(
+      "restart-ms", options::value<int>(),
+      "with --kill-upstreams, restart them at their ports after so many ms")(
+      "upstream-clock-ms", options::value(&Silences.UpstreamClockMs),
+      "with --silences, upstreams state starts by clocks that are so many ms "
+      "early, right or late, anew at each start")(
+      "freeze-gateways", options::bool_switch(&Silences.FreezeGateways),
+      "with --kill-upstreams, stop one gateway in turn for 400 ms at each "
+      "kill");
   options::variables_map Values;
   try {
     options::store(options::parse_command_line(Count, Arguments, Description),
@@ -174,6 +187,9 @@
     Request.Gateways = Values["gateways"].as<std::size_t>();
   if (Values.count("callers") != 0)
     Request.Callers = Values["callers"].as<std::size_t>();
+  if (Values.count("restart-ms") != 0)
+    Silences.RestartTime =
+        std::chrono::milliseconds(Values["restart-ms"].as<int>());
   const auto Size = chooseSize(Request);
   if (!Size)
     return Refuse("--gateways and --callers must be at least 1");
--- a/tests/soak/silence_environment.cpp
+++ b/tests/soak/silence_environment.cpp
@@ -17,8 +17,18 @@
 constexpr span_ns TickInterval = 20ms;
 constexpr span_ns StartTimeout = 30s;
 constexpr span_ns EndTimeout = 20s;
+constexpr span_ns ReapTimeout = 1s; ///< from the kill of a process
+constexpr span_ns FreezeTime = 400ms;
 constexpr double TeamRate = 1e6; ///< above what callers ask for
 
+/// Returns a seed of the clocks of one upstream, so that they change no other
+/// event.
+std::uint32_t clockSeed(std::uint32_t Seed, std::size_t Upstream) {
+  constexpr std::uint32_t Stream = 6; // after those of `makeSilencePlan`
+  std::seed_seq Sequence{Seed, Stream, static_cast<std::uint32_t>(Upstream)};
+  return std::mt19937(Sequence)();
+}
+
 } // namespace
 
 silence_environment::silence_environment(const silence_options &RunOptions)
@@ -49,10 +59,13 @@
       std::max<std::size_t>(3, Options.Callers / CallersOfUpstream);
   for (const char *Service : {"s", "t"})
     for (std::size_t Index = 0; Index < Count; ++Index) {
-      upstream_values Values{fmt::format("{}-{}", Service, Index), Service,
+      upstream_values Values{fmt::format("{}-{}", Service, Index),
+                             Service,
                              DelaysMs[Index % DelaysMs.size()],
                              IntervalsMs[Index % IntervalsMs.size()],
-                             Options.CloseDelimitedEvery};
+                             Options.CloseDelimitedEvery,
+                             Options.UpstreamClockMs,
+                             clockSeed(Options.Seed, Upstreams.size())};
       Upstreams.push_back(std::make_unique<upstream_process>(
           Options.Upstream, std::move(Values), Options.Folder));
       if (!Upstreams.back()->start())
@@ -188,15 +201,21 @@
     const instant Now = readBootClock();
     Upstream.kill(Now);
     Checker.onUpstreamKill(Upstream.values().Id, Now);
-    const bool SamePort = Event.Variant % 2 == 0;
-    callAfter(Base.get(), Event.Duration,
+    const bool SamePort = Options.RestartTime || Event.Variant % 2 == 0;
+    callAfter(Base.get(), Options.RestartTime.value_or(Event.Duration),
               [this, &Upstream, SamePort] { restart(Upstream, SamePort); });
   }
+  if (Options.FreezeGateways)
+    pause(*Gateways[Freezes++ % Gateways.size()], FreezeTime);
 }
 
 void silence_environment::restart(upstream_process &Upstream, bool SamePort) {
   // Reaps the process before.
-  if (Upstream.running() || !Upstream.start(SamePort))
+  if (Upstream.running() &&
+      readBootClock() < Upstream.kills().back() + ReapTimeout)
+    callAfter(Base.get(), TickInterval,
+              [this, &Upstream, SamePort] { restart(Upstream, SamePort); });
+  else if (Upstream.running() || !Upstream.start(SamePort))
     Violations.push_back(Upstream.values().Id + " cannot be restarted");
   else
     registerUpstream(Upstream);
@@ -236,13 +255,7 @@
       Gateway.StoppingSince = Now;
     return Gateway.Process->signal(SIGTERM);
   case silence_event_kind::Pause:
-    Checker.onGatewayFault(Gateway.Index, {Now, Until});
-    ++Gateway.ActivePauses;
-    Gateway.Process->signal(SIGSTOP);
-    return Later([&Gateway] {
-      if (--Gateway.ActivePauses == 0)
-        Gateway.Process->signal(SIGCONT);
-    });
+    return pause(Gateway, Event.Duration);
   case silence_event_kind::CallerLink:
     Checker.onGatewayFault(Gateway.Index, {Now, Until});
     Gateway.CallerProxy.setFault(LinkFault);
@@ -267,6 +280,17 @@
   }
 }
 
+void silence_environment::pause(soak_gateway &Gateway, span_ns Duration) {
+  const instant Now = readBootClock();
+  Checker.onGatewayFault(Gateway.Index, {Now, Now + Duration});
+  ++Gateway.ActivePauses;
+  Gateway.Process->signal(SIGSTOP);
+  callAfter(Base.get(), Duration, [&Gateway] {
+    if (--Gateway.ActivePauses == 0)
+      Gateway.Process->signal(SIGCONT);
+  });
+}
+
 silence_result silence_environment::run() {
   TickTimer.startPeriodic(TickInterval);
   waitFor(
@@ -301,6 +325,8 @@
       Violations.push_back(fmt::format("{} ended by itself with {}",
                                        Upstream->values().Id,
                                        Upstream->exitStatus()));
+    Result.UpstreamKills += Upstream->kills().size();
+    Result.ShiftedStarts += Upstream->shiftedStarts();
     for (const upstream_run &Run : Upstream->runs()) {
       Checker.onRun(Run);
       ++Result.Runs;
@@ -314,6 +340,7 @@
                            Violations.end());
   Result.Counts = Checker.counts();
   Result.Statuses = Statuses;
+  Result.Freezes = Freezes;
   return Result;
 }
 
--- a/tests/soak/silence_environment.h
+++ b/tests/soak/silence_environment.h
@@ -34,7 +34,12 @@
   bool UpstreamKills = false;
   /// See `fake_upstream::CloseDelimitedEvery`.
   unsigned CloseDelimitedEvery = 0;
-  bool KeepLogs = false; ///< of runs without violations, too
+  /// Time from the kill of an upstream to its restart at its port; nothing: as
+  /// planned, at its port or another.
+  std::optional<span_ns> RestartTime;
+  int UpstreamClockMs = 0;     ///< see `upstream_values::ClockMs`
+  bool FreezeGateways = false; ///< one in turn at each kill of upstreams
+  bool KeepLogs = false;       ///< of runs without violations, too
   std::filesystem::path Folder;
 };
 
@@ -44,6 +49,9 @@
   silence_counts Counts;
   std::map<int, std::size_t> Statuses; ///< number of responses by status
   std::size_t Runs = 0;                ///< at all upstreams
+  std::size_t UpstreamKills = 0;
+  std::size_t ShiftedStarts = 0; ///< see `upstream_process::shiftedStarts`
+  std::size_t Freezes = 0;       ///< of gateways, at kills of upstreams
 };
 
 /// Runs the plan of one seed and checks it.
@@ -67,6 +75,7 @@
   /// Puts the entry of \p Upstream into the store as soon as it listens.
   void registerUpstream(upstream_process &Upstream);
   void applyToGateway(const silence_event &Event);
+  void pause(soak_gateway &Gateway, span_ns Duration);
   bool waitFor(const std::function<bool()> &Done, span_ns Timeout);
   /// Returns the index of a gateway that listens, other than \p Avoided if
   /// there is one; nothing if none listens.
@@ -85,6 +94,7 @@
   int EarlierIdleMs = 0; ///< idle timeout before the present one
   int Version = 0;
   std::size_t LastId = 0;
+  std::size_t Freezes = 0;
   bool TrafficEnabled = false;
   std::map<int, std::size_t> Statuses;
   std::vector<std::string> Violations; ///< besides those of the checker
--- a/tests/soak/upstream_process.cpp
+++ b/tests/soak/upstream_process.cpp
@@ -13,10 +13,13 @@
                                    const std::filesystem::path &Folder)
     : Program(Program), Values(std::move(Wanted)),
       PortsFile((Folder / (Values.Id + ".ports")).string()),
-      LogFile((Folder / (Values.Id + ".log")).string()) {}
+      LogFile((Folder / (Values.Id + ".log")).string()), Clocks(Values.Seed) {}
 
 bool upstream_process::start(bool SamePort) {
   std::filesystem::remove(PortsFile);
+  const int Shift =
+      Values.ClockMs * std::uniform_int_distribution<int>(-1, 1)(Clocks);
+  ShiftedStarts += Shift == 0 ? 0U : 1U;
   Process = std::make_unique<daemon_process>(
       Program,
       std::vector<std::string>{
@@ -24,7 +27,7 @@
           "--delay-ms", std::to_string(Values.DelayMs), "--interval-ms",
           std::to_string(Values.IntervalMs), "--close-delimited-every",
           std::to_string(Values.CloseDelimitedEvery), "--port",
-          SamePort ? Port : "0"},
+          SamePort ? Port : "0", "--clock-ms", std::to_string(Shift)},
       LogFile);
   return Process->start();
 }
--- a/tests/soak/upstream_process.h
+++ b/tests/soak/upstream_process.h
@@ -8,6 +8,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,9 @@
   int IntervalMs = 0; ///< between two events of a stream
   /// See `fake_upstream::CloseDelimitedEvery`.
   unsigned CloseDelimitedEvery = 0;
+  /// Each start's clock is this much early, right or late, by \c Seed.
+  int ClockMs = 0;
+  std::uint32_t Seed = 0;
 };
 
 /// Starts, silences and kills one upstream process and reads what it printed.
@@ -42,6 +46,8 @@
   /// Ends the process with SIGKILL.
   void kill(instant Now);
   const std::vector<instant> &kills() const { return Kills; }
+  /// Returns the number of starts with a clock that is early or late.
+  std::size_t shiftedStarts() const { return ShiftedStarts; }
 
   /// Stops the process with SIGSTOP; overlapping calls add up.
   void beginSilence();
@@ -59,6 +65,8 @@
   std::unique_ptr<daemon_process> Process;
   std::string Port = "0"; ///< of the process before
   unsigned Silences = 0;
+  std::mt19937 Clocks;
+  std::size_t ShiftedStarts = 0;
   std::vector<instant> Kills;
 };
 
--- a/tests/soak_upstream/main.cpp
+++ b/tests/soak_upstream/main.cpp
@@ -37,6 +37,7 @@
   int DelayMs = 0;
   int IntervalMs = 0;
   unsigned CloseDelimitedEvery = 0;
+  std::int64_t ClockMs = 0;
   std::uint16_t Port = 0;
   options::options_description Description(
       "ebonyvale-soak-upstream\n\nOptions");
@@ -52,7 +53,9 @@
       "close-delimited-every", options::value(&CloseDelimitedEvery),
       "one response in so many is delimited by the close of its connection; 0: "
       "none")("port", options::value(&Port),
-              "port to listen on, unless it is in use; 0: any");
+              "port to listen on, unless it is in use; 0: any")(
+      "clock-ms", options::value(&ClockMs),
+      "how far its clock, by which it states its start, is ahead");
   try {
     options::variables_map Values;
     options::store(options::parse_command_line(Count, Arguments, Description),
@@ -71,7 +74,8 @@
   Upstream.EventsNameProcess = true;
   Upstream.Born = std::chrono::duration_cast<std::chrono::milliseconds>(
                       std::chrono::system_clock::now().time_since_epoch())
-                      .count();
+                      .count() +
+                  ClockMs;
   Upstream.OnRun = [](const http_request &Request) {
     report("run",
            Request.Head.Headers.find("Ebonyvale-Request-Id").value_or("-"));
