Soak: events in two writes, and responses that upstreams break off

Upstreams sent each event in one write, and only their kills cut a response off.

Such a run excuses an incomplete answer to its own request alone, and only as the last run of that request. Four rows check that; the result line tells how many.

--- a/tests/platform/fake_upstream.cpp
+++ b/tests/platform/fake_upstream.cpp
@@ -232,6 +232,8 @@
   const std::size_t Half = Body.size() / 2;
   Link->beginStream(200, Headers, stream_framing::CloseDelimited);
   Link->writeChunk(std::string_view(Body).substr(0, Half));
+  if (breaksOff())
+    return breakOff(Link);
   callAfter(Links.base(), EventInterval,
             [this, Link, Rest = Body.substr(Half)] {
               if (!Link->open())
@@ -254,23 +256,53 @@
     Link->writeChunk(ownEvents(After, Last) + Half);
     return Link->abortResponse();
   }
-  if (EventInterval > span_ns(0))
-    return streamWithGaps(Link, After);
+  if (EventInterval > span_ns(0)) {
+    const int Left = std::max(1, Events - After);
+    const int Broken =
+        breaksOff() ? After + 1 + static_cast<int>(Bodies / ResetEvery) % Left
+                    : 0;
+    return streamWithGaps(Link, After, Broken);
+  }
   Link->writeChunk(ownEvents(After, Events));
   Link->endStream();
 }
 
 void fake_upstream::streamWithGaps(
-    const std::shared_ptr<server_connection> &Link, int After) {
+    const std::shared_ptr<server_connection> &Link, int After,
+    int BrokenEvent) {
   if (!Link->open())
     return;
   if (After >= Events) {
     Link->endStream();
     return endRun(*Link, /*Complete=*/true);
   }
-  Link->writeChunk(ownEvents(After, After + 1));
-  callAfter(Links.base(), EventInterval,
-            [this, Link, After] { streamWithGaps(Link, After + 1); });
+  const std::string Event = ownEvents(After, After + 1);
+  const bool Broken = After + 1 == BrokenEvent;
+  const std::size_t First =
+      Broken || EventSplit > span_ns(0) ? Event.size() / 2 : Event.size();
+  Link->writeChunk(std::string_view(Event).substr(0, First));
+  if (Broken)
+    return breakOff(Link);
+  if (First < Event.size())
+    callAfter(Links.base(), EventSplit, [Link, Rest = Event.substr(First)] {
+      if (Link->open())
+        Link->writeChunk(Rest);
+    });
+  callAfter(Links.base(), EventInterval, [this, Link, After, BrokenEvent] {
+    streamWithGaps(Link, After + 1, BrokenEvent);
+  });
+}
+
+void fake_upstream::breakOff(const std::shared_ptr<server_connection> &Link) {
+  callAfter(Links.base(), EventInterval, [this, Link] {
+    const auto Run = ActiveRuns.find(Link.get());
+    if (!Link->open() || Run == ActiveRuns.end())
+      return;
+    if (OnReset)
+      OnReset(Run->second->Id);
+    Link->abortResponse();
+    endRun(*Link, /*Complete=*/false);
+  });
 }
 
 void fake_upstream::handleOrder(server_connection &Link,
--- a/tests/platform/fake_upstream.h
+++ b/tests/platform/fake_upstream.h
@@ -82,6 +82,12 @@
   /// One response with a body in so many is delimited by the close of its
   /// connection; 0: none.
   unsigned CloseDelimitedEvery = 0;
+  /// Time between the halves of an event of a stream with an `EventInterval`;
+  /// 0: in one write.
+  span_ns EventSplit{0};
+  /// One response with a body in so many is broken off within an event, or
+  /// after half of its body, if it goes on for an `EventInterval`; 0: none.
+  unsigned ResetEvery = 0;
   /// Requests per second that it takes from all instances together, as stated
   /// in its responses; nothing: it names no limit.
   std::optional<double> Limit;
@@ -108,6 +114,8 @@
   /// Called with the id of each request whose run ends: its response is
   /// complete, or its connection has been closed before.
   std::function<void(std::string_view Id, bool Complete)> OnRunEnd;
+  /// Called with the id of each request whose response it breaks off.
+  std::function<void(std::string_view Id)> OnReset;
 
   /// Returns the number of executions.
   int runs() const;
@@ -130,8 +138,12 @@
                const http_request &Request, header_list Headers);
   void respondStream(const std::shared_ptr<server_connection> &Link,
                      const http_request &Request, bool Broken);
-  void streamWithGaps(const std::shared_ptr<server_connection> &Link,
-                      int After);
+  void streamWithGaps(const std::shared_ptr<server_connection> &Link, int After,
+                      int BrokenEvent);
+  /// Breaks off the response on \p Link after an `EventInterval`.
+  void breakOff(const std::shared_ptr<server_connection> &Link);
+  /// Returns whether to break off the present response.
+  bool breaksOff() const { return ResetEvery != 0 && Bodies % ResetEvery == 0; }
   void respondInHalves(const std::shared_ptr<server_connection> &Link,
                        const header_list &Headers, const std::string &Body);
   stream_framing nextFraming();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -79,11 +79,11 @@
   Text += fmt::format(
       "; {} violations\n  {} runs; {} requests on idle connections; "
       "incomplete: {} given up, {} crossed a close, {} at the end of their "
-      "time, {} beside killed upstreams, {} beside "
+      "time, {} beside killed upstreams, {} reset, {} beside "
       "faults; {} early 502 or 504; {} resumed, {} at an earlier service\n",
       Result.Violations.size(), Result.Runs, Counts.Idle, Counts.GaveUp,
-      Counts.Crossed, Counts.TimeUsed, Counts.Killed, Counts.Faulted,
-      Counts.Early, Counts.Resumed, Counts.OldServices);
+      Counts.Crossed, Counts.TimeUsed, Counts.Killed, Counts.Reset,
+      Counts.Faulted, Counts.Early, Counts.Resumed, Counts.OldServices);
   if (Options.UpstreamKills)
     Text +=
         fmt::format("  upstreams: {} killed, {} starts by a shifted clock; "
@@ -163,7 +163,11 @@
       "early, right or late, anew at each start")(
       "freeze-gateways", options::bool_switch(&Silences.FreezeGateways),
       "with --kill-upstreams, stop one gateway in turn for 400 ms at each "
-      "kill");
+      "kill")("split-events", options::bool_switch(&Silences.SplitEvents),
+              "with --silences, each event is sent in two writes 20 ms apart")(
+      "reset-responses", options::value(&Silences.ResetResponses),
+      "with --silences, one response of an upstream in so many is broken off "
+      "within an event; 0: none");
   options::variables_map Values;
   try {
     options::store(options::parse_command_line(Count, Arguments, Description),
--- a/tests/soak/silence_checker.cpp
+++ b/tests/soak/silence_checker.cpp
@@ -135,6 +135,10 @@
     ++Counts.Killed;
     return true;
   }
+  if (wasReset(Ended)) {
+    ++Counts.Reset;
+    return true;
+  }
   if (isTouched(Ended, Ended.EndedAt + Tolerance) || isLateInStop(Ended) ||
       !Ended.Sent) {
     ++Counts.Faulted;
@@ -159,6 +163,14 @@
   });
 }
 
+bool silence_checker::wasReset(const ended_request &Ended) const {
+  const auto &RunsOfRequest = runsOf(Ended.Request.Id);
+  const auto Last =
+      std::ranges::max_element(RunsOfRequest, {}, &upstream_run::From);
+  return Last != RunsOfRequest.end() && Last->Reset &&
+         Last->Until <= Ended.EndedAt + Tolerance;
+}
+
 bool silence_checker::isLateInStop(const ended_request &Ended) const {
   const sent_request &Request = Ended.Request;
   const bool HasRun = !runsOf(Request.Id).empty();
--- a/tests/soak/silence_checker.h
+++ b/tests/soak/silence_checker.h
@@ -25,6 +25,7 @@
   instant From;
   instant Until = instant::max(); ///< its end, or when its connection closed
   bool Complete = false;
+  bool Reset = false; ///< its upstream broke off its response
 };
 
 /// A request that has ended, as its caller saw it.
@@ -53,6 +54,7 @@
   std::size_t Crossed = 0;  ///< incomplete: crossed an idle connection's end
   std::size_t TimeUsed = 0; ///< incomplete: at the end of their time
   std::size_t Killed = 0;   ///< incomplete: an upstream that ran it was killed
+  std::size_t Reset = 0;    ///< incomplete: the last run was broken off
   std::size_t Faulted = 0;  ///< incomplete: fault or late in a stop
   std::size_t Early = 0;    ///< 502 and 504 before the time was used
   std::size_t Resumed = 0;  ///< requests that resume a stream
@@ -140,6 +142,8 @@
   /// the answer: within the run, or so soon after it that nothing may have
   /// shown that its answer was complete.
   bool wasUpstreamKilled(const ended_request &Ended) const;
+  /// Returns whether the upstream of the last run broke off its response.
+  bool wasReset(const ended_request &Ended) const;
   void addViolation(const ended_request &Ended, std::string_view Rule,
                     const std::string &What);
 
--- a/tests/soak/silence_environment.cpp
+++ b/tests/soak/silence_environment.cpp
@@ -19,6 +19,7 @@
 constexpr span_ns EndTimeout = 20s;
 constexpr span_ns ReapTimeout = 1s; ///< from the kill of a process
 constexpr span_ns FreezeTime = 400ms;
+constexpr int SplitMs = 20;
 constexpr double TeamRate = 1e6; ///< above what callers ask for
 
 /// Returns a seed of the clocks of one upstream, so that they change no other
@@ -65,7 +66,9 @@
                              IntervalsMs[Index % IntervalsMs.size()],
                              Options.CloseDelimitedEvery,
                              Options.UpstreamClockMs,
-                             clockSeed(Options.Seed, Upstreams.size())};
+                             clockSeed(Options.Seed, Upstreams.size()),
+                             Options.SplitEvents ? SplitMs : 0,
+                             Options.ResetResponses};
       Upstreams.push_back(std::make_unique<upstream_process>(
           Options.Upstream, std::move(Values), Options.Folder));
       if (!Upstreams.back()->start())
--- a/tests/soak/silence_environment.h
+++ b/tests/soak/silence_environment.h
@@ -37,6 +37,8 @@
   /// Time from the kill of an upstream to its restart at its port; nothing: as
   /// planned, at its port or another.
   std::optional<span_ns> RestartTime;
+  bool SplitEvents = false;    ///< in two writes, 20 ms apart
+  unsigned ResetResponses = 0; ///< see `fake_upstream::ResetEvery`
   int UpstreamClockMs = 0;     ///< see `upstream_values::ClockMs`
   bool FreezeGateways = false; ///< one in turn at each kill of upstreams
   bool KeepLogs = false;       ///< of runs without violations, too
--- a/tests/soak/upstream_process.cpp
+++ b/tests/soak/upstream_process.cpp
@@ -22,12 +22,26 @@
   ShiftedStarts += Shift == 0 ? 0U : 1U;
   Process = std::make_unique<daemon_process>(
       Program,
-      std::vector<std::string>{
-          "--id", Values.Id, "--service", Values.Service, "--ports", PortsFile,
-          "--delay-ms", std::to_string(Values.DelayMs), "--interval-ms",
-          std::to_string(Values.IntervalMs), "--close-delimited-every",
-          std::to_string(Values.CloseDelimitedEvery), "--port",
-          SamePort ? Port : "0", "--clock-ms", std::to_string(Shift)},
+      std::vector<std::string>{"--id",
+                               Values.Id,
+                               "--service",
+                               Values.Service,
+                               "--ports",
+                               PortsFile,
+                               "--delay-ms",
+                               std::to_string(Values.DelayMs),
+                               "--interval-ms",
+                               std::to_string(Values.IntervalMs),
+                               "--close-delimited-every",
+                               std::to_string(Values.CloseDelimitedEvery),
+                               "--port",
+                               SamePort ? Port : "0",
+                               "--clock-ms",
+                               std::to_string(Shift),
+                               "--split-ms",
+                               std::to_string(Values.SplitMs),
+                               "--reset-every",
+                               std::to_string(Values.ResetEvery)},
       LogFile);
   return Process->start();
 }
@@ -74,6 +88,7 @@
     } else if (const auto Found = Open.find(Id); Found != Open.end()) {
       Runs[Found->second].Until = At;
       Runs[Found->second].Complete = What == "completed";
+      Runs[Found->second].Reset |= What == "reset";
     }
   }
   // A killed process does not print the ends of its runs.
--- a/tests/soak/upstream_process.h
+++ b/tests/soak/upstream_process.h
@@ -25,6 +25,9 @@
   /// Each start's clock is this much early, right or late, by \c Seed.
   int ClockMs = 0;
   std::uint32_t Seed = 0;
+  int SplitMs = 0; ///< between the halves of an event
+  /// See `fake_upstream::ResetEvery`.
+  unsigned ResetEvery = 0;
 };
 
 /// Starts, silences and kills one upstream process and reads what it printed.
--- a/tests/soak_checks/silence_checker_test.cpp
+++ b/tests/soak_checks/silence_checker_test.cpp
@@ -219,6 +219,41 @@
 
 namespace {
 
+struct reset_row {
+  bool Reset[2]; ///< runs of the request
+  char Id[8];    ///< the request of the second run, until 2000 ms
+  bool Violation;
+};
+
+} // namespace
+
+ParameterizedTestParameters(silence_checker, only_a_reset_last_run_is_excused) {
+  static reset_row Rows[] = {
+      {{false, true}, "r", false},
+      {{true, false}, "r", true},
+      {{false, false}, "r", true},
+      {{false, true}, "other", true},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(reset_row *Row, silence_checker,
+                  only_a_reset_last_run_is_excused) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  Checker.onEnded(request("r", "/stream-on/", 3s));
+  upstream_run First = run("r", "s-0", 10, 200);
+  First.Reset = Row->Reset[0];
+  Checker.onRun(First);
+  upstream_run Second = run(Row->Id, "s-1", 300, 2000);
+  Second.Reset = Row->Reset[1];
+  Checker.onRun(Second);
+  const bool Found = reports(Checker, "LOST");
+  cr_assert(Found == Row->Violation);
+}
+
+namespace {
+
 struct run_row {
   char Path[16];
   char Second[8];    ///< upstream of the second run
--- a/tests/soak_upstream/main.cpp
+++ b/tests/soak_upstream/main.cpp
@@ -37,6 +37,8 @@
   int DelayMs = 0;
   int IntervalMs = 0;
   unsigned CloseDelimitedEvery = 0;
+  int SplitMs = 0;
+  unsigned ResetEvery = 0;
   std::int64_t ClockMs = 0;
   std::uint16_t Port = 0;
   options::options_description Description(
@@ -55,7 +57,11 @@
       "none")("port", options::value(&Port),
               "port to listen on, unless it is in use; 0: any")(
       "clock-ms", options::value(&ClockMs),
-      "how far its clock, by which it states its start, is ahead");
+      "how far its clock, by which it states its start, is ahead")(
+      "split-ms", options::value(&SplitMs),
+      "time between the halves of an event; 0: in one write")(
+      "reset-every", options::value(&ResetEvery),
+      "one response in so many is broken off; 0: none");
   try {
     options::variables_map Values;
     options::store(options::parse_command_line(Count, Arguments, Description),
@@ -71,6 +77,8 @@
   Upstream.Delay = std::chrono::milliseconds(DelayMs);
   Upstream.EventInterval = std::chrono::milliseconds(IntervalMs);
   Upstream.CloseDelimitedEvery = CloseDelimitedEvery;
+  Upstream.EventSplit = std::chrono::milliseconds(SplitMs);
+  Upstream.ResetEvery = ResetEvery;
   Upstream.EventsNameProcess = true;
   Upstream.Born = std::chrono::duration_cast<std::chrono::milliseconds>(
                       std::chrono::system_clock::now().time_since_epoch())
@@ -83,6 +91,7 @@
   Upstream.OnRunEnd = [](std::string_view Request, bool Complete) {
     report(Complete ? "completed" : "closed", Request);
   };
+  Upstream.OnReset = [](std::string_view Request) { report("reset", Request); };
   const std::string Unfinished = PortsFile + ".new";
   std::ofstream(Unfinished) << fmt::format("callers {}\n{}\n", Upstream.port(),
                                            Upstream.entry(Service));
