--- a/tests/soak/upstream_process.cpp
+++ b/tests/soak/upstream_process.cpp
@@ -13,18 +13,35 @@
                                    const std::filesystem::path &Folder)
     : Program(Program), Values(std::move(Wanted)),
       PortsFile((Folder / (Values.Id + ".ports")).string()),
-      LogFile((Folder / (Values.Id + ".log")).string()) {}
+      LogFile((Folder / (Values.Id + ".log")).string()), Clocks(Values.Seed) {}
 
 bool upstream_process::start(bool SamePort) {
   std::filesystem::remove(PortsFile);
+  const int Shift =
+      Values.ClockMs * std::uniform_int_distribution<int>(-1, 1)(Clocks);
+  ShiftedStarts += Shift == 0 ? 0U : 1U;
   Process = std::make_unique<daemon_process>(
       Program,
-      std::vector<std::string>{
-          "--id", Values.Id, "--service", Values.Service, "--ports", PortsFile,
-          "--delay-ms", std::to_string(Values.DelayMs), "--interval-ms",
-          std::to_string(Values.IntervalMs), "--close-delimited-every",
-          std::to_string(Values.CloseDelimitedEvery), "--port",
-          SamePort ? Port : "0"},
+      std::vector<std::string>{"--id",
+                               Values.Id,
+                               "--service",
+                               Values.Service,
+                               "--ports",
+                               PortsFile,
+                               "--delay-ms",
+                               std::to_string(Values.DelayMs),
+                               "--interval-ms",
+                               std::to_string(Values.IntervalMs),
+                               "--close-delimited-every",
+                               std::to_string(Values.CloseDelimitedEvery),
+                               "--port",
+                               SamePort ? Port : "0",
+                               "--clock-ms",
+                               std::to_string(Shift),
+                               "--split-ms",
+                               std::to_string(Values.SplitMs),
+                               "--reset-every",
+                               std::to_string(Values.ResetEvery)},
       LogFile);
   return Process->start();
 }
@@ -71,6 +88,7 @@
     } else if (const auto Found = Open.find(Id); Found != Open.end()) {
       Runs[Found->second].Until = At;
       Runs[Found->second].Complete = What == "completed";
+      Runs[Found->second].Reset |= What == "reset";
     }
   }
   // A killed process does not print the ends of its runs.
