--- a/src/decisions/process/response_ends.cpp
+++ b/src/decisions/process/response_ends.cpp
@@ -4,6 +4,15 @@
 #include <utility>
 
 namespace ebonyvale {
+namespace {
+
+end_verdict verdictOf(end_proof Proof) {
+  const bool IsBroken =
+      Proof == end_proof::OtherStart || Proof == end_proof::Gone;
+  return IsBroken ? end_verdict::Broken : end_verdict::Whole;
+}
+
+} // namespace
 
 std::string_view endVerdictName(end_verdict Verdict) {
   switch (Verdict) {
@@ -15,6 +24,22 @@
   return "broken";
 }
 
+std::string_view endProofName(end_proof Proof) {
+  switch (Proof) {
+  case end_proof::ListedStart:
+    return "listed_start";
+  case end_proof::ClockOrder:
+    return "clock_order";
+  case end_proof::AskedAtOnce:
+    return "asked_at_once";
+  case end_proof::OtherStart:
+    return "other_start";
+  case end_proof::Gone:
+    break;
+  }
+  return "gone";
+}
+
 std::vector<response_ends::waiting_process>::iterator
 response_ends::find(const upstream_process &Process) {
   return std::ranges::find(Processes, Process, &waiting_process::Process);
@@ -52,23 +77,24 @@
   return Asked;
 }
 
-std::optional<end_verdict> response_ends::judge(const upstream_process &Process,
-                                                const waiting_end &End,
-                                                const answer &Answer) {
+std::optional<end_proof> response_ends::judge(const upstream_process &Process,
+                                              const waiting_end &End,
+                                              const answer &Answer) {
   if (Answer.Evidence == process_evidence::Gone)
-    return end_verdict::Broken;
+    return end_proof::Gone;
   if (End.At > Answer.AskedAt)
     return std::nullopt;
   switch (Answer.Evidence) {
   case process_evidence::Started:
     // The entry may be that of an earlier process than the one that was sent
     // the request.
-    return Answer.Born == Process.Born || Answer.Born <= End.SentAtMs
-               ? end_verdict::Whole
-               : end_verdict::Broken;
+    if (Answer.Born == Process.Born)
+      return end_proof::ListedStart;
+    return Answer.Born <= End.SentAtMs ? end_proof::ClockOrder
+                                       : end_proof::OtherStart;
   case process_evidence::Unnamed:
     if (Answer.AskedAt - End.At < MinStartTime)
-      return end_verdict::Whole;
+      return end_proof::AskedAtOnce;
     return std::nullopt;
   case process_evidence::None:
   case process_evidence::Gone:
@@ -85,10 +111,10 @@
   if (Waiting == Processes.end())
     return Judged;
   std::erase_if(Waiting->Ends, [&](const waiting_end &End) {
-    const auto Verdict = judge(Process, End, Answer);
-    if (Verdict)
-      Judged.push_back({End.Number, *Verdict});
-    return Verdict.has_value();
+    const auto Proof = judge(Process, End, Answer);
+    if (Proof)
+      Judged.push_back({End.Number, verdictOf(*Proof), *Proof});
+    return Proof.has_value();
   });
   if (Waiting->AskedAt == Answer.AskedAt) {
     Waiting->AskedAt.reset();
--- a/src/decisions/process/response_ends.h
+++ b/src/decisions/process/response_ends.h
@@ -28,8 +28,19 @@
   Broken, ///< its process ended with it
 };
 
+/// What a verdict rests on.
+enum class end_proof {
+  ListedStart, ///< the process has the start of the entry
+  ClockOrder,  ///< it started before the request was sent, by two clocks
+  AskedAtOnce, ///< an answer that does not name the process
+  OtherStart,  ///< a later process answered
+  Gone,        ///< see `process_evidence::Gone`
+};
+
 /// Returns the name of \p Verdict for logs and metrics.
 std::string_view endVerdictName(end_verdict Verdict);
+/// Returns the name of \p Proof for logs.
+std::string_view endProofName(end_proof Proof);
 
 /// A response without a length or chunks ends with its connection. A process
 /// that has sent all of it closes the connection in order, and so does the
@@ -57,6 +68,7 @@
   struct judged_end {
     std::uint64_t Number;
     end_verdict Verdict;
+    end_proof Proof;
   };
 
   /// Adds a response of \p Process that ended at \p Now; its request was sent
@@ -98,9 +110,9 @@
 
   std::vector<waiting_process>::iterator find(const upstream_process &Process);
   /// Returns what \p Answer shows of \p End, a response of \p Process.
-  static std::optional<end_verdict> judge(const upstream_process &Process,
-                                          const waiting_end &End,
-                                          const answer &Answer);
+  static std::optional<end_proof> judge(const upstream_process &Process,
+                                        const waiting_end &End,
+                                        const answer &Answer);
   /// Forgets processes of which no response waits.
   void dropEmpty();
 
--- a/src/gateway/connection/end_verifier.cpp
+++ b/src/gateway/connection/end_verifier.cpp
@@ -136,14 +136,14 @@
 }
 
 void end_verifier::tell(std::span<const response_ends::judged_end> Judged) {
-  for (const auto &[Number, Verdict] : Judged) {
-    Core.counters().onEndJudged(Verdict);
-    const auto Entry = Waiters.extract(Number);
+  for (const response_ends::judged_end &End : Judged) {
+    Core.counters().onEndJudged(End.Verdict);
+    const auto Entry = Waiters.extract(End.Number);
     if (Entry.empty())
       continue;
     if (const auto Waiter = Entry.mapped().lock())
       callLater(Core.base(),
-                [Waiter, Verdict = Verdict] { Waiter->onEndJudged(Verdict); });
+                [Waiter, End] { Waiter->onEndJudged(End.Verdict, End.Proof); });
   }
 }
 
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -153,7 +153,7 @@
 class end_waiter {
 public:
   virtual ~end_waiter() = default;
-  virtual void onEndJudged(end_verdict Verdict) = 0;
+  virtual void onEndJudged(end_verdict Verdict, end_proof Proof) = 0;
 };
 
 /// Finds out whether the processes of upstreams outlive their responses.
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -222,10 +222,15 @@
                                readBootClock());
 }
 
-void forward_session::onEndJudged(end_verdict Verdict) {
+void forward_session::onEndJudged(end_verdict Verdict, end_proof Proof) {
   const auto Guard = shared_from_this();
   if (!std::exchange(AwaitingEnd, false))
     return;
+  Core.log().info(event_category::Request, "end_judged",
+                  {{"id", ParsedRequest.Id},
+                   {"upstream", Choice->Upstream},
+                   {"verdict", endVerdictName(Verdict)},
+                   {"proof", endProofName(Proof)}});
   if (Verdict == end_verdict::Whole)
     return completeResponse();
   // An upstream that leaves may end by itself.
--- a/src/gateway/request/relay_session.cpp
+++ b/src/gateway/request/relay_session.cpp
@@ -177,10 +177,15 @@
                                readBootClock());
 }
 
-void relay_session::onEndJudged(end_verdict Verdict) {
+void relay_session::onEndJudged(end_verdict Verdict, end_proof Proof) {
   const auto Guard = shared_from_this();
   if (Ended)
     return;
+  Core.log().info(event_category::Request, "end_judged",
+                  {{"id", ParsedRequest.Id},
+                   {"upstream", Upstream},
+                   {"verdict", endVerdictName(Verdict)},
+                   {"proof", endProofName(Proof)}});
   if (Verdict == end_verdict::Whole)
     return completeResponse();
   Core.onConnectionLost(Target, readBootClock());
--- a/src/gateway/request/relay_session.h
+++ b/src/gateway/request/relay_session.h
@@ -27,7 +27,7 @@
   void begin();
 
   // end_waiter
-  void onEndJudged(end_verdict Verdict) override;
+  void onEndJudged(end_verdict Verdict, end_proof Proof) override;
 
   // client_observer
   void onClientDisconnected() override;
