Recognize the process that ended a response by identity, not by its clock

Cause: response_ends took a process for the one that had run the request if the start that it stated was before the time at which the request had been sent. That compares the clocks of two machines, which may differ and jump by seconds. It was meant for entries that are behind a restart.

Processes at an address follow each other. One that was there before the request was sent and still is has run it. It is recognized by the start of the entry, by a start that it had stated before the request (onStated, own clock), or by an answer on a connection that was opened before the request, also if its entry is behind; no clock of the upstream matters. What none of these shows is broken.

Tests, on the code before: ended_upstream row "has restarted, its clock is behind" passed on as complete (12 of 13 passed). The row "runs since before the request" of response_ends asserted the comparison; rows for connections opened before and after the request and for starts stated before and after it take its place. Upstreams of ended_upstream that restart end their connections now, as a system does. After: ended_upstream 13 of 13, response_ends 20 of 20.

--- a/src/decisions/process/response_ends.cpp
+++ b/src/decisions/process/response_ends.cpp
@@ -28,8 +28,10 @@
   switch (Proof) {
   case end_proof::ListedStart:
     return "listed_start";
-  case end_proof::ClockOrder:
-    return "clock_order";
+  case end_proof::StartStatedBefore:
+    return "start_stated_before";
+  case end_proof::EarlierConnection:
+    return "earlier_connection";
   case end_proof::AskedAtOnce:
     return "asked_at_once";
   case end_proof::OtherStart:
@@ -46,11 +48,11 @@
 }
 
 std::uint64_t response_ends::add(const upstream_process &Process,
-                                 std::int64_t SentAtMs, instant Now) {
+                                 instant SentAt, instant Now) {
   auto Waiting = find(Process);
   if (Waiting == Processes.end())
     Waiting = Processes.insert(Waiting, {Process, {}, {}, Now});
-  Waiting->Ends.push_back({++LastNumber, SentAtMs, Now});
+  Waiting->Ends.push_back({++LastNumber, SentAt, Now});
   return LastNumber;
 }
 
@@ -77,21 +79,59 @@
   return Asked;
 }
 
+void response_ends::onStated(const upstream_process &Listed, std::int64_t Born,
+                             instant Now) {
+  std::erase_if(Stated, [Now](const auto &Known) {
+    return Now - Known.second.At > KeepStated;
+  });
+  const process_address Address{Listed.Id, Listed.Address, Listed.Port};
+  if (Born == 0 || Born == Listed.Born) {
+    Stated.erase(Address);
+    return;
+  }
+  const auto Known = Stated.try_emplace(Address).first;
+  if (Known->second.Born != Born)
+    Known->second = {Born, Now, Now};
+  Known->second.At = Now;
+}
+
+bool response_ends::wasStatedBefore(const upstream_process &Process,
+                                    std::int64_t Born, instant SentAt) const {
+  const auto Known = Stated.find({Process.Id, Process.Address, Process.Port});
+  return Known != Stated.end() && Known->second.Born == Born &&
+         Known->second.Since <= SentAt;
+}
+
+bool response_ends::needsEarlierConnection(const upstream_process &Process,
+                                           const answer &Answer) const {
+  const auto Waiting =
+      std::ranges::find(Processes, Process, &waiting_process::Process);
+  return Waiting != Processes.end() &&
+         std::ranges::any_of(Waiting->Ends, [&](const waiting_end &End) {
+           const auto Proof = judge(Process, End, Answer);
+           return Proof ? verdictOf(*Proof) == end_verdict::Broken
+                        : Answer.Evidence == process_evidence::Unnamed;
+         });
+}
+
 std::optional<end_proof> response_ends::judge(const upstream_process &Process,
                                               const waiting_end &End,
-                                              const answer &Answer) {
+                                              const answer &Answer) const {
   if (Answer.Evidence == process_evidence::Gone)
     return end_proof::Gone;
   if (End.At > Answer.AskedAt)
     return std::nullopt;
+  if (Answer.ConnectedAt && *Answer.ConnectedAt <= End.SentAt)
+    return end_proof::EarlierConnection;
   switch (Answer.Evidence) {
   case process_evidence::Started:
-    // The entry may be that of an earlier process than the one that was sent
-    // the request.
     if (Answer.Born == Process.Born)
       return end_proof::ListedStart;
-    return Answer.Born <= End.SentAtMs ? end_proof::ClockOrder
-                                       : end_proof::OtherStart;
+    // The entry may be that of an earlier process than the one that was sent
+    // the request.
+    return wasStatedBefore(Process, Answer.Born, End.SentAt)
+               ? end_proof::StartStatedBefore
+               : end_proof::OtherStart;
   case process_evidence::Unnamed:
     if (Answer.AskedAt - End.At < MinStartTime)
       return end_proof::AskedAtOnce;
--- a/src/decisions/process/response_ends.h
+++ b/src/decisions/process/response_ends.h
@@ -8,8 +8,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace ebonyvale {
@@ -30,11 +33,12 @@
 
 /// What a verdict rests on.
 enum class end_proof {
-  ListedStart, ///< the process has the start of the entry
-  ClockOrder,  ///< it started before the request was sent, by two clocks
-  AskedAtOnce, ///< an answer that does not name the process
-  OtherStart,  ///< a later process answered
-  Gone,        ///< see `process_evidence::Gone`
+  ListedStart,       ///< the process has the start of the entry
+  StartStatedBefore, ///< it stated its start before the request was sent
+  EarlierConnection, ///< it answered on a connection older than the request
+  AskedAtOnce,       ///< an answer that does not name the process
+  OtherStart,        ///< no process known before the request answered
+  Gone,              ///< see `process_evidence::Gone`
 };
 
 /// Returns the name of \p Verdict for logs and metrics.
@@ -46,7 +50,10 @@
 /// that has sent all of it closes the connection in order, and so does the
 /// system of a process that is killed within it. The response counts as whole
 /// if its process has outlived it, and as broken if that has ended; until
-/// either is known it has no end. A process that closes a connection within a
+/// either is known it has no end. A process is recognized by the start that it
+/// states, never by comparing that with another clock: processes at an address
+/// follow each other, so one that was there before the request was sent and
+/// still is has run the request. A process that closes a connection within a
 /// response and goes on is not told apart, nor one that ends by itself right
 /// after a whole response.
 class response_ends {
@@ -56,6 +63,8 @@
   /// Shorter than any process takes to start: an answer to a question so soon
   /// after the end of a response is not that of the next process.
   static constexpr span_ns MinStartTime = std::chrono::milliseconds(100);
+  /// How long a start is remembered that differs from the one of the entry.
+  static constexpr span_ns KeepStated = std::chrono::seconds(60);
 
   /// The answer to a question.
   struct answer {
@@ -63,6 +72,9 @@
     process_evidence Evidence = process_evidence::None;
     /// Start in ms since the Unix epoch, where a process has stated it.
     std::int64_t Born = 0;
+    /// When the connection was opened, if the process has answered on one from
+    /// before the question.
+    std::optional<instant> ConnectedAt;
   };
 
   struct judged_end {
@@ -71,11 +83,20 @@
     end_proof Proof;
   };
 
-  /// Adds a response of \p Process that ended at \p Now; its request was sent
-  /// at \p SentAtMs in ms since the Unix epoch. Returns its number.
-  std::uint64_t add(const upstream_process &Process, std::int64_t SentAtMs,
+  /// Adds a response of \p Process, as listed when its request was sent at
+  /// \p SentAt, that ended at \p Now. Returns its number.
+  std::uint64_t add(const upstream_process &Process, instant SentAt,
                     instant Now);
 
+  /// Records that the process at the address of \p Listed has stated \p Born
+  /// until \p Now.
+  void onStated(const upstream_process &Listed, std::int64_t Born, instant Now);
+
+  /// Returns whether \p Answer leaves a response of \p Process in doubt that an
+  /// answer on an earlier connection may decide.
+  bool needsEarlierConnection(const upstream_process &Process,
+                              const answer &Answer) const;
+
   /// Forgets the response \p Number, which nobody waits for any more.
   void withdraw(std::uint64_t Number);
 
@@ -98,7 +119,7 @@
 private:
   struct waiting_end {
     std::uint64_t Number;
-    std::int64_t SentAtMs;
+    instant SentAt;
     instant At;
   };
   struct waiting_process {
@@ -108,15 +129,27 @@
     instant AskFrom;                ///< earliest time of the next question
   };
 
+  /// The start that the process at an address has stated, if it is not that of
+  /// the entry.
+  struct stated_start {
+    std::int64_t Born = 0;
+    instant Since; ///< when it was first known
+    instant At;    ///< when it was last known
+  };
+  using process_address = std::tuple<std::string, std::string, std::uint16_t>;
+
   std::vector<waiting_process>::iterator find(const upstream_process &Process);
   /// Returns what \p Answer shows of \p End, a response of \p Process.
-  static std::optional<end_proof> judge(const upstream_process &Process,
-                                        const waiting_end &End,
-                                        const answer &Answer);
+  std::optional<end_proof> judge(const upstream_process &Process,
+                                 const waiting_end &End,
+                                 const answer &Answer) const;
+  bool wasStatedBefore(const upstream_process &Process, std::int64_t Born,
+                       instant SentAt) const;
   /// Forgets processes of which no response waits.
   void dropEmpty();
 
   std::vector<waiting_process> Processes;
+  std::map<process_address, stated_start> Stated;
   std::uint64_t LastNumber = 0;
 };
 
--- a/src/gateway/connection/end_verifier.cpp
+++ b/src/gateway/connection/end_verifier.cpp
@@ -24,14 +24,6 @@
   return "none";
 }
 
-/// Returns \p At in ms since the Unix epoch.
-std::int64_t unixMs(instant At, instant Now) {
-  const auto Time = std::chrono::system_clock::now() - (Now - At);
-  return std::chrono::floor<std::chrono::milliseconds>(Time)
-      .time_since_epoch()
-      .count();
-}
-
 } // namespace
 
 bool endsWithConnection(const http_head &Response, std::string_view Method) {
@@ -47,18 +39,22 @@
 
 void end_verifier::verifyEnd(const upstream_process &Process, instant SentAt,
                              std::weak_ptr<end_waiter> Waiter, instant Now) {
-  const std::uint64_t Number = Ends.add(Process, unixMs(SentAt, Now), Now);
+  const std::uint64_t Number = Ends.add(Process, SentAt, Now);
   Waiters[Number] = std::move(Waiter);
   // One question serves all responses whose ends the loop is about to read.
   Timer.startOnce(span_ns(0));
 }
 
+void end_verifier::onStated(const upstream_process &Listed, std::int64_t Born,
+                            instant Now) {
+  Ends.onStated(Listed, Born, Now);
+}
+
 void end_verifier::proceed() {
   const instant Now = readBootClock();
   dropAbandoned();
-  // An idle connection may be one that has ended with the process.
   for (const upstream_process &Process : Ends.takeQuestions(Now))
-    ask(Process, /*OnNewConnection=*/true, Now);
+    ask(Process, Now);
   if (const auto Next = Ends.nextAt())
     Timer.startOnce(std::max<span_ns>(*Next - Now, span_ns(0)));
 }
@@ -72,29 +68,62 @@
   });
 }
 
-void end_verifier::ask(const upstream_process &Process, bool OnNewConnection,
-                       instant AskedAt) {
-  client_request Request;
+void end_verifier::send(const upstream_process &Process, client_request Request,
+                        span_ns MaxTime, upstream_call::callback Done) {
   Request.Server = {Process.Address, Process.Port};
-  Request.NewConnection = OnNewConnection;
   Core.protocols().Upstreams.makeReportRequest(Process.Id, Request);
   const auto Call = std::make_shared<upstream_call>(
       Core, Process,
-      [this, Process, AskedAt](const std::shared_ptr<upstream_call> &Ended,
+      [this,
+       Done = std::move(Done)](const std::shared_ptr<upstream_call> &Ended,
                                int Status, std::string_view Body) {
         std::erase(Calls, Ended);
-        if (mayHaveStoppedListening(Process, *Ended))
-          return ask(Process, /*OnNewConnection=*/false, AskedAt);
-        onAnswer(Process, *Ended, AskedAt, Status, Body);
+        Done(Ended, Status, Body);
       });
   Calls.push_back(Call);
-  Call->start(Request, MaxAnswerTime);
+  Call->start(Request, MaxTime);
+}
+
+void end_verifier::ask(const upstream_process &Process, instant AskedAt) {
+  client_request Request;
+  // An idle connection may be one that has ended with the process.
+  Request.NewConnection = true;
+  send(Process, std::move(Request), MaxAnswerTime,
+       [this, Process, AskedAt](const std::shared_ptr<upstream_call> &Call,
+                                int Status, std::string_view Body) {
+         const response_ends::answer Answer =
+             readAnswer(Process, *Call, AskedAt, Status, Body);
+         if (hasEarlier(Process) &&
+             Ends.needsEarlierConnection(Process, Answer))
+           return askOnEarlier(Process, Answer);
+         onAnswer(Process, Answer);
+       });
+}
+
+void end_verifier::askOnEarlier(const upstream_process &Process,
+                                const response_ends::answer &Answer) {
+  client_request Request;
+  Request.OldestConnection = true;
+  const bool IsGone = Answer.Evidence == process_evidence::Gone;
+  send(Process, std::move(Request),
+       IsGone ? MaxAnswerTime : span_ns(upstream_call::Timeout),
+       [this, Process, Answer,
+        IsGone](const std::shared_ptr<upstream_call> &Call, int Status,
+                std::string_view Body) {
+         if (Status != 0 && Call->connectedAt())
+           return onAnswer(Process, readAnswer(Process, *Call, Answer.AskedAt,
+                                               Status, Body));
+         if (Call->isLost() && hasEarlier(Process))
+           return askOnEarlier(Process, Answer);
+         // One that refuses connections may still serve those it has.
+         if (IsGone && !Call->isLost())
+           return onAnswer(Process, {Answer.AskedAt, process_evidence::None});
+         onAnswer(Process, Answer);
+       });
 }
 
-bool end_verifier::mayHaveStoppedListening(const upstream_process &Process,
-                                           const upstream_call &Call) const {
-  return Call.isRefused() &&
-         Core.links().hasIdle({Process.Address, Process.Port});
+bool end_verifier::hasEarlier(const upstream_process &Process) const {
+  return Core.links().hasIdle({Process.Address, Process.Port});
 }
 
 response_ends::answer end_verifier::readAnswer(const upstream_process &Asked,
@@ -110,27 +139,24 @@
     if (const auto Report = Core.protocols().Upstreams.readReport(Body))
       Born = Report->Born;
   if (Born == 0)
-    return {AskedAt, process_evidence::Unnamed};
+    return {AskedAt, process_evidence::Unnamed, 0, Call.connectedAt()};
   Core.onUpstreamStarted(Asked, Born, Call.keepsConnection(), AskedAt);
-  return {AskedAt, process_evidence::Started, Born};
+  return {AskedAt, process_evidence::Started, Born, Call.connectedAt()};
 }
 
 void end_verifier::onAnswer(const upstream_process &Asked,
-                            const upstream_call &Call, instant AskedAt,
-                            int Status, std::string_view Body) {
+                            const response_ends::answer &Answer) {
   const instant Now = readBootClock();
-  const response_ends::answer Answer =
-      readAnswer(Asked, Call, AskedAt, Status, Body);
   const auto Judged = Ends.onAnswer(Asked, Answer, Now);
   Core.log().info(event_category::Upstream, "ends_verified",
                   {{"upstream", Asked.Id},
                    {"born", Asked.Born},
                    {"stated", Answer.Born},
-                   {"status", Status},
                    {"evidence", evidenceName(Answer.Evidence)},
+                   {"earlier_connection", Answer.ConnectedAt.has_value()},
                    {"responses", Judged.size()},
                    {"waiting", Ends.count()},
-                   {"after_ms", Now - AskedAt}});
+                   {"after_ms", Now - Answer.AskedAt}});
   tell(Judged);
   proceed();
 }
--- a/src/gateway/connection/end_verifier.h
+++ b/src/gateway/connection/end_verifier.h
@@ -31,21 +31,25 @@
   // response_end_verifier
   void verifyEnd(const upstream_process &Process, instant SentAt,
                  std::weak_ptr<end_waiter> Waiter, instant Now) override;
+  void onStated(const upstream_process &Listed, std::int64_t Born,
+                instant Now) override;
 
 private:
   /// Asks the processes that are due.
   void proceed();
   /// Forgets the responses that nobody waits for any more.
   void dropAbandoned();
-  /// Asks \p Process on a new connection, or on an idle one.
-  void ask(const upstream_process &Process, bool OnNewConnection,
-           instant AskedAt);
-  /// Returns whether \p Process may be running though it refuses connections:
-  /// one that is open from before has not ended.
-  bool mayHaveStoppedListening(const upstream_process &Process,
-                               const upstream_call &Call) const;
-  void onAnswer(const upstream_process &Asked, const upstream_call &Call,
-                instant AskedAt, int Status, std::string_view Body);
+  /// Asks \p Process on a new connection.
+  void ask(const upstream_process &Process, instant AskedAt);
+  /// Asks \p Process on its oldest idle connection, after \p Answer on a new
+  /// one has proven no end.
+  void askOnEarlier(const upstream_process &Process,
+                    const response_ends::answer &Answer);
+  void send(const upstream_process &Process, client_request Request,
+            span_ns MaxTime, upstream_call::callback Done);
+  bool hasEarlier(const upstream_process &Process) const;
+  void onAnswer(const upstream_process &Asked,
+                const response_ends::answer &Answer);
   response_ends::answer readAnswer(const upstream_process &Asked,
                                    const upstream_call &Call, instant AskedAt,
                                    int Status, std::string_view Body);
--- a/src/gateway/connection/upstream_call.cpp
+++ b/src/gateway/connection/upstream_call.cpp
@@ -22,6 +22,7 @@
 
 void upstream_call::start(const client_request &Request, span_ns MaxTime) {
   Link = Core.links().start(Request, *this);
+  ConnectedAt = Link->openedAt();
   Deadline.startOnce(MaxTime);
 }
 
@@ -53,11 +54,12 @@
   finish(Status);
 }
 
-void upstream_call::onResponseLost(const exchange_loss &Lost) {
+void upstream_call::onResponseLost(const exchange_loss &Loss) {
   Link.reset();
-  Refused = Lost.Refused;
-  if (Lost.Stage != exchange_stage::NotSent)
-    Core.onSoftwareUncertain(Target, lossName(Lost.Reason), readBootClock());
+  Lost = true;
+  Refused = Loss.Refused;
+  if (Loss.Stage != exchange_stage::NotSent)
+    Core.onSoftwareUncertain(Target, lossName(Loss.Reason), readBootClock());
   finish(0);
 }
 
--- a/src/gateway/connection/upstream_call.h
+++ b/src/gateway/connection/upstream_call.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,10 @@
   bool isFromOtherProcess() const { return FromOtherProcess; }
   /// Returns whether the connection was refused, see `exchange_loss`.
   bool isRefused() const { return Refused; }
+  /// Returns whether the connection ended without a response.
+  bool isLost() const { return Lost; }
+  /// Returns when the connection was opened, if that was before the call.
+  std::optional<instant> connectedAt() const { return ConnectedAt; }
 
   upstream_call(gateway_core &Core, upstream_process Target, callback Done);
   ~upstream_call() override;
@@ -41,7 +46,7 @@
                                  bool FirstOnConnection) override;
   void onResponseBody(std::string_view Bytes) override;
   void onResponseEnd() override;
-  void onResponseLost(const exchange_loss &Lost) override;
+  void onResponseLost(const exchange_loss &Loss) override;
 
 private:
   void finish(int Result);
@@ -55,6 +60,8 @@
   bool KeepsConnection = false;
   bool FromOtherProcess = false;
   bool Refused = false;
+  bool Lost = false;
+  std::optional<instant> ConnectedAt;
   std::string Body;
 };
 
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -164,6 +164,10 @@
   /// sent at \p SentAt. \p Waiter is called at most once, from the event loop.
   virtual void verifyEnd(const upstream_process &Process, instant SentAt,
                          std::weak_ptr<end_waiter> Waiter, instant Now) = 0;
+  /// Records that the process at the address of \p Listed has stated until
+  /// \p Now that it started at \p Born, in ms since the Unix epoch.
+  virtual void onStated(const upstream_process &Listed, std::int64_t Born,
+                        instant Now) = 0;
 };
 
 /// Adapters to the platform in use.
--- a/src/gateway/process/upstream_reach.cpp
+++ b/src/gateway/process/upstream_reach.cpp
@@ -99,6 +99,8 @@
                                                std::int64_t Born,
                                                bool KeepsConnection,
                                                instant SentAt) {
+  if (EndVerifier)
+    EndVerifier->onStated(Listed, Born, readBootClock());
   const start_evidence Evidence =
       Unconfirmed.onStarted(Listed, Born, KeepsConnection, SentAt);
   if (Origins && (Evidence == start_evidence::SameProcess ||
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -285,7 +285,7 @@
 void client_connection::onEvent(bufferevent *, short Events, void *Argument) {
   auto *Connection = static_cast<client_connection *>(Argument);
   if ((Events & BEV_EVENT_CONNECTED) != 0) {
-    Connection->Connected = true;
+    Connection->OpenedAt = readBootClock();
     Connection->ConnectDeadline.stop();
     if (const auto Probed = std::exchange(Connection->OnProbed, nullptr)) {
       Connection->Pool.returnConnection(Connection->shared_from_this());
@@ -293,7 +293,7 @@
     }
     return;
   }
-  if (!Connection->Connected) {
+  if (!Connection->OpenedAt) {
     Connection->Refused =
         Connection->Refused || EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
     return Connection->fail(loss_reason::ConnectFailed);
@@ -306,7 +306,7 @@
 void client_connection::onOutput(evbuffer *, const evbuffer_cb_info *Info,
                                  void *Argument) {
   auto *Connection = static_cast<client_connection *>(Argument);
-  if (Info->n_deleted > 0 && Connection->Connected &&
+  if (Info->n_deleted > 0 && Connection->OpenedAt &&
       Connection->Stage == exchange_stage::NotSent)
     Connection->Stage = exchange_stage::Sent;
 }
@@ -323,7 +323,9 @@
 client_connection_pool::start(const client_request &Request,
                               response_observer &Observer) {
   std::shared_ptr<client_connection> Connection;
-  if (!Request.NewConnection)
+  if (Request.OldestConnection)
+    Connection = takeOldest(Request.Server);
+  else if (!Request.NewConnection)
     Connection = takeIdle(Request.Server);
   if (!Connection)
     Connection = std::make_shared<client_connection>(*this, Request.Server);
@@ -362,6 +364,21 @@
   return Taken;
 }
 
+std::shared_ptr<client_connection>
+client_connection_pool::takeOldest(const endpoint &Server) {
+  const auto Found = Idle.find(Server);
+  if (Found == Idle.end())
+    return nullptr;
+  std::shared_ptr<client_connection> Oldest;
+  for (const auto &Connection : Found->second)
+    if (!hasUnreadInput(Connection->Socket.get()) &&
+        (!Oldest || Connection->OpenedAt < Oldest->OpenedAt))
+      Oldest = Connection;
+  if (Oldest)
+    removeIdle(*Oldest);
+  return Oldest;
+}
+
 void client_connection_pool::returnConnection(
     const std::shared_ptr<client_connection> &Connection) {
   Connection->IdleSince = readBootClock();
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -77,6 +77,9 @@
   header_list Headers;
   std::string_view Body;      ///< copied by `client_connection_pool::start`
   bool NewConnection = false; ///< do not reuse a pooled connection
+  /// Reuse the pooled connection that was opened first, also if it has been
+  /// idle for long.
+  bool OldestConnection = false;
 };
 
 class client_connection_pool;
@@ -104,6 +107,9 @@
   void pauseReading();
   void resumeReading();
 
+  /// Returns when the connection was opened; nothing before.
+  std::optional<instant> openedAt() const { return OpenedAt; }
+
 private:
   friend class client_connection_pool;
 
@@ -133,7 +139,7 @@
   probe_callback OnProbed; ///< set until the connection of a probe is open
   timer ConnectDeadline;
   exchange_stage Stage = exchange_stage::NotSent;
-  bool Connected = false;
+  std::optional<instant> OpenedAt;
   bool Refused = false;          ///< see `exchange_loss`
   bool SkippingResponse = false; ///< the current response is being skipped
   bool Reusable = false; ///< the current response keeps the connection open
@@ -209,6 +215,9 @@
   /// Returns an idle connection to \p Server that the server has not ended, and
   /// closes those that are past their timeout; null if there is none.
   std::shared_ptr<client_connection> takeIdle(const endpoint &Server);
+  /// Returns the idle connection to \p Server that was opened first and that
+  /// the server has not ended; null if there is none.
+  std::shared_ptr<client_connection> takeOldest(const endpoint &Server);
   void returnConnection(const std::shared_ptr<client_connection> &Connection);
   void removeIdle(const client_connection &Connection);
   /// Returns how long \p Connection is reused after it became idle.
--- a/tests/decisions/process/response_ends_test.cpp
+++ b/tests/decisions/process/response_ends_test.cpp
@@ -5,6 +5,7 @@
 #include <criterion/parameterized.h>
 
 #include <algorithm>
+#include <optional>
 
 using namespace ebonyvale;
 using namespace std::chrono_literals;
@@ -12,8 +13,7 @@
 namespace {
 
 const instant Start(100s);
-constexpr std::int64_t SentAtMs = 1000;
-/// Its clock is ahead.
+const instant SentAt(99s);
 const upstream_process Process{"u-1", 5000, "127.0.0.1", 80};
 
 instant at(int Ms) { return Start + std::chrono::milliseconds(Ms); }
@@ -25,6 +25,9 @@
   process_evidence Evidence;
   std::int64_t Born;
   int Verdict; ///< an `end_verdict`; -1: still open
+  /// Time from opening an earlier connection on which it has answered to the
+  /// request; nothing: it answered on a new one.
+  std::optional<int> ConnectedMs;
 };
 
 constexpr int Whole = static_cast<int>(end_verdict::Whole);
@@ -39,14 +42,17 @@
       {"runs", 0, 5, Started, 5000, Whole},
       {"runs, silent for a second", 0, 1300, Started, 5000, Whole},
       {"runs, asked late", 3000, 3005, Started, 5000, Whole},
-      {"runs since before the request", 0, 5, Started, 1000, Whole},
-      {"started after the request", 0, 5, Started, 1001, Broken},
       {"started again", 0, 5, Started, 6000, Broken},
+      {"started again, its clock is behind", 0, 5, Started, 1, Broken},
+      {"connected before the request", 0, 5, Started, 6000, Whole, 1},
+      {"connected as it was sent", 0, 5, Started, 1, Whole, 0},
+      {"connected after the request", 0, 5, Started, 1, Broken, -1},
       {"gone", 0, 5, Gone, 0, Broken},
       {"silent or cut off", 0, 2000, None, 0, Open},
       {"unnamed, asked at once", 0, 99, Unnamed, 0, Whole},
       {"unnamed, asked at once, slow", 99, 600, Unnamed, 0, Whole},
       {"unnamed, it may have restarted", 100, 105, Unnamed, 0, Open},
+      {"unnamed, connected before", 100, 105, Unnamed, 0, Whole, 1},
   };
   return criterion_test_params(Rows);
 }
@@ -54,12 +60,13 @@
 ParameterizedTest(answer_row *Row, response_ends,
                   a_process_that_ends_proves_nothing) {
   response_ends Ends;
-  const std::uint64_t Number = Ends.add(Process, SentAtMs, Start);
+  const std::uint64_t Number = Ends.add(Process, SentAt, Start);
   cr_assert(Ends.takeQuestions(at(Row->AskedMs)).size() == 1);
   cr_assert(!Ends.nextAt());
-  const auto Judged =
-      Ends.onAnswer(Process, {at(Row->AskedMs), Row->Evidence, Row->Born},
-                    at(Row->AnsweredMs));
+  response_ends::answer Answer{at(Row->AskedMs), Row->Evidence, Row->Born};
+  if (Row->ConnectedMs)
+    Answer.ConnectedAt = SentAt - std::chrono::milliseconds(*Row->ConnectedMs);
+  const auto Judged = Ends.onAnswer(Process, Answer, at(Row->AnsweredMs));
   if (Row->Verdict == Open) {
     cr_assert(Judged.empty() && Ends.count() == 1, "%s", Row->Name);
     cr_assert(*Ends.nextAt() == at(Row->AnsweredMs) + response_ends::AskAgain);
@@ -71,12 +78,44 @@
   cr_assert(Ends.count() == 0 && !Ends.nextAt());
 }
 
+Test(response_ends, a_process_that_names_itself_after_the_request_is_another) {
+  constexpr std::int64_t Unlisted = 6000;
+  response_ends Ends;
+  Ends.add(Process, SentAt, Start);
+  cr_assert(Ends.takeQuestions(at(0)).size() == 1);
+  Ends.onStated(Process, Unlisted, at(5));
+  const response_ends::answer First{at(0), process_evidence::Started, Unlisted};
+  const auto Judged = Ends.onAnswer(Process, First, at(5));
+  cr_assert(Judged.size() == 1 && Judged[0].Proof == end_proof::OtherStart);
+  Ends.add(Process, at(5), at(10));
+  cr_assert(Ends.takeQuestions(at(10)).size() == 1);
+  Ends.onStated(Process, Unlisted, at(15));
+  const response_ends::answer Next{at(10), process_evidence::Started, Unlisted};
+  const auto Later = Ends.onAnswer(Process, Next, at(15));
+  cr_assert(Later.size() == 1 &&
+            Later[0].Proof == end_proof::StartStatedBefore);
+}
+
+Test(response_ends, only_answers_in_doubt_need_an_earlier_connection) {
+  using enum process_evidence;
+  response_ends Ends;
+  Ends.add(Process, SentAt, Start);
+  const auto Needs = [&Ends](process_evidence Evidence, std::int64_t Born) {
+    return Ends.needsEarlierConnection(Process, {at(0), Evidence, Born});
+  };
+  cr_assert(!Needs(Started, 5000));
+  cr_assert(!Needs(None, 0));
+  cr_assert(Needs(Started, 1));
+  cr_assert(!Needs(Unnamed, 0));
+  cr_assert(Needs(Gone, 0));
+}
+
 Test(response_ends, an_answer_serves_what_ended_before_its_question) {
   response_ends Ends;
   for (int Ms : {0, 1, 2})
-    Ends.add(Process, SentAtMs, at(Ms));
+    Ends.add(Process, SentAt, at(Ms));
   cr_assert(Ends.takeQuestions(at(2)).size() == 1);
-  const std::uint64_t Later = Ends.add(Process, SentAtMs, at(3));
+  const std::uint64_t Later = Ends.add(Process, SentAt, at(3));
   cr_assert(Ends.takeQuestions(at(3)).empty());
   const auto Answer = [](int AskedMs) {
     return response_ends::answer{at(AskedMs), process_evidence::Started, 5000};
@@ -91,10 +130,10 @@
 Test(response_ends, the_end_of_a_process_breaks_all_its_responses) {
   response_ends Ends;
   const upstream_process Other{"u-1", 8, "127.0.0.1", 80};
-  Ends.add(Process, SentAtMs, at(0));
-  const std::uint64_t OfOther = Ends.add(Other, SentAtMs, at(0));
+  Ends.add(Process, SentAt, at(0));
+  const std::uint64_t OfOther = Ends.add(Other, SentAt, at(0));
   cr_assert(Ends.takeQuestions(at(0)).size() == 2);
-  Ends.add(Process, SentAtMs, at(1));
+  Ends.add(Process, SentAt, at(1));
   const auto Judged =
       Ends.onAnswer(Process, {at(0), process_evidence::Gone}, at(2));
   cr_assert(Judged.size() == 2);
@@ -106,10 +145,10 @@
 
 Test(response_ends, an_answer_from_before_the_end_proves_nothing) {
   response_ends Ends;
-  const std::uint64_t Abandoned = Ends.add(Process, SentAtMs, at(0));
+  const std::uint64_t Abandoned = Ends.add(Process, SentAt, at(0));
   cr_assert(Ends.takeQuestions(at(0)).size() == 1);
   Ends.withdraw(Abandoned);
-  Ends.add(Process, SentAtMs, at(100));
+  Ends.add(Process, SentAt, at(100));
   cr_assert(Ends.takeQuestions(at(100)).size() == 1);
   cr_assert(
       Ends.onAnswer(Process, {at(0), process_evidence::Started, 5000}, at(101))
@@ -119,11 +158,11 @@
 
 Test(response_ends, an_open_question_is_the_only_one) {
   response_ends Ends;
-  Ends.add(Process, SentAtMs, at(0));
+  Ends.add(Process, SentAt, at(0));
   cr_assert(Ends.takeQuestions(at(0)).size() == 1);
   cr_assert(
       Ends.onAnswer(Process, {at(0), process_evidence::None}, at(10)).empty());
-  Ends.add(Process, SentAtMs, at(20));
+  Ends.add(Process, SentAt, at(20));
   cr_assert(Ends.takeQuestions(at(59)).empty());
   cr_assert(Ends.takeQuestions(at(60)).size() == 1);
 }
--- a/tests/gateway/ended_upstream_test.cpp
+++ b/tests/gateway/ended_upstream_test.cpp
@@ -25,6 +25,7 @@
   NoReport,     ///< an upstream that states no start
   Earlier,      ///< itself, but its entry is that of the process before
   Next,         ///< the next process
+  NextBehind,   ///< the next process, whose clock is behind
   OtherProcess, ///< another upstream
   Nobody,       ///< connections are refused
   NoListener,   ///< itself, but on open connections only
@@ -80,6 +81,15 @@
     if (Successor == successor::Nobody || Successor == successor::NoListener)
       Server.stopListening();
     Peer.close();
+    if (endsConnections())
+      for (const auto &Each : Server.Peers)
+        Each->close();
+  }
+
+  bool endsConnections() const {
+    using enum successor;
+    return Successor == Next || Successor == NextBehind ||
+           Successor == OtherProcess;
   }
 
   void answerReport(scripted_server::peer &Peer) {
@@ -94,6 +104,7 @@
     case successor::NoReport:
       return Peer.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
     case successor::Earlier:
+    case successor::NextBehind:
       return Peer.send(reportOf(Born + 1));
     case successor::Next:
       return Peer.send(reportOf(LaterBorn));
@@ -127,6 +138,7 @@
       {"states no start", successor::NoReport, true},
       {"has not been listed yet", successor::Earlier, true},
       {"has restarted", successor::Next, false},
+      {"has restarted, its clock is behind", successor::NextBehind, false},
       {"another one at its address", successor::OtherProcess, false},
       {"refuses connections", successor::Nobody, false},
       {"refuses new connections", successor::NoListener, true},
