An answer that names no process proves the end of no response

A response whose upstream answered within 100 ms of its end without stating a start (404, 503, an unreadable report) counted as whole, since no process was thought to start so soon.

Where the entry states a start, such an answer is followed by another question now, and by one on a connection from before the request; only upstreams that state none at all still depend on the time, since nothing else tells their processes apart.

The row "unnamed, asked at once" of response_ends expected a whole response; it and three rows for upstreams that never state a start take its place. On the code before, that row fails (whole instead of open).

--- a/src/decisions/process/response_ends.cpp
+++ b/src/decisions/process/response_ends.cpp
@@ -133,7 +133,7 @@
                ? end_proof::StartStatedBefore
                : end_proof::OtherStart;
   case process_evidence::Unnamed:
-    if (Answer.AskedAt - End.At < MinStartTime)
+    if (Process.Born == 0 && Answer.AskedAt - End.At < MinStartTime)
       return end_proof::AskedAtOnce;
     return std::nullopt;
   case process_evidence::None:
--- a/src/decisions/process/response_ends.h
+++ b/src/decisions/process/response_ends.h
@@ -36,7 +36,7 @@
   ListedStart,       ///< the process has the start of the entry
   StartStatedBefore, ///< it stated its start before the request was sent
   EarlierConnection, ///< it answered on a connection older than the request
-  AskedAtOnce,       ///< an answer that does not name the process
+  AskedAtOnce,       ///< the answer of an upstream that states no start
   OtherStart,        ///< no process known before the request answered
   Gone,              ///< see `process_evidence::Gone`
 };
@@ -60,8 +60,9 @@
 public:
   /// Pause after a question without evidence.
   static constexpr span_ns AskAgain = std::chrono::milliseconds(50);
-  /// Shorter than any process takes to start: an answer to a question so soon
-  /// after the end of a response is not that of the next process.
+  /// Longest time after the end of a response in which the answer of an
+  /// upstream that states no start, neither in its entry, counts as that of its
+  /// process.
   static constexpr span_ns MinStartTime = std::chrono::milliseconds(100);
   /// How long a start is remembered that differs from the one of the entry.
   static constexpr span_ns KeepStated = std::chrono::seconds(60);
--- a/tests/decisions/process/response_ends_test.cpp
+++ b/tests/decisions/process/response_ends_test.cpp
@@ -15,6 +15,7 @@
 const instant Start(100s);
 const instant SentAt(99s);
 const upstream_process Process{"u-1", 5000, "127.0.0.1", 80};
+const upstream_process WithoutStart{"u-1", 0, "127.0.0.1", 80};
 
 instant at(int Ms) { return Start + std::chrono::milliseconds(Ms); }
 
@@ -28,6 +29,7 @@
   /// Time from opening an earlier connection on which it has answered to the
   /// request; nothing: it answered on a new one.
   std::optional<int> ConnectedMs;
+  bool StatesStart = true; ///< its entry does
 };
 
 constexpr int Whole = static_cast<int>(end_verdict::Whole);
@@ -49,24 +51,26 @@
       {"connected after the request", 0, 5, Started, 1, Broken, -1},
       {"gone", 0, 5, Gone, 0, Broken},
       {"silent or cut off", 0, 2000, None, 0, Open},
-      {"unnamed, asked at once", 0, 99, Unnamed, 0, Whole},
-      {"unnamed, asked at once, slow", 99, 600, Unnamed, 0, Whole},
-      {"unnamed, it may have restarted", 100, 105, Unnamed, 0, Open},
-      {"unnamed, connected before", 100, 105, Unnamed, 0, Whole, 1},
+      {"unnamed, asked at once", 0, 5, Unnamed, 0, Open},
+      {"unnamed, connected before", 0, 5, Unnamed, 0, Whole, 1},
+      {"never named, asked at once", 0, 99, Unnamed, 0, Whole, {}, false},
+      {"never named, slow", 99, 600, Unnamed, 0, Whole, {}, false},
+      {"never named, late", 100, 105, Unnamed, 0, Open, {}, false},
   };
   return criterion_test_params(Rows);
 }
 
 ParameterizedTest(answer_row *Row, response_ends,
                   a_process_that_ends_proves_nothing) {
+  const upstream_process &Listed = Row->StatesStart ? Process : WithoutStart;
   response_ends Ends;
-  const std::uint64_t Number = Ends.add(Process, SentAt, Start);
+  const std::uint64_t Number = Ends.add(Listed, SentAt, Start);
   cr_assert(Ends.takeQuestions(at(Row->AskedMs)).size() == 1);
   cr_assert(!Ends.nextAt());
   response_ends::answer Answer{at(Row->AskedMs), Row->Evidence, Row->Born};
   if (Row->ConnectedMs)
     Answer.ConnectedAt = SentAt - std::chrono::milliseconds(*Row->ConnectedMs);
-  const auto Judged = Ends.onAnswer(Process, Answer, at(Row->AnsweredMs));
+  const auto Judged = Ends.onAnswer(Listed, Answer, at(Row->AnsweredMs));
   if (Row->Verdict == Open) {
     cr_assert(Judged.empty() && Ends.count() == 1, "%s", Row->Name);
     cr_assert(*Ends.nextAt() == at(Row->AnsweredMs) + response_ends::AskAgain);
@@ -106,7 +110,7 @@
   cr_assert(!Needs(Started, 5000));
   cr_assert(!Needs(None, 0));
   cr_assert(Needs(Started, 1));
-  cr_assert(!Needs(Unnamed, 0));
+  cr_assert(Needs(Unnamed, 0));
   cr_assert(Needs(Gone, 0));
 }
 
