Whole responses around a restart are not cut for a late entry

Callers lost the ends of whole streams (LOST) that began at an upstream in the few ms between its restart under its id and the arrival of its new entry.

Cause: the process had to be known from before the request was sent, and neither its entry nor a report had named it by then.

A process that is known while its response still arrives has sent it as well, unless what arrives was in buffers. response_activity tells when it was running last: shortly before bytes arrive, while reading is not paused and the response is not longer than what a system sends unasked. Starts are known from entries, too.

--- a/src/decisions/process/response_ends.cpp
+++ b/src/decisions/process/response_ends.cpp
@@ -48,11 +48,11 @@
 }
 
 std::uint64_t response_ends::add(const upstream_process &Process,
-                                 instant SentAt, instant Now) {
+                                 instant AliveAt, instant Now) {
   auto Waiting = find(Process);
   if (Waiting == Processes.end())
     Waiting = Processes.insert(Waiting, {Process, {}, {}, Now});
-  Waiting->Ends.push_back({++LastNumber, SentAt, Now});
+  Waiting->Ends.push_back({++LastNumber, AliveAt, Now});
   return LastNumber;
 }
 
@@ -81,25 +81,26 @@
 
 void response_ends::onStated(const upstream_process &Listed, std::int64_t Born,
                              instant Now) {
-  std::erase_if(Stated, [Now](const auto &Known) {
-    return Now - Known.second.At > KeepStated;
-  });
-  const process_address Address{Listed.Id, Listed.Address, Listed.Port};
-  if (Born == 0 || Born == Listed.Born) {
-    Stated.erase(Address);
-    return;
+  if (Now - StatedExpiredAt > KeepStated) {
+    StatedExpiredAt = Now;
+    std::erase_if(Stated, [Now](const auto &Known) {
+      return Now - Known.second.At > KeepStated;
+    });
   }
-  const auto Known = Stated.try_emplace(Address).first;
+  if (Born == 0)
+    return;
+  const auto Known =
+      Stated.try_emplace({Listed.Id, Listed.Address, Listed.Port}).first;
   if (Known->second.Born != Born)
     Known->second = {Born, Now, Now};
   Known->second.At = Now;
 }
 
 bool response_ends::wasStatedBefore(const upstream_process &Process,
-                                    std::int64_t Born, instant SentAt) const {
+                                    std::int64_t Born, instant AliveAt) const {
   const auto Known = Stated.find({Process.Id, Process.Address, Process.Port});
   return Known != Stated.end() && Known->second.Born == Born &&
-         Known->second.Since <= SentAt;
+         Known->second.Since <= AliveAt;
 }
 
 bool response_ends::needsEarlierConnection(const upstream_process &Process,
@@ -121,7 +122,7 @@
     return end_proof::Gone;
   if (End.At > Answer.AskedAt)
     return std::nullopt;
-  if (Answer.ConnectedAt && *Answer.ConnectedAt <= End.SentAt)
+  if (Answer.ConnectedAt && *Answer.ConnectedAt <= End.AliveAt)
     return end_proof::EarlierConnection;
   switch (Answer.Evidence) {
   case process_evidence::Started:
@@ -129,7 +130,7 @@
       return end_proof::ListedStart;
     // The entry may be that of an earlier process than the one that was sent
     // the request.
-    return wasStatedBefore(Process, Answer.Born, End.SentAt)
+    return wasStatedBefore(Process, Answer.Born, End.AliveAt)
                ? end_proof::StartStatedBefore
                : end_proof::OtherStart;
   case process_evidence::Unnamed:
--- a/src/decisions/process/response_ends.h
+++ b/src/decisions/process/response_ends.h
@@ -34,10 +34,10 @@
 /// What a verdict rests on.
 enum class end_proof {
   ListedStart,       ///< the process has the start of the entry
-  StartStatedBefore, ///< it stated its start before the request was sent
-  EarlierConnection, ///< it answered on a connection older than the request
+  StartStatedBefore, ///< its start was known while the response was sent
+  EarlierConnection, ///< it answered on a connection opened before that
   AskedAtOnce,       ///< the answer of an upstream that states no start
-  OtherStart,        ///< no process known before the request answered
+  OtherStart,        ///< no process known by then answered
   Gone,              ///< see `process_evidence::Gone`
 };
 
@@ -52,8 +52,8 @@
 /// if its process has outlived it, and as broken if that has ended; until
 /// either is known it has no end. A process is recognized by the start that it
 /// states, never by comparing that with another clock: processes at an address
-/// follow each other, so one that was there before the request was sent and
-/// still is has run the request. A process that closes a connection within a
+/// follow each other, so one that was there when the response was being sent
+/// and still is has sent it. A process that closes a connection within a
 /// response and goes on is not told apart, nor one that ends by itself right
 /// after a whole response.
 class response_ends {
@@ -64,7 +64,7 @@
   /// upstream that states no start, neither in its entry, counts as that of its
   /// process.
   static constexpr span_ns MinStartTime = std::chrono::milliseconds(100);
-  /// How long a start is remembered that differs from the one of the entry.
+  /// How long a start is remembered that is not stated again.
   static constexpr span_ns KeepStated = std::chrono::seconds(60);
 
   /// The answer to a question.
@@ -84,13 +84,14 @@
     end_proof Proof;
   };
 
-  /// Adds a response of \p Process, as listed when its request was sent at
-  /// \p SentAt, that ended at \p Now. Returns its number.
-  std::uint64_t add(const upstream_process &Process, instant SentAt,
+  /// Adds a response of \p Process, as listed when its request was sent, that
+  /// ended at \p Now. The process that sent it was running at \p AliveAt, see
+  /// `response_activity`. Returns its number.
+  std::uint64_t add(const upstream_process &Process, instant AliveAt,
                     instant Now);
 
-  /// Records that the process at the address of \p Listed has stated \p Born
-  /// until \p Now.
+  /// Records that the process at the address of \p Listed has stated \p Born,
+  /// in its entry or a report, until \p Now.
   void onStated(const upstream_process &Listed, std::int64_t Born, instant Now);
 
   /// Returns whether \p Answer leaves a response of \p Process in doubt that an
@@ -120,7 +121,7 @@
 private:
   struct waiting_end {
     std::uint64_t Number;
-    instant SentAt;
+    instant AliveAt;
     instant At;
   };
   struct waiting_process {
@@ -130,8 +131,7 @@
     instant AskFrom;                ///< earliest time of the next question
   };
 
-  /// The start that the process at an address has stated, if it is not that of
-  /// the entry.
+  /// The start that the process at an address has stated.
   struct stated_start {
     std::int64_t Born = 0;
     instant Since; ///< when it was first known
@@ -145,12 +145,13 @@
                                  const waiting_end &End,
                                  const answer &Answer) const;
   bool wasStatedBefore(const upstream_process &Process, std::int64_t Born,
-                       instant SentAt) const;
+                       instant AliveAt) const;
   /// Forgets processes of which no response waits.
   void dropEmpty();
 
   std::vector<waiting_process> Processes;
   std::map<process_address, stated_start> Stated;
+  instant StatedExpiredAt;
   std::uint64_t LastNumber = 0;
 };
 
--- a/src/gateway/connection/end_verifier.cpp
+++ b/src/gateway/connection/end_verifier.cpp
@@ -37,9 +37,9 @@
 
 end_verifier::~end_verifier() { Core.setEndVerifier(nullptr); }
 
-void end_verifier::verifyEnd(const upstream_process &Process, instant SentAt,
+void end_verifier::verifyEnd(const upstream_process &Process, instant AliveAt,
                              std::weak_ptr<end_waiter> Waiter, instant Now) {
-  const std::uint64_t Number = Ends.add(Process, SentAt, Now);
+  const std::uint64_t Number = Ends.add(Process, AliveAt, Now);
   Waiters[Number] = std::move(Waiter);
   // One question serves all responses whose ends the loop is about to read.
   Timer.startOnce(span_ns(0));
--- a/src/gateway/connection/end_verifier.h
+++ b/src/gateway/connection/end_verifier.h
@@ -29,7 +29,7 @@
   ~end_verifier() override;
 
   // response_end_verifier
-  void verifyEnd(const upstream_process &Process, instant SentAt,
+  void verifyEnd(const upstream_process &Process, instant AliveAt,
                  std::weak_ptr<end_waiter> Waiter, instant Now) override;
   void onStated(const upstream_process &Listed, std::int64_t Born,
                 instant Now) override;
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -160,12 +160,13 @@
 class response_end_verifier {
 public:
   virtual ~response_end_verifier() = default;
-  /// Judges a response of \p Process that has ended at \p Now, to a request
-  /// sent at \p SentAt. \p Waiter is called at most once, from the event loop.
-  virtual void verifyEnd(const upstream_process &Process, instant SentAt,
+  /// Judges a response of \p Process that has ended at \p Now, whose sender
+  /// was running at \p AliveAt. \p Waiter is called at most once, from the
+  /// event loop.
+  virtual void verifyEnd(const upstream_process &Process, instant AliveAt,
                          std::weak_ptr<end_waiter> Waiter, instant Now) = 0;
-  /// Records that the process at the address of \p Listed has stated until
-  /// \p Now that it started at \p Born, in ms since the Unix epoch.
+  /// Records that the process at the address of \p Listed has stated, in its
+  /// entry or a report, that it started at \p Born, in ms since the Unix epoch.
   virtual void onStated(const upstream_process &Listed, std::int64_t Born,
                         instant Now) = 0;
 };
@@ -250,6 +251,9 @@
   void setEndVerifier(response_end_verifier *Target) { EndVerifier = Target; }
   response_end_verifier &endVerifier() { return *EndVerifier; }
 
+  /// Records that the store lists \p Entry.
+  void onUpstreamEntry(const upstream_entry &Entry, instant Now);
+
   software_history &softwareHistory() { return SoftwareHistory; }
 
   /// Records that the list of upstreams was read anew at \p Now.
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -180,6 +180,8 @@
                    {"after_outage", Kind != listing_kind::Continuous},
                    {"after_restore", Kind == listing_kind::AfterRestore}});
   Relay.log().restart(Items.Revision, Kind);
+  for (const upstream_entry &Entry : Entries)
+    Core.onUpstreamEntry(Entry, Now);
   Core.directory().setAll(std::move(Entries), Kind, Now);
   Core.onUpstreamsListed(Now);
   Core.onUpstreamsConfirmed(Items.SentAt);
@@ -423,8 +425,10 @@
                      {"born", Entry->Born},
                      {"revision", Item.Revision}});
   const instant Now = readBootClock();
-  if (Entry)
+  if (Entry) {
     Core.softwareHistory().onListed(Entry->Service, Entry->Software, Now);
+    Core.onUpstreamEntry(*Entry, Now);
+  }
   Core.directory().put(Id, std::move(Entry), Now);
 }
 
--- a/src/gateway/process/upstream_reach.cpp
+++ b/src/gateway/process/upstream_reach.cpp
@@ -95,6 +95,11 @@
     Verifier->verify(Upstream, {}, Now);
 }
 
+void gateway_core::onUpstreamEntry(const upstream_entry &Entry, instant Now) {
+  if (EndVerifier)
+    EndVerifier->onStated(Entry.process(), Entry.Born, Now);
+}
+
 start_evidence gateway_core::onUpstreamStarted(const upstream_process &Listed,
                                                std::int64_t Born,
                                                bool KeepsConnection,
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -103,6 +103,7 @@
     return;
   }
   BodyReceived = BodyReceived || !Bytes.empty();
+  Activity.onBytes(Bytes.size(), readBootClock());
   if (!Route->Streams || Response.Status != StatusOk) {
     recordResponseBegun();
     if (ResponseBody.size() + Bytes.size() > MaxBufferedBytes)
@@ -191,8 +192,10 @@
   }
   Flow.onDelivered();
   Caller->writeChunk(Bytes);
-  if (Caller->unsentBytes() > StreamBufferBytes && Exchange)
+  if (Caller->unsentBytes() > StreamBufferBytes && Exchange) {
+    Activity.onPaused();
     Exchange->pauseReading();
+  }
 }
 
 void forward_session::recordFirstBytes() {
@@ -218,7 +221,7 @@
   if (isRelayed() || !endsWithConnection(Response, Request.Head.Method))
     return completeResponse();
   AwaitingEnd = true;
-  Core.endVerifier().verifyEnd(Target, SentAt, weak_from_this(),
+  Core.endVerifier().verifyEnd(Target, Activity.aliveAt(), weak_from_this(),
                                readBootClock());
 }
 
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -260,6 +260,7 @@
   Choice = Chosen;
   Target = Entry->process();
   SentAt = Now;
+  Activity.onSent(Now);
   HeadReceived = false;
   RelayOutcome.reset();
   BodyReceived = false;
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -3,6 +3,7 @@
 #ifndef EBONYVALE_GATEWAY_REQUEST_FORWARD_SESSION_H
 #define EBONYVALE_GATEWAY_REQUEST_FORWARD_SESSION_H
 
+#include "decisions/process/response_activity.h"
 #include "decisions/request/forward_admission.h"
 #include "decisions/request/forward_flow.h"
 #include "decisions/request/sse_events.h"
@@ -196,6 +197,7 @@
   std::optional<schedule_choice> Choice;
   upstream_process Target;
   instant SentAt;
+  response_activity Activity;
   http_head Response;
   std::optional<relay_outcome> RelayOutcome;
   response_info ResponseInfo;
--- a/src/gateway/request/relay_session.cpp
+++ b/src/gateway/request/relay_session.cpp
@@ -118,6 +118,7 @@
   Out.NewConnection = ParsedRequest.Id.empty();
   Target = Entry->process();
   SentAt = Now;
+  Activity.onSent(Now);
   Core.counters().RelayedForPeers.Increment();
   Exchange = Core.links().start(Out, *this);
 }
@@ -161,11 +162,14 @@
   const auto Guard = shared_from_this();
   if (Bytes.empty())
     return;
+  Activity.onBytes(Bytes.size(), readBootClock());
   if (!std::exchange(Forwarding, true))
     Peer->beginStream(Response.Status, responseHeaders());
   Peer->writeChunk(Bytes);
-  if (Peer->unsentBytes() > StreamBufferBytes && Exchange)
+  if (Peer->unsentBytes() > StreamBufferBytes && Exchange) {
+    Activity.onPaused();
     Exchange->pauseReading();
+  }
 }
 
 void relay_session::onResponseEnd() {
@@ -173,7 +177,7 @@
   Exchange.reset();
   if (!endsWithConnection(Response, Request.Head.Method))
     return completeResponse();
-  Core.endVerifier().verifyEnd(Target, SentAt, weak_from_this(),
+  Core.endVerifier().verifyEnd(Target, Activity.aliveAt(), weak_from_this(),
                                readBootClock());
 }
 
--- a/src/gateway/request/relay_session.h
+++ b/src/gateway/request/relay_session.h
@@ -3,6 +3,7 @@
 #ifndef EBONYVALE_GATEWAY_REQUEST_RELAY_SESSION_H
 #define EBONYVALE_GATEWAY_REQUEST_RELAY_SESSION_H
 
+#include "decisions/process/response_activity.h"
 #include "gateway/process/gateway_core.h"
 #include "gateway/request/relay_protocol.h"
 #include "net/server_connection.h"
@@ -59,6 +60,7 @@
   std::string Upstream;
   upstream_process Target;
   instant SentAt;
+  response_activity Activity;
   std::shared_ptr<client_connection> Exchange;
   http_head Response;
   bool HeadReceived = false;
--- a/tests/decisions/process/response_ends_test.cpp
+++ b/tests/decisions/process/response_ends_test.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 const instant Start(100s);
-const instant SentAt(99s);
+const instant AliveAt(99s);
 const upstream_process Process{"u-1", 5000, "127.0.0.1", 80};
 const upstream_process WithoutStart{"u-1", 0, "127.0.0.1", 80};
 
@@ -26,8 +26,8 @@
   process_evidence Evidence;
   std::int64_t Born;
   int Verdict; ///< an `end_verdict`; -1: still open
-  /// Time from opening an earlier connection on which it has answered to the
-  /// request; nothing: it answered on a new one.
+  /// Time from opening an earlier connection on which it has answered to
+  /// `AliveAt`; nothing: it answered on a new one.
   std::optional<int> ConnectedMs;
   bool StatesStart = true; ///< its entry does
 };
@@ -64,12 +64,12 @@
                   a_process_that_ends_proves_nothing) {
   const upstream_process &Listed = Row->StatesStart ? Process : WithoutStart;
   response_ends Ends;
-  const std::uint64_t Number = Ends.add(Listed, SentAt, Start);
+  const std::uint64_t Number = Ends.add(Listed, AliveAt, Start);
   cr_assert(Ends.takeQuestions(at(Row->AskedMs)).size() == 1);
   cr_assert(!Ends.nextAt());
   response_ends::answer Answer{at(Row->AskedMs), Row->Evidence, Row->Born};
   if (Row->ConnectedMs)
-    Answer.ConnectedAt = SentAt - std::chrono::milliseconds(*Row->ConnectedMs);
+    Answer.ConnectedAt = AliveAt - std::chrono::milliseconds(*Row->ConnectedMs);
   const auto Judged = Ends.onAnswer(Listed, Answer, at(Row->AnsweredMs));
   if (Row->Verdict == Open) {
     cr_assert(Judged.empty() && Ends.count() == 1, "%s", Row->Name);
@@ -85,7 +85,7 @@
 Test(response_ends, a_process_that_names_itself_after_the_request_is_another) {
   constexpr std::int64_t Unlisted = 6000;
   response_ends Ends;
-  Ends.add(Process, SentAt, Start);
+  Ends.add(Process, AliveAt, Start);
   cr_assert(Ends.takeQuestions(at(0)).size() == 1);
   Ends.onStated(Process, Unlisted, at(5));
   const response_ends::answer First{at(0), process_evidence::Started, Unlisted};
@@ -103,7 +103,7 @@
 Test(response_ends, only_answers_in_doubt_need_an_earlier_connection) {
   using enum process_evidence;
   response_ends Ends;
-  Ends.add(Process, SentAt, Start);
+  Ends.add(Process, AliveAt, Start);
   const auto Needs = [&Ends](process_evidence Evidence, std::int64_t Born) {
     return Ends.needsEarlierConnection(Process, {at(0), Evidence, Born});
   };
@@ -117,9 +117,9 @@
 Test(response_ends, an_answer_serves_what_ended_before_its_question) {
   response_ends Ends;
   for (int Ms : {0, 1, 2})
-    Ends.add(Process, SentAt, at(Ms));
+    Ends.add(Process, AliveAt, at(Ms));
   cr_assert(Ends.takeQuestions(at(2)).size() == 1);
-  const std::uint64_t Later = Ends.add(Process, SentAt, at(3));
+  const std::uint64_t Later = Ends.add(Process, AliveAt, at(3));
   cr_assert(Ends.takeQuestions(at(3)).empty());
   const auto Answer = [](int AskedMs) {
     return response_ends::answer{at(AskedMs), process_evidence::Started, 5000};
@@ -134,10 +134,10 @@
 Test(response_ends, the_end_of_a_process_breaks_all_its_responses) {
   response_ends Ends;
   const upstream_process Other{"u-1", 8, "127.0.0.1", 80};
-  Ends.add(Process, SentAt, at(0));
-  const std::uint64_t OfOther = Ends.add(Other, SentAt, at(0));
+  Ends.add(Process, AliveAt, at(0));
+  const std::uint64_t OfOther = Ends.add(Other, AliveAt, at(0));
   cr_assert(Ends.takeQuestions(at(0)).size() == 2);
-  Ends.add(Process, SentAt, at(1));
+  Ends.add(Process, AliveAt, at(1));
   const auto Judged =
       Ends.onAnswer(Process, {at(0), process_evidence::Gone}, at(2));
   cr_assert(Judged.size() == 2);
@@ -149,10 +149,10 @@
 
 Test(response_ends, an_answer_from_before_the_end_proves_nothing) {
   response_ends Ends;
-  const std::uint64_t Abandoned = Ends.add(Process, SentAt, at(0));
+  const std::uint64_t Abandoned = Ends.add(Process, AliveAt, at(0));
   cr_assert(Ends.takeQuestions(at(0)).size() == 1);
   Ends.withdraw(Abandoned);
-  Ends.add(Process, SentAt, at(100));
+  Ends.add(Process, AliveAt, at(100));
   cr_assert(Ends.takeQuestions(at(100)).size() == 1);
   cr_assert(
       Ends.onAnswer(Process, {at(0), process_evidence::Started, 5000}, at(101))
@@ -162,11 +162,11 @@
 
 Test(response_ends, an_open_question_is_the_only_one) {
   response_ends Ends;
-  Ends.add(Process, SentAt, at(0));
+  Ends.add(Process, AliveAt, at(0));
   cr_assert(Ends.takeQuestions(at(0)).size() == 1);
   cr_assert(
       Ends.onAnswer(Process, {at(0), process_evidence::None}, at(10)).empty());
-  Ends.add(Process, SentAt, at(20));
+  Ends.add(Process, AliveAt, at(20));
   cr_assert(Ends.takeQuestions(at(59)).empty());
   cr_assert(Ends.takeQuestions(at(60)).size() == 1);
 }
