Soak: upstreams that finish their responses and exit

The soak ended upstreams by SIGKILL alone, so that nothing counted the answers that a gateway cuts although their upstream completed them. The record has a line "stop-upstream NAME at NANOS". The result line tells how many answers were cut or a 502 though their last run had completed and no kill, fault, reset or caller was the reason. The checks stay as they are: an incomplete one is LOST.

--- a/tests/platform/fake_upstream.h
+++ b/tests/platform/fake_upstream.h
@@ -120,6 +120,13 @@
   /// Returns the number of executions.
   int runs() const;
   std::uint16_t port() const { return Links.port(); }
+  /// Accepts no more connections and closes each one as soon as it is idle.
+  void beginStop() {
+    Links.stopListening();
+    Links.closeIdle();
+  }
+  /// Returns whether all connections have been closed.
+  bool stopped() const { return Links.size() == 0; }
   /// Returns the number of held requests whose connection is still open.
   std::size_t openHeldRequests() const;
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -85,10 +85,11 @@
       Counts.Crossed, Counts.TimeUsed, Counts.Killed, Counts.Reset,
       Counts.Faulted, Counts.Early, Counts.Resumed, Counts.OldServices);
   if (Options.UpstreamKills)
-    Text +=
-        fmt::format("  upstreams: {} killed, {} starts by a shifted clock; "
-                    "{} gateways frozen\n",
-                    Result.UpstreamKills, Result.ShiftedStarts, Result.Freezes);
+    Text += fmt::format("  upstreams: {} killed, {} stopped, {} answers cut "
+                        "after complete runs, {} starts by a shifted clock; "
+                        "{} gateways frozen\n",
+                        Result.UpstreamKills, Result.UpstreamStops,
+                        Counts.WholeCut, Result.ShiftedStarts, Result.Freezes);
   for (const std::string &Violation : Result.Violations)
     Text += "  " + Violation + "\n";
   if (Result.Violations.empty() && !Options.KeepLogs) {
@@ -163,8 +164,12 @@
       "early, right or late, anew at each start")(
       "freeze-gateways", options::bool_switch(&Silences.FreezeGateways),
       "with --kill-upstreams, stop one gateway in turn for 400 ms at each "
-      "kill")("split-events", options::bool_switch(&Silences.SplitEvents),
-              "with --silences, each event is sent in two writes 20 ms apart")(
+      "kill")(
+      "stop-upstreams", options::bool_switch(&Silences.StopUpstreams),
+      "with --kill-upstreams, every second kill is a SIGTERM, after which they "
+      "finish their responses")(
+      "split-events", options::bool_switch(&Silences.SplitEvents),
+      "with --silences, each event is sent in two writes 20 ms apart")(
       "reset-responses", options::value(&Silences.ResetResponses),
       "with --silences, one response of an upstream in so many is broken off "
       "within an event; 0: none");
--- a/tests/soak/silence_checker.cpp
+++ b/tests/soak/silence_checker.cpp
@@ -171,6 +171,13 @@
          Last->Until <= Ended.EndedAt + Tolerance;
 }
 
+bool silence_checker::ranWhole(const ended_request &Ended) const {
+  const auto &RunsOfRequest = runsOf(Ended.Request.Id);
+  const auto Last =
+      std::ranges::max_element(RunsOfRequest, {}, &upstream_run::From);
+  return Last != RunsOfRequest.end() && Last->Complete;
+}
+
 bool silence_checker::isLateInStop(const ended_request &Ended) const {
   const sent_request &Request = Ended.Request;
   const bool HasRun = !runsOf(Request.Id).empty();
@@ -191,14 +198,19 @@
   constexpr int GatewayTimeout = 504;
   const int Status = Ended.Response.Status;
   if (!isWhole(Ended)) {
-    if (!isExcused(Ended))
+    if (!isExcused(Ended)) {
+      Counts.WholeCut += ranWhole(Ended) ? 1U : 0U;
       addViolation(Ended, "LOST",
                    fmt::format("ended without a complete answer, status {}, "
                                "{} bytes, {} runs",
                                Status, Ended.Response.Body.size(),
                                runsOf(Ended.Request.Id).size()));
+    }
     return;
   }
+  if (Status == BadGateway && ranWhole(Ended) && !wasUpstreamKilled(Ended) &&
+      !isTouched(Ended, Ended.EndedAt + Tolerance) && !isLateInStop(Ended))
+    ++Counts.WholeCut;
   const bool Failed = Status == BadGateway || Status == GatewayTimeout;
   if (Failed && Ended.EndedAt - Ended.Request.At < timeOf(Ended) - Tolerance)
     ++Counts.Early;
@@ -339,6 +351,10 @@
   for (const auto &[Upstream, Kills] : UpstreamKills)
     for (const instant Kill : Kills)
       Lines.push_back(fmt::format("kill {} at {}", Upstream, nanos(Kill)));
+  for (const auto &[Upstream, Stops] : UpstreamStops)
+    for (const instant Stop : Stops)
+      Lines.push_back(
+          fmt::format("stop-upstream {} at {}", Upstream, nanos(Stop)));
   return Lines;
 }
 
--- a/tests/soak/silence_checker.h
+++ b/tests/soak/silence_checker.h
@@ -56,6 +56,8 @@
   std::size_t Killed = 0;   ///< incomplete: an upstream that ran it was killed
   std::size_t Reset = 0;    ///< incomplete: the last run was broken off
   std::size_t Faulted = 0;  ///< incomplete: fault or late in a stop
+  std::size_t WholeCut = 0; ///< cut or 502, though the last run was complete
+                            ///< and nothing allows it
   std::size_t Early = 0;    ///< 502 and 504 before the time was used
   std::size_t Resumed = 0;  ///< requests that resume a stream
   std::size_t OldServices = 0; ///< of them, run by the service that began the
@@ -106,6 +108,11 @@
     UpstreamKills[Upstream].push_back(Now);
   }
 
+  /// \p Upstream begins to finish its responses and then exits.
+  void onUpstreamStop(const std::string &Upstream, instant Now) {
+    UpstreamStops[Upstream].push_back(Now);
+  }
+
   /// Returns one line for each violation. Call it once, after all else.
   std::vector<std::string> finish();
   const silence_counts &counts() const { return Counts; }
@@ -144,6 +151,8 @@
   bool wasUpstreamKilled(const ended_request &Ended) const;
   /// Returns whether the upstream of the last run broke off its response.
   bool wasReset(const ended_request &Ended) const;
+  /// Returns whether the last run of \p Ended was complete.
+  bool ranWhole(const ended_request &Ended) const;
   void addViolation(const ended_request &Ended, std::string_view Rule,
                     const std::string &What);
 
@@ -155,6 +164,7 @@
   times_by_gateway Stops;
   std::map<std::string, std::vector<fault_time>, std::less<>> Silences;
   std::map<std::string, std::vector<instant>, std::less<>> UpstreamKills;
+  std::map<std::string, std::vector<instant>, std::less<>> UpstreamStops;
   /// Services that ran each stream, by the id of its first attempt.
   std::map<std::string, std::set<std::string>, std::less<>> StreamServices;
   std::vector<std::string> Violations;
--- a/tests/soak/silence_environment.cpp
+++ b/tests/soak/silence_environment.cpp
@@ -17,7 +17,9 @@
 constexpr span_ns TickInterval = 20ms;
 constexpr span_ns StartTimeout = 30s;
 constexpr span_ns EndTimeout = 20s;
-constexpr span_ns ReapTimeout = 1s; ///< from the kill of a process
+constexpr span_ns ReapTimeout = 1s; ///< of a killed process
+/// Time for the responses of a stopped process, and silences within them.
+constexpr span_ns StopTimeout = 10s;
 constexpr span_ns FreezeTime = 400ms;
 constexpr int SplitMs = 20;
 constexpr double TeamRate = 1e6; ///< above what callers ask for
@@ -196,29 +198,44 @@
 void silence_environment::killUpstreams(const silence_event &Event) {
   constexpr std::size_t Share = 3;
   const auto First = static_cast<std::size_t>(Event.Target);
+  const bool Stops = Options.StopUpstreams && ++KillEvents % 2 == 0;
   for (std::size_t Index = First % Share; Index < Upstreams.size();
        Index += Share) {
     upstream_process &Upstream = *Upstreams[Index];
-    if (!Upstream.running() || Upstream.entry().empty())
+    if (!Upstream.running() || Upstream.ending() || Upstream.entry().empty())
       continue;
     const instant Now = readBootClock();
-    Upstream.kill(Now);
-    Checker.onUpstreamKill(Upstream.values().Id, Now);
+    if (Stops) {
+      Upstream.stop();
+      Checker.onUpstreamStop(Upstream.values().Id, Now);
+      ++UpstreamStops;
+    } else {
+      Upstream.kill(Now);
+      Checker.onUpstreamKill(Upstream.values().Id, Now);
+    }
     const bool SamePort = Options.RestartTime || Event.Variant % 2 == 0;
-    callAfter(Base.get(), Options.RestartTime.value_or(Event.Duration),
-              [this, &Upstream, SamePort] { restart(Upstream, SamePort); });
+    const span_ns Time = Options.RestartTime.value_or(Event.Duration);
+    const instant Until = Now + Time + (Stops ? StopTimeout : ReapTimeout);
+    callAfter(Base.get(), Time, [this, &Upstream, SamePort, Until] {
+      restart(Upstream, SamePort, Until);
+    });
   }
   if (Options.FreezeGateways)
     pause(*Gateways[Freezes++ % Gateways.size()], FreezeTime);
 }
 
-void silence_environment::restart(upstream_process &Upstream, bool SamePort) {
+void silence_environment::restart(upstream_process &Upstream, bool SamePort,
+                                  instant Until) {
   // Reaps the process before.
-  if (Upstream.running() &&
-      readBootClock() < Upstream.kills().back() + ReapTimeout)
-    callAfter(Base.get(), TickInterval,
-              [this, &Upstream, SamePort] { restart(Upstream, SamePort); });
-  else if (Upstream.running() || !Upstream.start(SamePort))
+  if (Upstream.running() && readBootClock() < Until)
+    return callAfter(Base.get(), TickInterval,
+                     [this, &Upstream, SamePort, Until] {
+                       restart(Upstream, SamePort, Until);
+                     });
+  if (const int Exit = Upstream.exitStatus(); Exit != 0 && Exit != -SIGKILL)
+    Violations.push_back(
+        fmt::format("{} exited with {}", Upstream.values().Id, Exit));
+  if (Upstream.running() || !Upstream.start(SamePort))
     Violations.push_back(Upstream.values().Id + " cannot be restarted");
   else
     registerUpstream(Upstream);
@@ -344,6 +361,7 @@
   Result.Counts = Checker.counts();
   Result.Statuses = Statuses;
   Result.Freezes = Freezes;
+  Result.UpstreamStops = UpstreamStops;
   return Result;
 }
 
--- a/tests/soak/silence_environment.h
+++ b/tests/soak/silence_environment.h
@@ -40,6 +40,8 @@
   bool SplitEvents = false;    ///< in two writes, 20 ms apart
   unsigned ResetResponses = 0; ///< see `fake_upstream::ResetEvery`
   int UpstreamClockMs = 0;     ///< see `upstream_values::ClockMs`
+  /// Every second kill of upstreams is a stop that finishes their responses.
+  bool StopUpstreams = false;
   bool FreezeGateways = false; ///< one in turn at each kill of upstreams
   bool KeepLogs = false;       ///< of runs without violations, too
   std::filesystem::path Folder;
@@ -52,6 +54,7 @@
   std::map<int, std::size_t> Statuses; ///< number of responses by status
   std::size_t Runs = 0;                ///< at all upstreams
   std::size_t UpstreamKills = 0;
+  std::size_t UpstreamStops = 0;
   std::size_t ShiftedStarts = 0; ///< see `upstream_process::shiftedStarts`
   std::size_t Freezes = 0;       ///< of gateways, at kills of upstreams
 };
@@ -73,7 +76,9 @@
   void applyEvent(const silence_event &Event);
   void silence(const silence_event &Event);
   void killUpstreams(const silence_event &Event);
-  void restart(upstream_process &Upstream, bool SamePort);
+  /// Starts \p Upstream as soon as the process before has ended, at the latest
+  /// at \p Until.
+  void restart(upstream_process &Upstream, bool SamePort, instant Until);
   /// Puts the entry of \p Upstream into the store as soon as it listens.
   void registerUpstream(upstream_process &Upstream);
   void applyToGateway(const silence_event &Event);
@@ -96,6 +101,8 @@
   int EarlierIdleMs = 0; ///< idle timeout before the present one
   int Version = 0;
   std::size_t LastId = 0;
+  std::size_t KillEvents = 0; ///< of upstreams, with those that stop them
+  std::size_t UpstreamStops = 0;
   std::size_t Freezes = 0;
   bool TrafficEnabled = false;
   std::map<int, std::size_t> Statuses;
--- a/tests/soak/upstream_process.cpp
+++ b/tests/soak/upstream_process.cpp
@@ -17,6 +17,7 @@
 
 bool upstream_process::start(bool SamePort) {
   std::filesystem::remove(PortsFile);
+  Ending = false;
   const int Shift =
       Values.ClockMs * std::uniform_int_distribution<int>(-1, 1)(Clocks);
   ShiftedStarts += Shift == 0 ? 0U : 1U;
@@ -55,14 +56,24 @@
   return Entry;
 }
 
-void upstream_process::kill(instant Now) {
+void upstream_process::beginEnd() {
   std::ifstream File(PortsFile);
   std::string Role;
   File >> Role >> Port;
+  Ending = true;
+}
+
+void upstream_process::kill(instant Now) {
+  beginEnd();
   Kills.push_back(Now);
   Process->signal(SIGKILL);
 }
 
+void upstream_process::stop() {
+  beginEnd();
+  Process->signal(SIGTERM);
+}
+
 void upstream_process::beginSilence() {
   if (++Silences == 1)
     Process->signal(SIGSTOP);
--- a/tests/soak/upstream_process.h
+++ b/tests/soak/upstream_process.h
@@ -48,6 +48,10 @@
 
   /// Ends the process with SIGKILL.
   void kill(instant Now);
+  /// Has the process finish its responses and exit.
+  void stop();
+  /// Returns whether the process was killed or stopped after its start.
+  bool ending() const { return Ending; }
   const std::vector<instant> &kills() const { return Kills; }
   /// Returns the number of starts with a clock that is early or late.
   std::size_t shiftedStarts() const { return ShiftedStarts; }
@@ -61,12 +65,16 @@
   std::vector<upstream_run> runs() const;
 
 private:
+  /// Keeps the port for the next start.
+  void beginEnd();
+
   std::string Program;
   upstream_values Values;
   std::string PortsFile;
   std::string LogFile;
   std::unique_ptr<daemon_process> Process;
   std::string Port = "0"; ///< of the process before
+  bool Ending = false;
   unsigned Silences = 0;
   std::mt19937 Clocks;
   std::size_t ShiftedStarts = 0;
--- a/tests/soak_upstream/main.cpp
+++ b/tests/soak_upstream/main.cpp
@@ -21,13 +21,42 @@
 using namespace ebonyvale;
 namespace options = boost::program_options;
 
-/// Prints at once, since the process is ended by a signal.
+/// Prints at once, since a signal may end the process.
 void report(std::string_view What, std::string_view Id) {
   std::cout << fmt::format("{} {} {}\n",
                            readBootClock().time_since_epoch().count(), What, Id)
             << std::flush;
 }
 
+/// Finishes the responses that run after SIGTERM, then ends the process.
+class orderly_stop {
+public:
+  orderly_stop(event_base *Base, fake_upstream &Upstream)
+      : Upstream(Upstream), Check(Base, [this, Base] {
+          if (this->Upstream.stopped())
+            event_base_loopbreak(Base);
+        }) {
+    Signal.reset(evsignal_new(Base, SIGTERM, &orderly_stop::onSignal, this));
+    event_add(Signal.get(), nullptr);
+    // Blocked by the soak up to here; see `daemon_process`.
+    sigset_t StopSignals;
+    sigemptyset(&StopSignals);
+    sigaddset(&StopSignals, SIGTERM);
+    sigprocmask(SIG_UNBLOCK, &StopSignals, nullptr);
+  }
+
+private:
+  static void onSignal(evutil_socket_t, short, void *Self) {
+    auto &Stop = *static_cast<orderly_stop *>(Self);
+    Stop.Upstream.beginStop();
+    Stop.Check.startPeriodic(std::chrono::milliseconds(1));
+  }
+
+  fake_upstream &Upstream;
+  timer Check;
+  std::unique_ptr<event, releaser<event_free>> Signal;
+};
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -96,6 +125,7 @@
   std::ofstream(Unfinished) << fmt::format("callers {}\n{}\n", Upstream.port(),
                                            Upstream.entry(Service));
   std::filesystem::rename(Unfinished, PortsFile);
+  const orderly_stop Stop(Base.get(), Upstream);
   event_base_dispatch(Base.get());
   return 0;
 }
