--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -150,7 +150,9 @@
       "with --silences, keep the logs of seeds without violations")(
       "close-delimited-every", options::value(&Silences.CloseDelimitedEvery),
       "with --silences, one response of an upstream in so many is delimited by "
-      "the close of its connection; 0: none");
+      "the close of its connection; 0: none")(
+      "http10-every", options::value(&Silences.Http10Every),
+      "with --silences, one caller in so many speaks HTTP/1.0; 0: none");
   options::variables_map Values;
   try {
     options::store(options::parse_command_line(Count, Arguments, Description),
--- a/tests/soak/silence_caller.cpp
+++ b/tests/soak/silence_caller.cpp
@@ -29,8 +29,9 @@
 
 } // namespace
 
-silence_environment::caller::caller(silence_environment &Owner, bool Impatient)
-    : Environment(Owner), Impatient(Impatient),
+silence_environment::caller::caller(silence_environment &Owner, bool Impatient,
+                                    bool Http10)
+    : Environment(Owner), Impatient(Impatient), Http10(Http10),
       Pool(Owner.Base.get(), poolOptions()),
       PauseTimer(Owner.Base.get(), [this] { sendNext(); }),
       GapTimer(Owner.Base.get(), [this] { giveUp(); }),
@@ -100,11 +101,23 @@
   }
   Out.Body = "the body";
   GiveUpTimer.startOnce(silence_checker::Deadline + Grace);
+  start(Out);
+  if (Present.Reused && Used != LastUse.end())
+    Present.Idle = Request.At - Used->second;
+}
+
+void silence_environment::caller::start(const client_request &Out) {
+  if (Http10) {
+    OldExchange = std::make_unique<http10_exchange>(
+        Environment.Base.get(), Out, *this, [this](const std::string &What) {
+          Environment.Violations.push_back(fmt::format(
+              "MIXED: framing: {}: HTTP/1.0, {}", Present.Request.Id, What));
+        });
+    return;
+  }
   const std::uint64_t Opened = Pool.opened();
   Exchange = Pool.start(Out, *this);
   Present.Reused = Pool.opened() == Opened;
-  if (Present.Reused && Used != LastUse.end())
-    Present.Idle = Request.At - Used->second;
 }
 
 response_action
@@ -136,13 +149,15 @@
 }
 
 void silence_environment::caller::giveUp() {
-  Exchange->cancel();
+  if (Exchange)
+    Exchange->cancel();
   Present.GaveUp = true;
   end();
 }
 
 void silence_environment::caller::end() {
   Exchange.reset();
+  OldExchange.reset();
   GiveUpTimer.stop();
   GapTimer.stop();
   Present.EndedAt = readBootClock();
--- a/tests/soak/silence_caller.h
+++ b/tests/soak/silence_caller.h
@@ -3,6 +3,7 @@
 #ifndef EBONYVALE_TESTS_SOAK_SILENCE_CALLER_H
 #define EBONYVALE_TESTS_SOAK_SILENCE_CALLER_H
 
+#include "soak/http10_exchange.h"
 #include "soak/silence_environment.h"
 
 #include <map>
@@ -19,13 +20,14 @@
   static constexpr int MaxResumptions = 3;
 
   /// An \p Impatient caller closes a connection whose stream pauses for long.
-  caller(silence_environment &Environment, bool Impatient);
+  /// With \p Http10 it speaks HTTP/1.0, each request on a new connection.
+  caller(silence_environment &Environment, bool Impatient, bool Http10);
   ~caller() override;
   caller(const caller &) = delete;
   caller &operator=(const caller &) = delete;
 
   void sendNext();
-  bool busy() const { return Exchange != nullptr; }
+  bool busy() const { return Exchange || OldExchange; }
 
   response_action onResponseHead(const http_head &Head, bool) override;
   void onResponseBody(std::string_view Bytes) override;
@@ -34,6 +36,8 @@
 
 private:
   void send(const sent_request &Request);
+  /// Sends \p Out in the version that the caller speaks.
+  void start(const client_request &Out);
   void giveUp();
   void end();
   /// Sets `Next` to the attempt to resume the present stream, if it broke off.
@@ -42,12 +46,14 @@
 
   silence_environment &Environment;
   const bool Impatient;
+  const bool Http10;
   client_connection_pool Pool;
   ended_request Present;
   std::optional<sent_request> Next;
   std::optional<std::size_t> Gateway;     ///< of the last request
   std::map<std::size_t, instant> LastUse; ///< by gateway
   std::shared_ptr<client_connection> Exchange;
+  std::unique_ptr<http10_exchange> OldExchange; ///< instead, with HTTP/1.0
   timer PauseTimer;
   timer GapTimer;
   timer GiveUpTimer;
--- a/tests/soak/silence_environment.cpp
+++ b/tests/soak/silence_environment.cpp
@@ -36,7 +36,10 @@
   }
   constexpr std::size_t Impatience = 3; // one caller in so many is impatient
   for (std::size_t Index = 0; Index < Options.Callers; ++Index)
-    Callers.push_back(std::make_unique<caller>(*this, Index % Impatience == 0));
+    Callers.push_back(
+        std::make_unique<caller>(*this, /*Impatient=*/Index % Impatience == 0,
+                                 /*Http10=*/Options.Http10Every > 0 &&
+                                     (Index + 1) % Options.Http10Every == 0));
 }
 
 silence_environment::~silence_environment() = default;
--- a/tests/soak/silence_environment.h
+++ b/tests/soak/silence_environment.h
@@ -34,7 +34,8 @@
   bool UpstreamKills = false;
   /// See `fake_upstream::CloseDelimitedEvery`.
   unsigned CloseDelimitedEvery = 0;
-  bool KeepLogs = false; ///< of runs without violations, too
+  unsigned Http10Every = 0; ///< one caller in so many speaks HTTP/1.0; 0: none
+  bool KeepLogs = false;    ///< of runs without violations, too
   std::filesystem::path Folder;
 };
 
