Relayed responses of an upstream that is back with its clock behind

The upstream is killed within a response that passes a relay, and is back at its port under its id; the start that it states lies before the time at which the request was sent, and differs from that of its entry.

Seen to fail on: 'upstream killed, back, its clock behind, /stream-once/1: 200' with two events of six, passed on as complete.

--- a/tests/gateway/relayed_stream_end_test.cpp
+++ b/tests/gateway/relayed_stream_end_test.cpp
@@ -17,8 +17,9 @@
 
 namespace {
 
-/// Before and after all requests of the tests.
+/// The first two lie before all requests of the tests, the last one after.
 constexpr std::int64_t Born = 1'700'000'000'000;
+constexpr std::int64_t SlowClockBorn = Born + 60'000;
 constexpr std::int64_t LaterBorn = 9'000'000'000'000;
 
 constexpr std::string_view RelayName = "i-2";
@@ -190,6 +191,8 @@
   static end_row Rows[] = {
       {"whole, its upstream lives on", response_end::Whole, 0},
       {"upstream killed, back at once", response_end::Kill, LaterBorn},
+      {"upstream killed, back, its clock behind", response_end::Kill,
+       SlowClockBorn},
       {"relay closes", response_end::RelayCloses, 0},
       {"relay resets", response_end::RelayResets, 0},
       {"relay ends", response_end::RelayEnds, 0},
