--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -172,7 +172,9 @@
       "with --silences, each event is sent in two writes 20 ms apart")(
       "reset-responses", options::value(&Silences.ResetResponses),
       "with --silences, one response of an upstream in so many is broken off "
-      "within an event; 0: none");
+      "within an event; 0: none")(
+      "http10-every", options::value(&Silences.Http10Every),
+      "with --silences, one caller in so many speaks HTTP/1.0; 0: none");
   options::variables_map Values;
   try {
     options::store(options::parse_command_line(Count, Arguments, Description),
--- a/tests/soak/silence_environment.h
+++ b/tests/soak/silence_environment.h
@@ -43,7 +43,8 @@
   /// Every second kill of upstreams is a stop that finishes their responses.
   bool StopUpstreams = false;
   bool FreezeGateways = false; ///< one in turn at each kill of upstreams
-  bool KeepLogs = false;       ///< of runs without violations, too
+  unsigned Http10Every = 0; ///< one caller in so many speaks HTTP/1.0; 0: none
+  bool KeepLogs = false;    ///< of runs without violations, too
   std::filesystem::path Folder;
 };
 
