Pauses hold whatever start their process states

Callers saw requests sent to an upstream that had asked for a pause: a process that started again with its clock back by some seconds states a smaller start than the one before it. While the pause of the earlier one was remembered, that of the later one was ignored.

Cause: pauses were kept one per id, and ordered by the stated starts. These come from clocks that differ between machines and jump, so they give no order.

Pauses are now kept per process, up to 8 of an id, the last that asked; only equality of processes counts. A late response of an earlier process changes nothing for a later one, since it is kept beside it.

Seen to fail before: upstream_pauses::hold_whatever_start_is_stated: "clock jumped back" (and "clocks alike": the pause of the earlier one was forgotten) requested_pause::ends_with_the_process, start 2000 then 1000: "16 requests" within 1 s of a pause of 60 s

--- a/src/decisions/process/upstream_pauses.h
+++ b/src/decisions/process/upstream_pauses.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace ebonyvale {
 
@@ -21,6 +22,9 @@
   /// fault than away, and would be lost to the instance.
   static constexpr span_ns MaxPause = std::chrono::minutes(10);
 
+  /// Number of processes of an id that are remembered: those that asked last.
+  static constexpr std::size_t MaxOfId = 8;
+
   /// Records that \p Process has asked at \p Now for no request for \p For. Of
   /// several pauses the one that ends last holds. Returns its end.
   instant onAsked(const upstream_process &Process, span_ns For, instant Now);
@@ -32,7 +36,8 @@
   /// Forgets pauses that have ended.
   void expire(instant Now);
 
-  std::size_t size() const { return Pauses.size(); }
+  /// Returns the number of processes that are remembered.
+  std::size_t size() const;
 
 private:
   struct pause {
@@ -40,7 +45,9 @@
     instant End;
   };
 
-  std::map<std::string, pause, std::less<>> Pauses; ///< by id
+  /// By id, the one that asked last at the end. Starts give no order: they are
+  /// stated by clocks that differ and jump.
+  std::map<std::string, std::vector<pause>, std::less<>> Pauses;
 };
 
 } // namespace ebonyvale
--- a/tests/decisions/process/upstream_pauses_test.cpp
+++ b/tests/decisions/process/upstream_pauses_test.cpp
@@ -322,6 +322,46 @@
   cr_assert(Pauses.endOf(entryOf(0, 2)) == instant(3s));
 }
 
+struct order_row {
+  char Name[32];
+  std::int64_t Earlier; ///< stated start of the process that asked first
+  std::int64_t Later;
+};
+
+ParameterizedTestParameters(upstream_pauses, hold_whatever_start_is_stated) {
+  static order_row Rows[] = {
+      {"clocks alike", 1000, 2000},
+      {"clock jumped back", 2000, 1000},
+  };
+  return criterion_test_params(Rows);
+}
+
+/// A later process whose clock jumped back was taken for the earlier one.
+ParameterizedTest(order_row *Row, upstream_pauses,
+                  hold_whatever_start_is_stated) {
+  upstream_pauses Pauses;
+  const upstream_entry Earlier = entryOf(0, Row->Earlier);
+  const upstream_entry Later = entryOf(0, Row->Later);
+  Pauses.onAsked(Earlier.process(), 9s, instant(1s));
+  Pauses.onAsked(Later.process(), 5s, instant(2s));
+  cr_assert(Pauses.endOf(Later) == instant(7s), "%s", Row->Name);
+  // A response of the earlier process that arrives late.
+  Pauses.onAsked(Earlier.process(), 1s, instant(3s));
+  cr_assert(Pauses.endOf(Later) == instant(7s), "%s", Row->Name);
+  cr_assert(Pauses.endOf(Earlier) == instant(10s), "%s", Row->Name);
+  Pauses.expire(instant(8s));
+  cr_assert(Pauses.size() == 1, "%s", Row->Name);
+}
+
+/// Each start of an upstream may ask for ten minutes.
+Test(upstream_pauses, of_many_starts_are_bounded) {
+  upstream_pauses Pauses;
+  for (std::int64_t Born = 100; Born > 0; --Born)
+    Pauses.onAsked(entryOf(0, Born).process(), 9min, instant(1s));
+  cr_assert(Pauses.size() == upstream_pauses::MaxOfId);
+  cr_assert(Pauses.endOf(entryOf(0, 1)) == instant(1s) + 9min);
+}
+
 struct strictest_row {
   char Name[16];
   bool Leaves;
--- a/tests/gateway/requested_pause_test.cpp
+++ b/tests/gateway/requested_pause_test.cpp
@@ -194,11 +194,27 @@
   cr_assert(Asking.ReceivedRequests.size() == Before);
 }
 
+struct start_row {
+  std::int64_t Earlier; ///< start that the first process states
+  std::int64_t Later;
+};
+
+ParameterizedTestParameters(requested_pause, ends_with_the_process) {
+  static start_row Rows[] = {{1000, 2000}, {2000, 1000}};
+  return criterion_test_params(Rows);
+}
+
 /// An upstream that has started again must not be kept from requests by the
-/// pause of the process before it.
-Test(requested_pause, ends_with_the_process) {
+/// pause of the process before it, and its own must hold, wherever its clock
+/// has jumped.
+ParameterizedTest(start_row *Row, requested_pause, ends_with_the_process) {
   gateway_fleet Fleet(1);
   fake_upstream &Asking = *Fleet.Gateway.Upstreams[0];
+  Asking.Born = Row->Earlier;
+  Fleet.Gateway.Store.put(Asking.key(), Asking.entry("s"));
+  cr_assert(Fleet.Gateway.waitFor([&] {
+    return Fleet.Gateway.core().directory().find("u-1")->Born == Row->Earlier;
+  }));
   Asking.Behavior = upstream_behavior::Full;
   Asking.RetryAfter = {"60"};
   cr_assert(Fleet.Gateway.waitFor([&] {
@@ -206,8 +222,20 @@
     return !Asking.ReceivedRequests.empty();
   }));
   Asking.Behavior = upstream_behavior::Respond;
-  Asking.Born = 2000;
+  Asking.Born = Row->Later;
   Fleet.Gateway.Store.put(Asking.key(), Asking.entry("s"));
   cr_assert(
       Fleet.Gateway.waitFor([&] { return Fleet.send() && Asking.runs(); }));
+  Asking.Behavior = upstream_behavior::Full;
+  const std::size_t Served = Asking.ReceivedRequests.size();
+  cr_assert(Fleet.Gateway.waitFor([&] {
+    cr_assert(Fleet.send() == 200);
+    return Asking.ReceivedRequests.size() > Served;
+  }));
+  const std::size_t Before = Asking.ReceivedRequests.size();
+  const instant Start = readBootClock();
+  while (readBootClock() - Start < 1s)
+    cr_assert(Fleet.send() == 200);
+  cr_assert(Asking.ReceivedRequests.size() == Before, "%zu requests",
+            Asking.ReceivedRequests.size() - Before);
 }
