Streams are not continued after an event without an id

Callers received events twice: of a resumable stream that broke off after an event without an id, the next upstream went on after the last id, or from the beginning if there was none, and so sent that event again.

Cause: forward_flow asked only whether something had been delivered. It now also knows whether an id places the last event; if none does, the stream is broken off, and no retry of the budget is spent.

--- a/src/decisions/request/forward_flow.cpp
+++ b/src/decisions/request/forward_flow.cpp
@@ -14,7 +14,7 @@
   // The upstream could not run it, so it does not count as an attempt.
   if (Outcome == attempt_outcome::WrongTarget)
     --Sent;
-  const bool Repeatable = Delivered ? Options.Resumable
+  const bool Repeatable = Delivered ? mayContinue()
                           : MayHaveRun
                               ? Options.Repeat == repeat_policy::Idempotent
                               : true;
--- a/src/decisions/request/forward_flow.h
+++ b/src/decisions/request/forward_flow.h
@@ -46,6 +46,16 @@
   /// Records that part of the response was passed on to the caller.
   void onDelivered() { Delivered = true; }
 
+  /// Records whether the last id that was passed on tells where another
+  /// upstream goes on; it does not if an event without an id followed.
+  void onPlaced(bool IsPlaced) { Placed = IsPlaced; }
+
+  /// Returns whether another upstream may continue what was passed on, if
+  /// anything was.
+  bool mayContinue() const {
+    return !Delivered || (Options.Resumable && Placed);
+  }
+
   /// Records that an attempt failed and returns what to do. \p BudgetLeft tells
   /// whether the retry budget covers another attempt.
   forward_decision onEnd(attempt_outcome Outcome, bool BudgetLeft);
@@ -71,6 +81,7 @@
   int Sent = 0;
   bool MayHaveRun = false;
   bool Delivered = false;
+  bool Placed = true;
 };
 
 } // namespace ebonyvale
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -171,6 +171,7 @@
         break;
       LastEvent = Id;
     }
+    Flow.onPlaced(!Event.Id.empty());
     if (const auto Weights = Core.protocols().Upstreams.eventWeights(Event.Raw))
       Core.scheduler().onWeights(Choice->Upstream, ParsedRequest.Model,
                                  *Weights);
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -329,7 +329,7 @@
   // A stream of unknown origin cannot go on anywhere else.
   const bool MayRetry =
       (Flow.hasAttemptsLeft() || End == attempt_outcome::WrongTarget) &&
-      (OriginCertain || !Flow.delivered());
+      (OriginCertain || !Flow.delivered()) && Flow.mayContinue();
   const bool HasBudget = End != attempt_outcome::NotSent && !Quarantined &&
                          MayRetry && Core.takeRetry(Service, Now);
   const forward_decision Next = Flow.onEnd(End, HasBudget);
--- a/tests/decisions/request/forward_flow_test.cpp
+++ b/tests/decisions/request/forward_flow_test.cpp
@@ -69,3 +69,18 @@
   cr_assert(Flow.mayHaveRun());
   cr_assert(Flow.failureDecision() == Unknown);
 }
+
+Test(forward_flow, continues_no_stream_after_an_event_without_an_id) {
+  forward_flow Flow({Idempotent, true, 4});
+  Flow.onSent();
+  Flow.onPlaced(false);
+  cr_assert(Flow.onEnd(Lost, true) == RetryElsewhere, "nothing was delivered");
+  Flow.onSent();
+  Flow.onDelivered();
+  Flow.onPlaced(true);
+  cr_assert(Flow.onEnd(Lost, true) == RetryElsewhere);
+  Flow.onSent();
+  Flow.onPlaced(false);
+  cr_assert(!Flow.mayContinue());
+  cr_assert(Flow.onEnd(Lost, true) == Truncate);
+}
--- /dev/null
+++ b/tests/gateway/resumed_stream_test.cpp
@@ -0,0 +1,78 @@
+// Where streams go on at another upstream after a break, and where they must
+// not.
+#include "gateway/gateway_fixture.h"
+#include "net/scripted_server.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <string>
+
+using namespace ebonyvale;
+
+namespace {
+
+#define EVENTS_HEAD                                                            \
+  "HTTP/1.1 200 OK\r\nEbonyvale-Request-Id: id-1\r\n"                          \
+  "Content-Type: text/event-stream\r\n\r\n"
+#define EVENT "id: 1\ndata: piece 1\n\n"
+
+/// A stream at a scripted upstream, with a sound upstream beside it that is
+/// listed once the stream was asked for.
+class stream_fixture {
+public:
+  stream_fixture()
+      : Server(Gateway.Base.get(),
+               [this](scripted_server::peer &Peer) { Asked = &Peer; }) {
+    Gateway.useOnlyUpstream(Server.address().Port);
+    Gateway.startRequest({.Path = "/stream-on/1"});
+    cr_assert(Gateway.waitFor([&] { return Asked != nullptr; }));
+    Gateway.Store.put(Gateway.Upstreams[1]->key(),
+                      Gateway.Upstreams[1]->entry("s"));
+    cr_assert(Gateway.waitFor(
+        [&] { return Gateway.core().directory().find("u-2") != nullptr; }));
+  }
+
+  /// Returns the response after the upstream has sent \p Bytes and broken off.
+  const caller_response &breakAfter(std::string_view Bytes) {
+    Asked->send(Bytes);
+    Asked->close();
+    cr_assert(Gateway.waitFor([&] { return Gateway.requestDone(); }));
+    return Gateway.result();
+  }
+
+  gateway_fixture Gateway;
+  scripted_server Server;
+  scripted_server::peer *Asked = nullptr;
+};
+
+struct unplaced_row {
+  char Name[48];
+  char Begun[80]; ///< whole events, before the break
+  bool GoesOn;
+};
+
+} // namespace
+
+ParameterizedTestParameters(resumed_stream, repeats_no_event_that_had_no_id) {
+  static unplaced_row Rows[] = {
+      {"none with an id", "data: x\n\n", false},
+      {"after one with an id", EVENT "data: x\n\n", false},
+      {"after one with an id, empty id", EVENT "id:\ndata: x\n\n", false},
+      {"before one with an id", "data: x\n\n" EVENT, true},
+      {"no event: no data", EVENT "event: alive\n\n", true},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(unplaced_row *Row, resumed_stream,
+                  repeats_no_event_that_had_no_id) {
+  stream_fixture Stream;
+  const std::string Begun = Row->Begun;
+  const caller_response &Result =
+      Stream.breakAfter(EVENTS_HEAD + Begun + "id: 9\nda");
+  cr_assert(Result.IsComplete == Row->GoesOn, "%s: '%s'", Row->Name,
+            Result.Body.c_str());
+  cr_assert(Row->GoesOn || Result.Body == Begun, "%s: '%s'", Row->Name,
+            Result.Body.c_str());
+}
