Events whose lines end with CR are read where streams are resumed

Callers of resumable streams did not receive events with bare CR line ends as they arrived. Read, not measured: they were held to the end of the stream, with their ids unchecked, and a stream of over 1 MiB of them was given up.

Cause: sse_splitter knew only LF and CR LF, event_boundary_tracker also CR. Both now take the three line ends of the standard, wherever the reads are divided.

Evidence: resumed_stream/passes_events_with_any_line_end_on_as_they_arrive failed with 'CR: 0 of 15 bytes' and 'mixed: 16 of 31 bytes', and resumed_stream/checks_ids_with_any_line_end for 'CR' (the stream did not go on after an event that repeats an id); both pass now, 12 of 12 in the suite.

--- a/src/decisions/request/sse_events.cpp
+++ b/src/decisions/request/sse_events.cpp
@@ -5,6 +5,17 @@
 namespace ebonyvale {
 namespace {
 
+/// Returns the end of the line that begins at \p From, without its line end,
+/// and sets \p Next to the beginning of the next line. A line ends with CR, LF
+/// or CR LF. Returns npos if it has not ended.
+std::size_t lineEnd(std::string_view Text, std::size_t From,
+                    std::size_t &Next) {
+  const std::size_t End = Text.find_first_of("\r\n", From);
+  if (End != std::string_view::npos)
+    Next = End + (Text.substr(End).starts_with("\r\n") ? 2 : 1);
+  return End;
+}
+
 std::string_view fieldValue(std::string_view Line, std::size_t Colon) {
   std::string_view Value = Line.substr(Colon + 1);
   if (Value.starts_with(' '))
@@ -17,11 +28,9 @@
 sse_event readEvent(std::string_view Text) {
   sse_event Event;
   while (!Text.empty()) {
-    const std::size_t End = Text.find('\n');
-    std::string_view Line = Text.substr(0, End);
-    Text.remove_prefix(End == std::string_view::npos ? Text.size() : End + 1);
-    if (Line.ends_with('\r'))
-      Line.remove_suffix(1);
+    std::size_t Next = Text.size();
+    const std::string_view Line = Text.substr(0, lineEnd(Text, 0, Next));
+    Text.remove_prefix(Next);
     const std::size_t Colon = Line.find(':');
     if (Colon == std::string_view::npos)
       continue;
@@ -39,13 +48,13 @@
 std::size_t eventLength(std::string_view Text) {
   std::size_t From = 0;
   while (true) {
-    const std::size_t End = Text.find('\n', From);
+    std::size_t Next = From;
+    const std::size_t End = lineEnd(Text, From, Next);
     if (End == std::string_view::npos)
       return End;
-    std::string_view Line = Text.substr(From, End - From);
-    if (Line.empty() || Line == "\r")
-      return End + 1;
-    From = End + 1;
+    if (End == From)
+      return Next;
+    From = Next;
   }
 }
 
--- a/tests/decisions/request/parsers_test.cpp
+++ b/tests/decisions/request/parsers_test.cpp
@@ -110,6 +110,23 @@
   }
 }
 
+Test(sse_splitter, reads_lines_that_end_with_a_carriage_return) {
+  const std::string Stream =
+      "id: 1\rdata: one\r\rid: 2\r\ndata: two\r\n\r\nid: 3\ndata: x\n\r";
+  for (std::size_t Split = 0; Split <= Stream.size(); ++Split) {
+    sse_splitter Splitter;
+    std::string Seen;
+    for (const std::string_view Chunk :
+         {std::string_view(Stream).substr(0, Split),
+          std::string_view(Stream).substr(Split)})
+      for (const sse_event &Event : Splitter.feed(Chunk))
+        Seen += std::string(Event.Id) + "=" + std::string(Event.Data) + ";";
+    cr_assert(Seen == "1=one;2=two;3=x;", "split at %zu: %s", Split,
+              Seen.c_str());
+    cr_assert(!Splitter.hasPartialEvent(), "split at %zu", Split);
+  }
+}
+
 Test(sse_splitter, rejects_an_event_over_the_maximum_length) {
   sse_splitter Splitter;
   cr_assert(
--- a/tests/gateway/resumed_stream_test.cpp
+++ b/tests/gateway/resumed_stream_test.cpp
@@ -76,3 +76,57 @@
   cr_assert(Row->GoesOn || Result.Body == Begun, "%s: '%s'", Row->Name,
             Result.Body.c_str());
 }
+
+struct arriving_row {
+  char Name[40];
+  char Parts[2][64];
+};
+
+ParameterizedTestParameters(resumed_stream,
+                            passes_events_with_any_line_end_on_as_they_arrive) {
+  static arriving_row Rows[] = {
+      {"LF", {"id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"}},
+      {"CR LF", {"id: 1\r\ndata: x\r\n\r\n", "id: 2\r\ndata: y\r\n\r\n"}},
+      {"CR", {"id: 1\rdata: x\r\r", "id: 2\rdata: y\r\r"}},
+      {"mixed", {"id: 1\rdata: x\n\r\n", "id: 2\ndata: y\r\r"}},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(arriving_row *Row, resumed_stream,
+                  passes_events_with_any_line_end_on_as_they_arrive) {
+  stream_fixture Stream;
+  Stream.Asked->send(EVENTS_HEAD);
+  std::string Sent;
+  for (const std::string_view Part : Row->Parts) {
+    Stream.Asked->send(Part);
+    Sent += Part;
+    Stream.Gateway.waitFor(
+        [&] { return Stream.Gateway.result().Body.size() >= Sent.size(); });
+    cr_assert(Stream.Gateway.result().Body == Sent, "%s: %zu of %zu bytes",
+              Row->Name, Stream.Gateway.result().Body.size(), Sent.size());
+  }
+}
+
+struct cr_order_row {
+  char Name[40];
+  char Again[64]; ///< an event that the caller already has
+};
+
+ParameterizedTestParameters(resumed_stream, checks_ids_with_any_line_end) {
+  static cr_order_row Rows[] = {
+      {"LF", "id: 1\ndata: piece 1\n\n"},
+      {"CR LF", "id: 1\r\ndata: piece 1\r\n\r\n"},
+      {"CR", "id: 1\rdata: piece 1\r\r"},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(cr_order_row *Row, resumed_stream,
+                  checks_ids_with_any_line_end) {
+  stream_fixture Stream;
+  const caller_response &Result =
+      Stream.breakAfter(std::string(EVENTS_HEAD EVENT) + Row->Again);
+  cr_assert(Result.Body == fake_upstream::events(0), "%s: '%s'", Row->Name,
+            Result.Body.c_str());
+}
