Ids of events count only if they are a whole number

Callers received an event whose id begins with a number, such as '9x' or '9 8', as if it had that number, and the stream went on after it at another upstream. An 'id' line without a colon, which withdraws the event's id, was not read.

Cause: deliverEvents did not compare the end of the number with that of the id; readEvent skipped lines without a colon.

Evidence: resumed_stream/takes_no_odd_id_for_a_number failed for 'a number and letters', 'two numbers' and 'a space after it', resumed_stream/ counts_an_id_that_is_withdrawn_as_none failed; both pass now, 19 of 19 in the suite.

--- a/src/decisions/request/sse_events.cpp
+++ b/src/decisions/request/sse_events.cpp
@@ -32,8 +32,12 @@
     const std::string_view Line = Text.substr(0, lineEnd(Text, 0, Next));
     Text.remove_prefix(Next);
     const std::size_t Colon = Line.find(':');
-    if (Colon == std::string_view::npos)
+    if (Colon == std::string_view::npos) {
+      // A field without a colon has an empty value.
+      if (Line == "id")
+        Event.Id = {};
       continue;
+    }
     const std::string_view Name = Line.substr(0, Colon);
     if (Name == "id")
       Event.Id = fieldValue(Line, Colon);
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -166,7 +166,9 @@
       std::int64_t Id = 0;
       const auto [End, Error] = std::from_chars(
           Event.Id.data(), Event.Id.data() + Event.Id.size(), Id);
-      InOrder = Error == std::errc() && (!LastEvent || Id > *LastEvent);
+      InOrder = Error == std::errc() &&
+                End == Event.Id.data() + Event.Id.size() &&
+                (!LastEvent || Id > *LastEvent);
       if (!InOrder)
         break;
       LastEvent = Id;
--- a/tests/gateway/resumed_stream_test.cpp
+++ b/tests/gateway/resumed_stream_test.cpp
@@ -130,3 +130,38 @@
   cr_assert(Result.Body == fake_upstream::events(0), "%s: '%s'", Row->Name,
             Result.Body.c_str());
 }
+
+struct odd_id_row {
+  char Name[40];
+  char Event[64]; ///< follows the event 1
+};
+
+ParameterizedTestParameters(resumed_stream, takes_no_odd_id_for_a_number) {
+  static odd_id_row Rows[] = {
+      {"a number and letters", "id: 9x\ndata: x\n\n"},
+      {"two numbers", "id: 9 8\ndata: x\n\n"},
+      {"a space before it", "id:  9\ndata: x\n\n"},
+      {"a space after it", "id: 9 \ndata: x\n\n"},
+      {"two ids, the later one lower", "id: 9\nid: 1\ndata: x\n\n"},
+      {"too large", "id: 99999999999999999999\ndata: x\n\n"},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(odd_id_row *Row, resumed_stream,
+                  takes_no_odd_id_for_a_number) {
+  stream_fixture Stream;
+  const caller_response &Result =
+      Stream.breakAfter(std::string(EVENTS_HEAD EVENT) + Row->Event);
+  cr_assert(Result.Body == fake_upstream::events(0), "%s: '%s'", Row->Name,
+            Result.Body.c_str());
+}
+
+Test(resumed_stream, counts_an_id_that_is_withdrawn_as_none) {
+  stream_fixture Stream;
+  const std::string Begun = EVENT "id: 2\nid\ndata: x\n\n";
+  const caller_response &Result =
+      Stream.breakAfter(EVENTS_HEAD + Begun + "id: 9\nda");
+  cr_assert(!Result.IsComplete && Result.Body == Begun, "'%s'",
+            Result.Body.c_str());
+}
