A line feed that arrives by itself is not dropped from resumed streams

Callers of resumable streams would miss a byte where a blank line of CR LF is split between two reads: since events are passed on at a carriage return, the line feed after it became a block without id or data and was dropped.

It is now the beginning of the next event, or the rest of the stream.

--- a/src/decisions/request/sse_events.cpp
+++ b/src/decisions/request/sse_events.cpp
@@ -73,11 +73,14 @@
   Buffer += Bytes;
   while (Consumed < Buffer.size()) {
     const std::string_view Rest = std::string_view(Buffer).substr(Consumed);
-    const std::size_t Length = eventLength(Rest);
+    const std::size_t Begin = lineFeedLength();
+    std::size_t Length = eventLength(Rest.substr(Begin));
     if (Length == std::string_view::npos)
       break;
-    sse_event Event = readEvent(Rest.substr(0, Length));
+    Length += Begin;
+    sse_event Event = readEvent(Rest.substr(Begin, Length - Begin));
     Event.Raw = Rest.substr(0, Length);
+    EndedWithReturn = Event.Raw.ends_with('\r');
     if (!Event.Data.empty() || !Event.Id.empty())
       Events.push_back(Event);
     Consumed += Length;
--- a/src/decisions/request/sse_events.h
+++ b/src/decisions/request/sse_events.h
@@ -16,7 +16,9 @@
 struct sse_event {
   std::string_view Id;   ///< value of the last `id` field; may be empty
   std::string_view Data; ///< value of the last `data` field; may be empty
-  std::string_view Raw;  ///< all bytes including the blank line
+  /// All bytes including the blank line; begins with the line feed of the event
+  /// before if that was passed on at its carriage return.
+  std::string_view Raw;
 };
 
 /// Splits a stream that arrives in arbitrary chunks into events.
@@ -33,7 +35,9 @@
   bool overflowed() const { return Overflowed; }
 
   /// Returns whether the bytes fed so far end inside an event.
-  bool hasPartialEvent() const { return Consumed < Buffer.size(); }
+  bool hasPartialEvent() const {
+    return Consumed + lineFeedLength() < Buffer.size();
+  }
 
   /// Returns the bytes after the last complete event.
   std::string_view rest() const {
@@ -41,8 +45,15 @@
   }
 
 private:
+  /// Returns 1 if the rest begins with the line feed of the line end that the
+  /// last event ended with, else 0.
+  std::size_t lineFeedLength() const {
+    return EndedWithReturn && rest().starts_with('\n') ? 1 : 0;
+  }
+
   std::string Buffer;
   std::size_t Consumed = 0;
+  bool EndedWithReturn = false; ///< the last event did
   bool Overflowed = false;
 };
 
--- a/tests/decisions/request/parsers_test.cpp
+++ b/tests/decisions/request/parsers_test.cpp
@@ -127,6 +127,23 @@
   }
 }
 
+Test(sse_splitter, drops_no_line_feed_that_arrives_by_itself) {
+  const std::string Stream =
+      "id: 1\r\ndata: one\r\n\r\nid: 2\r\ndata: two\r\n\r\n";
+  for (std::size_t Split = 0; Split <= Stream.size(); ++Split) {
+    sse_splitter Splitter;
+    std::string Passed;
+    for (const std::string_view Chunk :
+         {std::string_view(Stream).substr(0, Split),
+          std::string_view(Stream).substr(Split)})
+      for (const sse_event &Event : Splitter.feed(Chunk))
+        Passed += Event.Raw;
+    Passed += Splitter.rest();
+    cr_assert(Passed == Stream, "split at %zu: %s", Split, Passed.c_str());
+    cr_assert(!Splitter.hasPartialEvent(), "split at %zu", Split);
+  }
+}
+
 Test(sse_splitter, rejects_an_event_over_the_maximum_length) {
   sse_splitter Splitter;
   cr_assert(
--- a/tests/gateway/resumed_stream_test.cpp
+++ b/tests/gateway/resumed_stream_test.cpp
@@ -88,6 +88,8 @@
       {"LF", {"id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"}},
       {"CR LF", {"id: 1\r\ndata: x\r\n\r\n", "id: 2\r\ndata: y\r\n\r\n"}},
       {"CR", {"id: 1\rdata: x\r\r", "id: 2\rdata: y\r\r"}},
+      {"CR LF, split",
+       {"id: 1\r\ndata: x\r\n\r", "\nid: 2\r\ndata: y\r\n\r\n"}},
       {"mixed", {"id: 1\rdata: x\n\r\n", "id: 2\ndata: y\r\r"}},
   };
   return criterion_test_params(Rows);
