Bytes that a cut path held up do not show that a process runs

Callers would see a cut response pass as complete whose last bytes were held up: the path to the upstream is cut, it writes and is killed, its successor is listed, and after 500 ms or more the cut ends and the system delivers bytes and end.

Cause: the last bytes that arrived counted as a sign of life of 500 ms before.

Bytes now only confirm those that arrived 500 ms or more before them; what comes in one burst after a gap says nothing about the gap. A second cut right after the first bytes is not told apart.

--- a/src/decisions/process/response_activity.h
+++ b/src/decisions/process/response_activity.h
@@ -6,16 +6,18 @@
 #include "common/instant.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace ebonyvale {
 
-/// Follows one response. Its process runs when the request is sent, and shortly
-/// before bytes arrive, unless a system may have had them in its buffers.
+/// Follows one response. Its process runs when the request is sent, and when
+/// bytes arrive that others follow much later. The last bytes prove nothing: a
+/// path that was cut may have held them up until after the end of their sender.
 class response_activity {
 public:
-  /// Longest time from sending bytes to reading them: packets may be lost once,
-  /// and the loop may run late.
-  static constexpr span_ns MaxTransit = std::chrono::milliseconds(500);
+  /// Shortest time between bytes that are not sent at once: packets may be
+  /// lost, and the loop may run late.
+  static constexpr span_ns MinGap = std::chrono::milliseconds(500);
   /// Bytes that a system sends without waiting for the receiver. Beyond them,
   /// it may still send what a process has left that has ended.
   static constexpr std::size_t MaxUnacknowledged = 14 * 1024;
@@ -33,6 +35,7 @@
 
 private:
   instant AliveAt;
+  std::optional<instant> ArrivedAt; ///< arrival that later bytes may confirm
   std::size_t Bytes = 0;
   bool ArrivesAtOnce = true;
 };
