A silent connection decides nothing about the end of a response

Callers lost whole responses of an upstream that was not listed yet if the oldest idle connection to it was silent: only that one was asked, for 450 ms. A broken response was held for 2 s for each silent connection to an upstream that refused new ones.

All idle connections that can prove anything, those opened before, are asked at once. The first answer decides; if all have ended, the answer on the new connection does; silence is no evidence, and silent connections are not asked again.

--- a/src/decisions/process/response_ends.cpp
+++ b/src/decisions/process/response_ends.cpp
@@ -103,27 +103,34 @@
          Known->second.Since <= AliveAt;
 }
 
-bool response_ends::needsEarlierConnection(const upstream_process &Process,
-                                           const answer &Answer) const {
+std::optional<instant>
+response_ends::earlierConnection(const upstream_process &Process,
+                                 const answer &Answer, instant Now) const {
+  std::optional<instant> Latest;
   const auto Waiting =
       std::ranges::find(Processes, Process, &waiting_process::Process);
-  return Waiting != Processes.end() &&
-         std::ranges::any_of(Waiting->Ends, [&](const waiting_end &End) {
-           const auto Proof = judge(Process, End, Answer);
-           return Proof ? verdictOf(*Proof) == end_verdict::Broken
-                        : Answer.Evidence == process_evidence::Unnamed;
-         });
+  if (Waiting == Processes.end() || Answer.Evidence == process_evidence::None)
+    return Latest;
+  for (const waiting_end &End : Waiting->Ends) {
+    const auto Proof = judge(Process, End, Answer, Now);
+    if (!Proof || verdictOf(*Proof) == end_verdict::Broken)
+      Latest = std::max(Latest.value_or(End.AliveAt), End.AliveAt);
+  }
+  return Latest;
 }
 
 std::optional<end_proof> response_ends::judge(const upstream_process &Process,
                                               const waiting_end &End,
-                                              const answer &Answer) const {
+                                              const answer &Answer,
+                                              instant Now) const {
   if (Answer.Evidence == process_evidence::Gone)
     return end_proof::Gone;
   if (End.At > Answer.AskedAt)
     return std::nullopt;
   if (Answer.ConnectedAt && *Answer.ConnectedAt <= End.AliveAt)
     return end_proof::EarlierConnection;
+  const bool IsAskedAtOnce =
+      Process.Born == 0 && Answer.AskedAt - End.At < MinStartTime;
   switch (Answer.Evidence) {
   case process_evidence::Started:
     if (Answer.Born == Process.Born)
@@ -134,7 +141,7 @@
                ? end_proof::StartStatedBefore
                : end_proof::OtherStart;
   case process_evidence::Unnamed:
-    if (Process.Born == 0 && Answer.AskedAt - End.At < MinStartTime)
+    if (IsAskedAtOnce)
       return end_proof::AskedAtOnce;
     return std::nullopt;
   case process_evidence::None:
@@ -152,7 +159,7 @@
   if (Waiting == Processes.end())
     return Judged;
   std::erase_if(Waiting->Ends, [&](const waiting_end &End) {
-    const auto Proof = judge(Process, End, Answer);
+    const auto Proof = judge(Process, End, Answer, Now);
     if (Proof)
       Judged.push_back({End.Number, verdictOf(*Proof), *Proof});
     return Proof.has_value();
--- a/src/decisions/process/response_ends.h
+++ b/src/decisions/process/response_ends.h
@@ -36,7 +36,7 @@
   ListedStart,       ///< the process has the start of the entry
   StartStatedBefore, ///< its start was known while the response was sent
   EarlierConnection, ///< it answered on a connection opened before that
-  AskedAtOnce,       ///< the answer of an upstream that states no start
+  AskedAtOnce,       ///< the answer of an upstream whose entry has no start
   OtherStart,        ///< no process known by then answered
   Gone,              ///< see `process_evidence::Gone`
 };
@@ -60,9 +60,9 @@
 public:
   /// Pause after a question without evidence.
   static constexpr span_ns AskAgain = std::chrono::milliseconds(50);
-  /// Longest time after the end of a response in which the answer of an
-  /// upstream that states no start, neither in its entry, counts as that of its
-  /// process.
+  /// Longest time after the end of a response was read in which an answer
+  /// counts as that of its process, if the entry states no start. It proves
+  /// little, since a process may start sooner.
   static constexpr span_ns MinStartTime = std::chrono::milliseconds(100);
   /// How long a start is remembered that is not stated again.
   static constexpr span_ns KeepStated = std::chrono::seconds(60);
@@ -94,10 +94,12 @@
   /// in its entry or a report, until \p Now.
   void onStated(const upstream_process &Listed, std::int64_t Born, instant Now);
 
-  /// Returns whether \p Answer leaves a response of \p Process in doubt that an
-  /// answer on an earlier connection may decide.
-  bool needsEarlierConnection(const upstream_process &Process,
-                              const answer &Answer) const;
+  /// Returns the latest time at which a connection may have been opened on
+  /// which an answer proves the end of a response of \p Process that \p Answer
+  /// does not prove; nothing if it proves all.
+  std::optional<instant> earlierConnection(const upstream_process &Process,
+                                           const answer &Answer,
+                                           instant Now) const;
 
   /// Forgets the response \p Number, which nobody waits for any more.
   void withdraw(std::uint64_t Number);
@@ -140,10 +142,11 @@
   using process_address = std::tuple<std::string, std::string, std::uint16_t>;
 
   std::vector<waiting_process>::iterator find(const upstream_process &Process);
-  /// Returns what \p Answer shows of \p End, a response of \p Process.
+  /// Returns what \p Answer shows of \p End, a response of \p Process, at
+  /// \p Now.
   std::optional<end_proof> judge(const upstream_process &Process,
-                                 const waiting_end &End,
-                                 const answer &Answer) const;
+                                 const waiting_end &End, const answer &Answer,
+                                 instant Now) const;
   bool wasStatedBefore(const upstream_process &Process, std::int64_t Born,
                        instant AliveAt) const;
   /// Forgets processes of which no response waits.
--- a/src/gateway/connection/end_verifier.cpp
+++ b/src/gateway/connection/end_verifier.cpp
@@ -93,37 +93,51 @@
                                 int Status, std::string_view Body) {
          const response_ends::answer Answer =
              readAnswer(Process, *Call, AskedAt, Status, Body);
-         if (hasEarlier(Process) &&
-             Ends.needsEarlierConnection(Process, Answer))
-           return askOnEarlier(Process, Answer);
-         onAnswer(Process, Answer);
+         const auto Before =
+             Ends.earlierConnection(Process, Answer, readBootClock());
+         const std::size_t Count =
+             Before ? Core.links().idleBefore({Process.Address, Process.Port},
+                                              *Before)
+                    : 0;
+         if (Count == 0)
+           return onAnswer(Process, Answer);
+         askOnEarlier(Process, Answer, Count);
        });
 }
 
 void end_verifier::askOnEarlier(const upstream_process &Process,
-                                const response_ends::answer &Answer) {
-  client_request Request;
-  Request.OldestConnection = true;
-  const bool IsGone = Answer.Evidence == process_evidence::Gone;
-  send(Process, std::move(Request),
-       IsGone ? MaxAnswerTime : span_ns(upstream_call::Timeout),
-       [this, Process, Answer,
-        IsGone](const std::shared_ptr<upstream_call> &Call, int Status,
-                std::string_view Body) {
-         if (Status != 0 && Call->connectedAt())
-           return onAnswer(Process, readAnswer(Process, *Call, Answer.AskedAt,
-                                               Status, Body));
-         if (Call->isLost() && hasEarlier(Process))
-           return askOnEarlier(Process, Answer);
-         // One that refuses connections may still serve those it has.
-         if (IsGone && !Call->isLost())
-           return onAnswer(Process, {Answer.AskedAt, process_evidence::None});
-         onAnswer(Process, Answer);
-       });
-}
-
-bool end_verifier::hasEarlier(const upstream_process &Process) const {
-  return Core.links().hasIdle({Process.Address, Process.Port});
+                                const response_ends::answer &Answer,
+                                std::size_t Count) {
+  struct round {
+    response_ends::answer Answer;
+    std::size_t Left;
+    bool Silent = false; ///< a connection has neither answered nor ended
+    bool Answered = false;
+  };
+  const auto Round = std::make_shared<round>(round{Answer, Count});
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    client_request Request;
+    Request.OldestConnection = true;
+    send(Process, std::move(Request), MaxAnswerTime,
+         [this, Process, Round](const std::shared_ptr<upstream_call> &Call,
+                                int Status, std::string_view Body) {
+           if (Round->Answered)
+             return;
+           const instant AskedAt = Round->Answer.AskedAt;
+           if (Status != 0 && Call->connectedAt()) {
+             Round->Answered = true;
+             return onAnswer(Process,
+                             readAnswer(Process, *Call, AskedAt, Status, Body));
+           }
+           Round->Silent |= !Call->isLost();
+           if (--Round->Left > 0)
+             return;
+           // Silence proves nothing, whatever answers on new connections.
+           if (Round->Silent)
+             Round->Answer = {AskedAt, process_evidence::None};
+           onAnswer(Process, Round->Answer);
+         });
+  }
 }
 
 response_ends::answer end_verifier::readAnswer(const upstream_process &Asked,
--- a/src/gateway/connection/end_verifier.h
+++ b/src/gateway/connection/end_verifier.h
@@ -41,13 +41,12 @@
   void dropAbandoned();
   /// Asks \p Process on a new connection.
   void ask(const upstream_process &Process, instant AskedAt);
-  /// Asks \p Process on its oldest idle connection, after \p Answer on a new
-  /// one has proven no end.
+  /// Asks \p Process on all \p Count idle connections from before its
+  /// responses, after \p Answer on a new one has not proven their ends.
   void askOnEarlier(const upstream_process &Process,
-                    const response_ends::answer &Answer);
+                    const response_ends::answer &Answer, std::size_t Count);
   void send(const upstream_process &Process, client_request Request,
             span_ns MaxTime, upstream_call::callback Done);
-  bool hasEarlier(const upstream_process &Process) const;
   void onAnswer(const upstream_process &Asked,
                 const response_ends::answer &Answer);
   response_ends::answer readAnswer(const upstream_process &Asked,
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -379,6 +379,18 @@
   return Oldest;
 }
 
+std::size_t client_connection_pool::idleBefore(const endpoint &Server,
+                                               instant At) const {
+  const auto Found = Idle.find(Server);
+  if (Found == Idle.end())
+    return 0;
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Found->second, [At](const auto &Connection) {
+        return Connection->OpenedAt && *Connection->OpenedAt <= At &&
+               !hasUnreadInput(Connection->Socket.get());
+      }));
+}
+
 void client_connection_pool::returnConnection(
     const std::shared_ptr<client_connection> &Connection) {
   Connection->IdleSince = readBootClock();
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -78,7 +78,7 @@
   std::string_view Body;      ///< copied by `client_connection_pool::start`
   bool NewConnection = false; ///< do not reuse a pooled connection
   /// Reuse the pooled connection that was opened first, also if it has been
-  /// idle for long.
+  /// idle for long; see `client_connection_pool::idleBefore`.
   bool OldestConnection = false;
 };
 
@@ -197,8 +197,9 @@
     OnIdleLost = std::move(Callback);
   }
 
-  /// Returns whether there is an idle connection to \p Server.
-  bool hasIdle(const endpoint &Server) const { return Idle.contains(Server); }
+  /// Returns the number of idle connections to \p Server that were opened at
+  /// \p At or before, and that the server has not ended.
+  std::size_t idleBefore(const endpoint &Server, instant At) const;
 
   /// Closes all idle connections to \p Server.
   void closeIdleConnections(const endpoint &Server);
--- a/tests/decisions/process/response_ends_test.cpp
+++ b/tests/decisions/process/response_ends_test.cpp
@@ -104,14 +104,16 @@
   using enum process_evidence;
   response_ends Ends;
   Ends.add(Process, AliveAt, Start);
-  const auto Needs = [&Ends](process_evidence Evidence, std::int64_t Born) {
-    return Ends.needsEarlierConnection(Process, {at(0), Evidence, Born});
+  const auto Before = [&Ends](process_evidence Evidence, std::int64_t Born) {
+    return Ends.earlierConnection(Process, {at(0), Evidence, Born}, at(5));
   };
-  cr_assert(!Needs(Started, 5000));
-  cr_assert(!Needs(None, 0));
-  cr_assert(Needs(Started, 1));
-  cr_assert(Needs(Unnamed, 0));
-  cr_assert(Needs(Gone, 0));
+  cr_assert(!Before(Started, 5000));
+  cr_assert(!Before(None, 0));
+  cr_assert(Before(Started, 1) == AliveAt);
+  cr_assert(Before(Unnamed, 0) == AliveAt);
+  cr_assert(Before(Gone, 0) == AliveAt);
+  Ends.add(Process, AliveAt + 500ms, Start);
+  cr_assert(Before(Gone, 0) == AliveAt + 500ms);
 }
 
 Test(response_ends, an_answer_serves_what_ended_before_its_question) {
--- a/tests/gateway/ended_upstream_test.cpp
+++ b/tests/gateway/ended_upstream_test.cpp
@@ -29,6 +29,8 @@
   OtherProcess, ///< another upstream
   Nobody,       ///< connections are refused
   NoListener,   ///< itself, but on open connections only
+  OneSilent,    ///< as `Earlier`, but its oldest connection is silent
+  AllSilent,    ///< connections are refused, and the open ones are silent
   Full,         ///< itself, but it resets new connections for a while
   Silence,      ///< no answer at all
 };
@@ -78,7 +80,8 @@
                           "Content-Type: {}\r\nConnection: close\r\n\r\n{}",
                           Streams ? "text/event-stream" : "text/plain",
                           Streams ? fake_upstream::events(0, 2) : "answer"));
-    if (Successor == successor::Nobody || Successor == successor::NoListener)
+    if (Successor == successor::Nobody || Successor == successor::NoListener ||
+        Successor == successor::AllSilent)
       Server.stopListening();
     Peer.close();
     if (endsConnections())
@@ -115,7 +118,12 @@
     case successor::OtherProcess:
       return Peer.send("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n"
                        "Ebonyvale-Instance-Id: u-9\r\n\r\n");
+    case successor::OneSilent:
+      if (&Peer == Server.Peers.front().get())
+        return;
+      return Peer.send(reportOf(Born + 1));
     case successor::Nobody:
+    case successor::AllSilent:
     case successor::Silence:
       return;
     }
@@ -143,6 +151,7 @@
       {"refuses connections", successor::Nobody, false},
       {"refuses new connections", successor::NoListener, true},
       {"resets new connections", successor::Full, true},
+      {"not listed yet, one connection silent", successor::OneSilent, true},
       {"silent", successor::Silence, false},
   };
   return criterion_test_params(Rows);
@@ -156,10 +165,10 @@
     Gateway.Upstreams[0]->Born = Born;
     Gateway.useOnlyUpstream(Upstream.port());
     int Opened = 0;
-    for (int Connection = 0; Connection < 2; ++Connection)
+    for (int Connection = 0; Connection < 3; ++Connection)
       Gateway.core().links().probe({"127.0.0.1", Upstream.port()},
                                    [&Opened](auto) { ++Opened; });
-    cr_assert(Gateway.waitFor([&] { return Opened == 2; }));
+    cr_assert(Gateway.waitFor([&] { return Opened == 3; }));
     if (Row->Successor == successor::Nobody)
       Gateway.core().links().closeIdleConnections(
           {"127.0.0.1", Upstream.port()});
@@ -170,6 +179,23 @@
   }
 }
 
+Test(ended_upstream, silent_connections_hold_a_response_for_one_timeout) {
+  gateway_fixture Gateway;
+  closing_upstream Upstream(Gateway.Base.get(), successor::AllSilent);
+  Gateway.Upstreams[0]->Born = Born;
+  Gateway.useOnlyUpstream(Upstream.port());
+  int Opened = 0;
+  for (int Connection = 0; Connection < 4; ++Connection)
+    Gateway.core().links().probe({"127.0.0.1", Upstream.port()},
+                                 [&Opened](auto) { ++Opened; });
+  cr_assert(Gateway.waitFor([&] { return Opened == 4; }));
+  const instant Start = readBootClock();
+  const caller_response Response = Gateway.sendRequest({.Path = "/order/1"});
+  cr_assert(Response.Status != 200);
+  cr_assert(readBootClock() - Start < 3s, "%.0f ms",
+            toMs(readBootClock() - Start));
+}
+
 Test(ended_upstream, stream_goes_on_at_another_upstream) {
   gateway_fixture Gateway;
   closing_upstream Upstream(Gateway.Base.get(), successor::Nobody);
