A refused connection breaks no response that ended after it

Callers lost a whole response that had ended while a question was still open to an upstream that had refused a connection before: what the refusal shows counted for responses that ended later, though the upstream may have come back meanwhile.

A refusal serves the responses that ended before it.

--- a/src/decisions/process/response_ends.cpp
+++ b/src/decisions/process/response_ends.cpp
@@ -123,7 +123,8 @@
                                               const waiting_end &End,
                                               const answer &Answer,
                                               instant Now) const {
-  if (Answer.Evidence == process_evidence::Gone)
+  if (Answer.Evidence == process_evidence::Gone &&
+      End.At <= Answer.GoneAt.value_or(Now))
     return end_proof::Gone;
   if (End.At > Answer.AskedAt)
     return std::nullopt;
--- a/src/decisions/process/response_ends.h
+++ b/src/decisions/process/response_ends.h
@@ -76,6 +76,9 @@
     /// When the connection was opened, if the process has answered on one from
     /// before the question.
     std::optional<instant> ConnectedAt;
+    /// When connections were refused, if not only now; that says nothing of
+    /// responses that ended later.
+    std::optional<instant> GoneAt;
   };
 
   struct judged_end {
--- a/src/gateway/connection/end_verifier.cpp
+++ b/src/gateway/connection/end_verifier.cpp
@@ -144,8 +144,11 @@
                                                const upstream_call &Call,
                                                instant AskedAt, int Status,
                                                std::string_view Body) {
-  if (Call.isRefused() || Call.isFromOtherProcess())
-    return {AskedAt, process_evidence::Gone};
+  if (Call.isRefused() || Call.isFromOtherProcess()) {
+    response_ends::answer Answer{AskedAt, process_evidence::Gone};
+    Answer.GoneAt = readBootClock();
+    return Answer;
+  }
   if (Status == 0)
     return {AskedAt, process_evidence::None};
   std::int64_t Born = 0;
--- a/tests/decisions/process/response_ends_test.cpp
+++ b/tests/decisions/process/response_ends_test.cpp
@@ -116,6 +116,17 @@
   cr_assert(Before(Gone, 0) == AliveAt + 500ms);
 }
 
+Test(response_ends, a_refusal_breaks_no_response_that_ended_after_it) {
+  response_ends Ends;
+  const std::uint64_t First = Ends.add(Process, AliveAt, at(0));
+  cr_assert(Ends.takeQuestions(at(0)).size() == 1);
+  Ends.add(Process, AliveAt, at(100));
+  response_ends::answer Answer{at(0), process_evidence::Gone};
+  Answer.GoneAt = at(1);
+  const auto Judged = Ends.onAnswer(Process, Answer, at(2000));
+  cr_assert(Judged.size() == 1 && Judged[0].Number == First);
+}
+
 Test(response_ends, an_answer_serves_what_ended_before_its_question) {
   response_ends Ends;
   for (int Ms : {0, 1, 2})
