Questions without evidence about the end of a response become rarer

The pause doubles now, up to 500 ms, until something is judged.

response_ends/questions_without_evidence_become_rarer: at most 10 in 3 s; the code before asks about 60 times in it by its constant.

--- a/src/decisions/process/response_ends.cpp
+++ b/src/decisions/process/response_ends.cpp
@@ -167,7 +167,10 @@
   });
   if (Waiting->AskedAt == Answer.AskedAt) {
     Waiting->AskedAt.reset();
-    Waiting->AskFrom = Judged.empty() ? Now + AskAgain : Now;
+    Waiting->AskFrom = Judged.empty() ? Now + Waiting->Pause : Now;
+    Waiting->Pause = Judged.empty()
+                         ? std::min<span_ns>(2 * Waiting->Pause, MaxAskAgain)
+                         : span_ns(AskAgain);
   }
   dropEmpty();
   return Judged;
--- a/src/decisions/process/response_ends.h
+++ b/src/decisions/process/response_ends.h
@@ -58,8 +58,9 @@
 /// after a whole response.
 class response_ends {
 public:
-  /// Pause after a question without evidence.
+  /// Pause after a question without evidence; it doubles with each one.
   static constexpr span_ns AskAgain = std::chrono::milliseconds(50);
+  static constexpr span_ns MaxAskAgain = std::chrono::milliseconds(500);
   /// Longest time after the end of a response was read in which an answer
   /// counts as that of its process, if the entry states no start. It proves
   /// little, since a process may start sooner.
@@ -134,6 +135,7 @@
     std::vector<waiting_end> Ends;  ///< the oldest first
     std::optional<instant> AskedAt; ///< set while a question is open
     instant AskFrom;                ///< earliest time of the next question
+    span_ns Pause = AskAgain;       ///< after the next one without evidence
   };
 
   /// The start that the process at an address has stated.
--- a/tests/decisions/process/response_ends_test.cpp
+++ b/tests/decisions/process/response_ends_test.cpp
@@ -127,6 +127,18 @@
   cr_assert(Judged.size() == 1 && Judged[0].Number == First);
 }
 
+Test(response_ends, questions_without_evidence_become_rarer) {
+  response_ends Ends;
+  Ends.add(Process, AliveAt, at(0));
+  int Questions = 0;
+  for (int Ms = 0; Ms < 3000; ++Ms)
+    for (const upstream_process &Asked : Ends.takeQuestions(at(Ms))) {
+      ++Questions;
+      Ends.onAnswer(Asked, {at(Ms), process_evidence::Unnamed}, at(Ms));
+    }
+  cr_assert(Questions <= 10, "%d", Questions);
+}
+
 Test(response_ends, an_answer_serves_what_ended_before_its_question) {
   response_ends Ends;
   for (int Ms : {0, 1, 2})
