Responses of upstreams whose entry states no start are not all cut

Callers lost whole responses of upstreams whose entry has no `born` though their reports state one: the stated start equalled nothing known.

Such an upstream is recognized by its earlier statements, and else as one that states no start at all.

--- a/src/decisions/process/response_ends.cpp
+++ b/src/decisions/process/response_ends.cpp
@@ -138,9 +138,9 @@
       return end_proof::ListedStart;
     // The entry may be that of an earlier process than the one that was sent
     // the request.
-    return wasStatedBefore(Process, Answer.Born, End.AliveAt)
-               ? end_proof::StartStatedBefore
-               : end_proof::OtherStart;
+    if (wasStatedBefore(Process, Answer.Born, End.AliveAt))
+      return end_proof::StartStatedBefore;
+    return IsAskedAtOnce ? end_proof::AskedAtOnce : end_proof::OtherStart;
   case process_evidence::Unnamed:
     if (IsAskedAtOnce)
       return end_proof::AskedAtOnce;
--- a/tests/decisions/process/response_ends_test.cpp
+++ b/tests/decisions/process/response_ends_test.cpp
@@ -56,6 +56,8 @@
       {"never named, asked at once", 0, 99, Unnamed, 0, Whole, {}, false},
       {"never named, slow", 99, 600, Unnamed, 0, Whole, {}, false},
       {"never named, late", 100, 105, Unnamed, 0, Open, {}, false},
+      {"entry without a start", 0, 5, Started, 6000, Whole, {}, false},
+      {"entry without a start, late", 100, 5, Started, 6000, Broken, {}, false},
   };
   return criterion_test_params(Rows);
 }
