Resumable streams pass everything on, not only events with an id or data

Callers of resumable streams did not get comments, fields that are no data, blank lines, and events with empty data.

Cause: sse_splitter returns events with an id or data only, and deliverEvents passed on what it returned. feedAll returns all blocks; only an event counts as delivered, and after one without an id the stream is not continued elsewhere.

A comment line without a blank line goes with the event after it.

--- a/src/decisions/request/sse_events.cpp
+++ b/src/decisions/request/sse_events.cpp
@@ -36,6 +36,7 @@
       // A field without a colon has an empty value.
       if (Line == "id")
         Event.Id = {};
+      Event.HasData = Event.HasData || Line == "data";
       continue;
     }
     const std::string_view Name = Line.substr(0, Colon);
@@ -43,6 +44,7 @@
       Event.Id = fieldValue(Line, Colon);
     else if (Name == "data")
       Event.Data = fieldValue(Line, Colon);
+    Event.HasData = Event.HasData || Name == "data";
   }
   return Event;
 }
@@ -65,6 +67,14 @@
 } // namespace
 
 std::vector<sse_event> sse_splitter::feed(std::string_view Bytes) {
+  std::vector<sse_event> Events = feedAll(Bytes);
+  std::erase_if(Events, [](const sse_event &Event) {
+    return Event.Data.empty() && Event.Id.empty();
+  });
+  return Events;
+}
+
+std::vector<sse_event> sse_splitter::feedAll(std::string_view Bytes) {
   std::vector<sse_event> Events;
   if (Overflowed)
     return Events;
@@ -81,8 +91,7 @@
     sse_event Event = readEvent(Rest.substr(Begin, Length - Begin));
     Event.Raw = Rest.substr(0, Length);
     EndedWithReturn = Event.Raw.ends_with('\r');
-    if (!Event.Data.empty() || !Event.Id.empty())
-      Events.push_back(Event);
+    Events.push_back(Event);
     Consumed += Length;
   }
   if (Buffer.size() - Consumed <= MaxEventBytes)
--- a/src/decisions/request/sse_events.h
+++ b/src/decisions/request/sse_events.h
@@ -16,6 +16,7 @@
 struct sse_event {
   std::string_view Id;   ///< value of the last `id` field; may be empty
   std::string_view Data; ///< value of the last `data` field; may be empty
+  bool HasData = false;  ///< has a `data` field
   /// All bytes including the blank line; begins with the line feed of the event
   /// before if that was passed on at its carriage return.
   std::string_view Raw;
@@ -31,6 +32,10 @@
   /// in order. Returns nothing once an event exceeds MaxEventBytes.
   std::vector<sse_event> feed(std::string_view Bytes);
 
+  /// Does the same, and also returns blocks that are no such events: comments,
+  /// other fields, data of no bytes and blank lines. The blocks hold all bytes.
+  std::vector<sse_event> feedAll(std::string_view Bytes);
+
   /// Returns whether an event exceeded MaxEventBytes.
   bool overflowed() const { return Overflowed; }
 
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -162,7 +162,8 @@
 bool forward_session::deliverEvents(std::string_view Bytes) {
   std::string Out;
   bool InOrder = true;
-  for (const sse_event &Event : Splitter.feed(Bytes)) {
+  bool HasEvent = false;
+  for (const sse_event &Event : Splitter.feedAll(Bytes)) {
     if (!Event.Id.empty()) {
       std::int64_t Id = 0;
       const auto [End, Error] = std::from_chars(
@@ -174,14 +175,20 @@
         break;
       LastEvent = Id;
     }
-    Flow.onPlaced(!Event.Id.empty());
+    if (Event.HasData || !Event.Id.empty()) {
+      HasEvent = true;
+      Flow.onPlaced(!Event.Id.empty());
+    }
     if (const auto Weights = Core.protocols().Upstreams.eventWeights(Event.Raw))
       Core.scheduler().onWeights(Choice->Upstream, ParsedRequest.Model,
                                  *Weights);
     Out += Event.Raw;
   }
   // `LastEvent` counts them as delivered.
-  deliver(Out);
+  if (HasEvent)
+    deliver(Out);
+  else if (!Out.empty())
+    Caller->writeChunk(Out);
   return InOrder && !Splitter.overflowed();
 }
 
--- a/tests/gateway/resumed_stream_test.cpp
+++ b/tests/gateway/resumed_stream_test.cpp
@@ -59,6 +59,7 @@
       {"none with an id", "data: x\n\n", false},
       {"after one with an id", EVENT "data: x\n\n", false},
       {"after one with an id, empty id", EVENT "id:\ndata: x\n\n", false},
+      {"after one with an id, empty data", EVENT "data:\n\n", false},
       {"before one with an id", "data: x\n\n" EVENT, true},
       {"no event: no data", EVENT "event: alive\n\n", true},
   };
@@ -167,3 +168,35 @@
   cr_assert(!Result.IsComplete && Result.Body == Begun, "'%s'",
             Result.Body.c_str());
 }
+
+namespace {
+
+struct alive_row {
+  char Name[32];
+  char Bytes[32];
+};
+
+} // namespace
+
+ParameterizedTestParameters(resumed_stream, passes_signs_of_life_on) {
+  static alive_row Rows[] = {
+      {"a comment", ": alive\n\n"},
+      {"a field that is no data", "event: alive\n\n"},
+      {"a blank line", "\n"},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(alive_row *Row, resumed_stream, passes_signs_of_life_on) {
+  stream_fixture Stream;
+  const std::string Begun = std::string(EVENT) + Row->Bytes;
+  Stream.Asked->send(EVENTS_HEAD + Begun);
+  Stream.Gateway.waitFor(
+      [&] { return Stream.Gateway.result().Body.size() >= Begun.size(); });
+  cr_assert(Stream.Gateway.result().Body == Begun, "%s: '%s'", Row->Name,
+            Stream.Gateway.result().Body.c_str());
+  const caller_response &Result = Stream.breakAfter("id: 2\nda");
+  cr_assert(Result.IsComplete, "%s", Row->Name);
+  cr_assert(Result.Body == Begun + fake_upstream::events(1), "%s: '%s'",
+            Row->Name, Result.Body.c_str());
+}
