A watch's late answer no longer confirms the list of upstreams

The arrival of a watch's answer counted as the time at which the list of upstreams was current. An answer may be read long after it was given: the instance was frozen, or the way to the store was slow. So a list of before the loss of a connection ended the doubt about the upstream's process.

The list is now confirmed as of the call of the watch: the store gave its answer later. A watch without changes takes a second, so that alone would leave the list up to two seconds old in quiet times. A read of the operators' documents states the revision of the store, so it confirms the list as of its own call once the list has reached that revision. No call to the store is added. A confirmation never goes back to an earlier time.

--- a/src/fakes/fake_fleet_store.cpp
+++ b/src/fakes/fake_fleet_store.cpp
@@ -91,8 +91,11 @@
 
 bool fake_fleet_store::finishWatch(pending_watch &Watch, instant Now) {
   store_items Found;
-  Found.SentAt = Now;
+  Found.SentAt = Watch.SentAt;
   const store_fault Fault = faultFor(Watch.Instance);
+  const bool IsLate = Fault == store_fault::LateWatches;
+  if (IsLate && Now < Watch.Deadline + WatchDelay)
+    return false;
   if (Fault == store_fault::Down || Fault == store_fault::Refuses) {
     if (Fault == store_fault::Down && Now < Watch.Deadline)
       return false;
@@ -106,12 +109,14 @@
     if (Fault == store_fault::EmptyWatches) {
       Found.Revision = Watch.Revision;
     } else {
-      Found.Revision = revision();
+      Found.Revision = IsLate ? Watch.StoreRevision : revision();
       for (const key_change &Change :
            Model.changesSince(counterOf(Watch.Revision) + 1, Watch.Prefix,
                               prefixEnd(Watch.Prefix)))
-        Found.Items.push_back(makeItem(
-            Change.Entry, storeRevision(Era, Change.Revision), Change.Deleted));
+        if (storeRevision(Era, Change.Revision) <= Found.Revision)
+          Found.Items.push_back(makeItem(Change.Entry,
+                                         storeRevision(Era, Change.Revision),
+                                         Change.Deleted));
     }
     if (Found.Items.empty() && Now < Watch.Deadline)
       return false;
@@ -146,8 +151,9 @@
                                     std::int64_t Revision, span_ns Wait,
                                     items_callback Done) {
   ++Store.Calls[Instance];
-  Store.Watches.push_back({Instance, Prefix, Revision, readBootClock() + Wait,
-                           whileAlive(std::move(Done))});
+  const instant Now = readBootClock();
+  Store.Watches.push_back({Instance, Prefix, Revision, Store.revision(), Now,
+                           Now + Wait, whileAlive(std::move(Done))});
 }
 
 void fake_fleet_store_client::respond(store_result Result, bool IsWrite,
--- a/src/fakes/fake_fleet_store.h
+++ b/src/fakes/fake_fleet_store.h
@@ -27,7 +27,9 @@
   LosesWriteResponses, ///< writes are applied, but get no response
   DelayedWrites,       ///< writes get no response and are applied after
                        ///< `WriteDelay`, if their conditions hold then
-  EmptyWatches         ///< reads and writes work, but watches report no changes
+  EmptyWatches,        ///< reads and writes work, but watches report no changes
+  LateWatches          ///< watches end `WatchDelay` after their time and report
+                       ///< what the store held at the call
 };
 
 /// The store that all instances of a test share.
@@ -64,6 +66,9 @@
   /// Time from a call to its write under `DelayedWrites`.
   static constexpr span_ns WriteDelay = std::chrono::milliseconds(120);
 
+  /// Time by which watches are late under `LateWatches`.
+  static constexpr span_ns WatchDelay = std::chrono::milliseconds(1500);
+
   /// Returns the number of successful list calls.
   std::size_t listCalls() const { return ListCalls; }
   /// Returns the number of commits of all instances.
@@ -80,6 +85,8 @@
     std::string Instance;
     std::string Prefix;
     std::int64_t Revision;
+    std::int64_t StoreRevision; ///< at the call
+    instant SentAt;
     instant Deadline;
     fleet_store::items_callback Done;
   };
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -175,6 +175,8 @@
 }
 
 void gateway_core::onUpstreamsConfirmed(instant At) {
+  if (UpstreamsConfirmedAt && At <= *UpstreamsConfirmedAt)
+    return;
   UpstreamsConfirmedAt = At;
   Unconfirmed.expire(Directory, At);
 }
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -261,7 +261,8 @@
     SoftwareHistory.onGap(Now);
     UpstreamsListedAt = Now;
   }
-  /// Records that the list of upstreams was current at \p At.
+  /// Records that the list of upstreams was current at \p At. That is when the
+  /// store was asked, since an answer may arrive long after it was given.
   void onUpstreamsConfirmed(instant At);
   std::optional<instant> upstreamsConfirmedAt() const {
     return UpstreamsConfirmedAt;
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -141,6 +141,8 @@
     handleOperatorItem(Item);
   // The read counts as confirmation only once its documents are applied.
   Core.configFreshness().onRead(Items.SentAt);
+  LastRead = {Items.Revision, Items.SentAt};
+  confirmByRead();
   ReadTimer.startOnce(nextRead(readBootClock()));
 }
 
@@ -220,6 +222,8 @@
     return;
   }
   applyChanges(Changes.Items, Changes.Revision);
+  Core.onUpstreamsConfirmed(Changes.SentAt);
+  confirmByRead();
   notifyOfDirectory();
   WatchTimer.startOnce(watchPause(Core.settings()));
 }
@@ -237,7 +241,16 @@
   Revision = std::max(Revision, NewRevision);
   Relay.log().advance(Revision, Now);
   Contact.onCurrent(Now);
-  Core.onUpstreamsConfirmed(Now);
+}
+
+/// A watch without changes is answered only at its end, which is too seldom for
+/// the bounds on the age of the list.
+void store_follower::confirmByRead() {
+  if (!Listed || !LastRead || LastRead->Revision > Revision ||
+      eraOf(LastRead->Revision) != eraOf(Revision))
+    return;
+  Core.onUpstreamsConfirmed(LastRead->SentAt);
+  LastRead.reset();
 }
 
 void store_follower::notifyOfDirectory() {
@@ -302,6 +315,8 @@
   applyChanges(Changes.Items, Changes.Revision);
   if (Changes.HasMore)
     return follow();
+  Core.onUpstreamsConfirmed(readBootClock());
+  confirmByRead();
   notifyOfDirectory();
   WatchTimer.startOnce(pollInterval(Core.settings()));
 }
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -66,6 +66,12 @@
     std::optional<std::string> Value; ///< absent if too large to pass on
   };
 
+  /// A read of the operators' documents.
+  struct operators_read {
+    std::int64_t Revision = 0; ///< of the store
+    instant SentAt;
+  };
+
   /// Gets the next changes from the followed peer or from the store.
   void follow();
   /// Reads the operators' documents if the last read is too old.
@@ -85,6 +91,9 @@
   /// Handles \p Items, which are all changes up to \p NewRevision.
   void applyChanges(std::span<const store_item> Items,
                     std::int64_t NewRevision);
+  /// Confirms the list of upstreams by the last read of the operators'
+  /// documents if all changes before it are known.
+  void confirmByRead();
   void handleItem(const store_item &Item);
   void handleOperatorItem(const store_item &Item);
   /// Ends the wait for operators after a restore if a configuration shows that
@@ -128,6 +137,8 @@
   unsigned WatchFailures = 0; ///< of listings and watches, in a row
   /// Generation of the directory of which the other parts know.
   std::uint64_t NotifiedGeneration = 0;
+  /// The last read, until it has confirmed the list of upstreams.
+  std::optional<operators_read> LastRead;
   bool Reading = false; ///< a read of the operators' documents is in flight
   std::map<std::string, operator_state> OperatorStates; ///< by key
   change_relay Relay;
--- a/tests/gateway/change_relay_test.cpp
+++ b/tests/gateway/change_relay_test.cpp
@@ -46,6 +46,20 @@
   std::size_t Keys;
 };
 
+/// Puts u-1 in doubt at \p Core.
+void loseConnection(gateway_core &Core) {
+  const upstream_entry *Entry = Core.directory().find("u-1");
+  cr_assert(Entry);
+  Core.onConnectionLost(Entry->process(), readBootClock());
+  cr_assert(not Core.isListed(*Entry));
+}
+
+struct old_list_row {
+  char Name[40];
+  bool AtFollower;
+  span_ns For; ///< time after the loss
+};
+
 enum class loss_of_first { Killed, CutFromStore, TurnedAway };
 
 struct loss_row {
@@ -187,3 +201,51 @@
   const std::size_t Made = Pair.First.Store.callsOf("i-2") - Before;
   cr_assert(Made <= Calls / 3, "%zu", Made);
 }
+
+ParameterizedTestParameters(change_relay,
+                            a_list_older_than_the_doubt_does_not_end_it) {
+  static old_list_row Rows[] = {
+      {"a watch is answered late", false, 3200ms},
+  };
+  return criterion_test_params(Rows);
+}
+
+/// The upstream starts again meanwhile; the entry of the new process is in the
+/// store.
+ParameterizedTest(old_list_row *Row, change_relay,
+                  a_list_older_than_the_doubt_does_not_end_it) {
+  gateway_pair Pair;
+  Pair.First.Store.setFault(store_fault::LateWatches, "i-1");
+  runLoopFor(Pair.First.Base.get(), 20ms);
+  gateway_core &Core =
+      Row->AtFollower ? Pair.Second->core() : Pair.First.core();
+  const std::string Before = Core.directory().find("u-1")->Software;
+  loseConnection(Core);
+  fake_upstream &Upstream = *Pair.First.Upstreams[0];
+  Upstream.Software = "next";
+  Pair.First.Store.put(Upstream.key(), Upstream.entry("s"));
+  const instant Lost = readBootClock();
+  while (readBootClock() - Lost < Row->For) {
+    const upstream_entry *Entry = Core.directory().find("u-1");
+    cr_assert(not(Entry && Entry->Software == Before && Core.isListed(*Entry)),
+              "%s: the old entry is confirmed after %ld ms", Row->Name,
+              (readBootClock() - Lost) / 1ms);
+    runLoopFor(Pair.First.Base.get(), 10ms);
+  }
+}
+
+/// Nothing changes in the store, so its watches wait for their whole time.
+Test(change_relay, a_doubt_ends_soon_in_quiet_times) {
+  gateway_pair Pair;
+  runLoopFor(Pair.First.Base.get(), 200ms);
+  constexpr span_ns MaxTime = unconfirmed_upstreams::ListingTime + 700ms;
+  const instant Lost = readBootClock();
+  for (gateway_core *Core : {&Pair.First.core(), &Pair.Second->core()})
+    loseConnection(*Core);
+  for (gateway_core *Core : {&Pair.First.core(), &Pair.Second->core()}) {
+    cr_assert(Pair.First.waitFor(
+        [&] { return Core->isListed(*Core->directory().find("u-1")); }));
+    const span_ns Passed = readBootClock() - Lost;
+    cr_assert(Passed < MaxTime, "%ld ms", Passed / 1ms);
+  }
+}
