A peer's old list of upstreams is not confirmed as a current one

An instance that follows a peer took each of its responses as proof that the list of upstreams was current. The age in a response is that of the peer's read of the operators' documents, not of its watch. While the watch hangs (up to 1.7 s before it counts as failed) the reads go on, so the peer was followed, and its old list ended the doubt about an upstream's process.

change_relay::a_list_older_than_the_doubt_does_not_end_it, in a new row, fails before: "the followed peer's watch hangs: the old entry is confirmed after 1739 ms".

Responses now state the age of the peer's list ("u"), which counts from the poll, as the other ages do. A batch that has not all changes confirms nothing. A peer of an earlier build states no such age and confirms nothing; earlier builds ignore the field.

--- a/src/gateway/connection/peer_messages.cpp
+++ b/src/gateway/connection/peer_messages.cpp
@@ -208,6 +208,8 @@
     // Rounded up: a read must not seem newer than it is.
     Message["a"] = toMillis(*Response.ReadAge) + 1;
   }
+  if (Response.UpstreamsAge)
+    Message["u"] = toMillis(*Response.UpstreamsAge) + 1; // likewise
   if (!Response.Weights.empty())
     Message["w"] = encodeAnnouncedAges(Response.Weights);
   const change_batch &Changes = Response.Changes;
@@ -230,6 +232,9 @@
   Response.Number = Message.at("n");
   if (const auto Age = Message.find("a"); Age != Message.end())
     Response.ReadAge = std::chrono::milliseconds(Age->get<std::int64_t>());
+  // Absent in messages of instances that run an earlier release.
+  if (const auto Age = Message.find("u"); Age != Message.end())
+    Response.UpstreamsAge = std::chrono::milliseconds(Age->get<std::int64_t>());
   Response.Documents = decodeDocuments(Message.at("o"));
   // Absent in messages of instances that run an earlier release.
   if (const auto Weights = Message.find("w"); Weights != Message.end())
--- a/src/gateway/process/change_exchange.h
+++ b/src/gateway/process/change_exchange.h
@@ -43,6 +43,9 @@
   /// Age of the sender's last read of the operators' documents; absent before
   /// the first one.
   std::optional<span_ns> ReadAge;
+  /// Age of the sender's list of upstreams; absent before the first one and in
+  /// messages of earlier builds.
+  std::optional<span_ns> UpstreamsAge;
   std::vector<operator_document> Documents;
   std::vector<announced_age> Weights;
   change_batch Changes;
--- a/src/gateway/process/change_relay.cpp
+++ b/src/gateway/process/change_relay.cpp
@@ -88,8 +88,11 @@
 void change_relay::onChangePoll(const std::string &From,
                                 const change_poll &Poll) {
   const instant Now = readBootClock();
+  std::optional<span_ns> UpstreamsAge;
+  if (const auto ConfirmedAt = Core.upstreamsConfirmedAt())
+    UpstreamsAge = Now - *ConfirmedAt;
   Core.messenger()->sendChanges(
-      From, {Poll.Number, Core.configFreshness().age(Now),
+      From, {Poll.Number, Core.configFreshness().age(Now), UpstreamsAge,
              Receiver.operatorDocuments(Poll.Documents), announcedAges(Now),
              sendable(Log.since(Poll.Revision, MaxBatchBytes))});
 }
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -305,7 +305,8 @@
     readOperators(); // otherwise the back-off of the failed read applies
   else if (IsCurrent && Observer.isListed(readBootClock()))
     Core.configFreshness().onRead(ReadAt);
-  recordAnnouncements(Response, ReadAt);
+  const instant PolledAt = ReadAt + *Response.ReadAge;
+  recordAnnouncements(Response, PolledAt);
   const change_batch &Changes = Response.Changes;
   if (Changes.HasGap) {
     SinceListing = std::max(SinceListing, Changes.GapKind);
@@ -315,15 +316,15 @@
   applyChanges(Changes.Items, Changes.Revision);
   if (Changes.HasMore)
     return follow();
-  Core.onUpstreamsConfirmed(readBootClock());
+  if (Response.UpstreamsAge)
+    Core.onUpstreamsConfirmed(PolledAt - *Response.UpstreamsAge);
   confirmByRead();
   notifyOfDirectory();
   WatchTimer.startOnce(pollInterval(Core.settings()));
 }
 
 void store_follower::recordAnnouncements(const change_response &Response,
-                                         instant ReadAt) {
-  const instant PolledAt = ReadAt + *Response.ReadAge;
+                                         instant PolledAt) {
   const instant Now = readBootClock();
   for (const announced_age &Known : Response.Weights) {
     std::optional<instant> NotBefore;
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -81,9 +81,9 @@
   void readOperators();
   void onOperators(const store_items &Items);
   void listAll();
-  /// Records the versions of weights that a peer knows; its last read of the
-  /// store was sent at \p ReadAt.
-  void recordAnnouncements(const change_response &Response, instant ReadAt);
+  /// Records the versions of weights that a peer knows, which was polled at
+  /// \p PolledAt.
+  void recordAnnouncements(const change_response &Response, instant PolledAt);
   void onUpstreamListing(const store_items &Items);
   void onFleetListing(const store_items &Items);
   void watch();
--- a/tests/gateway/change_relay_test.cpp
+++ b/tests/gateway/change_relay_test.cpp
@@ -1,6 +1,7 @@
 // Two gateways of one failure domain, of which the second follows the first and
 // not the store.
 #include "gateway/gateway_fixture.h"
+#include "gateway/process/change_exchange.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -54,6 +55,34 @@
   cr_assert(not Core.isListed(*Entry));
 }
 
+/// Responses arrive as from a peer of an earlier build, which states no age of
+/// its list of upstreams.
+class earlier_peer final : public change_exchange {
+public:
+  explicit earlier_peer(gateway_core &Core)
+      : Core(Core), Relay(*Core.changeExchange()) {
+    Core.setChangeExchange(this);
+  }
+  ~earlier_peer() override { Core.setChangeExchange(&Relay); }
+
+  void onChangePoll(const std::string &From, const change_poll &Poll) override {
+    Relay.onChangePoll(From, Poll);
+  }
+  void onChangeResponse(const std::string &From,
+                        const change_response &Response) override {
+    change_response Earlier = Response;
+    Earlier.UpstreamsAge.reset();
+    Relay.onChangeResponse(From, Earlier);
+    ++Responses;
+  }
+
+  std::size_t Responses = 0;
+
+private:
+  gateway_core &Core;
+  change_exchange &Relay;
+};
+
 struct old_list_row {
   char Name[40];
   bool AtFollower;
@@ -205,6 +234,7 @@
 ParameterizedTestParameters(change_relay,
                             a_list_older_than_the_doubt_does_not_end_it) {
   static old_list_row Rows[] = {
+      {"the followed peer's watch hangs", true, 2000ms},
       {"a watch is answered late", false, 3200ms},
   };
   return criterion_test_params(Rows);
@@ -234,6 +264,21 @@
   }
 }
 
+Test(change_relay, an_earlier_peer_without_the_age_of_its_list_confirms_none) {
+  gateway_pair Pair;
+  Pair.First.Store.setFault(store_fault::Down, "i-2"); // no reads of its own
+  gateway_core &Core = Pair.Second->core();
+  earlier_peer Peer(Core);
+  const auto Before = Core.upstreamsConfirmedAt();
+  cr_assert(Before);
+  constexpr std::size_t Polls = 8;
+  cr_assert(Pair.First.waitFor([&] { return Peer.Responses >= Polls; }));
+  cr_assert(Core.upstreamsConfirmedAt() == Before);
+  // Its changes count all the same.
+  Pair.First.Store.erase(Pair.First.Upstreams[0]->key());
+  cr_assert(Pair.First.waitFor([&] { return !Core.directory().find("u-1"); }));
+}
+
 /// Nothing changes in the store, so its watches wait for their whole time.
 Test(change_relay, a_doubt_ends_soon_in_quiet_times) {
   gateway_pair Pair;
--- a/tests/gateway/earlier_build_test.cpp
+++ b/tests/gateway/earlier_build_test.cpp
@@ -306,6 +306,7 @@
   change_response Response;
   Response.Number = 4;
   Response.ReadAge = std::chrono::milliseconds(3);
+  Response.UpstreamsAge = std::chrono::milliseconds(3);
   Response.Documents = {{"op/config", 8, std::nullopt}};
   Response.Weights = {{"m", 2, std::chrono::milliseconds(5)}};
   Response.Changes.HasGap = true;
