Comments to a caller that does not read are not buffered without end

They went to the caller's connection without the check of its unsent bytes, so an upstream that sends comments without end to a caller that reads nothing would have filled the memory of the instance, and the requests of others would have ended with it.

passOn writes to the caller and stops reading while it does not; events and other blocks share it. endless_response/comments_wait_for_a_caller_that_reads_nothing guards against it.

--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -187,8 +187,8 @@
   // `LastEvent` counts them as delivered.
   if (HasEvent)
     deliver(Out);
-  else if (!Out.empty())
-    Caller->writeChunk(Out);
+  else
+    passOn(Out);
   return InOrder && !Splitter.overflowed();
 }
 
@@ -201,6 +201,12 @@
     recordOrigin(readBootClock());
   }
   Flow.onDelivered();
+  passOn(Bytes);
+}
+
+void forward_session::passOn(std::string_view Bytes) {
+  if (Bytes.empty())
+    return;
   Caller->writeChunk(Bytes);
   if (Caller->unsentBytes() > StreamBufferBytes && Exchange) {
     Activity.onPaused();
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -158,7 +158,10 @@
   /// Forwards the events that \p Bytes complete. Returns false if an event does
   /// not follow the last one delivered or is too long.
   bool deliverEvents(std::string_view Bytes);
+  /// Forwards \p Bytes, which count as a part of the response.
   void deliver(std::string_view Bytes);
+  /// Forwards \p Bytes, and stops reading while the caller does.
+  void passOn(std::string_view Bytes);
   /// Records once in each attempt that its response has begun.
   void recordResponseBegun();
   /// Records the time to the first bytes of the response, once.
--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -2,6 +2,7 @@
 // byte now and then, until the gateway closes the connection.
 #include "gateway/gateway_fixture.h"
 #include "net/loopback_listener.h"
+#include "net/socket_client.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -188,3 +189,25 @@
             Response.Status);
   cr_assert(Gateway.waitFor([&] { return Endless.open() == 0; }));
 }
+
+Test(endless_response, comments_wait_for_a_caller_that_reads_nothing) {
+  gateway_fixture Gateway;
+  endless_upstream Endless(
+      Gateway.Base.get(),
+      OK_HEAD "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n",
+      repeat(": alive\n\n", 4096), /*Slow=*/false);
+  Gateway.useOnlyUpstream(Endless.Port);
+  const client_request Request =
+      Gateway.makeRequest({.Path = "/stream-on/1", .DeadlineMs = "20000"});
+  const socket_client Caller(Request.Server.Port);
+  std::string Text = "POST " + Request.Target + " HTTP/1.1\r\n";
+  for (const http_header &Header : Request.Headers.all())
+    Text += Header.Name + ": " + Header.Value + "\r\n";
+  Caller.send(Text + "Content-Length: " + std::to_string(Request.Body.size()) +
+              "\r\n\r\n" + std::string(Request.Body));
+  runLoopFor(Gateway.Base.get(), std::chrono::seconds(2));
+  // What the kernel's buffers hold.
+  constexpr std::size_t MaxBytes = 32 * 1024 * 1024;
+  cr_assert(Endless.Written > 0 && Endless.Written < MaxBytes, "%zu",
+            Endless.Written);
+}
