--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -70,6 +70,10 @@
   std::int64_t Running = 0; ///< requests
   std::int64_t Waiting = 0; ///< requests
   std::int64_t Slots = 0;   ///< requests that can run at once
+  /// How long work takes there at present, in percent of the usual time.
+  std::int64_t SlownessPercent = UsualSlownessPercent;
+
+  static constexpr std::int64_t UsualSlownessPercent = 100;
 };
 
 /// Load that an upstream has reported in a response to this instance.
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -36,6 +36,11 @@
   bool OtherWeights;
 };
 
+struct slowness_case {
+  char Value[32];
+  std::int64_t Percent;
+};
+
 struct limit_case {
   char Value[32];
   bool IsNumber;
@@ -169,6 +174,26 @@
   cr_assert(!Upstreams.eventWeights("id: 1\ndata: x\n\n"));
 }
 
+ParameterizedTestParameters(platform_messages, slowness_in_responses) {
+  static slowness_case Rows[] = {
+      {"3,1,8", 100},   {"3,1,8,140", 140}, {"3,1,8,140,7", 140},
+      {"3,1,8,60", 60}, {"3,1,8,x", 100},   {"3,1,8,", 100},
+      {"3,1,8,0", 100}, {"3,1,8,-5", 100},  {"3,1,8,99999999999", 100},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(slowness_case *Row, platform_messages,
+                  slowness_in_responses) {
+  const response_info Info = Upstreams.readResponse(
+      headOf({{"Ebonyvale-Server-Load", Row->Value}}), "i-1");
+  cr_assert(Info.Load.has_value(), "%s", Row->Value);
+  cr_assert(Info.Load->Running == 3 && Info.Load->Waiting == 1, "%s",
+            Row->Value);
+  cr_assert(Info.Load->Slots == 8, "%s", Row->Value);
+  cr_assert(Info.Load->SlownessPercent == Row->Percent, "%s", Row->Value);
+}
+
 ParameterizedTestParameters(platform_messages, limits_in_responses) {
   static limit_case Rows[] = {
       {"1.8", true, 1.8}, {"0", true, 0},     {"25", true, 25},
