Setting: optional features that a deployment turns on

Room that is short is to be divided, and costs are to be learned, only where a deployment asks for it. Names that the gateway does not know are ignored. The template renderer of the tests renders lists as the platform does.

--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -177,6 +177,11 @@
              .Min = 1,
              .Max = MaxCount},
             &gateway_settings::ResponseBufferMb},
+    setting{
+        text("features.enabled",
+             "Optional features that are on: \"pressure\" divides room that "
+             "is short. Unknown names are ignored."),
+        &gateway_settings::Features},
     setting{{.Name = "log.level",
              .Description = "Minimum level of logged lines.",
              .Choices = "trace|debug|info|warning|error|off"},
@@ -219,6 +224,11 @@
   return Settings;
 }
 
+bool hasPressure(const gateway_settings &Settings) {
+  return std::ranges::find(Settings.Features, "pressure") !=
+         Settings.Features.end();
+}
+
 span_ns watchPause(const gateway_settings &Settings) {
   // A failed call with its timeout, the next call and two polls of peers still
   // fit into the bound.
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -62,6 +62,8 @@
 
   std::int64_t ResponseBufferMb = 24;
 
+  std::vector<std::string> Features; ///< names; unknown ones are ignored
+
   std::string LogLevel = "info";
   std::int64_t LogLinesPerSecond = 200;
 };
@@ -69,6 +71,10 @@
 /// Returns the table of all settings: name, description, unit and range.
 std::span<const field<gateway_settings>> gatewaySettingFields();
 
+/// Returns whether room is divided, overload is controlled and costs are
+/// learned: the feature "pressure".
+bool hasPressure(const gateway_settings &Settings);
+
 /// Reads the file at \p Path, unless it is empty, and then \p Overrides, each
 /// "name=value". Fails with `SettingsInvalid` and one line for each problem.
 result<gateway_settings>
--- a/tests/gateway/settings_template.cpp
+++ b/tests/gateway/settings_template.cpp
@@ -29,7 +29,7 @@
   return Value->is_string() ? Value->get<std::string>() : Value->dump();
 }
 
-/// An entry of the table that a section iterates over.
+/// An entry of the table or list that a section iterates over.
 struct section_entry {
   std::string Key;
   const json *Value = nullptr;
@@ -43,7 +43,7 @@
                           const json &Fields) {
   if (!Value || Value->is_null() || (Value->is_boolean() && !*Value))
     return {};
-  if (!Value->is_object())
+  if (!Value->is_structured())
     return render(Body, Fields, nullptr);
   std::string Out;
   std::size_t Index = 0;
--- a/tests/gateway/settings_template.h
+++ b/tests/gateway/settings_template.h
@@ -14,8 +14,9 @@
 std::string readSettingsTemplate();
 
 /// Returns \p Template with its placeholders and sections replaced from
-/// \p Fields. A section over a table is rendered once for each entry, and one
-/// over another value once if there is such a value and it is not false.
+/// \p Fields. A section over a table or a list is rendered once for each entry,
+/// and one over another value once if there is such a value and it is not
+/// false.
 std::string renderTemplate(std::string_view Template,
                            const nlohmann::json &Fields);
 
