Learn what requests cost and how fast upstreams are

Cause: the scheduler's estimates hold one data sheet's rates and one duration for all requests, while services, teams and upstreams differ by factors of 1.3 to 10.

Change: request_cost learns service times by service, route, prompt size and team; first_chunk_model the prefill rate and the time to the first token by a Theil-Sen line; upstream_speed the relative slowness of each upstream, stated and observed; upstream_work what it still has to do. The scheduler's backlog, slot wait, memory wait and first chunk follow from these where learning is on. It is off by default.

--- a/src/decisions/process/peer_loads.cpp
+++ b/src/decisions/process/peer_loads.cpp
@@ -18,11 +18,13 @@
     Added = {increase(Load.SentPrefillMs, Report.SentPrefillMs),
              increase(Load.InsertedTokens, Report.InsertedTokens)};
   uncount(Report);
-  Report = {
-      Load.InFlight, Load.HeldTokens, Load.SentPrefillMs, Load.InsertedTokens,
-      Now,           /*Counted=*/true};
+  Report = {Load.InFlight,       Load.HeldTokens, Load.SentPrefillMs,
+            Load.InsertedTokens, Load.RestMs,     Now,
+            /*Counted=*/true};
   InFlight += Report.InFlight;
   HeldTokens += Report.HeldTokens;
+  RestMs += Report.RestMs.value_or(0);
+  InFlightWithoutRest += Report.RestMs ? 0 : Report.InFlight;
   Arrivals.push_back({Now, Peer});
   return Added;
 }
@@ -33,6 +35,8 @@
   Report.Counted = false;
   InFlight -= Report.InFlight;
   HeldTokens -= Report.HeldTokens;
+  RestMs -= Report.RestMs.value_or(0);
+  InFlightWithoutRest -= Report.RestMs ? 0 : Report.InFlight;
 }
 
 void peer_loads::expire(instant Now, span_ns Ttl) {
--- a/src/decisions/process/peer_loads.h
+++ b/src/decisions/process/peer_loads.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -21,6 +22,9 @@
   double SentPrefillMs = 0;  ///< prefill time of all requests sent
   double HeldTokens = 0;     ///< memory of the requests in flight
   double InsertedTokens = 0; ///< inserted into its cache since the start
+  /// Expected rest of the requests in flight, at usual speed; absent if the
+  /// instance does not use learned costs.
+  std::optional<double> RestMs;
 };
 
 /// Keeps the newest report of each peer and the totals of the current ones, so
@@ -47,6 +51,10 @@
   /// Returns the totals of the reports that `expire` has left.
   std::int64_t inFlight() const { return InFlight; }
   double heldTokens() const { return InFlight > 0 ? HeldTokens : 0; }
+  /// Returns the expected rest of the requests whose peers have stated it, and
+  /// the number of the others.
+  double restMs() const { return InFlight > InFlightWithoutRest ? RestMs : 0; }
+  std::int64_t inFlightWithoutRest() const { return InFlightWithoutRest; }
 
 private:
   struct report {
@@ -54,6 +62,7 @@
     double HeldTokens = 0;
     double SentPrefillMs = 0;
     double InsertedTokens = 0;
+    std::optional<double> RestMs;
     instant At;
     bool Counted = false; ///< in the totals
   };
@@ -69,6 +78,8 @@
   std::deque<arrival> Expired; ///< reports not counted, the oldest first
   std::int64_t InFlight = 0;
   double HeldTokens = 0;
+  double RestMs = 0;
+  std::int64_t InFlightWithoutRest = 0;
 };
 
 } // namespace ebonyvale
--- a/src/decisions/process/upstream_estimate.cpp
+++ b/src/decisions/process/upstream_estimate.cpp
@@ -14,16 +14,23 @@
 
 } // namespace
 
-double upstream_scheduler::updateBacklog(upstream_state &State,
-                                         instant Now) const {
+void upstream_scheduler::advanceBacklog(upstream_state &State, instant Now) {
   State.BacklogMs =
-      std::max(0.0, State.BacklogMs - toMs(Now - State.BacklogAt));
+      std::max(0.0, State.BacklogMs -
+                        toMs(Now - State.BacklogAt) / slownessOf(State, Now));
   State.BacklogAt = Now;
-  double Sum = State.BacklogMs;
+}
+
+double upstream_scheduler::updateBacklog(upstream_state &State,
+                                         instant Now) const {
+  advanceBacklog(State, Now);
   State.Peers.expire(Now, Options.LoadReportTtl);
-  std::int64_t InFlight = State.InFlight + State.Peers.inFlight();
-  if (State.Load && Now - State.LoadAt <= Options.LoadReportTtl)
-    InFlight = std::max(InFlight, State.Load->Running + State.Load->Waiting);
+  if (usesLearnedCosts(State))
+    // Prompts are prefilled one after the other, whatever waits for a slot.
+    return std::max(State.BacklogMs * slownessOf(State, Now),
+                    slotWaitMs(State, Now));
+  double Sum = State.BacklogMs;
+  const std::int64_t InFlight = inFlight(State, Now);
   const auto Slots = std::max<std::int64_t>(1, State.Entry.Slots);
   if (isPlain(State)) {
     // Requests share the slots; those beyond wait for full rounds.
@@ -37,6 +44,14 @@
   return Sum;
 }
 
+std::int64_t upstream_scheduler::inFlight(const upstream_state &State,
+                                          instant Now) const {
+  const std::int64_t Known = State.InFlight + State.Peers.inFlight();
+  if (!State.Load || Now - State.LoadAt > Options.LoadReportTtl)
+    return Known;
+  return std::max(Known, State.Load->Running + State.Load->Waiting);
+}
+
 /// Returns by how much first chunks have recently exceeded their expected time,
 /// with exponential decay. Causes are load that this instance does not know of
 /// or an engine that is slower than its data sheet.
@@ -96,6 +111,8 @@
   const double Excess = Held + Needed - Options.UsableMemoryFraction * Capacity;
   if (Capacity <= 0 || Excess <= 0 || Held <= 0)
     return 0;
+  if (const auto Rest = memoryRestMs(State, Now))
+    return std::min(1.0, Excess / Held) * *Rest;
   return Options.MemoryWaitMs * Excess / Capacity;
 }
 
@@ -112,15 +129,16 @@
 void upstream_scheduler::keepCheaperCopy(const copy_plan &Candidate,
                                          const schedule_query &Query,
                                          std::size_t CachedCount,
+                                         double PrefillTokensPerMs,
                                          copy_plan &Best) const {
   double Missed = 0;
   for (std::size_t Index = CachedCount; Index + 1 < Query.Segments.size();
        ++Index)
     Missed += static_cast<double>(Query.Segments[Index].Tokens);
   const auto Cost = [&](const copy_plan &Plan) {
-    return Plan.DurationMs * Options.FetchWeight +
-           (Missed - Plan.Tokens) / Options.PrefillTokensPerMs *
-               Options.RecomputeWeight;
+    return Plan.DurationMs * Options.FetchWeight + (Missed - Plan.Tokens) /
+                                                       PrefillTokensPerMs *
+                                                       Options.RecomputeWeight;
   };
   if (Candidate.Tokens > 0 && Cost(Candidate) < Cost(Best))
     Best = Candidate;
@@ -155,6 +173,7 @@
     const upstream_state &Target, const schedule_query &Query,
     std::size_t CachedCount, std::span<const segment_holder> Holders,
     instant Now) const {
+  const double PrefillTokensPerMs = ratesOf(Target, Now).PrefillTokensPerMs;
   copy_plan Best;
   const auto Weights = weightsOf(Target, Query.Model);
   const std::size_t Shared = Query.Segments.size() - 1;
@@ -179,7 +198,7 @@
     const double Tokens = TokensUpTo(Holder.SegmentCount);
     const double Factor = copyFactor(State.Entry.Domain, Target.Entry.Domain);
     keepCheaperCopy({addressOf(State.Entry), Tokens, Tokens / Rate * Factor},
-                    Query, CachedCount, Best);
+                    Query, CachedCount, PrefillTokensPerMs, Best);
   }
   for (const cache_store &Store : Stores) {
     if (Now < Store.PausedUntil || Store.Spec.FetchTokensPerMs <= 0)
@@ -193,7 +212,7 @@
     const double Factor = copyFactor(Store.Spec.Domain, Target.Entry.Domain);
     keepCheaperCopy({Store.Spec.Address, Tokens,
                      Tokens / Store.Spec.FetchTokensPerMs * Factor},
-                    Query, CachedCount, Best);
+                    Query, CachedCount, PrefillTokensPerMs, Best);
   }
   return Best;
 }
@@ -227,11 +246,19 @@
   Estimate.LatenessMs = latenessMs(State, Now);
   Estimate.CostMs =
       Estimate.BacklogMs + Estimate.LatenessMs + distanceMs(State);
+  const double Slowness = slownessOf(State, Now);
+  if (usesLearnedCosts(State))
+    Estimate.Learned = learnedEstimate(State, Context, Estimate.BacklogMs, Now);
   if (isPlain(State)) {
-    Estimate.CostMs += Options.PlainRequestMs;
+    const bool IsLearned = Estimate.Learned && Context.Cost;
+    Estimate.CostMs +=
+        (IsLearned ? Context.Cost->MeanMs : Options.PlainRequestMs) * Slowness;
     Estimate.FirstChunkMs = Estimate.CostMs;
+    if (Estimate.Learned)
+      Estimate.CostMs += crowdMs(State, Now);
     return Estimate;
   }
+  const first_chunk_rates Rates = ratesOf(State, Now);
   Estimate.EngineHeldTokens = heldTokens(State, Now);
   // Memory held by running requests is not available to the cache.
   State.Segments.setCapacity(Options.CacheFraction * cacheTokens(State) -
@@ -260,22 +287,30 @@
   }
   const double RecomputedTokens = Estimate.MissedTokens - Estimate.Copy.Tokens;
   Estimate.PrefillMs =
-      (OwnTokens + RecomputedTokens) / Options.PrefillTokensPerMs;
+      (OwnTokens + RecomputedTokens) / Rates.PrefillTokensPerMs;
   Estimate.HeldTokens = Query.PromptTokens + Query.ResponseTokens;
   Estimate.InsertedTokens =
       OwnTokens + Query.ResponseTokens + Estimate.MissedTokens;
   const double Wait = memoryWaitMs(State, Estimate.HeldTokens, Now);
-  Estimate.FirstChunkMs = Estimate.CostMs + Options.FirstTokenMs +
-                          Estimate.PrefillMs + Estimate.Copy.DurationMs + Wait;
+  Estimate.FirstChunkMs = Estimate.CostMs +
+                          (Rates.FirstTokenMs + Estimate.PrefillMs) * Slowness +
+                          Estimate.Copy.DurationMs + Wait;
   Estimate.WaitMs = Estimate.BacklogMs + Estimate.LatenessMs + Wait;
   Estimate.CostMs +=
-      Options.FirstTokenMs + OwnTokens / Options.PrefillTokensPerMs +
+      (Rates.FirstTokenMs + OwnTokens / Rates.PrefillTokensPerMs) * Slowness +
       Estimate.Copy.DurationMs * Options.FetchWeight + Wait +
       *oldWeightsCostMs(State, Query.Model, Context.UpdatedFraction, Now);
   // The home engine prefills segments that no engine is known to cache, without
   // the recompute weight.
   const double Weight = Context.Home == &State ? 1 : Options.RecomputeWeight;
-  Estimate.CostMs += RecomputedTokens / Options.PrefillTokensPerMs * Weight;
+  Estimate.CostMs +=
+      RecomputedTokens / Rates.PrefillTokensPerMs * Slowness * Weight;
+  if (Estimate.Learned) {
+    Estimate.Learned->PrefilledTokens = OwnTokens + RecomputedTokens;
+    Estimate.Learned->ExpectedMs += Rates.FirstTokenMs + Estimate.PrefillMs;
+    Estimate.Learned->WaitMs += Wait + Estimate.Copy.DurationMs;
+    Estimate.CostMs += crowdMs(State, Now);
+  }
   const double LateThresholdMs = toMs(Query.Target) * Options.LateThreshold;
   if (LateThresholdMs > 0)
     Estimate.CostMs += std::max(0.0, Estimate.FirstChunkMs - LateThresholdMs) *
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -14,6 +14,11 @@
 /// Retry-After where no upstream is expected to become usable.
 constexpr span_ns NoUpstreamRetry = std::chrono::milliseconds(500);
 
+cost_attributes attributesOf(const schedule_query &Query) {
+  return {std::string(Query.Service), std::string(Query.Route),
+          std::string(Query.Team), Query.PromptTokens};
+}
+
 bool contains(std::span<const std::string> Names, std::string_view Name) {
   return std::ranges::find(Names, Name) != Names.end();
 }
@@ -25,7 +30,9 @@
     const std::map<std::string, std::string> &RegionOfDomain)
     : Options(Options), Domain(std::move(Domain)),
       RegionOfDomain(RegionOfDomain.begin(), RegionOfDomain.end()),
-      Announced(Options.WeightsAge) {}
+      Announced(Options.WeightsAge),
+      Costs(Options.Learning,
+            {Options.PrefillTokensPerMs, Options.FirstTokenMs}) {}
 
 void upstream_scheduler::update(const upstream_directory &Directory) {
   std::erase_if(
@@ -40,6 +47,7 @@
       State.InFlight = InFlight;
     }
     State.Entry = Entry;
+    State.Service = Costs.service(Entry.Service);
     for (const auto &[Model, Version] : Entry.Models) {
       std::int64_t &Known = State.Weights[Model];
       Known = std::max(Known, Version);
@@ -64,8 +72,11 @@
           std::max<span_ns>(MinRetryAfter, Set.AvailableAt - Now);
     return Outcome;
   }
-  const choice_context Context{homeOf(Query, Set.Usable), holdersOf(Query, Now),
-                               updatedFraction(Query.Model, Set.Usable)};
+  choice_context Context{homeOf(Query, Set.Usable), holdersOf(Query, Now),
+                         updatedFraction(Query.Model, Set.Usable),
+                         std::nullopt};
+  if (usesLearnedCosts(*Set.Usable.front().State))
+    Context.Cost = Costs.expect(attributesOf(Query));
   upstream_state *Best = nullptr;
   estimate BestEstimate;
   std::string_view Relay;
@@ -117,6 +128,10 @@
   Choice.HeldTokens = BestEstimate.HeldTokens;
   Choice.InsertedTokens = BestEstimate.InsertedTokens;
   Choice.PrefillMs = BestEstimate.PrefillMs;
+  Choice.Number = ++LastNumber;
+  Choice.Learned = std::move(BestEstimate.Learned);
+  if (Choice.Learned)
+    Choice.Learned->Attributes = attributesOf(Query);
   Outcome.Choice = std::move(Choice);
   return Outcome;
 }
@@ -254,12 +269,14 @@
   upstream_state *State = find(Choice.Upstream);
   if (!State)
     return;
-  updateBacklog(*State, Now);
+  advanceBacklog(*State, Now);
   ++State->InFlight;
   State->ChangedAt = Now;
   State->BacklogMs += Choice.PrefillMs;
   State->SentPrefillMs += Choice.PrefillMs;
   State->HeldTokens += Choice.HeldTokens;
+  if (Choice.Learned)
+    State->Work.onSent(Choice.Number, Choice.Learned->ExpectedMs, Now);
   if (Choice.HeldTokens > 0) {
     constexpr double NewestWeight = 0.05;
     MeanHeldTokens = MeanHeldTokens == 0
@@ -331,6 +348,7 @@
                         2;
     State->LatenessAt = Now;
   }
+  learnFirstChunk(Choice, After);
   for (cache_store &Store : Stores) {
     if (Choice.FetchFrom != Store.Spec.Address)
       continue;
@@ -355,8 +373,9 @@
   upstream_state *State = find(Choice.Upstream);
   if (!State || State->InFlight == 0)
     return;
-  updateBacklog(*State, Now);
+  advanceBacklog(*State, Now);
   --State->InFlight;
+  State->Work.onEnded(Choice.Number);
   State->ChangedAt = Now;
   State->HeldTokens = std::max(0.0, State->HeldTokens - Choice.HeldTokens);
   if (State->InFlight == 0)
@@ -372,8 +391,7 @@
   State->Failures = 0;
   if (!Load)
     return;
-  State->Load = Load;
-  State->LoadAt = Now;
+  recordLoad(*State, *Load, Now);
   State->LoadIsOwn = true;
 }
 
@@ -390,8 +408,7 @@
   upstream_state *State = find(Report.Upstream);
   if (!State || (State->Load && State->LoadAt >= Report.At))
     return;
-  State->Load = Report.Load;
-  State->LoadAt = Report.At;
+  recordLoad(*State, Report.Load, Report.At);
   State->LoadIsOwn = false;
 }
 
@@ -444,20 +461,22 @@
     upstream_state *State = find(Load.Upstream);
     if (!State)
       continue;
-    updateBacklog(*State, Now);
+    advanceBacklog(*State, Now);
     const auto Added = State->Peers.onReport(Number, Load, Now);
     State->BacklogMs += Added.PrefillMs;
     State->Segments.onInserted(Added.InsertedTokens);
   }
 }
 
-std::vector<peer_load> upstream_scheduler::ownLoadsSince(instant Since) const {
+std::vector<peer_load> upstream_scheduler::ownLoadsSince(instant Since,
+                                                         instant Now) const {
   std::vector<peer_load> Loads;
   for (const auto &[Id, State] : States)
     if (State.InFlight > 0 ||
         (State.ChangedAt >= Since && State.ChangedAt != instant{}))
       Loads.push_back({Id, State.InFlight, State.SentPrefillMs,
-                       State.HeldTokens, State.InsertedTokens});
+                       State.HeldTokens, State.InsertedTokens,
+                       ownRestMs(State, Now)});
   return Loads;
 }
 
@@ -476,6 +495,10 @@
         std::max(0.0, State.BacklogMs - toMs(Now - State.BacklogAt));
     if (State.Load)
       View.ReportAge = Now - State.LoadAt;
+    View.UsesLearnedCosts = usesLearnedCosts(State);
+    View.Slowness = State.Speed.slowness(Now);
+    View.LearnedSlowness = State.Speed.learned(Now);
+    View.RestMs = ownRestMs(State, Now).value_or(0);
     View.Weights = State.Weights;
     Views.push_back(std::move(View));
   }
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -15,12 +15,15 @@
 #include "common/instant.h"
 #include "decisions/process/brittle_upstreams.h"
 #include "decisions/process/cached_segments.h"
+#include "decisions/process/learned_costs.h"
 #include "decisions/process/peer_loads.h"
 #include "decisions/process/unconfirmed_upstreams.h"
 #include "decisions/process/upstream_directory.h"
 #include "decisions/process/upstream_limits.h"
 #include "decisions/process/upstream_paths.h"
 #include "decisions/process/upstream_pauses.h"
+#include "decisions/process/upstream_speed.h"
+#include "decisions/process/upstream_work.h"
 #include "decisions/version/announced_weights.h"
 
 #include <cstdint>
@@ -45,6 +48,8 @@
 struct schedule_query {
   std::string_view Service;
   std::string_view Model;    ///< empty for services without models
+  std::string_view Route;    ///< empty if unknown
+  std::string_view Team;     ///< empty if unknown
   std::string_view Software; ///< required version; empty: any
   /// Upstreams whose software is not certain; null: that of each is.
   const unconfirmed_upstreams *Unconfirmed = nullptr;
@@ -70,6 +75,8 @@
   std::int64_t Running = 0; ///< requests
   std::int64_t Waiting = 0; ///< requests
   std::int64_t Slots = 0;   ///< requests that can run at once
+  /// Time that work takes there now, in percent of the usual time.
+  std::int64_t SlownessPercent = 100;
 };
 
 /// Load that an upstream has reported in a response to this instance.
@@ -101,6 +108,11 @@
   /// Mean duration of a request to a service without models, from the service's
   /// data sheet.
   double PlainRequestMs = 30;
+  /// For which services learned costs replace the rates above.
+  cost_learning Learning = cost_learning::Off;
+  /// Fraction of the expected rest of the requests at an upstream that counts
+  /// as a cost although slots are free: others' requests may be on their way.
+  double CrowdWeight = 0.5;
   /// Weight of the prefill of a shared segment that is not cached: it also
   /// delays the prompts queued behind it and evicts other segments.
   double RecomputeWeight = 4;
@@ -171,6 +183,19 @@
   double CacheTokens = 0;      ///< capacity
 };
 
+/// The learned part of an estimate, from which the outcome is learned in turn.
+struct learned_estimate {
+  cost_attributes Attributes;
+  /// Expected service time at an upstream of usual speed.
+  std::optional<expected_cost> Cost;
+  double ExpectedMs = 0; ///< with the prefill, at an upstream of usual speed
+  double Slowness = 1;   ///< of the upstream
+  double WaitMs = 0;     ///< until the request starts, also for copies
+  double DistanceMs = 0;
+  double PrefilledTokens = 0;
+  double Occupied = 0; ///< fraction of the slots that others take
+};
+
 /// The chosen upstream and the estimates behind the choice, which are logged.
 struct schedule_choice {
   std::string Upstream;
@@ -191,6 +216,10 @@
   double HeldTokens = 0;     ///< memory that the request takes
   double InsertedTokens = 0; ///< added to the engine's cache
   double PrefillMs = 0;      ///< prefill time of the prompt
+  std::uint64_t Number = 0;  ///< of the choice, on this instance
+  /// What was learned of such requests and of the upstream, if that is used for
+  /// the service.
+  std::optional<learned_estimate> Learned;
 };
 
 /// State of an upstream as this instance knows it, for operators.
@@ -202,6 +231,10 @@
   std::int64_t InFlightOfPeers = 0; ///< sum of current peer reports
   double BacklogMs = 0;             ///< prefill time queued there
   std::optional<span_ns> ReportAge; ///< of the load that it last reported
+  bool UsesLearnedCosts = false;
+  double Slowness = 1;        ///< expected of work that begins now
+  double LearnedSlowness = 1; ///< part of it that responses have shown
+  double RestMs = 0; ///< expected rest of the requests of this instance
   std::map<std::string, std::int64_t, std::less<>> Weights;
 };
 
@@ -268,7 +301,7 @@
                   instant Now);
   /// Returns the loads that this instance reports to peers: of the upstreams
   /// that run its requests, or whose load has changed since \p Since.
-  std::vector<peer_load> ownLoadsSince(instant Since) const;
+  std::vector<peer_load> ownLoadsSince(instant Since, instant Now) const;
 
   /// Returns what upstreams have reported to this instance after \p Since.
   std::vector<upstream_load_report> ownReportsSince(instant Since) const;
@@ -292,6 +325,15 @@
   /// request was sent.
   void onFirstChunk(const schedule_choice &Choice, span_ns After, instant Now);
 
+  /// Records that the upstream has served a request completely: the first chunk
+  /// has come \p FirstChunkAfter, the end \p After the request was sent. Must
+  /// not be called where the caller has held up the response.
+  void onServed(const schedule_choice &Choice, span_ns FirstChunkAfter,
+                span_ns After, instant Now);
+
+  /// Returns what has been learned of costs.
+  learned_costs &costs() { return Costs; }
+
   /// Returns the prefix segments that this instance has used since the last
   /// call.
   std::vector<segment_hint> takeHints() { return std::exchange(Hints, {}); }
@@ -318,7 +360,7 @@
     upstream_entry Entry;
     std::int64_t InFlight = 0;
     /// Outstanding prefill time of the requests from all instances, as of
-    /// `BacklogAt`. It decreases in real time.
+    /// `BacklogAt`. It decreases in real time, times the upstream's speed.
     double BacklogMs = 0;
     instant BacklogAt;
     double LatenessMs = 0; ///< as of `LatenessAt`
@@ -328,6 +370,9 @@
     instant LoadAt;
     bool LoadIsOwn = false; ///< reported to this instance, not to a peer
     peer_loads Peers;
+    service_costs *Service = nullptr; ///< in `Costs`; null for none
+    upstream_speed Speed;
+    upstream_work Work; ///< of this instance's requests in flight
     unsigned Failures = 0;
     instant AvoidUntil;
     instant PausedUntil;
@@ -370,6 +415,7 @@
     const upstream_state *Home = nullptr; ///< see `homeOf`
     std::vector<segment_holder> Holders;
     double UpdatedFraction = 0; ///< of usable engines, with newest weights
+    std::optional<expected_cost> Cost; ///< learned of such requests
   };
   /// Estimated cost of running a request on an upstream.
   struct estimate {
@@ -380,6 +426,7 @@
     double LatenessMs = 0;
     double EngineHeldTokens = 0;
     double MissedTokens = 0;
+    std::optional<learned_estimate> Learned;
     double PrefillMs = 0;
     double HeldTokens = 0;
     double InsertedTokens = 0;
@@ -388,7 +435,41 @@
   };
 
   upstream_state *find(std::string_view Upstream);
+  /// Subtracts the prefill done since the last call.
+  static void advanceBacklog(upstream_state &State, instant Now);
+  /// Returns the time until a request that is sent now would start.
   double updateBacklog(upstream_state &State, instant Now) const;
+  /// Returns how many requests run or wait at an upstream.
+  std::int64_t inFlight(const upstream_state &State, instant Now) const;
+  /// Returns the expected rest of all requests at an upstream, at usual speed.
+  double restMs(const upstream_state &State, instant Now) const;
+  /// Returns the mean time that a request takes a slot, or nothing if that is
+  /// not known yet.
+  std::optional<double> meanServiceMs(const upstream_state &State) const;
+  /// Returns the fraction of an upstream's slots that are taken.
+  double occupied(const upstream_state &State, instant Now) const;
+  /// Returns the expected rest of this instance's requests, if learned costs
+  /// are used for the upstream.
+  std::optional<double> ownRestMs(const upstream_state &State,
+                                  instant Now) const;
+  /// Returns the mean time in which running requests end, from learned costs.
+  std::optional<double> memoryRestMs(const upstream_state &State,
+                                     instant Now) const;
+  /// Returns the cost of the requests at an upstream with free slots.
+  double crowdMs(const upstream_state &State, instant Now) const;
+  learned_estimate learnedEstimate(const upstream_state &State,
+                                   const choice_context &Context, double WaitMs,
+                                   instant Now) const;
+  void learnFirstChunk(const schedule_choice &Choice, span_ns After);
+  /// Returns the wait for a slot, from learned costs.
+  double slotWaitMs(const upstream_state &State, instant Now) const;
+  /// Returns the factor by which work at an upstream takes longer than usual.
+  static double slownessOf(const upstream_state &State, instant Now);
+  static bool usesLearnedCosts(const upstream_state &State) {
+    return State.Service && State.Service->isUsed();
+  }
+  first_chunk_rates ratesOf(const upstream_state &State, instant Now) const;
+  void recordLoad(upstream_state &State, const reported_load &Load, instant At);
   double latenessMs(const upstream_state &State, instant Now) const;
   double heldTokens(const upstream_state &State, instant Now) const;
   /// Returns the expected number of requests of unknown peers.
@@ -406,7 +487,8 @@
   void recordStoreUse(const schedule_choice &Choice,
                       const schedule_query &Query);
   void keepCheaperCopy(const copy_plan &Candidate, const schedule_query &Query,
-                       std::size_t CachedCount, copy_plan &Best) const;
+                       std::size_t CachedCount, double PrefillTokensPerMs,
+                       copy_plan &Best) const;
   double copyFactor(std::string_view From, std::string_view To) const;
   std::string storeMissingSegments(const upstream_state &Target,
                                    const schedule_query &Query,
@@ -450,6 +532,8 @@
   std::map<std::string, upstream_state, std::less<>> States;
   std::map<std::string, engine_spec, std::less<>> Engines;
   announced_weights Announced;
+  learned_costs Costs;
+  std::uint64_t LastNumber = 0; ///< of a choice
   std::vector<cache_store> Stores;
   std::vector<segment_hint> Hints;
   bool UnknownPeers = false;
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -239,7 +239,7 @@
       std::chrono::milliseconds(Core.settings().PeerIntervalMs) *
           static_cast<std::int64_t>(SendsPerChange * Schedule.rounds(Peers));
   json Loads = json::array();
-  for (const peer_load &Load : Core.scheduler().ownLoadsSince(Since))
+  for (const peer_load &Load : Core.scheduler().ownLoadsSince(Since, Now))
     Loads.push_back({Load.Upstream, Load.InFlight,
                      static_cast<std::int64_t>(Load.SentPrefillMs),
                      static_cast<std::int64_t>(Load.HeldTokens),
--- a/tests/decisions/process/fleet_simulation.cpp
+++ b/tests/decisions/process/fleet_simulation.cpp
@@ -12,16 +12,10 @@
 
 using namespace std::chrono_literals;
 
-// From the published data sheet of the engines. `TargetMs` is the target for
-// the first token; sizes are in tokens.
-constexpr double PrefillTokensPerMs = 81.9;
-constexpr double FirstTokenMs = 41;
+// From the published data sheet of the engines; sizes are in tokens.
 constexpr double CacheTokens = 119'004;
-constexpr double DecodeMs = 160;
-constexpr double TargetMs = 500;
 constexpr double FirstSegmentTokens = 2520;
 constexpr double DocumentTokens = 3780;
-constexpr double UniqueTokens = 2890;
 constexpr double CopyTokensPerMs = 880;
 
 /// LRU cache of prompt segments.
@@ -82,12 +76,14 @@
   std::size_t InFlight = 0; ///< running and waiting
   bool HasNewWeights = false;
   bool Unresponsive = false;
+  double Slowness = 1;
   std::vector<instant> EndTimes; ///< of the requests in flight
 };
 
 struct prompt {
   std::vector<prompt_segment> Segments;
   std::size_t Instance;
+  bool IsHeavy;
 };
 
 /// A prompt that is placed again at `At`.
@@ -99,6 +95,7 @@
 struct running_request {
   instant EndsAt;
   span_ns FirstTokenAfter;
+  span_ns EndsAfter;
   prompt Prompt;
   std::size_t Engine;
   schedule_choice Choice;
@@ -124,9 +121,15 @@
       Entry.Port = static_cast<std::uint16_t>(1000 + Index);
       Entry.Slots = static_cast<std::int64_t>(Load.Slots);
       Entry.Domain = "d";
-      Entry.Models = {{"m", 1}};
+      if (!Load.IsPlain)
+        Entry.Models = {{"m", 1}};
       Entries.push_back(Entry);
     }
+    for (std::size_t Index = 0; Index < Load.Engines; ++Index)
+      Engines[Index].Slowness =
+          Load.MinSlowness +
+          (Load.MaxSlowness - Load.MinSlowness) * static_cast<double>(Index) /
+              static_cast<double>(std::max<std::size_t>(1, Load.Engines - 1));
     upstream_directory Directory;
     Directory.setAll(Entries, listing_kind::Continuous, instant{});
     for (std::size_t Index = 0; Index < Load.Instances; ++Index) {
@@ -171,22 +174,34 @@
     const std::size_t Chosen =
         Chance(Random) < Load.HotFraction ? 0 : Document(Random);
     const std::uint64_t First = 1 + Chosen % Load.DocumentGroups;
-    return {
+    const bool IsLong = Load.LongTokensFactor > 1 && Chance(Random) < 0.5;
+    const double OwnTokens =
+        Load.OwnTokens * (IsLong ? Load.LongTokensFactor : 1);
+    prompt Prompt{
         {{First * 0x9e3779b97f4a7c15, std::int64_t(FirstSegmentTokens)},
          {(1000 + Chosen) * 0xc2b2ae3d27d4eb4f, std::int64_t(DocumentTokens)},
-         {++LastUnique * 0x165667b19e3779f9, std::int64_t(UniqueTokens)}},
-        Instance(Random)};
+         {++LastUnique * 0x165667b19e3779f9, std::int64_t(OwnTokens)}},
+        Instance(Random),
+        Load.HeavyFraction > 0 && Chance(Random) < Load.HeavyFraction};
+    if (Load.IsPlain)
+      Prompt.Segments.clear();
+    return Prompt;
   }
 
   schedule_query queryOf(const prompt &Prompt) const {
     schedule_query Query;
     Query.Service = "s";
+    Query.Route = "r";
+    Query.Team = Prompt.IsHeavy ? "heavy" : "light";
+    Query.TimeLeft = 4s;
+    Query.Target = Load.Target;
+    if (Load.IsPlain)
+      return Query;
     Query.Model = "m";
     Query.Segments = Prompt.Segments;
-    Query.PromptTokens = FirstSegmentTokens + DocumentTokens + UniqueTokens;
+    for (const prompt_segment &Segment : Prompt.Segments)
+      Query.PromptTokens += static_cast<double>(Segment.Tokens);
     Query.ResponseTokens = 10;
-    Query.TimeLeft = 4s;
-    Query.Target = 500ms;
     return Query;
   }
 
@@ -202,6 +217,12 @@
       Index = NextEngine++ % Engines.size();
     else if (Policy == simulation_policy::PlainAffinity)
       Index = Prompt.Segments[1].Chain % Engines.size();
+    else if (Policy == simulation_policy::Oracle)
+      Index = earliestEnd(Prompt, Now);
+    else if (Load.IsPlain)
+      Index = static_cast<std::size_t>(
+          std::ranges::min_element(Engines, {}, &engine::InFlight) -
+          Engines.begin());
     else
       Index = static_cast<std::size_t>(
           std::ranges::min_element(Engines, {}, &engine::FreeAt) -
@@ -210,6 +231,31 @@
     return Choice;
   }
 
+  /// Returns the tokens of \p Prompt that \p Engine has to prefill.
+  double missingTokens(const engine &Engine, const prompt &Prompt) const {
+    double Tokens = 0;
+    for (const auto &[Chain, Length] : Prompt.Segments)
+      if (Tokens > 0 || !Engine.Cache.has(Chain))
+        Tokens += static_cast<double>(Length);
+    return Tokens;
+  }
+
+  std::size_t earliestEnd(const prompt &Prompt, instant Now) const {
+    const auto EndAt = [&](const engine &Engine) {
+      const instant Start = std::max({Now, Engine.FreeAt, slotFreeAt(Engine)});
+      return Start +
+             fromMs((missingTokens(Engine, Prompt) / Load.PrefillTokensPerMs +
+                     serviceMs(Prompt)) *
+                    Engine.Slowness);
+    };
+    return static_cast<std::size_t>(
+        std::ranges::min_element(Engines, {}, EndAt) - Engines.begin());
+  }
+
+  double serviceMs(const prompt &Prompt) const {
+    return Load.ServiceMs * (Prompt.IsHeavy ? Load.HeavyFactor : 1);
+  }
+
   void place(const prompt &Prompt, instant Now) {
     ++Result.PromptCount;
     const auto Choice = choose(Prompt, Now);
@@ -237,14 +283,16 @@
     ++Engine.InFlight;
     ++Engine.Requests;
     countOldWeights(Engine, Now);
-    double Prefill = UniqueTokens;
+    double Prefill =
+        Load.IsPlain ? 0 : static_cast<double>(Prompt.Segments.back().Tokens);
     double CopyMs = 0;
     const engine *Source = nullptr;
     for (std::size_t Other = 0; Other < Engines.size(); ++Other)
       if (Choice->FetchFrom == "10.0.0.1:" + std::to_string(1000 + Other))
         Source = &Engines[Other];
     bool PrefixCached = true;
-    for (std::size_t Segment = 0; Segment < 2; ++Segment) {
+    for (std::size_t Segment = 0; Segment + 1 < Prompt.Segments.size();
+         ++Segment) {
       const auto &[Chain, Tokens] = Prompt.Segments[Segment];
       if (PrefixCached && Engine.Cache.use(Chain))
         continue;
@@ -263,14 +311,21 @@
     Engine.Cache.evictTo(CacheTokens);
     instant Start = std::max(Now + fromMs(CopyMs), Engine.FreeAt);
     Start = std::max(Start, slotFreeAt(Engine));
-    Engine.FreeAt = Start + fromMs(Prefill / PrefillTokensPerMs);
-    const instant First = Engine.FreeAt + fromMs(FirstTokenMs);
-    Result.OnTime += First - Now <= fromMs(TargetMs) ? 1 : 0;
+    if (!Load.IsPlain)
+      Engine.FreeAt =
+          Start + fromMs(Prefill / Load.PrefillTokensPerMs * Engine.Slowness);
+    const instant Prefilled = Load.IsPlain ? Start : Engine.FreeAt;
+    const span_ns Service = fromMs(serviceMs(Prompt) * Engine.Slowness);
+    const instant First =
+        Prefilled +
+        (Load.IsPlain ? Service : fromMs(Load.FirstTokenMs * Engine.Slowness));
+    const instant End = Load.IsPlain ? First : First + Service;
+    Result.OnTime += First - Now <= Load.Target ? 1 : 0;
+    Result.FirstMs.push_back(toMs(First - Now));
     if (Policy == simulation_policy::Scheduler)
       Scheduler.onSent(*Choice, queryOf(Prompt), Now);
-    Engine.EndTimes.push_back(First + fromMs(DecodeMs));
-    Running.push(
-        {First + fromMs(DecodeMs), First - Now, Prompt, Index, *Choice});
+    Engine.EndTimes.push_back(End);
+    Running.push({End, First - Now, End - Now, Prompt, Index, *Choice});
   }
 
   void retry(const prompt &Prompt, instant At) {
@@ -281,11 +336,12 @@
   }
 
   /// Returns when \p Engine has a free slot, after all requests sent before.
-  instant slotFreeAt(engine &Engine) const {
+  instant slotFreeAt(const engine &Engine) const {
     if (Engine.EndTimes.size() < Load.Slots)
       return {};
-    std::ranges::sort(Engine.EndTimes);
-    return Engine.EndTimes[Engine.EndTimes.size() - Load.Slots];
+    std::vector<instant> Ends = Engine.EndTimes;
+    std::ranges::sort(Ends);
+    return Ends[Ends.size() - Load.Slots];
   }
 
   /// Advances the rollout of new weights, see `simulated_load::NewWeights`.
@@ -338,11 +394,25 @@
       if (Policy != simulation_policy::Scheduler)
         continue;
       upstream_scheduler &Scheduler = *Schedulers[Done.Prompt.Instance];
+      if (Load.StatesLoad)
+        Scheduler.onResponse(Done.Choice.Upstream, Done.EndsAfter,
+                             loadOf(Engines[Done.Engine]), Done.EndsAt);
       Scheduler.onFirstChunk(Done.Choice, Done.FirstTokenAfter, Done.EndsAt);
+      Scheduler.onServed(Done.Choice, Done.FirstTokenAfter, Done.EndsAfter,
+                         Done.EndsAt);
       Scheduler.onEnded(Done.Choice, Done.EndsAt);
     }
   }
 
+  reported_load loadOf(const engine &Engine) const {
+    constexpr double Percent = 100;
+    const std::size_t Running = std::min(Engine.InFlight, Load.Slots);
+    return {static_cast<std::int64_t>(Running),
+            static_cast<std::int64_t>(Engine.InFlight - Running),
+            static_cast<std::int64_t>(Load.Slots),
+            static_cast<std::int64_t>(Percent * Engine.Slowness)};
+  }
+
   void gossip(instant Now) {
     if (Policy != simulation_policy::Scheduler)
       return;
@@ -350,8 +420,10 @@
       const auto Loads = Schedulers[From]->ownLoadsSince(
           Now - Load.GossipInterval *
                     static_cast<std::int64_t>(
-                        2 * (1 + Schedulers.size() / Load.GossipPeers)));
+                        2 * (1 + Schedulers.size() / Load.GossipPeers)),
+          Now);
       const auto Hints = Schedulers[From]->takeHints();
+      const auto Summaries = Schedulers[From]->costs().takeSummaries();
       const std::size_t Others = Schedulers.size() - 1;
       for (std::size_t Sent = 0; Sent < std::min(Load.GossipPeers, Others);
            ++Sent) {
@@ -360,6 +432,8 @@
         Schedulers[To]->onPeerLoad("i" + std::to_string(From), Loads, Now);
         for (const segment_hint &Hint : Hints)
           Schedulers[To]->onPeerHint(Hint);
+        for (const cost_summary &Summary : Summaries)
+          Schedulers[To]->costs().onPeerSummary(Summary);
       }
     }
   }
@@ -382,6 +456,16 @@
 
 } // namespace
 
+double simulation_result::firstMs(double Fraction) {
+  if (FirstMs.empty())
+    return 0;
+  const auto Position =
+      FirstMs.begin() + static_cast<std::ptrdiff_t>(
+                            Fraction * static_cast<double>(FirstMs.size() - 1));
+  std::ranges::nth_element(FirstMs, Position);
+  return *Position;
+}
+
 simulation_result simulateFleet(simulation_policy Policy,
                                 const simulated_load &Load) {
   return fleet_simulator(Policy, Load).run();
--- a/tests/decisions/process/fleet_simulation.h
+++ b/tests/decisions/process/fleet_simulation.h
@@ -9,6 +9,7 @@
 #include "decisions/process/upstream_scheduler.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace ebonyvale {
 
@@ -16,8 +17,9 @@
 enum class simulation_policy {
   Scheduler,
   RoundRobin,
-  LeastLoaded,  ///< shortest prefill queue, which no instance can know exactly
-  PlainAffinity ///< by hash of the document, whatever the load
+  LeastLoaded,   ///< shortest prefill queue, which no instance can know exactly
+  PlainAffinity, ///< by hash of the document, whatever the load
+  Oracle ///< earliest end, by the exact costs and speeds of all requests
 };
 
 /// Parameters of the fleet and of the requests sent to it.
@@ -39,6 +41,23 @@
   bool NewWeights = false;
   std::uint32_t Seed = 1;
   schedule_options SchedulerOptions;
+  bool IsPlain = false;        ///< upstreams without models, prompts or chunks
+  double ServiceMs = 160;      ///< after the first token, or of a plain request
+  double OwnTokens = 2890;     ///< of a prompt's last segment
+  double LongTokensFactor = 1; ///< of `OwnTokens`, for half of the prompts
+  double PrefillTokensPerMs = 81.9; ///< of an engine
+  double FirstTokenMs = 41;         ///< of an empty prompt
+  span_ns Target = std::chrono::milliseconds(500);
+  /// Fraction of the requests that take `HeavyFactor` times `ServiceMs`. Their
+  /// team is the only difference that an instance sees.
+  double HeavyFraction = 0;
+  double HeavyFactor = 10;
+  /// Factor by which all work takes longer on the fastest and the slowest
+  /// engine; the others lie between.
+  double MinSlowness = 1;
+  double MaxSlowness = 1;
+  /// Whether responses state the load and the slowness.
+  bool StatesLoad = false;
 };
 
 /// Totals over all prompts of a simulation.
@@ -52,6 +71,10 @@
   double PrefillTokens = 0; ///< tokens prefilled by all engines
   /// Requests of the busiest engine, relative to an equal share.
   double MaxEngineShare = 0;
+  std::vector<double> FirstMs; ///< time to the first chunk of each response
+
+  /// Returns the quantile \p Fraction of the times in `FirstMs`.
+  double firstMs(double Fraction);
 };
 
 /// Runs the simulation that \p Load describes.
--- a/tests/decisions/process/upstream_scheduler_test.cpp
+++ b/tests/decisions/process/upstream_scheduler_test.cpp
@@ -237,19 +237,19 @@
 Test(upstream_scheduler, reports_only_changed_loads_to_peers) {
   auto Scheduler = schedulerOf({engineIn("1", "a"), engineIn("2", "a")});
   const auto Choice = Scheduler.choose(queryOf(Prompt), instant(1s)).Choice;
-  cr_assert(Scheduler.ownLoadsSince(instant{}).empty());
+  cr_assert(Scheduler.ownLoadsSince(instant{}, instant(1s)).empty());
   Scheduler.onSent(*Choice, queryOf(Prompt), instant(1s));
   // A request is reported while it runs, however long ago it started.
-  const auto Running = Scheduler.ownLoadsSince(instant(9s));
+  const auto Running = Scheduler.ownLoadsSince(instant(9s), instant(10s));
   cr_assert(Running.size() == 1);
   cr_assert(Running[0].Upstream == Choice->Upstream);
   cr_assert(Running[0].InFlight == 1);
   Scheduler.onEnded(*Choice, instant(10s));
   // Its end is reported, with the sums up to then.
-  const auto Ended = Scheduler.ownLoadsSince(instant(9s));
+  const auto Ended = Scheduler.ownLoadsSince(instant(9s), instant(10s));
   cr_assert(Ended.size() == 1 && Ended[0].InFlight == 0);
   cr_assert(Ended[0].SentPrefillMs > 0);
-  cr_assert(Scheduler.ownLoadsSince(instant(11s)).empty());
+  cr_assert(Scheduler.ownLoadsSince(instant(11s), instant(11s)).empty());
 }
 
 Test(upstream_scheduler, instances_choose_same_engine_for_new_prompt) {
