--- a/src/decisions/process/upstream_costs.cpp
+++ b/src/decisions/process/upstream_costs.cpp
@@ -16,10 +16,10 @@
 
 void upstream_scheduler::recordLoad(upstream_state &State,
                                     const reported_load &Load, instant At) {
-  constexpr std::int64_t AsUsual = 100;
   State.Load = Load;
   State.LoadAt = At;
-  if (Load.SlownessPercent != AsUsual && State.Service)
+  if (Load.SlownessPercent != reported_load::UsualSlownessPercent &&
+      State.Service)
     Costs.onSlownessStated(*State.Service);
   if (usesLearnedCosts(State))
     State.Speed.onStated(Load.SlownessPercent, At);
