--- a/tests/soak/daemon_process.h
+++ b/tests/soak/daemon_process.h
@@ -30,6 +30,8 @@
   void signal(int Number) const;
   /// Returns whether the process is running. Reaps it if it has ended.
   bool running();
+  /// Returns the id of the running process, or 0.
+  pid_t pid() const { return Pid; }
   /// Returns the last exit code, or the negated number of the signal that ended
   /// the process.
   int exitStatus() const { return ExitStatus; }
