Learn costs where the feature pressure is on

No upstream of the deployment with that contract states a slowness, so learned costs were never used there.

--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -166,7 +166,7 @@
              .Description =
                  "Services for which learned costs and speeds replace the "
                  "configured ones; stated: those whose upstreams state a "
-                 "slowness.",
+                 "slowness, and all with the feature \"pressure\".",
              .Choices = "off|stated|on"},
             &gateway_settings::LearnedCosts},
     setting{count("weights.at_once",
