--- a/src/decisions/process/release_evidence.h
+++ b/src/decisions/process/release_evidence.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace ebonyvale {
 
@@ -49,7 +50,11 @@
 
 /// Groups of upstreams: those of former versions, and the ordered version's in
 /// two halves, since a fault of one upstream is none of its version.
-enum response_group : std::size_t { Former = 0, NewFirst = 1, NewSecond = 2 };
+enum response_group : std::size_t {
+  FormerVersions = 0,
+  NewFirst = 1,
+  NewSecond = 2
+};
 
 /// Responses to one route by group.
 using route_counts = std::array<response_counts, 3>;
@@ -85,6 +90,15 @@
   /// Excess of bad responses over what the former versions explain that bars
   /// the version whatever the test says; the platform's bound is 50.
   static constexpr double MaxExcess = 25;
+  /// Shares of failures and of late responses above those of former versions
+  /// that a sound version may have.
+  static constexpr double FailureTolerance = 0.005;
+  static constexpr double LatenessTolerance = 0.05;
+  /// Time over which the former versions' shares are averaged.
+  static constexpr span_ns BaselineTime = std::chrono::seconds(5);
+  /// Largest number of processes of this domain that are kept apart.
+  static constexpr std::size_t MaxPeers = 512;
+  static constexpr std::size_t MaxDomains = 128;
   /// An instance counts as heard for this long after its last summary.
   static constexpr span_ns HeardFor = std::chrono::seconds(3);
 
@@ -113,42 +127,77 @@
   std::uint64_t newResponses() const;
 
 private:
-  /// A sequential test of one kind of bad responses.
+  static constexpr std::size_t Alternatives = 3;
+  /// The halves of the ordered version's upstreams, and both together.
+  static constexpr std::size_t Parts = 3;
+  static constexpr std::size_t Both = 2;
+  using counts_by_route = std::map<std::string, route_counts, std::less<>>;
+
+  /// Responses of one kind that came at the same time, by `response_group`.
+  struct slice {
+    std::array<double, 3> Trials{};
+    std::array<double, 3> Bad{};
+  };
+
+  /// A sequential test of one kind of bad responses on one route.
   struct sequential_test {
-    std::array<std::array<double, 3>, 3> LogRatios{}; ///< by part, alternative
-    std::array<std::uint64_t, 3> Trials{};            ///< by part
-    double Excess = 0;
-    double OldTrials = 0; ///< of the last seconds
-    double OldBad = 0;
-    double AllOldTrials = 0;
-    double AllOldBad = 0;
-    std::uint64_t Bad = 0;
+    std::array<std::array<double, Alternatives>, Parts> LogRatios{};
+    std::array<double, Parts> Trials{};
+    std::array<double, Parts> Bad{};
+    /// Alternatives that have been ruled out, and nothing has spoken for since.
+    std::array<bool, Alternatives> RuledOut{};
+    double Excess = 0;   ///< over what former versions explain
+    double Variance = 0; ///< of the excess of a sound version
+
+    /// Adds a slice in which former versions have the share \p FormerRate of
+    /// bad responses; \p Effects are the shares that alternatives add to it.
+    void add(const slice &Slice, double FormerRate,
+             const std::array<double, Alternatives> &Effects);
+    /// Logarithm of the likelihood ratio, averaged over the alternatives.
+    double logRatio(std::size_t Part) const;
+    double bound() const;
+    /// Returns whether the halves with responses agree with the whole.
+    bool isConfirmed() const;
+    bool isRefuted() const;
   };
   struct route_test {
     route_counts Seen; ///< counters that the tests include
     sequential_test Failures;
     sequential_test Lateness;
+    /// Of the former versions, decaying with `BaselineTime`.
+    double Trials = 0;
+    double Failed = 0;
+    std::array<double, response_counts::Classes> Latencies{};
   };
-  struct peer_state {
-    std::int64_t Boot = 0;
+  struct source_state {
     std::size_t Instances = 1;
     instant HeardAt;
-    std::map<std::string, route_counts, std::less<>> Routes;
+    counts_by_route Routes;
   };
 
-  std::map<std::string, route_counts, std::less<>> sumOfDomain() const;
-  std::map<std::string, route_counts, std::less<>> sumOfAll() const;
+  counts_by_route sumOfDomain() const;
+  counts_by_route sumOfAll() const;
+  double heardShare(instant Now) const;
+  /// Returns the class of latencies from which on a response is late, or
+  /// nothing while too few of former versions are known.
+  static std::optional<std::size_t> lateClass(const route_test &Test);
+  void testRoute(const route_counts &Counts, route_test &Test, double Decay);
+  void judge(std::string_view Route, const route_test &Test,
+             const sequential_test &Kind, std::string_view Reason,
+             double MostExcess, release_verdict &Result) const;
 
   std::string Service;
   std::int64_t OrderRevision = 0;
   std::size_t Instances = 1;
-  std::map<std::string, route_counts, std::less<>> Own;
-  /// Counters of processes of this domain that have ended.
-  std::map<std::string, route_counts, std::less<>> Ended;
-  std::map<std::string, peer_state, std::less<>> Peers;
-  std::map<std::string, peer_state, std::less<>> Domains;
+  counts_by_route Own;
+  /// Sum of sources of this domain that were dropped.
+  counts_by_route Dropped;
+  /// By name and boot.
+  std::map<std::pair<std::string, std::int64_t>, source_state> Peers;
+  std::map<std::string, source_state, std::less<>> Domains;
   std::map<std::string, route_test, std::less<>> Tests;
   release_verdict Verdict;
+  instant BeganAt;
   std::optional<instant> TestedAt;
 };
 
--- a/src/decisions/process/release_exposure.h
+++ b/src/decisions/process/release_exposure.h
@@ -77,6 +77,11 @@
   /// Where the share gives less than one upstream its later load, requests are
   /// sent at that load for a part of each such period.
   static constexpr span_ns ProbePeriod = std::chrono::seconds(4);
+  static constexpr span_ns MinProbe = std::chrono::milliseconds(250);
+  /// Part of the bound on the likelihood ratio above which no step is taken.
+  static constexpr double SuspiciousPart = 0.3;
+  /// Versions of one service that are remembered.
+  static constexpr std::size_t MaxFormer = 16;
 
   explicit release_exposure(const release_options &Options)
       : Options(Options) {}
@@ -85,7 +90,8 @@
 
   /// Applies an order. \p Rank is this process's place among \p Instances by
   /// `rankIn`, if it ran and knew them before the order came; a process that
-  /// finds an order when it starts has no place.
+  /// finds an order when it starts has no place. An order that comes back after
+  /// it was withdrawn goes on with its counts.
   void onOrder(const release_order &NewOrder, std::optional<std::size_t> Rank,
                std::size_t Instances, instant Now);
   void onWithdrawn();
@@ -132,21 +138,22 @@
   double allowance(double Share) const;
   /// Returns whether the version is probed at its later load now.
   bool isProbing(instant Now) const;
-  void chooseLoaded(instant Now);
+  void chooseLoaded();
 
   release_options Options;
   std::optional<release_order> Order;
   instant OrderedAt;
   release_state State = release_state::Running;
   bool Barred = false;
-  bool AlwaysSole = true; ///< no other version was listed since the order
+  bool Withdrawn = false;
   std::size_t Step = 0;
   double Slack = 0;
   std::uint64_t Requests = 0;
   std::uint64_t SentToNew = 0;
   double Paced = 0; ///< requests that may be sent now at `LoadShare`
   std::vector<std::string> NewUpstreams;
-  std::set<std::string, std::less<>> Former;
+  std::set<std::string, std::less<>> Former; ///< seen since the order
+  bool FormerListed = false;
   loaded_upstreams Loaded;
 };
 
--- a/src/decisions/process/service_releases.h
+++ b/src/decisions/process/service_releases.h
@@ -59,6 +59,7 @@
   void onOrder(std::string_view Service,
                const std::optional<release_order> &Order, bool AtStart,
                instant Now);
+  /// Applies the status in the store, after the order.
   void onStatus(std::string_view Service,
                 const std::optional<release_status> &Status,
                 std::int64_t Revision);
@@ -106,12 +107,11 @@
     std::vector<release_step> Steps; ///< not yet returned by `onTick`
   };
 
+  static bool isActive(const service_release &Release);
   service_release *find(std::string_view Service);
   const service_release *find(std::string_view Service) const;
   release_step stepOf(const service_release &Release, std::string Name,
                       instant Now) const;
-  void applyUpstreams(std::string_view Service, service_release &Release,
-                      const upstream_directory &Directory, instant Now);
 
   std::string Self;
   release_options Options;
--- /dev/null
+++ b/src/decisions/version/software_release.cpp
@@ -0,0 +1,162 @@
+#include "decisions/version/software_release.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ebonyvale {
+namespace {
+
+/// Longest duration of an order; others are taken for errors of unit.
+constexpr span_ns MaxDuration = std::chrono::hours(24 * 7);
+/// Longest name of a version that the store and headers can hold.
+constexpr std::size_t MaxName = 128;
+
+span_ns part(span_ns Whole, double Share) {
+  return fromSeconds(toSeconds(Whole) * Share);
+}
+
+} // namespace
+
+std::string faultOf(const release_order &Order) {
+  if (Order.Service.empty())
+    return "no service is named";
+  if (Order.Software.empty() || Order.Software.size() > MaxName)
+    return "the version's name is empty or too long";
+  if (Order.Duration <= span_ns(0) || Order.Duration > MaxDuration)
+    return "the duration is not between 0 and 7 days";
+  return "";
+}
+
+std::string_view toString(release_state State) {
+  switch (State) {
+  case release_state::Running:
+    return "running";
+  case release_state::Finishing:
+    return "finishing";
+  case release_state::Completed:
+    return "completed";
+  case release_state::RolledBack:
+    return "rolled_back";
+  }
+  return "";
+}
+
+void software_release::onOrder(const std::optional<release_order> &NewOrder,
+                               instant Now) {
+  if (NewOrder == Order)
+    return;
+  Order = NewOrder;
+  OrderedAt = Now;
+  FormerSeenAt = Now;
+  FinishingSince.reset();
+  Verdict = {};
+  StoreTrouble = false;
+  WrittenAt.reset();
+}
+
+void software_release::onAge(std::int64_t OrderRevision, span_ns Age,
+                             instant Now) {
+  if (Order && Order->Revision == OrderRevision)
+    OrderedAt = std::min(OrderedAt, Now - Age);
+}
+
+void software_release::onStatus(const std::optional<release_status> &NewStatus,
+                                std::int64_t Revision) {
+  Status = NewStatus;
+  StatusRevision = Revision;
+}
+
+void software_release::onUpstreams(std::size_t NewCount,
+                                   std::size_t FormerCount, instant Now) {
+  NewUpstreams = NewCount;
+  FormerUpstreams = FormerCount;
+  if (FormerCount > 0)
+    FormerSeenAt = Now;
+}
+
+void software_release::onWriteResult(release_write_outcome Outcome,
+                                     instant Now) {
+  if (Outcome == release_write_outcome::Written) {
+    WrittenAt.reset();
+    return;
+  }
+  WrittenAt = Now;
+  StoreTrouble = StoreTrouble || Outcome == release_write_outcome::Unknown;
+}
+
+std::optional<span_ns> software_release::age(instant Now) const {
+  if (!Order)
+    return std::nullopt;
+  return Now - OrderedAt;
+}
+
+instant software_release::finishingAt() const {
+  const span_ns Duration = Order->Duration;
+  span_ns After = std::max(part(Duration, MinDecisionShare),
+                           Duration - WriteMargin - FinishingTime);
+  if (StoreTrouble)
+    After = std::min(After, part(Duration, UnstableDecisionShare));
+  return OrderedAt + After;
+}
+
+instant software_release::completedAt() const {
+  return std::max(finishingAt() + FinishingTime / 2,
+                  OrderedAt + Order->Duration - WriteMargin);
+}
+
+bool software_release::isProven(instant Now) const {
+  if (Verdict.State == evidence_state::Sound ||
+      Verdict.State == evidence_state::LikelySound)
+    return true;
+  const span_ns Left =
+      std::max<span_ns>(OrderedAt + Order->Duration - Now, WriteMargin);
+  return Verdict.NewResponses > 0 &&
+         Verdict.UnprovenPerSecond * toSeconds(Left) <=
+             UnprovenSlack * Options.CanarySlack;
+}
+
+std::optional<release_write>
+software_release::write(release_state State, std::string Reason, instant Now) {
+  WrittenAt = Now;
+  return release_write{
+      Order->Service,    {State, Order->Software, Order->Revision},
+      Order->Revision,   StatusRevision,
+      std::move(Reason), Verdict};
+}
+
+std::optional<release_write> software_release::onTick(instant Now) {
+  if (!Options.isEnabled() || !Order || !faultOf(*Order).empty())
+    return std::nullopt;
+  if (WrittenAt && Now - *WrittenAt < WriteRetry)
+    return std::nullopt;
+  const release_status *Current = status();
+  if (!Current)
+    return write(release_state::Running, "ordered", Now);
+  if (Current->isFinal())
+    return std::nullopt;
+  if (Verdict.State == evidence_state::Bad)
+    return write(release_state::RolledBack, Verdict.Reason, Now);
+  if (Current->State == release_state::Finishing) {
+    if (!FinishingSince)
+      FinishingSince = Now;
+    const instant DueAt =
+        std::min(*FinishingSince + FinishingTime,
+                 std::max(*FinishingSince + FinishingTime / 2, completedAt()));
+    if (Now < DueAt)
+      return std::nullopt;
+    return write(release_state::Completed, "no_fault_found", Now);
+  }
+  if (NewUpstreams > 0 && FormerUpstreams == 0 &&
+      Now - FormerSeenAt >= FormerGoneAfter)
+    return write(release_state::Completed, "no_former_version", Now);
+  if (Now < finishingAt())
+    return std::nullopt;
+  if (NewUpstreams > 0 && isProven(Now))
+    return write(release_state::Finishing, "no_fault_found", Now);
+  if (Now < completedAt())
+    return std::nullopt;
+  return write(release_state::RolledBack,
+               NewUpstreams > 0 ? "too_few_responses" : "no_upstream", Now);
+}
+
+} // namespace ebonyvale
--- a/src/decisions/version/software_release.h
+++ b/src/decisions/version/software_release.h
@@ -85,14 +85,14 @@
   std::uint64_t OldBad = 0;
   double LogRatio = 0; ///< logarithm of the likelihood ratio of the test
   double Bound = 0;    ///< of `LogRatio`
-  /// Over all routes and instances known: requests a second, for an estimate
-  /// of those that are still to come.
-  double RequestsPerSecond = 0;
+  /// Requests a second to the service on routes with too few responses.
+  double UnprovenPerSecond = 0;
 };
 
 /// The next state to record in the store. Only valid if the order and the
 /// status still have the revisions they had when it was decided.
 struct release_write {
+  std::string Service;
   release_status Status;
   std::int64_t ExpectedOrderRevision = 0;
   std::int64_t ExpectedStatusRevision = 0; ///< 0: there is no status
@@ -122,6 +122,9 @@
   /// Share of the duration at which a release is finished whose store had
   /// trouble while it ran.
   static constexpr double UnstableDecisionShare = 0.75;
+  /// Part of `CanarySlack` up to which requests on routes with too few
+  /// responses do not keep a version from being completed.
+  static constexpr double UnprovenSlack = 0.5;
   /// Time without an answer after which a write is repeated.
   static constexpr span_ns WriteRetry = std::chrono::milliseconds(300);
   /// Time without an upstream of a former version after which there is none to
@@ -167,7 +170,8 @@
   /// Returns when `Finishing` and when `Completed` is due.
   instant finishingAt() const;
   instant completedAt() const;
-  std::optional<release_write> decide(instant Now);
+  /// Returns whether what is not known of the version is small enough.
+  bool isProven(instant Now) const;
 
   release_options Options;
   std::optional<release_order> Order;
