--- a/src/decisions/process/upstream_directory.h
+++ b/src/decisions/process/upstream_directory.h
@@ -25,6 +25,8 @@
   std::uint16_t Port = 0;
   std::string Domain;
   std::int64_t Slots = 1;
+  span_ns ColdFor{0};    ///< time for which it is slow, as the entry says
+  instant WarmAt;        ///< end of that time, by when the entry was read
   bool Draining = false; ///< as the entry says
   bool Leaving = false;  ///< as its responses say
   /// Weights version by model name.
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -55,8 +55,33 @@
 
 schedule_outcome upstream_scheduler::choose(const schedule_query &Query,
                                             instant Now) {
+  candidate_set Set = findCandidates(Query, Now);
+  if (!Query.Releases)
+    return chooseFrom(Set, Query, Now);
+  const auto Has = [&Set](software_use Use) {
+    return std::ranges::find(Set.Usable, Use, &candidate::Use) !=
+           Set.Usable.end();
+  };
+  if (Has(software_use::Preferred)) {
+    candidate_set Preferred = Set;
+    std::erase_if(Preferred.Usable, [](const candidate &Candidate) {
+      return Candidate.Use != software_use::Preferred;
+    });
+    schedule_outcome Outcome = chooseFrom(Preferred, Query, Now);
+    if (Outcome.Choice)
+      return Outcome;
+  }
+  if (Has(software_use::Preferred) || Has(software_use::Allowed))
+    std::erase_if(Set.Usable, [](const candidate &Candidate) {
+      return Candidate.Use == software_use::LastResort;
+    });
+  return chooseFrom(Set, Query, Now);
+}
+
+schedule_outcome upstream_scheduler::chooseFrom(const candidate_set &Set,
+                                                const schedule_query &Query,
+                                                instant Now) {
   schedule_outcome Outcome;
-  const candidate_set Set = findCandidates(Query, Now);
   if (Set.Usable.empty()) {
     Outcome.Refusal = {error_kind::NoUpstream, NoUpstreamRetry};
     if (Set.AvailableAt != instant::max())
@@ -169,6 +194,12 @@
                           oldWeightsCostMs(State, Query.Model, 0, Now);
     if (!Eligible)
       continue;
+    software_use Use = software_use::Allowed;
+    if (Query.Releases)
+      Use = Query.Releases->useOf(Query.Service, State.Entry.Software, Id,
+                                  /*Continues=*/!Query.Software.empty(), Now);
+    if (Use == software_use::Barred)
+      continue;
     instant Available = std::max(State.AvoidUntil, State.PausedUntil);
     if (Query.Pauses)
       Available = std::max(Available, Query.Pauses->endOf(State.Entry));
@@ -194,7 +225,7 @@
     if (Now < Available)
       Set.AvailableAt = std::min(Set.AvailableAt, Available);
     else
-      (Relay.empty() ? Set.Usable : Relayed).push_back({&State, Relay});
+      (Relay.empty() ? Set.Usable : Relayed).push_back({&State, Relay, Use});
   }
   addRelayed(Query, Relayed, Set);
   return Set;
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -16,6 +16,7 @@
 #include "decisions/process/brittle_upstreams.h"
 #include "decisions/process/cached_segments.h"
 #include "decisions/process/peer_loads.h"
+#include "decisions/process/release_exposure.h"
 #include "decisions/process/unconfirmed_upstreams.h"
 #include "decisions/process/upstream_directory.h"
 #include "decisions/process/upstream_limits.h"
@@ -63,6 +64,8 @@
   const brittle_upstreams *Brittle = nullptr; ///< null for none
   upstream_paths *Paths = nullptr; ///< null: all upstreams are reached directly
   bool MayRelay = true;            ///< whether it may be sent through a peer
+  /// What releases allow; null: all versions of the software.
+  const software_choice *Releases = nullptr;
 };
 
 /// Load of an upstream, as reported in a response.
@@ -359,6 +362,7 @@
   struct candidate {
     upstream_state *State = nullptr;
     std::string_view Relay; ///< peer to send through; empty: directly
+    software_use Use = software_use::Allowed;
   };
   /// The usable upstreams for a request.
   struct candidate_set {
@@ -416,6 +420,9 @@
   double distanceMs(const upstream_state &State) const;
   bool sameRegion(std::string_view Left, std::string_view Right) const;
   candidate_set findCandidates(const schedule_query &Query, instant Now);
+  /// Chooses among the upstreams of \p Set.
+  schedule_outcome chooseFrom(const candidate_set &Set,
+                              const schedule_query &Query, instant Now);
   static bool hasSoftware(const upstream_entry &Entry,
                           const schedule_query &Query, instant Now);
   /// Adds the upstreams that are reached through a relay: all \p Relayed ones
--- a/src/gateway/process/event_log.h
+++ b/src/gateway/process/event_log.h
@@ -42,7 +42,15 @@
 };
 
 /// Subsystem that a log line belongs to.
-enum class event_category { Process, Request, Store, Upstream, Peer, Weights };
+enum class event_category {
+  Process,
+  Request,
+  Store,
+  Upstream,
+  Peer,
+  Weights,
+  Release
+};
 
 /// Writes the log of one process; used from its event loop only.
 class event_log {
--- a/src/gateway/process/fleet_protocol.h
+++ b/src/gateway/process/fleet_protocol.h
@@ -11,6 +11,7 @@
 #include "decisions/process/upstream_scheduler.h"
 #include "decisions/request/caller_request.h"
 #include "decisions/version/routing_table.h"
+#include "decisions/version/software_release.h"
 #include "net/client_connection.h"
 #include "net/server_connection.h"
 
@@ -23,7 +24,7 @@
 namespace ebonyvale {
 
 /// Kind of document that a store key names.
-enum class document_kind { Routing, Weights, Upstream, Other };
+enum class document_kind { Routing, Weights, Release, Upstream, Other };
 
 /// Weights version that operators have set for a model.
 struct weights_target {
@@ -53,6 +54,22 @@
   virtual std::optional<weights_target>
   readWeights(std::string_view Value) const = 0;
 
+  /// Returns the service that \p Key, of an order of a release, names.
+  virtual std::string_view releaseService(std::string_view Key) const = 0;
+
+  /// Parses the order for \p Service. Its revision is not set. Fails with
+  /// `NoteInvalid`.
+  virtual result<release_order> readRelease(std::string_view Service,
+                                            std::string_view Value) const = 0;
+
+  /// Returns the key under which operators read what became of an order for
+  /// \p Service.
+  virtual std::string releaseStatusKey(std::string_view Service) const = 0;
+
+  /// Returns the document for that key.
+  virtual std::string
+  writeReleaseStatus(const release_status &Status) const = 0;
+
   /// Returns the upstream id in the store key \p Key.
   virtual std::string_view upstreamId(std::string_view Key) const = 0;
 
--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -138,6 +138,21 @@
                   "Additional tolerated excess in a window, fleet-wide.",
                   "tokens", rounding::Down),
             &gateway_settings::LimitSlackTokens},
+    setting{{.Name = "releases.expose_share",
+             .Description = "Share of a service's requests that may reach a "
+                            "version which is not proven. 0: orders of "
+                            "releases are not carried out.",
+             .Max = 1},
+            &gateway_settings::ExposeShare},
+    setting{count("releases.canary_slack",
+                  "Additional requests that may reach such a version, "
+                  "fleet-wide.",
+                  "requests", rounding::Down),
+            &gateway_settings::CanarySlack},
+    setting{bound("releases.rollback_ms",
+                  "Time after which a version that has failed 50 requests gets "
+                  "no more."),
+            &gateway_settings::RollbackMs},
     setting{{.Name = "engines.prefill_tokens_per_ms",
              .Description = "Prefill speed of an engine.",
              .Unit = "tokens/ms",
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -50,6 +50,10 @@
   double LimitExcess = 0.1;
   std::int64_t LimitSlackTokens = 0;
 
+  double ExposeShare = 0;
+  std::int64_t CanarySlack = 0;
+  std::int64_t RollbackMs = 5000;
+
   std::int64_t PrefillTokensPerMs = 80;
   std::int64_t RecomputeWeight = 4;
   std::int64_t FetchWeight = 1;
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -133,12 +133,21 @@
   Reading = false;
   recordCall("read_operators", Items.Status, ReadFailures, readBootClock());
   checkEra(Items);
+  if (Items.Status == store_status::Ok) {
+    for (const store_item &Item : Items.Items)
+      handleOperatorItem(Item);
+    withdrawMissing(Items);
+  }
+  if (std::exchange(ListAfterRead, false)) {
+    if (Items.Status == store_status::Ok)
+      listUpstreams();
+    else
+      WatchTimer.startOnce(backOff(ReadFailures));
+  }
   if (Items.Status != store_status::Ok) {
     ReadTimer.startOnce(backOff(ReadFailures));
     return;
   }
-  for (const store_item &Item : Items.Items)
-    handleOperatorItem(Item);
   // The read counts as confirmation only once its documents are applied.
   Core.configFreshness().onRead(Items.SentAt);
   LastRead = {Items.Revision, Items.SentAt};
@@ -147,6 +156,15 @@
 }
 
 void store_follower::listAll() {
+  // A listing shows upstreams that an order has started, so the order must be
+  // known before.
+  if (Core.settings().ExposeShare <= 0)
+    return listUpstreams();
+  ListAfterRead = true;
+  readOperators();
+}
+
+void store_follower::listUpstreams() {
   Store.list(Core.protocols().Documents.upstreamPrefix(),
              [this](const store_items &Items) { onUpstreamListing(Items); });
 }
@@ -165,9 +183,10 @@
   for (const store_item &Item : Items.Items) {
     auto Entry = Documents.readUpstream(Documents.upstreamId(Item.Key),
                                         Item.Value, UnknownFields);
-    if (Entry)
+    if (Entry) {
+      Entry->WarmAt = Now + Entry->ColdFor;
       Entries.push_back(std::move(*Entry));
-    else
+    } else
       Core.log().warn(event_category::Upstream, "entry_unreadable",
                       {{"key", Item.Key}, {"revision", Item.Revision}});
   }
@@ -233,8 +252,8 @@
   const instant Now = readBootClock();
   for (const store_item &Item : Items) {
     handleItem(Item);
-    if (Core.protocols().Documents.kindOf(Item.Key) ==
-            document_kind::Upstream ||
+    const document_kind Kind = Core.protocols().Documents.kindOf(Item.Key);
+    if (Kind == document_kind::Upstream || Kind == document_kind::Release ||
         Item.Key.starts_with(FleetPrefix))
       Relay.log().append(Item, Now);
   }
@@ -271,6 +290,9 @@
 std::vector<operator_document> store_follower::operatorDocuments(
     std::span<const operator_document> Known) const {
   std::vector<operator_document> Documents = operatorRevisions();
+  std::erase_if(Documents, [this](const operator_document &Document) {
+    return OperatorStates.find(Document.Key)->second.Removed;
+  });
   std::size_t Size = 0;
   for (operator_document &Document : Documents) {
     const auto Held =
@@ -352,6 +374,10 @@
 }
 
 void store_follower::handleOperatorItem(const store_item &Item) {
+  const bool IsRelease =
+      Core.protocols().Documents.kindOf(Item.Key) == document_kind::Release;
+  if (IsRelease && Item.Removed)
+    return handleRelease(Item);
   operator_state &State = OperatorStates[Item.Key];
   if (Item.Removed || Item.Revision <= State.Revision) {
     if (Item.Revision < State.Revision)
@@ -363,8 +389,11 @@
   }
   const std::int64_t Before = std::exchange(State.Revision, Item.Revision);
   State.Value.reset();
+  State.Removed = false;
   if (Item.Value.size() <= MaxRelayedBytes)
     State.Value = Item.Value;
+  if (IsRelease)
+    return handleRelease(Item);
   const document_reader &Documents = Core.protocols().Documents;
   const instant Now = readBootClock();
   if (Documents.kindOf(Item.Key) == document_kind::Routing) {
@@ -395,6 +424,44 @@
   Observer.onWeightsTarget(*Target);
 }
 
+void store_follower::handleRelease(const store_item &Item) {
+  const document_reader &Documents = Core.protocols().Documents;
+  const std::string_view Service = Documents.releaseService(Item.Key);
+  if (Item.Removed) {
+    const auto Known = OperatorStates.find(Item.Key);
+    if (Known == OperatorStates.end() || Known->second.Removed ||
+        Item.Revision <= Known->second.Revision)
+      return;
+    Known->second = {Item.Revision, std::nullopt, /*Removed=*/true};
+    return Observer.onReleaseOrder(Service, std::nullopt, Item.Revision, false);
+  }
+  auto Order = Documents.readRelease(Service, Item.Value);
+  if (!Order)
+    return Core.log().warn(event_category::Release, "order_unreadable",
+                           {{"key", Item.Key},
+                            {"revision", Item.Revision},
+                            {"reason", Order.error().Detail}});
+  // A copy of a restored store has the order under its number.
+  Order->Revision = counterOf(Item.Revision);
+  Observer.onReleaseOrder(Service, *Order, Item.Revision,
+                          !Core.configFreshness().readAt());
+}
+
+void store_follower::withdrawMissing(const store_items &Items) {
+  // Operators write again what a restored store has lost.
+  if (Items.SentAt < Core.configFreshness().confirmsFrom())
+    return;
+  std::vector<std::string> Missing;
+  for (const auto &[Key, State] : OperatorStates)
+    if (!State.Removed && State.Revision < Items.Revision &&
+        Core.protocols().Documents.kindOf(Key) == document_kind::Release &&
+        std::ranges::find(Items.Items, Key, &store_item::Key) ==
+            Items.Items.end())
+      Missing.push_back(Key);
+  for (const std::string &Key : Missing)
+    handleRelease({Key, "", Items.Revision, /*Removed=*/true});
+}
+
 /// Operators write the whole configuration. One that replaces another in the
 /// restored store was written after the return, and so was the one in force
 /// under a new number. Any other one may come from the copy.
@@ -442,6 +509,7 @@
                      {"revision", Item.Revision}});
   const instant Now = readBootClock();
   if (Entry) {
+    Entry->WarmAt = Now + Entry->ColdFor;
     Core.softwareHistory().onListed(Entry->Service, Entry->Software, Now);
     Core.onUpstreamEntry(*Entry, Now);
   }
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -27,6 +27,13 @@
   virtual void onFleetListing(const store_items &Items) = 0;
   /// Operators have set the weights version of a model.
   virtual void onWeightsTarget(const weights_target &Target) = 0;
+  /// Operators have ordered a release of the service \p Service, by an item of
+  /// the store with \p Revision; nothing: they have withdrawn the order.
+  /// \p AtStart: it was found before the first read of their documents was
+  /// complete.
+  virtual void onReleaseOrder(std::string_view Service,
+                              const std::optional<release_order> &Order,
+                              std::int64_t Revision, bool AtStart) = 0;
   /// Returns whether the store certainly lists this instance, so that the
   /// others count its quota share.
   virtual bool isListed(instant Now) const = 0;
@@ -64,6 +71,7 @@
   struct operator_state {
     std::int64_t Revision = 0;
     std::optional<std::string> Value; ///< absent if too large to pass on
+    bool Removed = false;             ///< an order that was withdrawn
   };
 
   /// A read of the operators' documents.
@@ -81,6 +89,7 @@
   void readOperators();
   void onOperators(const store_items &Items);
   void listAll();
+  void listUpstreams();
   /// Records the versions of weights that a peer knows, which was polled at
   /// \p PolledAt.
   void recordAnnouncements(const change_response &Response, instant PolledAt);
@@ -96,6 +105,10 @@
   void confirmByRead();
   void handleItem(const store_item &Item);
   void handleOperatorItem(const store_item &Item);
+  void handleRelease(const store_item &Item);
+  /// Withdraws the orders of releases that \p Items, a complete read of the
+  /// operators' documents, lacks.
+  void withdrawMissing(const store_items &Items);
   /// Ends the wait for operators after a restore if a configuration shows that
   /// they have written again. \p Before is the revision of the one known
   /// before.
@@ -140,6 +153,7 @@
   /// The last read, until it has confirmed the list of upstreams.
   std::optional<operators_read> LastRead;
   bool Reading = false; ///< a read of the operators' documents is in flight
+  bool ListAfterRead = false; ///< list the upstreams when it has ended
   std::map<std::string, operator_state> OperatorStates; ///< by key
   change_relay Relay;
   timer ReadTimer;
--- a/tests/gateway/contract_settings_test.cpp
+++ b/tests/gateway/contract_settings_test.cpp
@@ -84,6 +84,14 @@
       {"quotaExcess", "", "limits.excess = 0.1\n"},
       {"quotaSlack", "72000.5", "limits.slack = 72000\n"},
       {"quotaSlack", "", "limits.slack = 0\n"},
+      {"exposeShare", "0.1", "releases.expose_share = 0.1\n"},
+      {"exposeShare", "0", "releases.expose_share = 0\n"},
+      {"exposeShare", "1", "releases.expose_share = 1\n"},
+      {"exposeShare", "", "releases.expose_share = 0\n"},
+      {"canarySlack", "50.9", "releases.canary_slack = 50\n"},
+      {"canarySlack", "", "releases.canary_slack = 0\n"},
+      {"rollbackMs", "5000.5", "releases.rollback_ms = 5000\n"},
+      {"rollbackMs", "", "releases.rollback_ms = 5000\n"},
   };
   return criterion_test_params(Rows);
 }
--- a/tests/gateway/proxied_documents.h
+++ b/tests/gateway/proxied_documents.h
@@ -40,6 +40,19 @@
   readWeights(std::string_view Value) const override {
     return Real.readWeights(Value);
   }
+  std::string_view releaseService(std::string_view Key) const override {
+    return Real.releaseService(Key);
+  }
+  result<release_order> readRelease(std::string_view Service,
+                                    std::string_view Value) const override {
+    return Real.readRelease(Service, Value);
+  }
+  std::string releaseStatusKey(std::string_view Service) const override {
+    return Real.releaseStatusKey(Service);
+  }
+  std::string writeReleaseStatus(const release_status &Status) const override {
+    return Real.writeReleaseStatus(Status);
+  }
   std::string_view upstreamId(std::string_view Key) const override {
     return Real.upstreamId(Key);
   }
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <spdlog/fmt/fmt.h>
+
 using namespace ebonyvale;
 using namespace std::chrono_literals;
 
@@ -42,6 +44,11 @@
   bool Valid;
 };
 
+struct release_case {
+  char Text[120];
+  bool Valid;
+};
+
 } // namespace
 
 Test(platform_documents, a_configuration_is_parsed) {
@@ -141,3 +148,50 @@
   cr_assert(Target && Target->Model == "m" && Target->Version == 3);
   cr_assert(!Documents.readWeights(R"({"model":"m"})"));
 }
+
+ParameterizedTestParameters(platform_documents, orders_of_releases) {
+  static release_case Rows[] = {
+      {R"({"backend":"s","to":"v2","durationS":12})", true},
+      {R"({"backend":"s","to":"v2","durationS":12.5,"later":[1]})", true},
+      {R"({"backend":"t","to":"v2","durationS":12})", false},
+      {R"({"to":"v2","durationS":12})", false},
+      {R"({"backend":"s","durationS":12})", false},
+      {R"({"backend":"s","to":"","durationS":12})", false},
+      {R"({"backend":"s","to":2,"durationS":12})", false},
+      {R"({"backend":"s","to":"v2"})", false},
+      {R"({"backend":"s","to":"v2","durationS":"12"})", false},
+      {R"({"backend":"s","to":"v2","durationS":0})", false},
+      {R"({"backend":"s","to":"v2","durationS":-1})", false},
+      {R"({"backend":"s","to":"v2","durationS":1e300})", false},
+      {R"([{"backend":"s","to":"v2","durationS":12}])", false},
+      {"\xff\xfe{", false},
+      {"", false},
+  };
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(release_case *Row, platform_documents, orders_of_releases) {
+  const auto Order = Documents.readRelease("s", Row->Text);
+  cr_assert((Order ? true : false) == Row->Valid, "%s", Row->Text);
+  if (Order)
+    cr_assert(Order->Service == "s" && Order->Software == "v2" &&
+              Order->Duration >= 12s);
+  else
+    cr_assert(!Order.error().Detail.empty());
+}
+
+Test(platform_documents, status_of_a_release) {
+  cr_assert(Documents.kindOf("op/rollout/s") == document_kind::Release);
+  cr_assert(Documents.kindOf("status/rollout/s") == document_kind::Other);
+  cr_assert(Documents.releaseService("op/rollout/s") == "s");
+  cr_assert(Documents.releaseStatusKey("s") == "status/rollout/s");
+  for (const auto &[State, Name] :
+       {std::pair(release_state::Running, "running"),
+        std::pair(release_state::Finishing, "running"),
+        std::pair(release_state::Completed, "completed"),
+        std::pair(release_state::RolledBack, "rolled_back")}) {
+    const std::string Text = Documents.writeReleaseStatus({State, "v2", 7});
+    cr_assert(Text == fmt::format(R"({{"state":"{}","to":"v2"}})", Name), "%s",
+              Text.c_str());
+  }
+}
