Releases: faults of all routes together, faults of one upstream, end near the deadline

A small fault shows only over all routes; one upstream's fault shows in one half of the version's upstreams only and is none of the version. A release ends late, since what a version gets after that cannot be taken back. Peers tell the state.

--- a/src/decisions/process/release_evidence.cpp
+++ b/src/decisions/process/release_evidence.cpp
@@ -8,16 +8,20 @@
 namespace {
 
 /// Shares that the alternatives of a test add to that of a sound version. The
-/// smallest ones are the least faults that are looked for.
+/// least faults that are looked for are the small one on all routes together
+/// and the middle one on a single route.
 constexpr std::array<double, 3> FailureEffects = {0.02, 0.08, 0.3};
 constexpr std::array<double, 3> LatenessEffects = {0.1, 0.3, 0.6};
+constexpr std::size_t SmallFault = 0;
+constexpr std::size_t MiddleFault = 1;
 
 /// Responses of former versions of the last seconds that count in a rate beside
 /// those of the same slice.
 constexpr double SliceWeight = 20;
-/// Responses, with half a failure among them, that count before there are any.
+/// Responses, with a quarter of a failure among them, that count before there
+/// are any.
 constexpr double PriorTrials = 50;
-constexpr double PriorFailures = 0.5;
+constexpr double PriorFailures = 0.25;
 /// Fewest responses of former versions for a comparison of latencies.
 constexpr double MinLatencies = 20;
 /// Share of the former versions' responses that the bound on latencies is
@@ -31,8 +35,8 @@
 constexpr double MinBad = 4;
 /// Responses of a half that can confirm what the other one shows.
 constexpr double MinHalfTrials = 5;
-/// Logarithm of the likelihood ratio at which a half speaks against a fault.
-constexpr double RefutedRatio = -2;
+/// Probability below which a fault of one half is none of the version.
+constexpr double OneSidedChance = 0.01;
 /// Deviations of the excess of a sound version that are ignored.
 constexpr double ExcessDeviations = 4;
 /// Excess that bars the version however few instances are heard.
@@ -224,14 +228,10 @@
       Ratio += Fault * std::log(Faulty / Sound) +
                (Count - Fault) * std::log((1 - Faulty) / (1 - Sound));
       Ratio = std::max(Ratio, floorRatio());
+      bool &IsOut = RuledOut[Part][Index];
+      IsOut = Ratio <= floorRatio() || (IsOut && Ratio <= 0);
     }
   }
-  for (std::size_t Index = 0; Index < Alternatives; ++Index) {
-    if (LogRatios[Both][Index] <= floorRatio())
-      RuledOut[Index] = true;
-    else if (LogRatios[Both][Index] > 0)
-      RuledOut[Index] = false;
-  }
   const double Count = Slice.Trials[NewFirst] + Slice.Trials[NewSecond];
   Excess += Slice.Bad[NewFirst] + Slice.Bad[NewSecond] - Sound * Count;
   Variance += Sound * (1 - Sound) * Count;
@@ -252,16 +252,28 @@
 }
 
 bool release_evidence::sequential_test::isConfirmed() const {
-  const std::size_t Less = Trials[0] < Trials[1] ? 0 : 1;
-  if (Trials[Less] >= MinHalfTrials)
+  if (std::min(Trials[0], Trials[1]) >= MinHalfTrials)
     return std::min(logRatio(0), logRatio(1)) > 0;
   // One upstream alone has to show twice as much.
   return logRatio(Both) >= 2 * bound();
 }
 
-bool release_evidence::sequential_test::isRefuted() const {
-  const std::size_t Less = logRatio(0) < logRatio(1) ? 0 : 1;
-  return Trials[Less] >= MinHalfTrials && logRatio(Less) <= RefutedRatio;
+std::size_t release_evidence::sequential_test::betterHalf() const {
+  return Bad[0] * Trials[1] < Bad[1] * Trials[0] ? 0 : 1;
+}
+
+bool release_evidence::sequential_test::isOneSided() const {
+  const std::size_t Better = betterHalf();
+  if (Bad[Both] < MinBad || Trials[Better] < MinHalfTrials)
+    return false;
+  // Binomial tail: so few of the bad responses, by the half's share of all.
+  const double Share = Trials[Better] / Trials[Both];
+  double Tail = 0;
+  for (double Few = 0; Few <= Bad[Better] && Tail < OneSidedChance; ++Few)
+    Tail += std::exp(std::lgamma(Bad[Both] + 1) - std::lgamma(Few + 1) -
+                     std::lgamma(Bad[Both] - Few + 1) + Few * std::log(Share) +
+                     (Bad[Both] - Few) * std::log(1 - Share));
+  return Tail < OneSidedChance;
 }
 
 std::optional<std::size_t> release_evidence::lateClass(const route_test &Test) {
@@ -308,12 +320,12 @@
   const double Always =
       (static_cast<double>(Counts[FormerVersions].Failures) + PriorFailures) /
       (static_cast<double>(Counts[FormerVersions].Responses) + PriorTrials);
-  Test.Failures.add(
-      Failures,
+  const double FailureRate =
       std::max(Always, SliceRate(Failures.Bad[FormerVersions],
                                  Failures.Trials[FormerVersions], Recent)) +
-          FailureTolerance,
-      FailureEffects);
+      FailureTolerance;
+  Test.Failures.add(Failures, FailureRate, FailureEffects);
+  AllRoutes.Failures.add(Failures, FailureRate, FailureEffects);
   const auto From = lateClass(Test);
   if (!From)
     return;
@@ -333,26 +345,26 @@
   }
   const double All =
       std::accumulate(Test.Latencies.begin(), Test.Latencies.end(), 0.0);
-  Test.Lateness.add(Lateness,
-                    SliceRate(Lateness.Bad[FormerVersions],
-                              Lateness.Trials[FormerVersions],
-                              Late(Test.Latencies) / All) +
-                        LatenessTolerance,
-                    LatenessEffects);
+  const double LateRate =
+      SliceRate(Lateness.Bad[FormerVersions], Lateness.Trials[FormerVersions],
+                Late(Test.Latencies) / All) +
+      LatenessTolerance;
+  Test.Lateness.add(Lateness, LateRate, LatenessEffects);
+  AllRoutes.Lateness.add(Lateness, LateRate, LatenessEffects);
 }
 
 void release_evidence::judge(std::string_view Route, const route_test &Test,
                              const sequential_test &Kind,
                              std::string_view Reason, double MostExcess,
                              release_verdict &Result) const {
-  const double Ratio = Kind.logRatio(Both);
+  const double Ratio = Kind.logRatio(Kind.decidingPart());
   const double Bound = Kind.bound();
   const bool IsTested =
       Ratio >= Bound && Kind.Bad[Both] >= MinBad && Kind.isConfirmed();
   const bool IsExceeded =
       Kind.Excess >=
           std::max(MostExcess, ExcessDeviations * std::sqrt(Kind.Variance)) &&
-      !Kind.isRefuted();
+      !Kind.isOneSided();
   const bool IsBad = IsTested || IsExceeded;
   if (Result.State == evidence_state::Bad ||
       (!IsBad && !Result.Route.empty() &&
@@ -380,31 +392,36 @@
   const double MostExcess = std::max(MinExcess, MaxExcess * heardShare(Now));
   const double Seconds = std::max(1.0, toSeconds(Now - BeganAt));
   release_verdict Result;
-  bool AllSound = true;
-  bool AllLikelySound = true;
+  bool IsLikelySound = true;
   for (const auto &[Route, Counts] : sumOfAll()) {
     route_test &Test = Tests[Route];
     testRoute(Counts, Test, Decay);
     judge(Route, Test, Test.Failures, "failures", MostExcess, Result);
     judge(Route, Test, Test.Lateness, "lateness", MostExcess, Result);
-    const bool HasLatencies = lateClass(Test).has_value();
-    const auto RuledOut = [&](std::size_t Index) {
-      return Test.Failures.RuledOut[Index] &&
-             (!HasLatencies || Test.Lateness.RuledOut[Index]);
-    };
-    AllSound = AllSound && RuledOut(0);
-    if (RuledOut(1) && RuledOut(2))
-      continue;
-    AllLikelySound = false;
     double Known = 0;
-    for (const response_counts &Group : Counts)
-      Known += static_cast<double>(Group.Responses);
+    for (std::size_t Group = 0; Group < Counts.size(); ++Group) {
+      Known += static_cast<double>(Counts[Group].Responses);
+      if (Group != FormerVersions)
+        Result.Exposed += Counts[Group].Responses;
+    }
+    Result.Requests += static_cast<std::uint64_t>(Known);
+    if (Test.Failures.isRuledOut(MiddleFault) &&
+        (!lateClass(Test) || Test.Lateness.isRuledOut(MiddleFault)))
+      continue;
+    IsLikelySound = false;
     Result.UnprovenPerSecond += Known / Seconds;
   }
-  if (Result.State != evidence_state::Bad && !Tests.empty())
-    Result.State = AllSound         ? evidence_state::Sound
-                   : AllLikelySound ? evidence_state::LikelySound
-                                    : evidence_state::Scarce;
+  judge("all routes", AllRoutes, AllRoutes.Failures, "failures", MostExcess,
+        Result);
+  judge("all routes", AllRoutes, AllRoutes.Lateness, "lateness", MostExcess,
+        Result);
+  Result.PerSecond = static_cast<double>(Result.Requests) / Seconds;
+  if (Result.State != evidence_state::Bad && !Tests.empty() && IsLikelySound)
+    Result.State = AllRoutes.Failures.isRuledOut(SmallFault) &&
+                           (AllRoutes.Lateness.Trials[Both] == 0 ||
+                            AllRoutes.Lateness.isRuledOut(SmallFault))
+                       ? evidence_state::Sound
+                       : evidence_state::LikelySound;
   Verdict = Result;
   return Verdict;
 }
--- a/src/decisions/process/release_evidence.h
+++ b/src/decisions/process/release_evidence.h
@@ -92,7 +92,7 @@
   static constexpr double MaxExcess = 25;
   /// Shares of failures and of late responses above those of former versions
   /// that a sound version may have.
-  static constexpr double FailureTolerance = 0.005;
+  static constexpr double FailureTolerance = 0.003;
   static constexpr double LatenessTolerance = 0.05;
   /// Time over which the former versions' shares are averaged.
   static constexpr span_ns BaselineTime = std::chrono::seconds(5);
@@ -145,7 +145,7 @@
     std::array<double, Parts> Trials{};
     std::array<double, Parts> Bad{};
     /// Alternatives that have been ruled out, and nothing has spoken for since.
-    std::array<bool, Alternatives> RuledOut{};
+    std::array<std::array<bool, Alternatives>, Parts> RuledOut{};
     double Excess = 0;   ///< over what former versions explain
     double Variance = 0; ///< of the excess of a sound version
 
@@ -156,9 +156,20 @@
     /// Logarithm of the likelihood ratio, averaged over the alternatives.
     double logRatio(std::size_t Part) const;
     double bound() const;
-    /// Returns whether the halves with responses agree with the whole.
+    /// Returns whether both halves speak for a fault.
     bool isConfirmed() const;
-    bool isRefuted() const;
+    /// Returns the half that has the smaller share of bad responses.
+    std::size_t betterHalf() const;
+    /// Returns whether the bad responses of one half cannot be the version's:
+    /// the other half would have had more of them.
+    bool isOneSided() const;
+    /// Returns the part of the upstreams that shows what the version does.
+    std::size_t decidingPart() const {
+      return isOneSided() ? betterHalf() : Both;
+    }
+    bool isRuledOut(std::size_t Alternative) const {
+      return RuledOut[decidingPart()][Alternative];
+    }
   };
   struct route_test {
     route_counts Seen; ///< counters that the tests include
@@ -181,6 +192,8 @@
   /// Returns the class of latencies from which on a response is late, or
   /// nothing while too few of former versions are known.
   static std::optional<std::size_t> lateClass(const route_test &Test);
+  /// Adds the new responses among \p Counts to the tests of their route and to
+  /// those of all routes.
   void testRoute(const route_counts &Counts, route_test &Test, double Decay);
   void judge(std::string_view Route, const route_test &Test,
              const sequential_test &Kind, std::string_view Reason,
@@ -196,6 +209,7 @@
   std::map<std::pair<std::string, std::int64_t>, source_state> Peers;
   std::map<std::string, source_state, std::less<>> Domains;
   std::map<std::string, route_test, std::less<>> Tests;
+  route_test AllRoutes; ///< a small fault shows only on all of them together
   release_verdict Verdict;
   instant BeganAt;
   std::optional<instant> TestedAt;
--- a/src/decisions/process/release_exposure.cpp
+++ b/src/decisions/process/release_exposure.cpp
@@ -133,7 +133,9 @@
     return true;
   }
   const std::size_t Next = Step + 1;
-  if (Next < std::size(StepShares) &&
+  const bool IsNeeded = Next + 1 < std::size(StepShares) ||
+                        Verdict.State != evidence_state::Sound;
+  if (Next < std::size(StepShares) && IsNeeded &&
       toSeconds(Now - OrderedAt) >=
           StepTimes[Next] * toSeconds(Order->Duration) &&
       NewResponses >= StepResponses * Next &&
--- a/src/decisions/process/release_exposure.h
+++ b/src/decisions/process/release_exposure.h
@@ -63,7 +63,8 @@
 class release_exposure {
 public:
   /// Share of `ExposeShare` that is used in each step. The rest covers requests
-  /// that are lost on the way and those of the step `Finishing`.
+  /// that are lost on the way and those of the step `Finishing`. The last step
+  /// is taken only if the responses do not prove the version sound.
   static constexpr double StepShares[] = {0.2, 0.5, 0.8};
   /// Part of the order's duration from which on a step may be taken.
   static constexpr double StepTimes[] = {0, 0.1, 0.25};
--- a/src/decisions/process/service_releases.cpp
+++ b/src/decisions/process/service_releases.cpp
@@ -177,7 +177,7 @@
     if (const auto Age = Release.Exposure.age(Now); Age && isActive(Release))
       News.push_back({Service, Release.Exposure.order()->Software,
                       Release.Exposure.order()->Revision, *Age,
-                      Release.Exposure.isBarred()});
+                      Release.Exposure.isBarred(), Release.Exposure.state()});
   return News;
 }
 
@@ -187,6 +187,8 @@
     return;
   Release->Exposure.onAge(News.OrderRevision, News.Age, Now);
   Release->Decider.onAge(News.OrderRevision, News.Age, Now);
+  if (News.State != release_state::Running)
+    Release->Exposure.onStatus({News.State, News.Software, News.OrderRevision});
   if (News.Barred)
     Release->Exposure.onPeerBarred(News.Software, News.OrderRevision);
 }
--- a/src/decisions/process/service_releases.h
+++ b/src/decisions/process/service_releases.h
@@ -27,6 +27,8 @@
   std::int64_t OrderRevision = 0;
   span_ns Age{0};      ///< of the order, at least
   bool Barred = false; ///< the sender sends nothing more to the version
+  /// As the store has shown the sender; for peers that cannot read it.
+  release_state State = release_state::Running;
 };
 
 /// A step of a release at this instance, for the log.
--- a/src/decisions/version/software_release.cpp
+++ b/src/decisions/version/software_release.cpp
@@ -90,10 +90,14 @@
   return Now - OrderedAt;
 }
 
+span_ns software_release::writeMargin() const {
+  return std::max(WriteMargin, part(Order->Duration, WriteMarginShare));
+}
+
 instant software_release::finishingAt() const {
   const span_ns Duration = Order->Duration;
   span_ns After = std::max(part(Duration, MinDecisionShare),
-                           Duration - WriteMargin - FinishingTime);
+                           Duration - writeMargin() - FinishingTime);
   if (StoreTrouble)
     After = std::min(After, part(Duration, UnstableDecisionShare));
   return OrderedAt + After;
@@ -101,18 +105,18 @@
 
 instant software_release::completedAt() const {
   return std::max(finishingAt() + FinishingTime / 2,
-                  OrderedAt + Order->Duration - WriteMargin);
+                  OrderedAt + Order->Duration - writeMargin());
 }
 
-bool software_release::isProven(instant Now) const {
-  if (Verdict.State == evidence_state::Sound ||
-      Verdict.State == evidence_state::LikelySound)
-    return true;
-  const span_ns Left =
-      std::max<span_ns>(OrderedAt + Order->Duration - Now, WriteMargin);
-  return Verdict.NewResponses > 0 &&
-         Verdict.UnprovenPerSecond * toSeconds(Left) <=
-             UnprovenSlack * Options.CanarySlack;
+bool software_release::isBounded(instant Now) const {
+  const double Left = toSeconds(
+      std::max<span_ns>(OrderedAt + Order->Duration - Now, writeMargin()));
+  const double Later = Left * Verdict.PerSecond;
+  const double Allowed = UnprovenShare * Options.ExposeShare *
+                             (static_cast<double>(Verdict.Requests) + Later) +
+                         UnprovenSlack * Options.CanarySlack;
+  return Verdict.Exposed > 0 &&
+         static_cast<double>(Verdict.Exposed) + Later <= Allowed;
 }
 
 std::optional<release_write>
@@ -151,12 +155,15 @@
     return write(release_state::Completed, "no_former_version", Now);
   if (Now < finishingAt())
     return std::nullopt;
-  if (NewUpstreams > 0 && isProven(Now))
+  if (NewUpstreams > 0 && Verdict.State == evidence_state::Sound)
     return write(release_state::Finishing, "no_fault_found", Now);
   if (Now < completedAt())
     return std::nullopt;
-  return write(release_state::RolledBack,
-               NewUpstreams > 0 ? "too_few_responses" : "no_upstream", Now);
+  if (NewUpstreams == 0)
+    return write(release_state::RolledBack, "no_upstream", Now);
+  return isBounded(Now)
+             ? write(release_state::Completed, "too_few_responses", Now)
+             : write(release_state::RolledBack, "not_proven", Now);
 }
 
 } // namespace ebonyvale
--- a/src/decisions/version/software_release.h
+++ b/src/decisions/version/software_release.h
@@ -69,8 +69,8 @@
 /// What the responses of a version say, compared with the former ones.
 enum class evidence_state {
   Scarce,      ///< too few responses on some route
-  LikelySound, ///< a large fault is ruled out on each route, a small one is not
-  Sound,       ///< a small fault is ruled out on each route
+  LikelySound, ///< a fault of one route is ruled out, a small one of all is not
+  Sound,       ///< both are ruled out
   Bad,
 };
 
@@ -83,9 +83,12 @@
   std::uint64_t NewBad = 0;
   std::uint64_t OldResponses = 0;
   std::uint64_t OldBad = 0;
-  double LogRatio = 0; ///< logarithm of the likelihood ratio of the test
-  double Bound = 0;    ///< of `LogRatio`
-  /// Requests a second to the service on routes with too few responses.
+  double LogRatio = 0;        ///< logarithm of the likelihood ratio of the test
+  double Bound = 0;           ///< of `LogRatio`
+  std::uint64_t Requests = 0; ///< to the service, as far as known
+  std::uint64_t Exposed = 0;  ///< of these to the ordered version
+  double PerSecond = 0;       ///< requests to the service
+  /// The part of these on routes with too few responses.
   double UnprovenPerSecond = 0;
 };
 
@@ -111,20 +114,24 @@
 /// holds the claim.
 class software_release {
 public:
-  /// Latest time before the deadline at which `Completed` is first written.
-  static constexpr span_ns WriteMargin = std::chrono::milliseconds(2500);
+  /// Time before the deadline at which `Completed` is first written. What is
+  /// sent to the version after that cannot be taken back, so it is short.
+  static constexpr span_ns WriteMargin = std::chrono::milliseconds(1500);
+  /// The same as a share of the duration; the longer one applies.
+  static constexpr double WriteMarginShare = 0.025;
   /// For how long all requests go to the version before the former one stops,
   /// so that those running there can end.
-  static constexpr span_ns FinishingTime = std::chrono::milliseconds(2000);
+  static constexpr span_ns FinishingTime = std::chrono::milliseconds(1000);
   /// Neither begins before this share of the duration; orders of a few seconds
   /// would otherwise be decided at once.
   static constexpr double MinDecisionShare = 0.7;
   /// Share of the duration at which a release is finished whose store had
   /// trouble while it ran.
-  static constexpr double UnstableDecisionShare = 0.75;
-  /// Part of `CanarySlack` up to which requests on routes with too few
-  /// responses do not keep a version from being completed.
-  static constexpr double UnprovenSlack = 0.5;
+  static constexpr double UnstableDecisionShare = 0.85;
+  /// Parts of `ExposeShare` and of `CanarySlack` that a version may get which
+  /// is completed without being proven, should it be bad.
+  static constexpr double UnprovenShare = 0.95;
+  static constexpr double UnprovenSlack = 0.9;
   /// Time without an answer after which a write is repeated.
   static constexpr span_ns WriteRetry = std::chrono::milliseconds(300);
   /// Time without an upstream of a former version after which there is none to
@@ -168,10 +175,12 @@
   std::optional<release_write> write(release_state State, std::string Reason,
                                      instant Now);
   /// Returns when `Finishing` and when `Completed` is due.
+  span_ns writeMargin() const;
   instant finishingAt() const;
   instant completedAt() const;
-  /// Returns whether what is not known of the version is small enough.
-  bool isProven(instant Now) const;
+  /// Returns whether the bound on exposure holds if the version gets all
+  /// requests from now on and is bad.
+  bool isBounded(instant Now) const;
 
   release_options Options;
   std::optional<release_order> Order;
