--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -212,6 +212,15 @@
   sendToAll({{"k", "leaving"}, {"d", encodeProcesses({&Upstream, 1})}});
 }
 
+void peer_gossip::sendRelease(std::span<const std::string_view> Peers,
+                              const release_message &Message) {
+  if (Peers.empty())
+    return;
+  const std::vector<std::uint8_t> Bytes = encode(encodeRelease(Message));
+  for (const std::string_view Name : Peers)
+    sendBytes(Core.roster().peers().find(Name)->second, Bytes);
+}
+
 void peer_gossip::sendDomainHints() {
   const auto &Peers = Core.roster().peers();
   const auto Receivers = Hints.otherDomains(Peers);
@@ -456,6 +465,9 @@
     handleLeaving(Message.at("d"), Now);
   } else if (Kind == "brittle") {
     Core.onPeerRefused({Message.at("u"), Message.at("n")}, Now);
+  } else if (Kind == "release") {
+    if (Core.releaseExchange())
+      Core.releaseExchange()->onPeerRelease(decodeRelease(Message));
   } else if (Kind == "hints") {
     handleHints(From, Message);
   } else if (Kind == "poll") {
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -61,6 +61,8 @@
                          const stream_history &Known) override;
   void sendBrittleRefusal(const brittle_refusal &Refusal) override;
   void sendLeaving(const upstream_process &Upstream) override;
+  void sendRelease(std::span<const std::string_view> Peers,
+                   const release_message &Message) override;
 
 private:
   /// Sends \p Message to the sender of the one that is being handled.
--- a/src/gateway/connection/peer_messages.cpp
+++ b/src/gateway/connection/peer_messages.cpp
@@ -1,6 +1,7 @@
 #include "gateway/connection/peer_messages.h"
 
 #include <algorithm>
+#include <array>
 
 namespace ebonyvale {
 
@@ -69,6 +70,59 @@
   return {Bytes.begin(), Bytes.end()};
 }
 
+/// Counters of one group; classes of latencies without a response are left out.
+json encodeCounts(const response_counts &Counts) {
+  json Listed{Counts.Responses, Counts.Failures};
+  for (std::size_t Class = 0; Class < Counts.Latencies.size(); ++Class)
+    if (Counts.Latencies[Class] > 0) {
+      Listed.push_back(Class);
+      Listed.push_back(Counts.Latencies[Class]);
+    }
+  return Listed;
+}
+
+response_counts decodeCounts(const json &Listed) {
+  response_counts Counts;
+  Counts.Responses = Listed.at(0);
+  Counts.Failures = Listed.at(1);
+  for (std::size_t Index = 2; Index + 1 < Listed.size(); Index += 2)
+    if (const std::size_t Class = Listed.at(Index);
+        Class < Counts.Latencies.size())
+      Counts.Latencies[Class] = Listed.at(Index + 1);
+  return Counts;
+}
+
+json encodeEvidence(const evidence_summary &Summary) {
+  json Routes = json::array();
+  for (const auto &[Route, Groups] : Summary.Routes) {
+    json Entry = json::array({Route});
+    for (const response_counts &Counts : Groups)
+      Entry.push_back(encodeCounts(Counts));
+    Routes.push_back(std::move(Entry));
+  }
+  return {Summary.Instances, std::move(Routes)};
+}
+
+evidence_summary decodeEvidence(const json &Listed, const release_news &News) {
+  evidence_summary Summary;
+  Summary.Service = News.Service;
+  Summary.OrderRevision = News.OrderRevision;
+  Summary.Instances = Listed.at(0);
+  for (const json &Entry : Listed.at(1)) {
+    if (Summary.Routes.size() > evidence_summary::MaxRoutes)
+      break;
+    route_counts &Groups = Summary.Routes[Entry.at(0)];
+    for (std::size_t Group = 0; Group < Groups.size(); ++Group)
+      Groups[Group] = decodeCounts(Entry.at(Group + 1));
+  }
+  return Summary;
+}
+
+/// States by their number in messages.
+constexpr std::array ReleaseStates{
+    release_state::Running, release_state::Finishing, release_state::Completed,
+    release_state::RolledBack};
+
 } // namespace
 
 std::optional<json> parseMessage(std::string_view Bytes) {
@@ -281,4 +335,49 @@
   return Limits;
 }
 
+json encodeRelease(const release_message &Message) {
+  // Leaves room for names in a datagram of 32 KB.
+  constexpr std::size_t MaxEvidenceBytes = 24 * 1024;
+  const release_news &News = Message.News;
+  json Out{{"k", "release"},          {"s", News.Service},
+           {"w", News.Software},      {"n", News.OrderRevision},
+           {"a", toMillis(News.Age)}, {"b", News.Barred}};
+  if (Message.Status) {
+    const auto State = std::ranges::find(ReleaseStates, Message.Status->State);
+    Out["t"] = {State - ReleaseStates.begin(), Message.StatusRevision};
+  }
+  if (!Message.Evidence)
+    return Out;
+  json Evidence = encodeEvidence(*Message.Evidence);
+  if (json::to_msgpack(Evidence).size() > MaxEvidenceBytes)
+    return Out;
+  Out["e"] = std::move(Evidence);
+  Out["o"] = {Message.Source.Name, Message.Source.Boot,
+              Message.Source.IsDomain};
+  return Out;
+}
+
+release_message decodeRelease(const json &Message) {
+  release_message Release;
+  Release.News = {
+      Message.at("s"), Message.at("w"), Message.at("n"),
+      std::chrono::milliseconds(std::max<std::int64_t>(0, Message.at("a"))),
+      Message.at("b")};
+  if (const auto Status = Message.find("t"); Status != Message.end()) {
+    const std::size_t State = Status->at(0);
+    // A state of a later build is not known here.
+    if (State < ReleaseStates.size()) {
+      Release.Status = {ReleaseStates[State], Release.News.Software,
+                        Release.News.OrderRevision};
+      Release.StatusRevision = Status->at(1);
+    }
+  }
+  if (const auto Evidence = Message.find("e"); Evidence != Message.end()) {
+    const json &Source = Message.at("o");
+    Release.Source = {Source.at(0), Source.at(1), Source.at(2)};
+    Release.Evidence = decodeEvidence(*Evidence, Release.News);
+  }
+  return Release;
+}
+
 } // namespace ebonyvale
--- a/src/gateway/connection/peer_messages.h
+++ b/src/gateway/connection/peer_messages.h
@@ -9,6 +9,7 @@
 #include "decisions/process/upstream_limits.h"
 #include "decisions/process/upstream_scheduler.h"
 #include "gateway/process/change_exchange.h"
+#include "gateway/process/release_exchange.h"
 
 #include <nlohmann/json.hpp>
 
@@ -57,6 +58,10 @@
 nlohmann::json encodeChanges(const change_response &Response);
 change_response decodeChanges(const nlohmann::json &Message);
 
+/// Evidence that would not fit into a datagram is left out.
+nlohmann::json encodeRelease(const release_message &Message);
+release_message decodeRelease(const nlohmann::json &Message);
+
 } // namespace ebonyvale
 
 #endif
--- a/src/gateway/process/event_log.cpp
+++ b/src/gateway/process/event_log.cpp
@@ -20,7 +20,7 @@
 /// Buffer size that triggers a write before the next flush.
 constexpr std::size_t FlushBytes = 32 * 1024;
 
-constexpr std::array<std::string_view, 6> CategoryNames{
+constexpr std::array<std::string_view, 7> CategoryNames{
     "process", "request", "store",   "upstream",
     "peer",    "weights", "release"};
 
--- a/src/gateway/process/fleet_protocol.h
+++ b/src/gateway/process/fleet_protocol.h
@@ -62,6 +62,9 @@
   virtual result<release_order> readRelease(std::string_view Service,
                                             std::string_view Value) const = 0;
 
+  /// Returns the key of the order for \p Service.
+  virtual std::string releaseOrderKey(std::string_view Service) const = 0;
+
   /// Returns the key under which operators read what became of an order for
   /// \p Service.
   virtual std::string releaseStatusKey(std::string_view Service) const = 0;
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -58,6 +58,11 @@
           fromSeconds(Settings.RetryWindowSeconds)};
 }
 
+release_options releaseOptionsOf(const gateway_settings &Settings) {
+  return {Settings.ExposeShare, static_cast<double>(Settings.CanarySlack),
+          std::chrono::milliseconds(Settings.RollbackMs)};
+}
+
 freshness_options freshnessOptionsOf(const gateway_settings &Settings) {
   freshness_options Options;
   Options.MaxKeyAge = std::chrono::milliseconds(Settings.KeyBoundMs);
@@ -87,6 +92,7 @@
       UpstreamLimits(Settings.InstanceName),
       UpstreamPaths(Settings.InstanceName, Settings.Domain,
                     regionsOf(Settings.Domains)),
+      Releases(Settings.InstanceName, releaseOptionsOf(Settings)),
       Roster(Settings.InstanceName),
       FreshnessOptions(freshnessOptionsOf(Settings)),
       Shares(ledgerOptions(), Started, Boot), Crashes(crash_tracker_options{}),
@@ -159,6 +165,7 @@
 void gateway_core::onSettingsChanged(instant Now) {
   FreshnessOptions = freshnessOptionsOf(Settings);
   RetryOptions = retryOptionsOf(Settings);
+  Releases.setOptions(releaseOptionsOf(Settings));
   Scheduler.setMaxWeightsAge(schedulerOptions(Settings).WeightsAge.MaxAge);
   // Quota shares are computed anew; what the instance holds of them stays.
   DividedBy = 0;
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -14,6 +14,7 @@
 #include "decisions/process/refusal_log.h"
 #include "decisions/process/response_ends.h"
 #include "decisions/process/segment_quarantine.h"
+#include "decisions/process/service_releases.h"
 #include "decisions/process/software_history.h"
 #include "decisions/process/unknown_fields.h"
 #include "decisions/process/upstream_directory.h"
@@ -26,6 +27,7 @@
 #include "gateway/process/fleet_protocol.h"
 #include "gateway/process/gateway_metrics.h"
 #include "gateway/process/gateway_settings.h"
+#include "gateway/process/release_exchange.h"
 #include "net/client_connection.h"
 #include "net/timer.h"
 
@@ -126,6 +128,9 @@
   virtual void sendBrittleRefusal(const brittle_refusal &Refusal) = 0;
   /// Reports to all peers that \p Upstream has stated that it leaves.
   virtual void sendLeaving(const upstream_process &Upstream) = 0;
+  /// Tells \p Peers of a release.
+  virtual void sendRelease(std::span<const std::string_view> Peers,
+                           const release_message &Message) = 0;
 };
 
 /// Waits for an upstream to state which process it runs.
@@ -198,6 +203,8 @@
   const upstream_pauses &upstreamPauses() const { return UpstreamPauses; }
   const brittle_upstreams &brittleUpstreams() const { return Brittle; }
   upstream_paths &upstreamPaths() { return UpstreamPaths; }
+  service_releases &releases() { return Releases; }
+  const service_releases &releases() const { return Releases; }
   instance_roster &roster() { return Roster; }
   const instance_roster &roster() const { return Roster; }
   freshness &configFreshness() { return ConfigFreshness; }
@@ -243,6 +250,9 @@
   void setChangeExchange(change_exchange *Target) { Changes = Target; }
   change_exchange *changeExchange() { return Changes; }
 
+  void setReleaseExchange(release_exchange *Target) { OnRelease = Target; }
+  release_exchange *releaseExchange() { return OnRelease; }
+
   void setOrigins(origin_task *Target) { Origins = Target; }
   origin_task *origins() { return Origins; }
 
@@ -475,6 +485,7 @@
   upstream_pauses UpstreamPauses;
   brittle_upstreams Brittle;
   upstream_paths UpstreamPaths;
+  service_releases Releases;
   unknown_fields UnknownFields;
   /// Generation of the directory that the scheduler knows.
   std::uint64_t ScheduledGeneration = 0;
@@ -500,6 +511,7 @@
   response_end_verifier *EndVerifier = nullptr;
   origin_task *Origins = nullptr;
   change_exchange *Changes = nullptr;
+  release_exchange *OnRelease = nullptr;
   std::uint16_t PeerPort = 0;
   std::uint16_t RelayPort = 0;
   std::uint64_t RelayGeneration = 0; ///< of the roster that the paths know
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -53,6 +53,17 @@
           addCounter("ebonyvale_caller_connections_idle_closed_total",
                      "Connections of callers that were closed between two "
                      "requests.")),
+      VersionsBarred(
+          addCounter("ebonyvale_release_versions_barred_total",
+                     "Versions of software that got no more requests since "
+                     "their responses were bad.")),
+      SentToNewVersions(
+          addCounter("ebonyvale_release_requests_total",
+                     "Attempts sent to the ordered version of a release that "
+                     "has not ended.")),
+      ActiveReleases(addGauge("ebonyvale_releases_active",
+                              "1 while an order of a release is in force whose "
+                              "release has not ended.")),
       OpenRequests(addGauge("ebonyvale_open_requests", "Requests in flight.")),
       RoutingVersion(addGauge("ebonyvale_configuration_version",
                               "Configuration version in force.")),
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -45,6 +45,9 @@
   prometheus::Counter &RelayedForPeers;
   prometheus::Counter &BuffersRefused;
   prometheus::Counter &IdleConnectionsClosed;
+  prometheus::Counter &VersionsBarred;
+  prometheus::Counter &SentToNewVersions;
+  prometheus::Gauge &ActiveReleases;
   prometheus::Gauge &OpenRequests;
   prometheus::Gauge &RoutingVersion;
   prometheus::Gauge &ConfigurationAgeSeconds;
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -49,7 +49,7 @@
       Core(Base, Settings, Protocols, randomNumber(), makeKeySecret()),
       Store(MakeStore(Core.links(), endpointOf(Settings.StoreEndpoint),
                       std::chrono::milliseconds(Settings.StoreCallTimeoutMs))),
-      Membership(Core, *Store), Weights(Core, *Store),
+      Membership(Core, *Store), Weights(Core, *Store), Releases(Core, *Store),
       Follower(Core, *Store, std::string(FleetItemsPrefix), *this),
       Origins(Core), Verifier(Core), Ends(Core), Gossip(Core),
       Refusals(Core, *Store), Operators(Core, Weights, Refusals), Relays(Core),
@@ -171,7 +171,7 @@
 void gateway_task::onFleetItem(const store_item &Item) {
   if (Item.Key == weights_task::claimKey())
     Weights.onClaim(&Item);
-  else
+  else if (!Releases.onFleetItem(Item))
     Membership.onItem(Item);
 }
 
@@ -181,6 +181,7 @@
     if (Item.Key == weights_task::claimKey())
       Claim = &Item;
   Weights.onClaim(Claim);
+  Releases.onFleetListing(Items);
   Membership.onListing(Items);
 }
 
@@ -188,13 +189,22 @@
   Weights.setTarget(Target);
 }
 
+void gateway_task::onReleaseOrder(std::string_view Service,
+                                  const std::optional<release_order> &Order,
+                                  std::int64_t Revision, bool AtStart) {
+  Releases.onOrder(Service, Order, Revision, AtStart);
+}
+
 bool gateway_task::isListed(instant Now) const {
   return Membership.lease(Now) != 0;
 }
 
 void gateway_task::onStoreRestored() { Membership.onStoreRestored(); }
 
-void gateway_task::onUpstreamsChanged() { Weights.onUpstreamsChanged(); }
+void gateway_task::onUpstreamsChanged() {
+  Weights.onUpstreamsChanged();
+  Releases.onUpstreamsChanged();
+}
 
 void gateway_task::stop() {
   if (StopRequested)
@@ -209,6 +219,7 @@
   Refusals.stop();
   Membership.leave();
   Weights.leave();
+  Releases.leave();
   StopTimer.startPeriodic(StopTick);
 }
 
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -14,6 +14,7 @@
 #include "gateway/process/store_follower.h"
 #include "gateway/request/forward_session.h"
 #include "gateway/request/relay_session.h"
+#include "gateway/version/release_task.h"
 #include "gateway/version/weights_task.h"
 #include "net/server_connection.h"
 
@@ -73,6 +74,9 @@
   void onFleetItem(const store_item &Item) override;
   void onFleetListing(const store_items &Items) override;
   void onWeightsTarget(const weights_target &Target) override;
+  void onReleaseOrder(std::string_view Service,
+                      const std::optional<release_order> &Order,
+                      std::int64_t Revision, bool AtStart) override;
   bool isListed(instant Now) const override;
   void onStoreRestored() override;
   void onUpstreamsChanged() override;
@@ -90,6 +94,7 @@
   std::unique_ptr<fleet_store> Store;
   membership_task Membership;
   weights_task Weights;
+  release_task Releases;
   store_follower Follower;
   origin_task Origins;
   upstream_verifier Verifier;
--- a/src/gateway/process/store_claim.cpp
+++ b/src/gateway/process/store_claim.cpp
@@ -29,6 +29,8 @@
 
 void store_claim::onItem(const store_item *Item) {
   const bool Exists = Item && !Item->Removed;
+  if (Item && Item->Revision < OwnRevision)
+    return; // an earlier state that a watch reports late
   Known = true;
   Holder = Exists ? Item->Value : "";
   Revision = Exists ? Item->Revision : 0;
@@ -65,7 +67,8 @@
   }
   if (!FreeSince)
     FreeSince = Now;
-  const span_ns Delay = Stagger * static_cast<std::int64_t>(Core.roster().rank());
+  const span_ns Delay =
+      Stagger * static_cast<std::int64_t>(Core.roster().rank());
   if (Now - *FreeSince < std::min<span_ns>(Delay, MaxDelay))
     return;
   Lease.start();
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -102,7 +102,8 @@
       onNotRun();
     return;
   }
-  BodyReceived = BodyReceived || !Bytes.empty();
+  if (!Bytes.empty() && !std::exchange(BodyReceived, true))
+    FirstByteAfter = readBootClock() - SentAt;
   Activity.onBytes(Bytes.size(), readBootClock());
   if (!Route->Streams || Response.Status != StatusOk) {
     recordResponseBegun();
@@ -261,7 +262,39 @@
   loseAttempt("ended_with_upstream", /*MayBeCrash=*/Entry && Entry->isOpen());
 }
 
+void forward_session::recordOutcome(bool Failed, std::optional<span_ns> Latency,
+                                    instant Now) {
+  if (Core.releases().empty())
+    return;
+  if (!CountsLatency)
+    Latency.reset();
+  Core.releases().onResponse(Service, AttemptSoftware, Target.Id, Route->Name,
+                             {Failed, Latency}, Now);
+  Core.log().info(event_category::Request, "release_response",
+                  {{"id", ParsedRequest.Id},
+                   {"service", Service},
+                   {"route", Route->Name},
+                   {"software", AttemptSoftware},
+                   {"upstream", Target.Id},
+                   {"status", HeadReceived ? Response.Status : 0},
+                   {"failed", Failed},
+                   {"first_byte_ms", Latency.value_or(UnknownAge)}});
+}
+
+void forward_session::recordUnfinished(instant Now) {
+  if (!Exchange || !Choice || ResponseInfo.NotRun)
+    return;
+  // An attempt that had little time says nothing of its upstream.
+  const span_ns Expected =
+      Route->Target > span_ns(0) ? Route->Target : Route->Timeout / 2;
+  if (FirstByteAfter || Now - SentAt >= Expected)
+    recordOutcome(/*Failed=*/false, FirstByteAfter.value_or(Now - SentAt), Now);
+}
+
 void forward_session::completeResponse() {
+  const instant Now = readBootClock();
+  recordOutcome(Response.Status >= FirstServerError,
+                FirstByteAfter.value_or(Now - SentAt), Now);
   if (Response.Status >= FirstServerError ||
       Core.protocols().Callers.promisesNotRun(Response.Status))
     return onAttemptEnd(attempt_outcome::ServerError, "server_error");
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -167,6 +167,8 @@
   Query.Brittle = &Core.brittleUpstreams();
   Query.Paths = &Core.upstreamPaths();
   Query.MayRelay = RelayFailures < MaxRelayFailures;
+  if (!Core.releases().empty())
+    Query.Releases = &Core.releases();
   return Query;
 }
 
@@ -279,6 +281,10 @@
   Core.scheduler().onSent(Chosen, makeQuery(Now), Now);
   AttemptSoftware = Entry->Software;
   Core.upstreamLimits().onSent(Chosen.Upstream, Now);
+  CountsLatency = Now >= Entry->WarmAt;
+  FirstByteAfter.reset();
+  Core.releases().onSent(Service, AttemptSoftware,
+                         /*IsFirst=*/Flow.attempts() == 0, Now);
   if (Flow.attempts() > 0)
     Core.counters().Retries.Increment();
   Flow.onSent();
@@ -415,6 +421,7 @@
     DeadlineTimer.startOnce(timeLeft(Now));
     return;
   }
+  recordUnfinished(Now);
   giveUp({error_kind::DeadlineExceeded, ""}, Now);
 }
 
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -167,6 +167,11 @@
   void deliver(std::string_view Bytes);
   /// Forwards \p Bytes, and stops reading while the caller does.
   void passOn(std::string_view Bytes);
+  /// Records what the current response, which is complete, says of the version
+  /// of its upstream's software.
+  void recordOutcome(bool Failed, std::optional<span_ns> Latency, instant Now);
+  /// Records the same of an attempt that is ended by the deadline.
+  void recordUnfinished(instant Now);
   /// Records once in each attempt that its response has begun.
   void recordResponseBegun();
   /// Records the time to the first bytes of the response, once.
@@ -232,6 +237,9 @@
   /// may continue the stream.
   std::string StreamSoftware;
   std::string AttemptSoftware; ///< of the current attempt's upstream
+  /// Whether the current attempt's upstream was not slow from its start.
+  bool CountsLatency = false;
+  std::optional<span_ns> FirstByteAfter; ///< of the current attempt's response
   /// Whether that was certain when the stream began.
   bool OriginCertain = true;
   /// Whether it has become so since; null if that is not awaited.
--- a/src/gateway/version/release_task.h
+++ b/src/gateway/version/release_task.h
@@ -33,8 +33,8 @@
   /// Applies the order for \p Service that the store has at \p Revision;
   /// nothing: it was withdrawn. See `service_releases::onOrder`.
   void onOrder(std::string_view Service,
-               const std::optional<release_order> &Order,
-               std::int64_t Revision, bool AtStart);
+               const std::optional<release_order> &Order, std::int64_t Revision,
+               bool AtStart);
   /// Handles a change of the upstream directory.
   void onUpstreamsChanged();
 
@@ -63,7 +63,8 @@
 
   static std::string recordKey(std::string_view Service);
   static std::optional<record> readRecord(const store_item &Item);
-  std::string writeRecord(const release_status &Status, instant Now) const;
+  static std::string writeRecord(const release_status &Status,
+                                 span_ns OrderAge);
   /// Applies a record, or that there is none.
   void applyRecord(std::string_view Service, const std::optional<record> &New);
   void readRecordBack(const std::string &Service);
--- a/tests/gateway/proxied_documents.h
+++ b/tests/gateway/proxied_documents.h
@@ -47,6 +47,9 @@
                                     std::string_view Value) const override {
     return Real.readRelease(Service, Value);
   }
+  std::string releaseOrderKey(std::string_view Service) const override {
+    return Real.releaseOrderKey(Service);
+  }
   std::string releaseStatusKey(std::string_view Service) const override {
     return Real.releaseStatusKey(Service);
   }
