--- a/tests/gateway/versions_fleet.h
+++ b/tests/gateway/versions_fleet.h
@@ -28,7 +28,10 @@
 /// Instances before four upstreams, two of each software version.
 class versions_fleet {
 public:
-  explicit versions_fleet(std::size_t Instances) {
+  explicit versions_fleet(
+      std::size_t Instances,
+      const gateway_settings &Settings = gateway_fixture::testSettings())
+      : Gateway(Settings) {
     for (const char *Id : {"u-3", "u-4"})
       Gateway.Upstreams.push_back(
           std::make_unique<fake_upstream>(Gateway.Base.get(), Id));
