--- a/src/decisions/process/service_releases.cpp
+++ b/src/decisions/process/service_releases.cpp
@@ -245,6 +245,11 @@
   return Release.Decider.order() && !(Status && Status->isFinal());
 }
 
+bool service_releases::isActive(std::string_view Service) const {
+  const service_release *Release = find(Service);
+  return Release && isActive(*Release);
+}
+
 bool service_releases::isActive() const {
   return std::ranges::any_of(
       Releases, [](const auto &Known) { return isActive(Known.second); });
--- a/src/decisions/process/service_releases.h
+++ b/src/decisions/process/service_releases.h
@@ -98,6 +98,8 @@
   bool empty() const { return Releases.empty(); }
   /// Returns whether an order is in force whose release has not ended.
   bool isActive() const;
+  /// Returns whether one is for \p Service.
+  bool isActive(std::string_view Service) const;
 
 private:
   struct service_release {
--- a/src/gateway/connection/peer_messages.cpp
+++ b/src/gateway/connection/peer_messages.cpp
@@ -370,6 +370,7 @@
       Release.Status = {ReleaseStates[State], Release.News.Software,
                         Release.News.OrderRevision};
       Release.StatusRevision = Status->at(1);
+      Release.News.State = ReleaseStates[State];
     }
   }
   if (const auto Evidence = Message.find("e"); Evidence != Message.end()) {
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -19,6 +19,8 @@
                     "Questions to peers for the version that began a stream.")),
       JudgedEnds(addFamily("ebonyvale_response_ends_total",
                            "Responses without length or chunks by verdict.")),
+      ReleaseStates(addFamily("ebonyvale_release_states_total",
+                              "States of releases written to the store.")),
       Requests(addCounter("ebonyvale_requests_total", "Requests received.")),
       CompletedResponses(
           addCounter("ebonyvale_answers_total",
@@ -57,10 +59,6 @@
           addCounter("ebonyvale_release_versions_barred_total",
                      "Versions of software that got no more requests since "
                      "their responses were bad.")),
-      SentToNewVersions(
-          addCounter("ebonyvale_release_requests_total",
-                     "Attempts sent to the ordered version of a release that "
-                     "has not ended.")),
       ActiveReleases(addGauge("ebonyvale_releases_active",
                               "1 while an order of a release is in force whose "
                               "release has not ended.")),
@@ -104,6 +102,10 @@
       .Increment();
 }
 
+void gateway_metrics::onReleaseState(std::string_view State) {
+  ReleaseStates.Add({{"state", std::string(State)}}).Increment();
+}
+
 void gateway_metrics::onUpstreamLoss(std::string_view Reason) {
   UpstreamLosses.Add({{"reason", std::string(Reason)}}).Increment();
 }
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -24,12 +24,15 @@
   void onOriginLookup(bool IsKnown);
   /// Counts a response that ended with its connection.
   void onEndJudged(end_verdict Verdict);
+  /// Counts a state of a release that this instance has written to the store.
+  void onReleaseState(std::string_view State);
 
 private:
   counter_family &StoreCalls;
   counter_family &UpstreamLosses;
   counter_family &OriginLookups;
   counter_family &JudgedEnds;
+  counter_family &ReleaseStates;
 
 public:
   prometheus::Counter &Requests;
@@ -46,7 +49,6 @@
   prometheus::Counter &BuffersRefused;
   prometheus::Counter &IdleConnectionsClosed;
   prometheus::Counter &VersionsBarred;
-  prometheus::Counter &SentToNewVersions;
   prometheus::Gauge &ActiveReleases;
   prometheus::Gauge &OpenRequests;
   prometheus::Gauge &RoutingVersion;
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -137,6 +137,7 @@
     for (const store_item &Item : Items.Items)
       handleOperatorItem(Item);
     withdrawMissing(Items);
+    OperatorsRevision = Items.Revision;
   }
   if (std::exchange(ListAfterRead, false)) {
     if (Items.Status == store_status::Ok)
@@ -200,13 +201,18 @@
                    {"revision", Items.Revision},
                    {"after_outage", Kind != listing_kind::Continuous},
                    {"after_restore", Kind == listing_kind::AfterRestore}});
-  Relay.log().restart(Items.Revision, Kind);
+  // An order that was written between the read of the operators' documents and
+  // the listing must be seen before the upstreams that it starts.
+  Revision = Core.settings().ExposeShare > 0 &&
+                     eraOf(OperatorsRevision) == eraOf(Items.Revision)
+                 ? std::min(OperatorsRevision, Items.Revision)
+                 : Items.Revision;
+  Relay.log().restart(Revision, Kind);
   for (const upstream_entry &Entry : Entries)
     Core.onUpstreamEntry(Entry, Now);
   Core.directory().setAll(std::move(Entries), Kind, Now);
   Core.onUpstreamsListed(Now);
   Core.onUpstreamsConfirmed(Items.SentAt);
-  Revision = Items.Revision;
   notifyOfDirectory();
   Store.list(FleetPrefix,
              [this](const store_items &Fleet) { onFleetListing(Fleet); });
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -135,7 +135,9 @@
   fleet_store &Store;
   std::string FleetPrefix;
   follower_observer &Observer;
-  std::int64_t Revision = 0;       ///< last revision received
+  std::int64_t Revision = 0; ///< last revision received
+  /// Of the store at the last read of the operators' documents.
+  std::int64_t OperatorsRevision = 0;
   std::optional<std::int64_t> Era; ///< last era received
   /// Last era in which operators are known to have written.
   std::optional<std::int64_t> WrittenEra;
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -264,7 +264,7 @@
 
 void forward_session::recordOutcome(bool Failed, std::optional<span_ns> Latency,
                                     instant Now) {
-  if (Core.releases().empty())
+  if (!Core.releases().isActive(Service))
     return;
   if (!CountsLatency)
     Latency.reset();
@@ -340,7 +340,12 @@
     Core.scheduler().onFailure(Choice->Upstream, Now);
   if (!isRelayed())
     Core.onConnectionLost(Target, Now);
-  if (MayBeCrash)
+  // The former version stops at once when a release is completed.
+  const bool IsPlanned =
+      Core.releases().useOf(Service, AttemptSoftware, Target.Id,
+                            /*Continues=*/false,
+                            Now) == software_use::LastResort;
+  if (MayBeCrash && !IsPlanned)
     Core.reportLoss(Fingerprint, Target, Segments, lossStage(), Now);
   onAttemptEnd(attempt_outcome::Lost, Reason);
 }
--- a/src/gateway/version/release_task.cpp
+++ b/src/gateway/version/release_task.cpp
@@ -302,6 +302,7 @@
                    {"log_ratio", Verdict.LogRatio},
                    {"bound", Verdict.Bound}});
   if (Result.Status == store_status::Ok) {
+    Core.counters().onReleaseState(toString(Write.Status.State));
     applyRecord(Write.Service, record{Write.Status, Result.Revision, OrderAge});
     Core.releases().onWriteResult(Write.Service, release_write_outcome::Written,
                                   Now);
