Releases: the bound on exposure holds also if a bad version is completed

A version gets no more before its completion than leaves room for what it gets from then to the deadline. A few instances stand in for a decider that fails between the last step and the end.

--- a/src/decisions/process/release_evidence.cpp
+++ b/src/decisions/process/release_evidence.cpp
@@ -17,7 +17,7 @@
 
 /// Responses of former versions of the last seconds that count in a rate beside
 /// those of the same slice.
-constexpr double SliceWeight = 20;
+constexpr double SliceWeight = 100;
 /// Responses, with a quarter of a failure among them, that count before there
 /// are any.
 constexpr double PriorTrials = 50;
@@ -37,6 +37,10 @@
 constexpr double MinHalfTrials = 5;
 /// Probability below which a fault of one half is none of the version.
 constexpr double OneSidedChance = 0.01;
+/// The same, above which the halves agree on a fault.
+constexpr double ConfirmedChance = 0.1;
+/// Logarithm of the likelihood ratio of each half that confirms a fault.
+constexpr double ConfirmedRatio = 2;
 /// Deviations of the excess of a sound version that are ignored.
 constexpr double ExcessDeviations = 4;
 /// Excess that bars the version however few instances are heard.
@@ -253,7 +257,8 @@
 
 bool release_evidence::sequential_test::isConfirmed() const {
   if (std::min(Trials[0], Trials[1]) >= MinHalfTrials)
-    return std::min(logRatio(0), logRatio(1)) > 0;
+    return std::min(logRatio(0), logRatio(1)) >= ConfirmedRatio &&
+           splitChance() >= ConfirmedChance;
   // One upstream alone has to show twice as much.
   return logRatio(Both) >= 2 * bound();
 }
@@ -262,18 +267,21 @@
   return Bad[0] * Trials[1] < Bad[1] * Trials[0] ? 0 : 1;
 }
 
-bool release_evidence::sequential_test::isOneSided() const {
+double release_evidence::sequential_test::splitChance() const {
   const std::size_t Better = betterHalf();
   if (Bad[Both] < MinBad || Trials[Better] < MinHalfTrials)
-    return false;
-  // Binomial tail: so few of the bad responses, by the half's share of all.
+    return 1;
   const double Share = Trials[Better] / Trials[Both];
   double Tail = 0;
-  for (double Few = 0; Few <= Bad[Better] && Tail < OneSidedChance; ++Few)
+  for (double Few = 0; Few <= Bad[Better] && Tail < ConfirmedChance; ++Few)
     Tail += std::exp(std::lgamma(Bad[Both] + 1) - std::lgamma(Few + 1) -
                      std::lgamma(Bad[Both] - Few + 1) + Few * std::log(Share) +
                      (Bad[Both] - Few) * std::log(1 - Share));
-  return Tail < OneSidedChance;
+  return Tail;
+}
+
+bool release_evidence::sequential_test::isOneSided() const {
+  return splitChance() < OneSidedChance;
 }
 
 std::optional<std::size_t> release_evidence::lateClass(const route_test &Test) {
@@ -393,6 +401,7 @@
   const double Seconds = std::max(1.0, toSeconds(Now - BeganAt));
   release_verdict Result;
   bool IsLikelySound = true;
+  AllRoutes.Seen = {};
   for (const auto &[Route, Counts] : sumOfAll()) {
     route_test &Test = Tests[Route];
     testRoute(Counts, Test, Decay);
@@ -400,6 +409,7 @@
     judge(Route, Test, Test.Lateness, "lateness", MostExcess, Result);
     double Known = 0;
     for (std::size_t Group = 0; Group < Counts.size(); ++Group) {
+      AllRoutes.Seen[Group].add(Counts[Group]);
       Known += static_cast<double>(Counts[Group].Responses);
       if (Group != FormerVersions)
         Result.Exposed += Counts[Group].Responses;
--- a/src/decisions/process/release_evidence.h
+++ b/src/decisions/process/release_evidence.h
@@ -160,6 +160,9 @@
     bool isConfirmed() const;
     /// Returns the half that has the smaller share of bad responses.
     std::size_t betterHalf() const;
+    /// Returns the probability that the better half has so few of the bad
+    /// responses by chance, exactly where it matters (binomial distribution).
+    double splitChance() const;
     /// Returns whether the bad responses of one half cannot be the version's:
     /// the other half would have had more of them.
     bool isOneSided() const;
--- a/src/decisions/process/release_exposure.cpp
+++ b/src/decisions/process/release_exposure.cpp
@@ -119,8 +119,7 @@
 }
 
 void release_exposure::chooseLoaded() {
-  Loaded = Order ? loadedUpstreams(NewUpstreams, Order->Software,
-                                   Options.ExposeShare * StepShares[Step])
+  Loaded = Order ? loadedUpstreams(NewUpstreams, Order->Software, stepShare())
                  : loaded_upstreams{};
 }
 
@@ -168,21 +167,24 @@
   Paced = std::max(0.0, Paced - 1);
 }
 
+double release_exposure::stepShare() const {
+  return std::min(
+      Options.ExposeShare * StepShares[Step],
+      software_release::mostShare(Options.ExposeShare, Order->Duration));
+}
+
 double release_exposure::allowance(double Share) const {
-  return Options.ExposeShare * Share * static_cast<double>(Requests) + Slack;
+  return Share * static_cast<double>(Requests) + Slack;
 }
 
 double release_exposure::share(instant) const {
   if (!Order || Barred || Withdrawn)
     return 0;
-  return State == release_state::Running
-             ? Options.ExposeShare * StepShares[Step]
-             : 1;
+  return State == release_state::Running ? stepShare() : 1;
 }
 
 bool release_exposure::isProbing(instant Now) const {
-  const double Duty =
-      Options.ExposeShare * StepShares[Step] / std::max(Loaded.LoadShare, 1e-9);
+  const double Duty = stepShare() / std::max(Loaded.LoadShare, 1e-9);
   if (Duty >= 1)
     return true;
   const span_ns Probe =
@@ -216,10 +218,11 @@
     return software_use::Preferred;
   const auto Sent = static_cast<double>(SentToNew) + 1;
   if (Continues)
-    return Sent <= allowance(ContinuingShare) ? software_use::Allowed
-                                              : software_use::Barred;
+    return Sent <= allowance(Options.ExposeShare * ContinuingShare)
+               ? software_use::Allowed
+               : software_use::Barred;
   const bool IsDue =
-      Sent <= allowance(StepShares[Step]) && Paced >= 1 && isProbing(Now) &&
+      Sent <= allowance(stepShare()) && Paced >= 1 && isProbing(Now) &&
       std::ranges::find(Loaded.Ids, Upstream) != Loaded.Ids.end();
   return IsDue ? software_use::Preferred : software_use::Barred;
 }
--- a/src/decisions/process/release_exposure.h
+++ b/src/decisions/process/release_exposure.h
@@ -137,6 +137,8 @@
 private:
   /// Requests that this process may have sent to the version in all.
   double allowance(double Share) const;
+  /// Returns the share of requests that the version may get in this step.
+  double stepShare() const;
   /// Returns whether the version is probed at its later load now.
   bool isProbing(instant Now) const;
   void chooseLoaded();
--- a/src/decisions/process/service_releases.cpp
+++ b/src/decisions/process/service_releases.cpp
@@ -213,7 +213,8 @@
   return Steps;
 }
 
-std::vector<release_write> service_releases::decide(instant Now) {
+std::vector<release_write> service_releases::decide(instant Now,
+                                                    bool HoldsClaim) {
   std::vector<release_write> Writes;
   for (auto &[Service, Release] : Releases) {
     release_verdict Verdict = Release.Evidence.lastVerdict();
@@ -222,7 +223,13 @@
       Verdict.Reason = "peer";
     }
     Release.Decider.onEvidence(Verdict);
-    if (auto Write = Release.Decider.onTick(Now))
+    const bool StandsIn =
+        !HoldsClaim && Release.Decider.order() &&
+        rankIn(Self, Instances, *Release.Decider.order()) < StandIns;
+    if (!HoldsClaim && !StandsIn)
+      continue;
+    if (auto Write = HoldsClaim ? Release.Decider.onTick(Now)
+                                : Release.Decider.onStandInTick(Now))
       Writes.push_back(std::move(*Write));
   }
   return Writes;
--- a/src/decisions/process/service_releases.h
+++ b/src/decisions/process/service_releases.h
@@ -88,8 +88,12 @@
   /// Returns them; peers should get the news at once if one is "barred".
   std::vector<release_step> onTick(instant Now);
 
-  /// Decides for all services; must be called only while the claim is held.
-  std::vector<release_write> decide(instant Now);
+  /// Instances that may write what the holder of the claim failed to write.
+  static constexpr std::size_t StandIns = 3;
+
+  /// Returns what to write for all services. Without the claim a few instances
+  /// stand in for its holder, see `software_release::onStandInTick`.
+  std::vector<release_write> decide(instant Now, bool HoldsClaim = true);
   void onWriteResult(std::string_view Service, release_write_outcome Outcome,
                      instant Now);
   void onStoreTrouble();
--- a/src/decisions/version/software_release.cpp
+++ b/src/decisions/version/software_release.cpp
@@ -15,6 +15,17 @@
   return fromSeconds(toSeconds(Whole) * Share);
 }
 
+/// Parts of the bound on exposure that a version gets in any case, so that
+/// there are responses to judge it by, and at most.
+constexpr double LeastExposure = 0.2;
+constexpr double MostExposure = 0.8;
+
+/// Returns how long before the deadline an order is completed.
+span_ns marginOf(span_ns Duration) {
+  return std::max(software_release::WriteMargin,
+                  part(Duration, software_release::WriteMarginShare));
+}
+
 } // namespace
 
 std::string faultOf(const release_order &Order) {
@@ -90,14 +101,18 @@
   return Now - OrderedAt;
 }
 
-span_ns software_release::writeMargin() const {
-  return std::max(WriteMargin, part(Order->Duration, WriteMarginShare));
+double software_release::mostShare(double ExposeShare, span_ns Duration) {
+  const double Later = toSeconds(marginOf(Duration) + FinishingTime) /
+                       std::max(toSeconds(Duration), 1e-9);
+  return std::clamp(UnprovenShare * ExposeShare - Later,
+                    LeastExposure * ExposeShare, MostExposure * ExposeShare);
 }
 
 instant software_release::finishingAt() const {
   const span_ns Duration = Order->Duration;
-  span_ns After = std::max(part(Duration, MinDecisionShare),
-                           Duration - writeMargin() - FinishingTime);
+  span_ns After =
+      std::max(part(Duration, MinDecisionShare),
+               Duration - marginOf(Order->Duration) - FinishingTime);
   if (StoreTrouble)
     After = std::min(After, part(Duration, UnstableDecisionShare));
   return OrderedAt + After;
@@ -105,12 +120,12 @@
 
 instant software_release::completedAt() const {
   return std::max(finishingAt() + FinishingTime / 2,
-                  OrderedAt + Order->Duration - writeMargin());
+                  OrderedAt + Order->Duration - marginOf(Order->Duration));
 }
 
 bool software_release::isBounded(instant Now) const {
-  const double Left = toSeconds(
-      std::max<span_ns>(OrderedAt + Order->Duration - Now, writeMargin()));
+  const double Left = toSeconds(std::max<span_ns>(
+      OrderedAt + Order->Duration - Now, marginOf(Order->Duration)));
   const double Later = Left * Verdict.PerSecond;
   const double Allowed = UnprovenShare * Options.ExposeShare *
                              (static_cast<double>(Verdict.Requests) + Later) +
@@ -128,10 +143,32 @@
       std::move(Reason), Verdict};
 }
 
-std::optional<release_write> software_release::onTick(instant Now) {
-  if (!Options.isEnabled() || !Order || !faultOf(*Order).empty())
+bool software_release::isReady(instant Now) const {
+  return Options.isEnabled() && Order && faultOf(*Order).empty() &&
+         !(WrittenAt && Now - *WrittenAt < WriteRetry);
+}
+
+instant software_release::endingAt(instant Now) {
+  if (!FinishingSince)
+    FinishingSince = Now;
+  return std::min(*FinishingSince + FinishingTime,
+                  std::max(*FinishingSince + FinishingTime / 2, completedAt()));
+}
+
+std::optional<release_write> software_release::onStandInTick(instant Now) {
+  const release_status *Current = status();
+  if (!isReady(Now) || !Current || Current->isFinal())
     return std::nullopt;
-  if (WrittenAt && Now - *WrittenAt < WriteRetry)
+  if (Verdict.State == evidence_state::Bad)
+    return write(release_state::RolledBack, Verdict.Reason, Now);
+  if (Current->State == release_state::Finishing &&
+      Now >= endingAt(Now) + StandInDelay)
+    return write(release_state::Completed, "no_fault_found", Now);
+  return std::nullopt;
+}
+
+std::optional<release_write> software_release::onTick(instant Now) {
+  if (!isReady(Now))
     return std::nullopt;
   const release_status *Current = status();
   if (!Current)
@@ -141,12 +178,7 @@
   if (Verdict.State == evidence_state::Bad)
     return write(release_state::RolledBack, Verdict.Reason, Now);
   if (Current->State == release_state::Finishing) {
-    if (!FinishingSince)
-      FinishingSince = Now;
-    const instant DueAt =
-        std::min(*FinishingSince + FinishingTime,
-                 std::max(*FinishingSince + FinishingTime / 2, completedAt()));
-    if (Now < DueAt)
+    if (Now < endingAt(Now))
       return std::nullopt;
     return write(release_state::Completed, "no_fault_found", Now);
   }
@@ -155,13 +187,15 @@
     return write(release_state::Completed, "no_former_version", Now);
   if (Now < finishingAt())
     return std::nullopt;
-  if (NewUpstreams > 0 && Verdict.State == evidence_state::Sound)
+  const bool IsSound = Verdict.State == evidence_state::Sound;
+  if (NewUpstreams > 0 && IsSound && (isBounded(Now) || Now >= completedAt()))
     return write(release_state::Finishing, "no_fault_found", Now);
   if (Now < completedAt())
     return std::nullopt;
   if (NewUpstreams == 0)
     return write(release_state::RolledBack, "no_upstream", Now);
-  return isBounded(Now)
+  const bool IsUnsuspected = Verdict.LogRatio <= UnsuspectedRatio;
+  return IsUnsuspected && isBounded(Now)
              ? write(release_state::Completed, "too_few_responses", Now)
              : write(release_state::RolledBack, "not_proven", Now);
 }
--- a/src/decisions/version/software_release.h
+++ b/src/decisions/version/software_release.h
@@ -116,22 +116,33 @@
 public:
   /// Time before the deadline at which `Completed` is first written. What is
   /// sent to the version after that cannot be taken back, so it is short.
-  static constexpr span_ns WriteMargin = std::chrono::milliseconds(1500);
+  static constexpr span_ns WriteMargin = std::chrono::milliseconds(1000);
   /// The same as a share of the duration; the longer one applies.
   static constexpr double WriteMarginShare = 0.025;
   /// For how long all requests go to the version before the former one stops,
   /// so that those running there can end.
-  static constexpr span_ns FinishingTime = std::chrono::milliseconds(1000);
+  static constexpr span_ns FinishingTime = std::chrono::milliseconds(500);
   /// Neither begins before this share of the duration; orders of a few seconds
   /// would otherwise be decided at once.
   static constexpr double MinDecisionShare = 0.7;
   /// Share of the duration at which a release is finished whose store had
   /// trouble while it ran.
   static constexpr double UnstableDecisionShare = 0.85;
+  /// Logarithm of the likelihood ratio up to which nothing speaks against a
+  /// version.
+  static constexpr double UnsuspectedRatio = 0;
+  /// Delay after which other instances complete a release that the holder of
+  /// the claim was to complete.
+  static constexpr span_ns StandInDelay = std::chrono::milliseconds(300);
   /// Parts of `ExposeShare` and of `CanarySlack` that a version may get which
   /// is completed without being proven, should it be bad.
   static constexpr double UnprovenShare = 0.95;
   static constexpr double UnprovenSlack = 0.9;
+
+  /// Returns the largest share of requests that leaves room in \p ExposeShare
+  /// for those that the version gets from `Finishing` to the deadline. So the
+  /// bound holds whatever the version is, also if it is completed wrongly.
+  static double mostShare(double ExposeShare, span_ns Duration);
   /// Time without an answer after which a write is repeated.
   static constexpr span_ns WriteRetry = std::chrono::milliseconds(300);
   /// Time without an upstream of a former version after which there is none to
@@ -163,6 +174,11 @@
   /// claim is held.
   std::optional<release_write> onTick(instant Now);
 
+  /// Returns the status that an instance without the claim may write: the end
+  /// of a release whose decision was taken, or a roll-back. The revisions that
+  /// it is written under let only one instance do it.
+  std::optional<release_write> onStandInTick(instant Now);
+
   /// Returns the time since the order, as far as known.
   std::optional<span_ns> age(instant Now) const;
   const std::optional<release_order> &order() const { return Order; }
@@ -175,9 +191,12 @@
   std::optional<release_write> write(release_state State, std::string Reason,
                                      instant Now);
   /// Returns when `Finishing` and when `Completed` is due.
-  span_ns writeMargin() const;
   instant finishingAt() const;
   instant completedAt() const;
+  /// Returns whether a write may be tried.
+  bool isReady(instant Now) const;
+  /// Returns when a release that is `Finishing` has to be completed.
+  instant endingAt(instant Now);
   /// Returns whether the bound on exposure holds if the version gets all
   /// requests from now on and is bad.
   bool isBounded(instant Now) const;
