--- a/src/decisions/process/release_evidence.cpp
+++ b/src/decisions/process/release_evidence.cpp
@@ -39,6 +39,9 @@
 constexpr double OneSidedChance = 0.01;
 /// The same, above which the halves agree on a fault.
 constexpr double ConfirmedChance = 0.1;
+/// How much more one half has to show alone, while the other has hardly any
+/// responses.
+constexpr double UnconfirmedFactor = 3;
 /// Logarithm of the likelihood ratio of each half that confirms a fault.
 constexpr double ConfirmedRatio = 2;
 /// Deviations of the excess of a sound version that are ignored.
@@ -259,8 +262,7 @@
   if (std::min(Trials[0], Trials[1]) >= MinHalfTrials)
     return std::min(logRatio(0), logRatio(1)) >= ConfirmedRatio &&
            splitChance() >= ConfirmedChance;
-  // One upstream alone has to show twice as much.
-  return logRatio(Both) >= 2 * bound();
+  return logRatio(Both) >= UnconfirmedFactor * bound();
 }
 
 std::size_t release_evidence::sequential_test::betterHalf() const {
