--- a/src/decisions/process/service_releases.cpp
+++ b/src/decisions/process/service_releases.cpp
@@ -18,7 +18,13 @@
   Instances = std::move(Names);
   InstancesKnown = AreKnown;
   for (auto &[Service, Release] : Releases)
-    Release.Evidence.setInstances(Instances.size());
+    updateInstances(Release);
+}
+
+void service_releases::updateInstances(service_release &Release) const {
+  Release.Evidence.setInstances(Instances.size());
+  const auto &Order = Release.Exposure.order();
+  Release.StandsIn = Order && rankIn(Self, Instances, *Order) < StandIns;
 }
 
 service_releases::service_release *
@@ -78,7 +84,7 @@
     Rank = rankIn(Self, Instances, *Order);
   Known->Exposure.onOrder(*Order, Rank, Instances.size(), Now);
   Known->Evidence.onOrder(*Order, Now);
-  Known->Evidence.setInstances(Instances.size());
+  updateInstances(*Known);
   Known->Decider.onOrder(Order, Now);
   if (!IsNew)
     return;
@@ -223,10 +229,7 @@
       Verdict.Reason = "peer";
     }
     Release.Decider.onEvidence(Verdict);
-    const bool StandsIn =
-        !HoldsClaim && Release.Decider.order() &&
-        rankIn(Self, Instances, *Release.Decider.order()) < StandIns;
-    if (!HoldsClaim && !StandsIn)
+    if (!HoldsClaim && !Release.StandsIn)
       continue;
     if (auto Write = HoldsClaim ? Release.Decider.onTick(Now)
                                 : Release.Decider.onStandInTick(Now))
--- a/src/decisions/process/service_releases.h
+++ b/src/decisions/process/service_releases.h
@@ -108,6 +108,7 @@
     release_exposure Exposure;
     release_evidence Evidence;
     software_release Decider;
+    bool StandsIn = false; ///< this instance is one of `StandIns`
     double LoggedShare = 0;
     bool LoggedBarred = false;
     std::vector<release_step> Steps; ///< not yet returned by `onTick`
@@ -116,6 +117,7 @@
   static bool isActive(const service_release &Release);
   service_release *find(std::string_view Service);
   const service_release *find(std::string_view Service) const;
+  void updateInstances(service_release &Release) const;
   release_step stepOf(const service_release &Release, std::string Name,
                       instant Now) const;
 
