--- a/tests/gateway/release_test.cpp
+++ b/tests/gateway/release_test.cpp
@@ -285,3 +285,52 @@
                 6s),
             "%s", Releases.valueOf(StatusKey).c_str());
 }
+
+/// The store returns from a copy that is older than the order, or than its
+/// states; operators write the order again.
+Test(releases, a_restored_store_changes_no_outcome) {
+  for (const bool CopyHasOrder : {false, true}) {
+    release_fleet Releases(2);
+    fake_fleet_store &Store = Releases.Fleet.Gateway.Store;
+    if (!CopyHasOrder)
+      Store.saveCopy();
+    Releases.order(9);
+    if (CopyHasOrder)
+      Store.saveCopy();
+    cr_assert(
+        Releases.sendUntil([&] { return Releases.hasState("running"); }, 3s));
+    Store.restoreCopy(300ms);
+    cr_assert(
+        Releases.sendUntil([&] { return Releases.hasState("completed"); }, 14s),
+        "%d: %s", CopyHasOrder, Releases.valueOf(StatusKey).c_str());
+  }
+}
+
+/// An instance that starts while a release runs keeps to the share, too.
+Test(releases, a_new_instance_keeps_to_the_share) {
+  release_fleet Releases(2);
+  Releases.order(60);
+  cr_assert(
+      Releases.sendUntil([&] { return Releases.hasState("running"); }, 2s));
+  Releases.Fleet.restart(1);
+  const int Before = Releases.runsOf("v2");
+  const std::size_t SentBefore = Releases.Sent;
+  Releases.sendUntil([] { return false; }, 2s);
+  cr_assert(Releases.runsOf("v2") > Before);
+  cr_assert(Releases.runsOf("v2") - Before <=
+            Share * static_cast<double>(Releases.Sent - SentBefore) + 5);
+}
+
+/// With v2 gone from the choice, the retries of requests stay with v1.
+Test(releases, retries_obey_a_roll_back) {
+  release_fleet Releases(1);
+  Releases.setBehavior("v2", upstream_behavior::Error);
+  Releases.order(9);
+  cr_assert(
+      Releases.sendUntil([&] { return Releases.hasState("rolled_back"); }, 9s));
+  const int Before = Releases.runsOf("v2");
+  Releases.setBehavior("v1", upstream_behavior::Full);
+  for (int Request = 0; Request < 20; ++Request)
+    Releases.send();
+  cr_assert(Releases.runsOf("v2") == Before);
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -32,23 +32,30 @@
   std::string Statuses;
   for (const auto &[Status, Count] : Result.StatusCounts)
     Statuses += fmt::format(" {}:{}", Status, Count);
-  std::cout << fmt::format("seed {}: {} requests;{}; {} violations\n",
-                           Options.Seed, Result.RequestCount, Statuses,
-                           Result.Violations.size())
-            << fmt::format(
-                   "  streams: {} of {} new ones began; {} resumed, of "
-                   "them {} of {} counted went on; {} mixed; upstreams: "
-                   "{} leavings passed on, {} pauses asked for\n",
-                   Result.Streams.Begun, Result.Streams.New,
-                   Result.Streams.Resumed, Result.Streams.GoOn,
-                   Result.Streams.Counted, Result.Streams.Mixed,
-                   Result.Leavings, Result.Pauses)
-            << (Options.EarlierDaemon.empty()
-                    ? ""
-                    : fmt::format("  builds: {} gateways upgraded, {} rolled "
-                                  "back\n",
-                                  Result.Upgrades, Result.Rollbacks))
-            << std::flush;
+  std::cout
+      << fmt::format("seed {}: {} requests;{}; {} violations\n", Options.Seed,
+                     Result.RequestCount, Statuses, Result.Violations.size())
+      << fmt::format("  streams: {} of {} new ones began; {} resumed, of "
+                     "them {} of {} counted went on; {} mixed; upstreams: "
+                     "{} leavings passed on, {} pauses asked for\n",
+                     Result.Streams.Begun, Result.Streams.New,
+                     Result.Streams.Resumed, Result.Streams.GoOn,
+                     Result.Streams.Counted, Result.Streams.Mixed,
+                     Result.Leavings, Result.Pauses)
+      << (Options.EarlierDaemon.empty()
+              ? ""
+              : fmt::format("  builds: {} gateways upgraded, {} rolled "
+                            "back\n",
+                            Result.Upgrades, Result.Rollbacks))
+      << (Options.Orders
+              ? fmt::format("  orders: {} of {} sound versions completed, "
+                            "{} of {} faulty ones rolled back, which ran "
+                            "{} requests at most\n",
+                            Result.Orders.Completed, Result.Orders.Sound,
+                            Result.Orders.RolledBack, Result.Orders.Faulty,
+                            Result.Orders.Exposed)
+              : "")
+      << std::flush;
   if (Result.Violations.empty()) {
     std::filesystem::remove_all(Options.Folder);
     return true;
@@ -150,6 +157,9 @@
       "number of concurrent callers; 24, with --releases 36")(
       "releases", options::bool_switch(&Request.Releases),
       "kill gateways while upstreams change their software")(
+      "orders", options::bool_switch(&RunOptions.Orders),
+      "order releases, half of them of faulty versions, beside faults of "
+      "gateways and the store; needs --seconds 30 or more")(
       "folder", options::value(&Folder)->default_value("soak-logs"),
       "folder for settings and logs")(
       "early-stops", options::value(&EarlyStops)->default_value(0),
--- a/tests/soak/soak_environment.cpp
+++ b/tests/soak/soak_environment.cpp
@@ -41,8 +41,9 @@
   }
   publishConfiguration();
   for (std::size_t Index = 0; Index < Options.Size.Gateways; ++Index) {
-    Gateways.push_back(std::make_unique<soak_gateway>(
-        Base.get(), Store, Options.Daemon, Options.Folder, Index));
+    Gateways.push_back(
+        std::make_unique<soak_gateway>(Base.get(), Store, Options.Daemon,
+                                       Options.Folder, Index, Options.Orders));
     Gateways.back()->RunsEarlier =
         Index % 2 == 1 && !Options.EarlierDaemon.empty();
     startGateway(*Gateways.back());
@@ -85,6 +86,7 @@
   }
   LastTick = Now;
   reportState(Now);
+  checkOrder(Now);
   for (const auto &Gateway : Gateways) {
     if (Gateway->Process->running()) {
       if (!Gateway->Listening)
@@ -175,13 +177,17 @@
       },
       RecoveryTimeout);
   waitFor([] { return false; }, 500ms);
+  if (Options.Orders)
+    schedule(9s, [this] { orderRelease(); }); // instances know each other
   for (const soak_event &Event : makeSoakPlan(Options.Seed, Options.Size))
-    schedule(Event.At, [this, Event] { applyEvent(Event); });
+    if (!Options.Orders || touchesGatewaysOnly(Event.Kind))
+      schedule(Event.At, [this, Event] { applyEvent(Event); });
   TrafficEnabled = true;
   for (const auto &Caller : Callers)
     sendRequest(*Caller);
   waitFor([] { return false; }, Options.Size.Length);
   recover();
+  endOrder();
   Checker.finish();
   soak_result Result;
   Result.Violations = Checker.violations();
@@ -198,6 +204,7 @@
   Result.Streams = VersionChecker.counts();
   Result.Leavings = LeavingChecker.told();
   Result.Pauses = PauseChecker.pauses();
+  Result.Orders = OrderCounts;
   Result.Upgrades = Upgrades;
   Result.Rollbacks = Rollbacks;
   Result.RequestCount = Checker.requestCount();
--- a/tests/soak/soak_environment.h
+++ b/tests/soak/soak_environment.h
@@ -34,11 +34,23 @@
   std::uint32_t Seed = 1;
   soak_size Size;
   std::filesystem::path Folder; ///< for settings and logs
+  /// Order releases of software, half of them of faulty versions, beside faults
+  /// of gateways and the store only.
+  bool Orders = false;
   /// Whether time bounds are checked too. They can fail on an overloaded
   /// machine.
   bool CheckTimes = false;
 };
 
+/// What became of the orders of releases.
+struct order_counts {
+  std::size_t Sound = 0; ///< orders of sound versions
+  std::size_t Completed = 0;
+  std::size_t Faulty = 0; ///< orders of faulty versions
+  std::size_t RolledBack = 0;
+  std::size_t Exposed = 0; ///< most runs by a faulty version
+};
+
 /// The outcome of a run.
 struct soak_result {
   std::vector<std::string> Violations; ///< one line each
@@ -49,6 +61,7 @@
   std::size_t Pauses = 0;    ///< that upstreams asked gateways for
   std::size_t Upgrades = 0;  ///< gateways replaced by the later build
   std::size_t Rollbacks = 0; ///< and by the earlier one
+  order_counts Orders;
 };
 
 /// Runs the event plan of one seed and checks the guarantees.
@@ -71,6 +84,26 @@
     bool Published = false;      ///< the store has the entry of the process
   };
   class caller;
+  /// An order of a release, until the next one.
+  struct order {
+    std::string Software;
+    bool IsFaulty = false;
+    instant At;
+    std::size_t Runs = 0;    ///< at all upstreams until the deadline
+    std::size_t Exposed = 0; ///< of them at the ordered version
+    std::size_t Failures = 0;
+    instant FiftiethAt;
+    std::string State;                        ///< last one that was read
+    std::vector<fake_upstream *> Processes{}; ///< of the version
+  };
+
+  /// Orders a release, and the next one after that.
+  void orderRelease();
+  void startOrdered();
+  /// Does what operators do at the state of the present order.
+  void checkOrder(instant Now);
+  void endOrder();
+  void onOrderedRun(std::string_view Id, std::size_t Gateway, instant Now);
 
   void startGateway(soak_gateway &Gateway);
   void tick();
@@ -138,6 +171,9 @@
   bool Recovering = false;
   bool CopyPending = false;            ///< the store is to return from its copy
   std::vector<std::string> Violations; ///< besides those of the checker
+  std::optional<order> Order;
+  std::size_t OrdersGiven = 0;
+  order_counts OrderCounts;
   instant LastTick;
   timer TickTimer;
 };
--- a/tests/soak/soak_gateway.cpp
+++ b/tests/soak/soak_gateway.cpp
@@ -35,20 +35,21 @@
 soak_gateway::soak_gateway(event_base *Base, fake_fleet_store &Store,
                            const std::string &Daemon,
                            const std::filesystem::path &Folder,
-                           std::size_t Index)
+                           std::size_t Index, bool Releases)
     : Index(Index), Name(fmt::format("g-{}", Index)), StoreClient(Store, Name),
       Server(Base, StoreClient, [&Store] { return Store.era(); }),
       StoreProxy(Base, Server.port()), CallerProxy(Base, 0),
       PortsFile((Folder / (Name + ".ports")).string()) {
   Process = std::make_unique<daemon_process>(
       Daemon,
-      std::vector<std::string>{"--gateway", "--settings", writeSettings(Folder),
-                               "--ports", PortsFile},
+      std::vector<std::string>{"--gateway", "--settings",
+                               writeSettings(Folder, Releases), "--ports",
+                               PortsFile},
       (Folder / (Name + ".log")).string());
 }
 
-std::string
-soak_gateway::writeSettings(const std::filesystem::path &Folder) const {
+std::string soak_gateway::writeSettings(const std::filesystem::path &Folder,
+                                        bool Releases) const {
   const std::filesystem::path Path = Folder / (Name + ".toml");
   std::ofstream(Path) << fmt::format(
       "[instance]\nname = \"{}\"\ndomain = \"z\"\ndomains = [\"z=r\"]\n"
@@ -62,6 +63,12 @@
       "[log]\nlines_per_second = 5000\n",
       Name, StoreProxy.port(), KeyBoundMs, ApplyBoundMs, StopGraceSeconds,
       LimitSlack);
+  // Earlier builds do not know these settings.
+  if (Releases)
+    std::ofstream(Path, std::ios::app)
+        << fmt::format("[releases]\nexpose_share = {}\ncanary_slack = {}\n"
+                       "rollback_ms = {}\n",
+                       ExposeShare, CanarySlack, RollbackMs);
   return Path.string();
 }
 
--- a/tests/soak/soak_gateway.h
+++ b/tests/soak/soak_gateway.h
@@ -15,6 +15,11 @@
 
 namespace ebonyvale {
 
+/// Bounds on releases in the gateways' settings.
+inline constexpr double ExposeShare = 0.2;
+inline constexpr int CanarySlack = 100;
+inline constexpr int RollbackMs = 2000;
+
 /// Returns the bounds in the gateways' settings, for the checker.
 guarantee_bounds soakBounds();
 
@@ -25,7 +30,7 @@
   /// \p Folder receives the settings, the log and the ports file.
   soak_gateway(event_base *Base, fake_fleet_store &Store,
                const std::string &Daemon, const std::filesystem::path &Folder,
-               std::size_t Index);
+               std::size_t Index, bool Releases = false);
 
   /// Starts the process; returns false if the program cannot be started.
   bool start();
@@ -57,7 +62,8 @@
   unsigned ActiveFaults = 0; ///< of the process or its callers' link
 
 private:
-  std::string writeSettings(const std::filesystem::path &Folder) const;
+  std::string writeSettings(const std::filesystem::path &Folder,
+                            bool Releases) const;
 
   std::string PortsFile;
 };
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -47,6 +47,13 @@
   return Names[static_cast<std::size_t>(Kind)];
 }
 
+bool touchesGatewaysOnly(soak_event_kind Kind) {
+  using enum soak_event_kind;
+  return Kind == CallerLink || Kind == StoreLink || Kind == Store ||
+         Kind == Compaction || Kind == Terminate || Kind == Kill ||
+         Kind == KillAll || Kind == Pause;
+}
+
 soak_size releaseSize(span_ns Length) {
   soak_size Size;
   Size.Gateways = 6;
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -76,6 +76,10 @@
   span_ns BuildGap{0};
 };
 
+/// Returns whether an event of \p Kind is a fault of gateways, their links or
+/// the store, which loses nothing.
+bool touchesGatewaysOnly(soak_event_kind Kind);
+
 /// Returns the size of a run of \p Length in which gateways are killed while
 /// upstreams change their software and most other faults are rare, so that
 /// streams are resumed at gateways without a fault.
--- a/tests/soak/soak_releases.cpp
+++ b/tests/soak/soak_releases.cpp
@@ -79,8 +79,10 @@
       PauseChecker.onRefusal(Process.id(), Sent->Gateway, *Process.Pause,
                              readBootClock());
   };
-  Process.OnRun = [this, IdOf](const http_request &Request) {
+  Process.OnRun = [this, &Process, IdOf](const http_request &Request) {
     Checker.onExecution(IdOf(Request), readBootClock());
+    if (const sent_request *Sent = Checker.request(IdOf(Request)))
+      onOrderedRun(Process.id(), Sent->Gateway, readBootClock());
   };
 }
 
