--- a/src/decisions/process/release_exposure.cpp
+++ b/src/decisions/process/release_exposure.cpp
@@ -108,7 +108,7 @@
 
 void release_exposure::onUpstreams(
     std::vector<std::string> NewIds,
-    std::set<std::string, std::less<>> FormerVersions) {
+    const std::set<std::string, std::less<>> &FormerVersions) {
   NewUpstreams = std::move(NewIds);
   FormerListed = !FormerVersions.empty();
   if (State != release_state::Completed)
--- a/src/decisions/process/release_exposure.h
+++ b/src/decisions/process/release_exposure.h
@@ -102,7 +102,7 @@
   /// Sets the open upstreams of the ordered version, ordered by id, and the
   /// versions of the others.
   void onUpstreams(std::vector<std::string> NewUpstreams,
-                   std::set<std::string, std::less<>> FormerVersions);
+                   const std::set<std::string, std::less<>> &FormerVersions);
   /// Applies what the responses of the version say. Bad: it gets no request of
   /// this process any more for this order. Returns whether that is news, which
   /// peers should learn at once.
--- a/src/decisions/process/service_releases.cpp
+++ b/src/decisions/process/service_releases.cpp
@@ -119,7 +119,7 @@
       ++FormerCount;
     }
     Release.Decider.onUpstreams(New.size(), FormerCount, Now);
-    Release.Exposure.onUpstreams(std::move(New), std::move(Former));
+    Release.Exposure.onUpstreams(std::move(New), Former);
   }
 }
 
--- a/src/decisions/version/software_release.cpp
+++ b/src/decisions/version/software_release.cpp
@@ -137,6 +137,8 @@
 std::optional<release_write>
 software_release::write(release_state State, std::string Reason, instant Now) {
   WrittenAt = Now;
+  if (State == release_state::Finishing)
+    FinishingSince = Now;
   return release_write{
       Order->Service,    {State, Order->Software, Order->Revision},
       Order->Revision,   StatusRevision,
--- a/src/decisions/version/software_release.h
+++ b/src/decisions/version/software_release.h
@@ -130,7 +130,7 @@
   static constexpr double UnstableDecisionShare = 0.85;
   /// Logarithm of the likelihood ratio up to which nothing speaks against a
   /// version.
-  static constexpr double UnsuspectedRatio = 0;
+  static constexpr double UnsuspectedRatio = 1;
   /// Delay after which other instances complete a release that the holder of
   /// the claim was to complete.
   static constexpr span_ns StandInDelay = std::chrono::milliseconds(300);
