--- a/src/decisions/version/software_release.h
+++ b/src/decisions/version/software_release.h
@@ -22,7 +22,8 @@
   double ExposeShare = 0;
   /// Requests of all instances together that it may get beyond that share.
   double CanarySlack = 0;
-  /// Time from the 50th bad response until no request may be sent to it.
+  /// Time from the 50th bad response until no request may be sent to it. For
+  /// reports only: an instance stops as soon as it knows.
   span_ns RollbackTime = std::chrono::seconds(5);
 
   bool isEnabled() const { return ExposeShare > 0; }
--- a/tests/decisions/version/software_release_test.cpp
+++ b/tests/decisions/version/software_release_test.cpp
@@ -5,8 +5,7 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
-#include <algorithm>
-#include <array>
+#include <sstream>
 #include <string>
 
 using namespace ebonyvale;
@@ -16,21 +15,22 @@
 
 constexpr release_options Bounds{0.1, 50, 5s};
 
+/// An event at a time in seconds after the order, and the state that is written
+/// then, if any. Letters: o order, O second order for another version, w
+/// withdrawn, m malformed order, e status of an earlier order, n no upstream of
+/// the version, u upstreams, f former ones gone, s sound, b bad, l few
+/// requests, c claim moved to a new process, t trouble of the store, x write
+/// lost, X write executed without a result, C conflict, T tick, I tick of a
+/// stand-in.
 struct step {
-  double Seconds; ///< since the order
-  /// Letters: o order, O second order for another version, w withdrawn, m
-  /// malformed order, e status of an earlier order, n no upstream of the
-  /// version, u upstreams, f former ones gone, s sound, b bad, l few requests,
-  /// c claim moved to a new process, t trouble of the store, x write lost (no
-  /// result), X write executed without a result, C conflict, T tick, I tick of
-  /// a stand-in.
-  char Event;
-  char Written[16]; ///< state of the tick; empty: none
+  double Seconds = 0;
+  char Event = 0;
+  std::string Written;
 };
 
 struct release_row {
-  char Name[48];
-  step Steps[12]; ///< ends with a step without an event
+  char Name[40];
+  char Script[160];
 };
 
 /// The store and the process that decides.
@@ -151,134 +151,30 @@
 
 release_row Rows[] = {
     {"sound",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'T', "running"},
-      {10, 's', ""},
-      {28.4, 'T', ""},
-      {28.5, 'T', "finishing"},
-      {28.9, 'T', ""},
-      {29, 'T', "completed"},
-      {40, 'T', ""}}},
-    {"bad",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'T', "running"},
-      {3, 'b', ""},
-      {3, 'T', "rolled_back"},
-      {9, 's', ""},
-      {29, 'T', ""}}},
+     "0o 0u 0.1T=running 10s 28.4T 28.5T=finishing 28.9T 29T=completed 40T"},
+    {"bad", "0o 0u 0.1T=running 3b 3T=rolled_back 9s 29T"},
     {"bad while finishing",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'T', "running"},
-      {10, 's', ""},
-      {28.5, 'T', "finishing"},
-      {28.8, 'b', ""},
-      {28.8, 'T', "rolled_back"}}},
-    {"few requests",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0, 'l', ""},
-      {0.1, 'T', "running"},
-      {28.6, 'T', ""},
-      {29, 'T', "completed"}}},
-    {"no upstream appears",
-     {{0, 'o', ""},
-      {0, 'n', ""},
-      {0.1, 'T', "running"},
-      {28.9, 'T', ""},
-      {29, 'T', "rolled_back"}}},
-    {"withdrawn",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'T', "running"},
-      {2, 'w', ""},
-      {2, 'b', ""},
-      {3, 'T', ""},
-      {29, 'T', ""}}},
-    {"second order",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'T', "running"},
-      {5, 's', ""},
-      {20, 'O', ""},
-      {20, 'u', ""},
-      {20, 'T', "running"},
-      {29, 'T', ""},
-      {45, 's', ""},
-      {48.5, 'T', "finishing"},
-      {49, 'T', "completed"}}},
+     "0o 0u 0.1T=running 10s 28.5T=finishing 28.8b 28.8T=rolled_back"},
+    {"few requests", "0o 0u 0l 0.1T=running 28.6T 29T=completed"},
+    {"no upstream appears", "0o 0n 0.1T=running 28.9T 29T=rolled_back"},
+    {"withdrawn", "0o 0u 0.1T=running 2w 2b 3T 29T"},
+    {"second order", "0o 0u 0.1T=running 5s 20O 20u 20T=running 29T 45s "
+                     "48.5T=finishing 49T=completed"},
     {"second order after a roll-back",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'T', "running"},
-      {1, 'b', ""},
-      {1, 'T', "rolled_back"},
-      {9, 'O', ""},
-      {9, 'T', "running"},
-      {10, 'T', ""}}},
-    {"status of an earlier order",
-     {{0, 'e', ""}, {0, 'o', ""}, {0, 'u', ""}, {0.1, 'T', "running"}}},
-    {"malformed",
-     {{0, 'm', ""}, {0, 'u', ""}, {1, 'T', ""}, {1, 'b', ""}, {29, 'T', ""}}},
-    {"write lost",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'x', "running"},
-      {0.2, 'T', ""},
-      {0.5, 'T', "running"}}},
+     "0o 0u 0.1T=running 1b 1T=rolled_back 9O 9T=running 10T"},
+    {"status of an earlier order", "0e 0o 0u 0.1T=running"},
+    {"malformed", "0m 0u 1T 1b 29T"},
+    {"write lost", "0o 0u 0.1x=running 0.2T 0.5T=running"},
     {"killed between writing and telling",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'T', "running"},
-      {9, 's', ""},
-      {28.5, 'X', "finishing"},
-      {28.6, 'c', ""},
-      {28.6, 'I', ""},
-      {29, 'I', ""},
-      {29.4, 'I', "completed"}}},
+     "0o 0u 0.1T=running 9s 28.5X=finishing 28.6c 28.6I 29I 29.4I=completed"},
     {"killed after the roll-back",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'T', "running"},
-      {3, 'b', ""},
-      {3, 'X', "rolled_back"},
-      {3, 'c', ""},
-      {3, 's', ""},
-      {29, 'T', ""}}},
+     "0o 0u 0.1T=running 3b 3X=rolled_back 3c 3s 29T"},
     {"another decider has written",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'T', "running"},
-      {3, 'b', ""},
-      {3, 'C', ""},
-      {3, 'T', "conflict"},
-      {3.1, 'T', ""},
-      {3.4, 'T', "rolled_back"}}},
-    {"stand-in, bad",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'I', ""},
-      {0.1, 'T', "running"},
-      {3, 'b', ""},
-      {3, 'I', "rolled_back"}}},
+     "0o 0u 0.1T=running 3b 3C 3T=conflict 3.1T 3.4T=rolled_back"},
+    {"stand-in, bad", "0o 0u 0.1I 0.1T=running 3b 3I=rolled_back"},
     {"trouble of the store",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'T', "running"},
-      {2, 't', ""},
-      {10, 's', ""},
-      {25.4, 'T', ""},
-      {25.5, 'T', ""},
-      {28.5, 'T', "finishing"}}},
-    {"former version gone",
-     {{0, 'o', ""},
-      {0, 'u', ""},
-      {0.1, 'T', "running"},
-      {3, 'f', ""},
-      {9, 'T', ""},
-      {13, 'T', "completed"}}},
+     "0o 0u 0.1T=running 2t 10s 25.4T 25.5T 28.5T=finishing"},
+    {"former version gone", "0o 0u 0.1T=running 3f 9T 13T=completed"},
 };
 
 } // namespace
@@ -289,9 +185,13 @@
 
 ParameterizedTest(release_row *Row, software_release, steps) {
   decider Decider;
-  for (const step &Step : Row->Steps) {
-    if (Step.Event == '\0')
-      break;
+  std::istringstream Script(Row->Script);
+  for (std::string Word; Script >> Word;) {
+    std::size_t Letter = 0;
+    step Step{std::stod(Word, &Letter)};
+    Step.Event = Word[Letter];
+    if (Word.size() > Letter + 1)
+      Step.Written = Word.substr(Letter + 2);
     const std::string Written = Decider.play(Step);
     cr_expect(Written == Step.Written, "%s: at %.1f s \"%s\" was written",
               Row->Name, Step.Seconds, Written.c_str());
