--- a/src/decisions/version/software_release.h
+++ b/src/decisions/version/software_release.h
@@ -22,7 +22,8 @@
   double ExposeShare = 0;
   /// Requests of all instances together that it may get beyond that share.
   double CanarySlack = 0;
-  /// Time from the 50th bad response until no request may be sent to it.
+  /// Time from the 50th bad response until no request may be sent to it. For
+  /// reports only: an instance stops as soon as it knows.
   span_ns RollbackTime = std::chrono::seconds(5);
 
   bool isEnabled() const { return ExposeShare > 0; }
@@ -130,7 +131,7 @@
   static constexpr double UnstableDecisionShare = 0.85;
   /// Logarithm of the likelihood ratio up to which nothing speaks against a
   /// version.
-  static constexpr double UnsuspectedRatio = 0;
+  static constexpr double UnsuspectedRatio = 1;
   /// Delay after which other instances complete a release that the holder of
   /// the claim was to complete.
   static constexpr span_ns StandInDelay = std::chrono::milliseconds(300);
--- a/src/gateway/version/release_task.cpp
+++ b/src/gateway/version/release_task.cpp
@@ -228,8 +228,9 @@
     Claim.tryTake(Now);
   else
     Claim.release();
-  if (IsActive && Claim.isHeld(Now))
-    for (const release_write &Write : Core.releases().decide(Now))
+  if (IsActive && !Core.leaving())
+    for (const release_write &Write :
+         Core.releases().decide(Now, Claim.isHeld(Now)))
       write(Write, Now);
   if (IsUrgent || Now >= NextRound)
     sendRound(Now);
@@ -270,9 +271,11 @@
       Age = News.Age;
   store_commit Commit;
   Commit.Conditions = {
-      {Claim.key(), Claim.revision()},
       {Documents.releaseOrderKey(Write.Service), Found->second.Revision},
       {recordKey(Write.Service), Write.ExpectedStatusRevision}};
+  // Without the claim this instance stands in for its holder.
+  if (Claim.isHeld(Now))
+    Commit.Conditions.push_back({Claim.key(), Claim.revision()});
   Commit.Puts = {{Documents.releaseStatusKey(Write.Service),
                   Documents.writeReleaseStatus(Write.Status), 0},
                  {recordKey(Write.Service), writeRecord(Write.Status, Age), 0}};
--- a/src/gateway/version/release_task.h
+++ b/src/gateway/version/release_task.h
@@ -20,8 +20,9 @@
 
 /// Does nothing without an order: no timer runs, and no call or message is
 /// sent. While one is in force, one instance of the fleet holds the claim and
-/// writes the states of releases; each write is conditional on the claim, the
-/// order and the state before.
+/// writes the states of releases, and at the end a few others stand in for it;
+/// each write is conditional on the order and the record before, and on the
+/// claim where it is held.
 class release_task final : public release_exchange {
 public:
   release_task(gateway_core &Core, fleet_store &Store);
