--- a/src/gateway/process/event_log.cpp
+++ b/src/gateway/process/event_log.cpp
@@ -20,8 +20,9 @@
 /// Buffer size that triggers a write before the next flush.
 constexpr std::size_t FlushBytes = 32 * 1024;
 
-constexpr std::array<std::string_view, 6> CategoryNames{
-    "process", "request", "store", "upstream", "peer", "weights"};
+constexpr std::array<std::string_view, 7> CategoryNames{
+    "process", "request", "store",   "upstream",
+    "peer",    "weights", "release"};
 
 void appendQuoted(fmt::memory_buffer &Out, std::string_view Text) {
   Out.push_back('"');
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -19,6 +19,8 @@
                     "Questions to peers for the version that began a stream.")),
       JudgedEnds(addFamily("ebonyvale_response_ends_total",
                            "Responses without length or chunks by verdict.")),
+      ReleaseStates(addFamily("ebonyvale_release_states_total",
+                              "States of releases written to the store.")),
       Requests(addCounter("ebonyvale_requests_total", "Requests received.")),
       CompletedResponses(
           addCounter("ebonyvale_answers_total",
@@ -53,6 +55,13 @@
           addCounter("ebonyvale_caller_connections_idle_closed_total",
                      "Connections of callers that were closed between two "
                      "requests.")),
+      VersionsBarred(
+          addCounter("ebonyvale_release_versions_barred_total",
+                     "Versions of software that got no more requests since "
+                     "their responses were bad.")),
+      ActiveReleases(addGauge("ebonyvale_releases_active",
+                              "1 while an order of a release is in force whose "
+                              "release has not ended.")),
       OpenRequests(addGauge("ebonyvale_open_requests", "Requests in flight.")),
       RoutingVersion(addGauge("ebonyvale_configuration_version",
                               "Configuration version in force.")),
@@ -103,6 +112,10 @@
       .Increment();
 }
 
+void gateway_metrics::onReleaseState(std::string_view State) {
+  ReleaseStates.Add({{"state", std::string(State)}}).Increment();
+}
+
 void gateway_metrics::onUpstreamLoss(std::string_view Reason) {
   UpstreamLosses.Add({{"reason", std::string(Reason)}}).Increment();
 }
