Gateway: urgent requests first while room is short; refusals say why

Where features.enabled lists "pressure", a request that was given an upstream asks for room before it is sent for the first time. Reports of load, in responses and from peers, first chunks and refusals as full feed the control. Refusals have the bound in their detail and a Retry-After spread by the request's id; /rooms shows each service's room and each team's part, use and refusals; room_short, room_enough and two metrics tell operators since when. Without the feature nothing is kept and every request is admitted, as before.

Reports are looked at every 40 ms at most, and a request that would wait beyond its deadline is refused at once.

--- a/src/decisions/process/overload_control.cpp
+++ b/src/decisions/process/overload_control.cpp
@@ -88,7 +88,11 @@
   return Delays.size() < Options.MinSamples ? 0 : medianOf(Delays);
 }
 
-double overload_control::reportedDelayMs(instant Now) {
+void overload_control::readReports(instant Now) {
+  if (Now - Reported.ReadAt < Options.ReportRefresh)
+    return;
+  Reported = {};
+  Reported.ReadAt = Now;
   std::vector<double> Delays;
   std::size_t Busy = 0;
   for (const auto &[Upstream, Known] : Reports) {
@@ -100,12 +104,12 @@
         static_cast<double>(Report.Waiting) * MeanWorkMs /
         static_cast<double>(std::max<std::int64_t>(1, Report.Parallel)));
   }
-  State.Reports = Delays.size();
+  Reported.Reports = Delays.size();
   if (Delays.empty())
-    return 0;
-  State.BusyShare =
+    return;
+  Reported.BusyShare =
       static_cast<double>(Busy) / static_cast<double>(Delays.size());
-  return medianOf(Delays);
+  Reported.DelayMs = medianOf(Delays);
 }
 
 room_state overload_control::update(instant Now) {
@@ -116,8 +120,10 @@
   State.AimMs = AimMs;
   if (AimMs <= 0)
     return State;
-  const double Reported = reportedDelayMs(Now);
-  State.DelayMs = std::max(Reported, ownDelayMs(AimMs, Now));
+  readReports(Now);
+  State.Reports = Reported.Reports;
+  State.BusyShare = Reported.BusyShare;
+  State.DelayMs = std::max(Reported.DelayMs, ownDelayMs(AimMs, Now));
   // Upstreams that report no load cannot show that they have room.
   const bool HasRoom =
       State.Reports > 0 && State.BusyShare < Options.BusyFraction;
--- a/src/decisions/process/overload_control.h
+++ b/src/decisions/process/overload_control.h
@@ -41,6 +41,8 @@
   /// Age up to which responses and reports count.
   span_ns SampleTtl = std::chrono::milliseconds(1000);
   span_ns ReportTtl = std::chrono::milliseconds(700);
+  /// Time between two looks at the reports of all upstreams.
+  span_ns ReportRefresh = std::chrono::milliseconds(40);
   /// The newest responses that count, and how many are needed.
   std::size_t MaxSamples = 9;
   std::size_t MinSamples = 3;
@@ -113,6 +115,13 @@
     double DelayMs = 0;
     bool Full = false;
   };
+  /// What the reports show together.
+  struct reported_queues {
+    instant ReadAt;
+    double DelayMs = 0;
+    double BusyShare = 0;
+    std::size_t Reports = 0;
+  };
   struct kept_report {
     queue_report Report;
     instant At;
@@ -120,8 +129,8 @@
 
   void addSample(const sample &Sample);
   double ownDelayMs(double AimMs, instant Now) const;
-  /// Sets the reported part of `State` and returns the delay that it shows.
-  double reportedDelayMs(instant Now);
+  /// Renews `Reported` from the reports.
+  void readReports(instant Now);
 
   overload_options Options;
   std::unordered_map<std::uint64_t, sent_request> Outstanding;
@@ -134,6 +143,7 @@
   /// least 1.
   double Pressure = 1;
   instant UpdatedAt;
+  reported_queues Reported;
   room_state State;
 };
 
--- a/src/decisions/process/room_control.cpp
+++ b/src/decisions/process/room_control.cpp
@@ -10,6 +10,8 @@
 
 /// Time after which a service without requests is forgotten.
 constexpr span_ns ForgetServiceAfter = std::chrono::seconds(60);
+/// Time between two searches for what is to be forgotten.
+constexpr span_ns ExpireInterval = std::chrono::seconds(1);
 /// Minimum Retry-After: the queues have changed by then.
 constexpr span_ns MinReturn = std::chrono::milliseconds(50);
 /// Time over which refused requests return for each time that the demand
@@ -62,10 +64,12 @@
   const std::uint64_t Draw = XXH3_64bits(Request.Id.data(), Request.Id.size());
   room_refusal Refusal;
   Refusal.Room = Service.Control.update(Now);
-  Refusal.Share = Service.Shares.decide({Request.Team, weightOf(Request.Team),
-                                         Request.Priority,
-                                         std::max(1.0, Request.WorkMs), Draw},
-                                        Refusal.Room.Fit, Now);
+  const bool IsInTime =
+      Request.WorkMs + Refusal.Room.DelayMs <= toMs(Request.TimeLeft);
+  Refusal.Share = Service.Shares.decide(
+      {Request.Team, weightOf(Request.Team), Request.Priority,
+       std::max(1.0, Request.WorkMs), Draw, IsInTime},
+      Refusal.Room.Fit, Now);
   Refusal.Bound = Refusal.Share.Bound;
   if (Refusal.Share.isAdmitted()) {
     Service.Control.onSent(Request.Number, Request.WorkMs, Request.Aim, Now);
@@ -104,9 +108,14 @@
 
 std::vector<room_change> room_control::takeChanges(instant Now) {
   std::vector<room_change> Changes;
+  const bool Expires = Now - ExpiredAt >= ExpireInterval;
+  if (Expires)
+    ExpiredAt = Now;
   for (auto &[Name, Service] : Services) {
-    Service.Control.expire(Now);
-    Service.Shares.expire(Now);
+    if (Expires) {
+      Service.Control.expire(Now);
+      Service.Shares.expire(Now);
+    }
     const room_state Room = Service.Control.update(Now);
     if (Room.isShort() != Service.WasShort)
       Changes.push_back({Name, Room});
@@ -118,6 +127,11 @@
   return Changes;
 }
 
+std::size_t room_control::shortCount() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Services, [](const auto &Known) { return Known.second.WasShort; }));
+}
+
 std::vector<room_view> room_control::views(instant Now) const {
   std::vector<room_view> Views;
   for (const auto &[Name, Service] : Services) {
--- a/src/decisions/process/room_control.h
+++ b/src/decisions/process/room_control.h
@@ -79,6 +79,10 @@
   /// last call, and forgets services and teams without requests.
   std::vector<room_change> takeChanges(instant Now);
 
+  /// Returns the number of services whose room was short at the last call of
+  /// `takeChanges`.
+  std::size_t shortCount() const;
+
   /// Returns all services, ordered by name.
   std::vector<room_view> views(instant Now) const;
 
@@ -96,6 +100,7 @@
   std::map<std::string, service_room, std::less<>> Services;
   std::map<std::string, double, std::less<>> Weights; ///< by team
   double MeanWeight = 1;
+  instant ExpiredAt;
 };
 
 } // namespace ebonyvale
--- a/src/decisions/process/room_shares.cpp
+++ b/src/decisions/process/room_shares.cpp
@@ -22,8 +22,8 @@
 } // namespace
 
 std::string_view roomBoundName(room_bound Bound) {
-  constexpr std::array<std::string_view, 4> Names{"none", "priority", "part",
-                                                  "room"};
+  constexpr std::array<std::string_view, RoomBoundCount> Names{
+      "none", "priority", "part", "room", "deadline"};
   return Names[static_cast<std::size_t>(Bound)];
 }
 
@@ -110,8 +110,11 @@
   if (Fit < 1) {
     const bool HasFloor = unitOf(Request.Draw, 1) < Floor;
     const double Fraction = (Fit - Floor) / (1 - Floor);
-    if (!HasFloor && quantileOf(Rank, Request.WorkMs, unitOf(Request.Draw, 2),
-                                Now) >= Fraction) {
+    if (!Request.IsInTime)
+      Decision.Bound = room_bound::Deadline;
+    else if (!HasFloor &&
+             quantileOf(Rank, Request.WorkMs, unitOf(Request.Draw, 2), Now) >=
+                 Fraction) {
       if (Excess <= 1)
         Decision.Bound = room_bound::Room;
       else
--- a/src/decisions/process/room_shares.h
+++ b/src/decisions/process/room_shares.h
@@ -29,9 +29,12 @@
   Priority,
   Part, ///< its team sends more than its part, and no other leaves that room
   Room, ///< its team is within its part, but the room is less than assumed
+  Deadline, ///< its deadline passes before its turn
 };
 
-/// Returns "none", "priority", "part" or "room".
+inline constexpr std::size_t RoomBoundCount = 5;
+
+/// Returns "none", "priority", "part", "room" or "deadline".
 std::string_view roomBoundName(room_bound Bound);
 
 /// A request that asks for room.
@@ -41,6 +44,8 @@
   int Priority = 0;
   double WorkMs = 1;
   std::uint64_t Draw = 0; ///< hash of the request's id
+  /// Whether it can begin before its deadline if it waits like the others.
+  bool IsInTime = true;
 };
 
 /// Whether a request is admitted, and the rates behind that, in ms of work a
@@ -58,8 +63,8 @@
   double Asked = 0;
   double Admitted = 0;
   double Part = 0;
-  std::uint64_t Requests = 0;             ///< since the team was last forgotten
-  std::array<std::uint64_t, 4> Refused{}; ///< by `room_bound`
+  std::uint64_t Requests = 0; ///< since the team was last forgotten
+  std::array<std::uint64_t, RoomBoundCount> Refused{}; ///< by `room_bound`
 };
 
 struct share_options {
@@ -116,7 +121,7 @@
     decaying_sum Admitted;
     instant LastAt;
     std::uint64_t Requests = 0;
-    std::array<std::uint64_t, 4> Refused{};
+    std::array<std::uint64_t, RoomBoundCount> Refused{};
   };
   struct rank_entry {
     instant At;
--- a/src/gateway/connection/operator_handler.cpp
+++ b/src/gateway/connection/operator_handler.cpp
@@ -53,6 +53,8 @@
     return sendJson(*Link, StatusOk, makeStatus(Now));
   if (Path == "/upstreams")
     return sendJson(*Link, StatusOk, makeUpstreams(Now));
+  if (Path == "/rooms")
+    return sendJson(*Link, StatusOk, makeRooms(Now));
   if (Path == "/refusals")
     return sendRefusals(Link, Query);
   if (Path == "/explain")
@@ -124,6 +126,33 @@
   return {{"upstreams", List}};
 }
 
+json operator_handler::makeRooms(instant Now) {
+  json Services = json::object();
+  for (const room_view &View : Core.room().views(Now)) {
+    json Teams = json::object();
+    for (const team_room &Team : View.Teams) {
+      json Refused = json::object();
+      for (const room_bound Bound : {room_bound::Priority, room_bound::Part,
+                                     room_bound::Room, room_bound::Deadline})
+        Refused[std::string(roomBoundName(Bound))] =
+            Team.Refused[static_cast<std::size_t>(Bound)];
+      Teams[Team.Team] = {{"asked_ms_per_second", Team.Asked},
+                          {"admitted_ms_per_second", Team.Admitted},
+                          {"part_ms_per_second", Team.Part},
+                          {"requests", Team.Requests},
+                          {"refused", Refused}};
+    }
+    Services[View.Service] = {{"short", View.Room.isShort()},
+                              {"fits", View.Room.Fit},
+                              {"delay_ms", View.Room.DelayMs},
+                              {"aim_ms", View.Room.AimMs},
+                              {"reporting_upstreams", View.Room.Reports},
+                              {"busy_share", View.Room.BusyShare},
+                              {"teams", Teams}};
+  }
+  return {{"divided", Core.room().isOn()}, {"services", Services}};
+}
+
 void operator_handler::findRefusals(const refusal_query &Query,
                                     rows_callback Done) {
   Writer.query(Query, [this, Query, Done = std::move(Done)](
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -430,11 +430,14 @@
                        Listed.at(4)});
     Core.scheduler().onPeerLoad(From, Loads, Now);
     // Absent in messages of instances that run an earlier release.
-    for (const json &Report : Message.value("r", json::array()))
-      Core.scheduler().onPeerReport(
-          {Report.at(0),
-           {Report.at(1), Report.at(2), Report.at(3)},
-           Now - std::chrono::milliseconds(Report.at(4).get<std::int64_t>())});
+    for (const json &Listed : Message.value("r", json::array())) {
+      const upstream_load_report Report{
+          Listed.at(0),
+          {Listed.at(1), Listed.at(2), Listed.at(3)},
+          Now - std::chrono::milliseconds(Listed.at(4).get<std::int64_t>())};
+      Core.scheduler().onPeerReport(Report);
+      Core.onUpstreamLoad(Report.Upstream, Report.Load, Report.At);
+    }
     // The ages are for earlier releases. A message may have waited while this
     // process was suspended, so only the responses to polls give ages.
     for (const json &Known : Message.at("w"))
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -27,6 +27,9 @@
 
 constexpr std::size_t BytesPerMb = 1'000'000;
 
+/// Time between two checks of the services' room without requests.
+constexpr span_ns RoomInterval = std::chrono::milliseconds(100);
+
 /// Longest delay between the check of a key and the send of the request.
 constexpr span_ns LateTimerMargin = std::chrono::milliseconds(100);
 
@@ -87,16 +90,21 @@
       UpstreamLimits(Settings.InstanceName),
       UpstreamPaths(Settings.InstanceName, Settings.Domain,
                     regionsOf(Settings.Domains)),
-      Roster(Settings.InstanceName),
+      Room(hasPressure(Settings)), Roster(Settings.InstanceName),
       FreshnessOptions(freshnessOptionsOf(Settings)),
       Shares(ledgerOptions(), Started, Boot), Crashes(crash_tracker_options{}),
       SegmentQuarantine(segment_quarantine_options{}),
       Refusals(Settings.InstanceName, Boot,
                refusal_log_options{.Records = 2000}),
-      RetryOptions(retryOptionsOf(Settings)), ShareTimer(Base, [this] {
-        execute(Shares.onTick(readBootClock()));
-        armShareTimer();
-      }) {
+      RetryOptions(retryOptionsOf(Settings)),
+      ShareTimer(Base,
+                 [this] {
+                   execute(Shares.onTick(readBootClock()));
+                   armShareTimer();
+                 }),
+      RoomTimer(Base, [this] { logRoomChanges(readBootClock()); }) {
+  if (Room.isOn())
+    RoomTimer.startPeriodic(RoomInterval);
   Scheduler.announcedWeights().setStart(Started);
   Links.observeIdleLosses([this](const endpoint &Server) {
     for (const auto &[Id, Entry] : Directory.all())
@@ -124,6 +132,7 @@
             {"routes", Routing->Routes.size()},
             {"teams", Routing->Teams.size()}});
   updateEngineOptions();
+  Room.setTeams(Routing->Teams);
   DividedBy = 0;
   updateShares(Now);
   if (OnRouting)
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -13,6 +13,7 @@
 #include "decisions/process/refusal_aggregator.h"
 #include "decisions/process/refusal_log.h"
 #include "decisions/process/response_ends.h"
+#include "decisions/process/room_control.h"
 #include "decisions/process/segment_quarantine.h"
 #include "decisions/process/software_history.h"
 #include "decisions/process/unknown_fields.h"
@@ -198,6 +199,7 @@
   const upstream_pauses &upstreamPauses() const { return UpstreamPauses; }
   const brittle_upstreams &brittleUpstreams() const { return Brittle; }
   upstream_paths &upstreamPaths() { return UpstreamPaths; }
+  room_control &room() { return Room; }
   instance_roster &roster() { return Roster; }
   const instance_roster &roster() const { return Roster; }
   freshness &configFreshness() { return ConfigFreshness; }
@@ -390,6 +392,10 @@
                            const response_info &Response, instant Now);
   /// Records that \p Upstream has turned a request away for want of room.
   void onUpstreamFull(const upstream_process &Upstream, instant Now);
+  /// Records the load that \p Upstream has reported at \p At, to this instance
+  /// or to a peer.
+  void onUpstreamLoad(std::string_view Upstream, const reported_load &Load,
+                      instant At);
   /// Records that a brittle upstream has turned a request of a peer away.
   void onPeerRefused(const brittle_refusal &Refusal, instant Now);
   /// Counts fields that \p Source has stated and the adapter does not know.
@@ -445,6 +451,8 @@
   /// Executes the actions of the quota share ledger.
   void execute(const std::vector<quota_action> &Actions);
   void armShareTimer();
+  /// Logs the services whose room has become short or enough.
+  void logRoomChanges(instant Now);
   void updateEngineOptions();
   team_limits limitsOf(const team_entry &Team) const;
   /// Returns how long ago a configuration or a listing may have been followed
@@ -475,6 +483,7 @@
   upstream_pauses UpstreamPauses;
   brittle_upstreams Brittle;
   upstream_paths UpstreamPaths;
+  room_control Room;
   unknown_fields UnknownFields;
   /// Generation of the directory that the scheduler knows.
   std::uint64_t ScheduledGeneration = 0;
@@ -504,6 +513,7 @@
   std::uint16_t RelayPort = 0;
   std::uint64_t RelayGeneration = 0; ///< of the roster that the paths know
   timer ShareTimer;
+  timer RoomTimer;
   bool Leaving = false;
 };
 
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -19,6 +19,8 @@
                     "Questions to peers for the version that began a stream.")),
       JudgedEnds(addFamily("ebonyvale_response_ends_total",
                            "Responses without length or chunks by verdict.")),
+      RoomRefusals(addFamily("ebonyvale_room_refusals_total",
+                             "Requests without room by service and bound.")),
       Requests(addCounter("ebonyvale_requests_total", "Requests received.")),
       CompletedResponses(
           addCounter("ebonyvale_answers_total",
@@ -63,6 +65,8 @@
                          "Instances that the limits are divided by.")),
       LimitedUpstreams(addGauge("ebonyvale_limited_upstreams",
                                 "Upstreams that have named a limit.")),
+      ShortServices(addGauge("ebonyvale_short_services",
+                             "Services whose room is short.")),
       UnreachableUpstreams(
           addGauge("ebonyvale_unreachable_upstreams",
                    "Upstreams that no connection can be opened to.")),
@@ -93,6 +97,13 @@
       .Increment();
 }
 
+void gateway_metrics::onRoomRefusal(std::string_view Service,
+                                    std::string_view Bound) {
+  RoomRefusals
+      .Add({{"service", std::string(Service)}, {"bound", std::string(Bound)}})
+      .Increment();
+}
+
 void gateway_metrics::onUpstreamLoss(std::string_view Reason) {
   UpstreamLosses.Add({{"reason", std::string(Reason)}}).Increment();
 }
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -24,12 +24,16 @@
   void onOriginLookup(bool IsKnown);
   /// Counts a response that ended with its connection.
   void onEndJudged(end_verdict Verdict);
+  /// Counts a request without room at \p Service; \p Bound is the name of a
+  /// `room_bound`.
+  void onRoomRefusal(std::string_view Service, std::string_view Bound);
 
 private:
   counter_family &StoreCalls;
   counter_family &UpstreamLosses;
   counter_family &OriginLookups;
   counter_family &JudgedEnds;
+  counter_family &RoomRefusals;
 
 public:
   prometheus::Counter &Requests;
@@ -50,6 +54,7 @@
   prometheus::Gauge &ConfigurationAgeSeconds;
   prometheus::Gauge &Instances;
   prometheus::Gauge &LimitedUpstreams;
+  prometheus::Gauge &ShortServices;
   prometheus::Gauge &UnreachableUpstreams;
   prometheus::Gauge &StreamOrigins;
   prometheus::Gauge &BufferedBytes;
--- a/src/gateway/process/upstream_statements.cpp
+++ b/src/gateway/process/upstream_statements.cpp
@@ -65,11 +65,38 @@
 void gateway_core::onUpstreamFull(const upstream_process &Upstream,
                                   instant Now) {
   Scheduler.onFull(Upstream.Id, Now);
+  if (const upstream_entry *Entry = Directory.find(Upstream.Id))
+    Room.onFull(Entry->Service, Now);
   const auto Refusal = Brittle.onRefused(Upstream, Roster.peers().size(), Now);
   if (Refusal && Messenger)
     Messenger->sendBrittleRefusal(*Refusal);
 }
 
+void gateway_core::onUpstreamLoad(std::string_view Upstream,
+                                  const reported_load &Load, instant At) {
+  const upstream_entry *Entry =
+      Room.isOn() ? Directory.find(Upstream) : nullptr;
+  if (!Entry)
+    return;
+  // An engine reads one prompt after the other.
+  const std::int64_t Parallel = Entry->Models.empty() ? Load.Slots : 1;
+  Room.onReport(Entry->Service, Upstream,
+                {Load.Running, Load.Waiting, Load.Slots, Parallel}, At);
+}
+
+void gateway_core::logRoomChanges(instant Now) {
+  for (const room_change &Change : Room.takeChanges(Now))
+    Log.info(event_category::Upstream,
+             Change.Room.isShort() ? "room_short" : "room_enough",
+             {{"service", Change.Service},
+              {"fits", Change.Room.Fit},
+              {"delay_ms", Change.Room.DelayMs},
+              {"aim_ms", Change.Room.AimMs},
+              {"reports", Change.Room.Reports},
+              {"busy_share", Change.Room.BusyShare}});
+  Metrics.ShortServices.Set(static_cast<double>(Room.shortCount()));
+}
+
 void gateway_core::onPeerRefused(const brittle_refusal &Refusal, instant Now) {
   if (const upstream_entry *Entry = Directory.find(Refusal.Upstream))
     Brittle.onPeerRefused(*Entry, Refusal, Roster.peers().size(), Now);
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -74,6 +74,8 @@
   Response = Head;
   Core.scheduler().onResponse(Choice->Upstream, Now - SentAt, ResponseInfo.Load,
                               Now);
+  if (ResponseInfo.Load)
+    Core.onUpstreamLoad(Choice->Upstream, *ResponseInfo.Load, Now);
   Core.onUpstreamLimit(Choice->Upstream, ResponseInfo, SentAt, Now);
   Core.onUpstreamStatement(Target, ResponseInfo, Now);
   if (ResponseInfo.Weights && !ParsedRequest.Model.empty()) {
@@ -224,6 +226,7 @@
   FirstBytesAt = readBootClock();
   if (Choice)
     Core.scheduler().onFirstChunk(*Choice, FirstBytesAt - SentAt, FirstBytesAt);
+  Core.room().onFirstChunk(Service, SessionNumber, FirstBytesAt);
   Core.counters().FirstChunkSeconds.Observe(
       toSeconds(FirstBytesAt - ArrivedAt));
 }
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -209,17 +209,50 @@
   const schedule_outcome Outcome = Core.scheduler().choose(makeQuery(Now), Now);
   if (!Outcome.Choice && awaitVerification(Now))
     return;
-  if (!Outcome.Choice)
+  if (!Outcome.Choice) {
+    if (Outcome.Refusal.Kind == error_kind::QueueFull)
+      Core.room().onFull(Service, Now);
     return fail(Flow.failureDecision(),
                 {Outcome.Refusal.Kind, scheduleDetail(Now),
                  Outcome.Refusal.RetryAfter});
+  }
   // Asked last, since a suspected segment lets few requests pass.
   if (const auto Refusal =
           quarantine(Core.segmentQuarantine().tryPass(Segments, Now), Now))
     return fail(Flow.failureDecision(), *Refusal);
+  if (const auto Refusal = askForRoom(*Outcome.Choice, Now))
+    return fail(Flow.failureDecision(), *Refusal);
   send(*Outcome.Choice, Now);
 }
 
+std::optional<forward_refusal>
+forward_session::askForRoom(const schedule_choice &Chosen, instant Now) {
+  // Room that was given to a request is not taken from its retries.
+  if (Flow.attempts() > 0)
+    return std::nullopt;
+  const double WorkMs =
+      Chosen.ExpectedMs - Chosen.BacklogMs - Chosen.LatenessMs;
+  const auto Refusal = Core.room().admit(
+      {Service, Team ? std::string_view(Team->Name) : std::string_view(),
+       ParsedRequest.Id, SessionNumber, priority(), WorkMs, Route->Target,
+       timeLeft(Now)},
+      Now);
+  if (!Refusal)
+    return std::nullopt;
+  const std::string_view Bound = roomBoundName(Refusal->Bound);
+  Core.counters().onRoomRefusal(Service, Bound);
+  return forward_refusal{
+      error_kind::QueueFull,
+      fmt::format("service {} has room for {:.0f}% of the requests, bound {}: "
+                  "priority {}, team asks for {:.0f} ms of work a second here "
+                  "and its part is {:.0f}; requests wait {:.0f} ms",
+                  Service, 100 * Refusal->Room.Fit, Bound, priority(),
+                  Refusal->Share.Use, Refusal->Share.Part,
+                  Refusal->Room.DelayMs),
+      Refusal->RetryAfter,
+      {}};
+}
+
 void forward_session::send(const schedule_choice &Chosen, instant Now) {
   VerifyUntil.reset();
   const upstream_entry *Entry = Core.directory().find(Chosen.Upstream);
@@ -245,8 +278,7 @@
   if (Team)
     Attempt.Team = Team->Name;
   if (!PromptSegments.empty())
-    Attempt.Priority =
-        Team && Team->Priority ? *Team->Priority : Route->Priority;
+    Attempt.Priority = priority();
   Out.Headers =
       Core.protocols().Upstreams.attemptHeaders(Request.Head.Headers, Attempt);
   Out.Body = Request.Body;
@@ -325,6 +357,7 @@
                                    std::string_view Reason) {
   const instant Now = readBootClock();
   endAttempt(Now);
+  Core.room().onEnded(Service, SessionNumber);
   if (End != attempt_outcome::NotSent)
     Tried.push_back(Choice->Upstream);
   const bool Quarantined =
@@ -465,6 +498,7 @@
   DeadlineTimer.stop();
   VerifyTimer.stop();
   cancelAttempt();
+  Core.room().onEnded(Service, SessionNumber);
   if (AwaitingTokens)
     Core.withdrawTokens(SessionNumber, Team->Name);
   if (Reserved) {
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -101,6 +101,14 @@
   }
   /// Chooses an upstream and sends the request, or refuses it.
   void schedule();
+  /// Returns the reason if the service has no room for the request, which
+  /// \p Chosen is to run.
+  std::optional<forward_refusal> askForRoom(const schedule_choice &Chosen,
+                                            instant Now);
+  /// Returns the team's priority, or else the route's; 0 is the most urgent.
+  int priority() const {
+    return Team && Team->Priority ? *Team->Priority : Route->Priority;
+  }
   void send(const schedule_choice &Choice, instant Now);
   schedule_query makeQuery(instant Now) const;
   /// Returns what a request for which no upstream was chosen has asked for.
--- a/tests/decisions/process/room_fleet.cpp
+++ b/tests/decisions/process/room_fleet.cpp
@@ -74,7 +74,7 @@
                                      0, Demand.BurstFactor)(Random) < 1;
   if (IsSent && Now > Start) {
     std::uniform_real_distribution<double> Work(0.5 * WorkMs, 1.5 * WorkMs);
-    request Request{Index, Now, false, Random() % Controls.size(),
+    request Request{Index,        Now, false, Random() % Controls.size(),
                     Work(Random), {}};
     ++resultOf(Request).Asked;
     arrive(Request);
