--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -438,8 +438,10 @@
     Core.scheduler().onPeerLoad(From, decodeLoads(Message.at("l")), Now);
     // Absent in messages of instances that run an earlier release.
     for (const upstream_load_report &Report :
-         decodeReports(Message.value("r", json::array()), Now))
+         decodeReports(Message.value("r", json::array()), Now)) {
       Core.scheduler().onPeerReport(Report);
+      Core.onUpstreamLoad(Report.Upstream, Report.Load, Report.At);
+    }
     // The ages are for earlier releases. A message may have waited while this
     // process was suspended, so only the responses to polls give ages.
     for (const json &Known : Message.at("w"))
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -26,6 +26,9 @@
   void onEndJudged(end_verdict Verdict);
   /// Counts a state of a release that this instance has written to the store.
   void onReleaseState(std::string_view State);
+  /// Counts a request without room at \p Service; \p Bound is the name of a
+  /// `room_bound`.
+  void onRoomRefusal(std::string_view Service, std::string_view Bound);
 
 private:
   counter_family &StoreCalls;
@@ -33,6 +36,7 @@
   counter_family &OriginLookups;
   counter_family &JudgedEnds;
   counter_family &ReleaseStates;
+  counter_family &RoomRefusals;
 
 public:
   prometheus::Counter &Requests;
@@ -55,6 +59,7 @@
   prometheus::Gauge &ConfigurationAgeSeconds;
   prometheus::Gauge &Instances;
   prometheus::Gauge &LimitedUpstreams;
+  prometheus::Gauge &ShortServices;
   prometheus::Gauge &UnreachableUpstreams;
   prometheus::Gauge &StreamOrigins;
   prometheus::Gauge &BufferedBytes;
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -75,6 +75,8 @@
   Response = Head;
   Core.scheduler().onResponse(Choice->Upstream, Now - SentAt, ResponseInfo.Load,
                               Now);
+  if (ResponseInfo.Load)
+    Core.onUpstreamLoad(Choice->Upstream, *ResponseInfo.Load, Now);
   Core.onUpstreamLimit(Choice->Upstream, ResponseInfo, SentAt, Now);
   Core.onUpstreamStatement(Target, ResponseInfo, Now);
   if (ResponseInfo.Weights && !ParsedRequest.Model.empty()) {
@@ -230,6 +232,7 @@
     Core.counters().FirstChunkErrorSeconds.Observe(std::abs(
         toSeconds(FirstBytesAt - SentAt - fromMs(Choice->ExpectedMs))));
   }
+  Core.room().onFirstChunk(Service, SessionNumber, FirstBytesAt);
   Core.counters().FirstChunkSeconds.Observe(
       toSeconds(FirstBytesAt - ArrivedAt));
 }
