--- a/src/daemon/connection/admin_listener.cpp
+++ b/src/daemon/connection/admin_listener.cpp
@@ -58,7 +58,20 @@
 admin_listener::admin_listener(router_core &Core, configuration_source &Source)
     : Core(Core), Source(Source),
       Server(Core.base(), http_bounds{},
-             [this](evhttp_request *Request) { onRequest(Request); }) {}
+             [this](evhttp_request *Request) { onRequest(Request); }) {
+  Server.setArrivalDeadline(
+      http_bounds{}.ReadTimeout,
+      [](arrival_failure Reason) {
+        return std::string("HTTP/1.1 ") +
+               (Reason == arrival_failure::TooManyFields
+                    ? "431 Request Header Fields Too Large"
+                : Reason == arrival_failure::NoMemory
+                    ? "503 Service Unavailable\r\nRetry-After: 1"
+                    : "408 Request Timeout") +
+               "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+      },
+      &Core.callerMemory());
+}
 
 std::optional<failure> admin_listener::listen() {
   return Server.listen(Core.settings().AdminAddress,
--- a/src/daemon/connection/caller_listener.cpp
+++ b/src/daemon/connection/caller_listener.cpp
@@ -20,6 +20,12 @@
 /// body instead of evhttp's plain error page.
 constexpr std::size_t EvhttpLimitFactor = 4;
 
+/// Copies of a request while it is handled: as received, as kept for a further
+/// attempt, and as sent.
+constexpr std::size_t RequestCopies = 3;
+
+constexpr std::string_view NoMemoryDetail = "connections hold too much memory";
+
 http_bounds evhttpLimits(const daemon_settings &Settings) {
   http_bounds Limits;
   Limits.HeaderBytes =
@@ -71,18 +77,29 @@
              [this](evhttp_request *Request) { onRequest(Request); }) {
   Server.setArrivalDeadline(
       std::chrono::milliseconds(Core.settings().HeaderTimeoutMs),
-      [this] { return headerTimeoutResponse(); });
+      [this](arrival_failure Reason) { return unreadResponse(Reason); },
+      &Core.callerMemory());
 }
 
-std::string caller_listener::headerTimeoutResponse() {
+std::string caller_listener::unreadResponse(arrival_failure Reason) {
   refusal Refusal;
   Refusal.Kind = error_kind::HeaderTimeout;
+  std::string RetryAfter;
+  if (Reason == arrival_failure::TooManyFields) {
+    Refusal.Kind = error_kind::HeadersTooLarge;
+    Refusal.Detail = "too many fields";
+  } else if (Reason == arrival_failure::NoMemory) {
+    Refusal.Kind = error_kind::QueueFull;
+    Refusal.Detail = NoMemoryDetail;
+    RetryAfter = fmt::format("Retry-After: {}\r\n", DefaultRetryAfterSeconds);
+  }
+  const int Status = errorRow(Refusal.Kind).Status;
   Refusal.At = readClock().Wall;
   const std::string Body = refusalBody(Core.recordRefusal(std::move(Refusal)));
-  const int Status = errorRow(error_kind::HeaderTimeout).Status;
   return fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
-                     "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
-                     Status, reasonPhrase(Status), Body.size(), Body);
+                     "Content-Length: {}\r\n{}Connection: close\r\n\r\n{}",
+                     Status, reasonPhrase(Status), Body.size(), RetryAfter,
+                     Body);
 }
 
 std::optional<failure> caller_listener::listen() {
@@ -101,6 +118,11 @@
     return refuse(Request, {error_kind::NotReady, ""});
   if (const auto Problem = checkSizes(Request))
     return refuse(Request, *Problem);
+  buffer_lease Memory = Core.callerMemory().lease();
+  if (!Memory.resize(RequestCopies *
+                     (headerBytes(Request) + inputBody(Request).size())))
+    return refuse(Request, {error_kind::QueueFull, std::string(NoMemoryDetail)},
+                  std::chrono::seconds(DefaultRetryAfterSeconds));
   if (requestPath(Request) == "/v1/models")
     return handleModels(Request, *Config);
   const access_request Access = readAccessRequest(Request);
@@ -112,9 +134,9 @@
   if (containsKey(inputBody(Request), Key) || containsKey(Access.Path, Key))
     return refuse(Request, {error_kind::CredentialInBody, ""});
   if (const auto *const *Route = std::get_if<const route *>(&Grant->Target))
-    startPlainSession(Request, Config, *Grant, **Route);
+    startPlainSession(Request, Config, *Grant, **Route, std::move(Memory));
   else
-    startModelSession(Request, Config, *Grant);
+    startModelSession(Request, Config, *Grant, std::move(Memory));
 }
 
 void caller_listener::handleModels(evhttp_request *Request,
@@ -149,7 +171,8 @@
 
 void caller_listener::startModelSession(evhttp_request *Request,
                                         const configuration_ptr &Config,
-                                        const caller_grant &Grant) {
+                                        const caller_grant &Grant,
+                                        buffer_lease Memory) {
   result<chat_request> Chat =
       parseChatRequest(std::get<chat_route>(Grant.Target), inputBody(Request));
   if (!Chat)
@@ -164,20 +187,24 @@
     return refuse(Request, {error_kind::RequestQuarantined, ""});
   const auto Session = std::make_shared<model_session>(
       Core, Request, Config, Grant, Model->second, std::move(*Chat));
+  Session->holdMemory(std::move(Memory));
   Session->begin(Session->cost());
 }
 
 void caller_listener::startPlainSession(evhttp_request *Request,
                                         const configuration_ptr &Config,
                                         const caller_grant &Grant,
-                                        const route &Route) {
+                                        const route &Route,
+                                        buffer_lease Memory) {
   const auto Session =
       std::make_shared<plain_session>(Core, Request, Config, Grant, Route);
   const auto Tokens = static_cast<double>(Route.Tokens);
+  Session->holdMemory(std::move(Memory));
   Session->begin({Tokens, Tokens});
 }
 
-void caller_listener::refuse(evhttp_request *Request, const failure &Reason) {
+void caller_listener::refuse(evhttp_request *Request, const failure &Reason,
+                             span_ns RetryAfter) {
   refusal Refusal;
   Refusal.Kind = Reason.kind();
   if (const configuration_ptr &Config = Core.currentConfig())
@@ -189,7 +216,7 @@
   const refusal &Recorded = Core.recordRefusal(std::move(Refusal));
   null_reply_observer Observer;
   response_writer Reply(Request, Observer);
-  sendRefusal(Reply, Recorded, span_ns(0));
+  sendRefusal(Reply, Recorded, RetryAfter);
 }
 
 } // namespace ebonyvale
--- a/src/daemon/connection/caller_listener.h
+++ b/src/daemon/connection/caller_listener.h
@@ -27,16 +27,19 @@
   void onRequest(evhttp_request *Request);
   void handleModels(evhttp_request *Request, const configuration &Config);
 
-  /// Returns a raw HTTP 408 response and records the refusal.
-  std::string headerTimeoutResponse();
+  /// Returns a raw HTTP response to a request that was not read to its end and
+  /// records the refusal.
+  std::string unreadResponse(arrival_failure Reason);
   std::optional<failure> checkSizes(evhttp_request *Request) const;
   void startModelSession(evhttp_request *Request,
                          const configuration_ptr &Config,
-                         const caller_grant &Grant);
+                         const caller_grant &Grant, buffer_lease Memory);
   void startPlainSession(evhttp_request *Request,
                          const configuration_ptr &Config,
-                         const caller_grant &Grant, const route &Route);
-  void refuse(evhttp_request *Request, const failure &Reason);
+                         const caller_grant &Grant, const route &Route,
+                         buffer_lease Memory);
+  void refuse(evhttp_request *Request, const failure &Reason,
+              span_ns RetryAfter = span_ns(0));
 
   router_core &Core;
   http_server Server;
--- a/src/daemon/connection/health_endpoints.cpp
+++ b/src/daemon/connection/health_endpoints.cpp
@@ -16,6 +16,12 @@
     return true;
   }
   if (Path == "/metrics" && WithMetrics) {
+    const caller_memory &Memory = Core.callerMemory();
+    metrics &Counters = Core.counters();
+    Counters.CallerMemoryBytes.Set(static_cast<double>(Memory.used()));
+    Counters.CallerConnections.Set(static_cast<double>(Memory.connections()));
+    Counters.MemoryRefusals.Set(static_cast<double>(Memory.refusals()));
+    Counters.MemoryReleases.Set(static_cast<double>(Memory.releases()));
     sendResponse(Request, 200, "text/plain; version=0.0.4",
                  Core.counters().text());
     return true;
--- a/src/daemon/connection/peer_hub.cpp
+++ b/src/daemon/connection/peer_hub.cpp
@@ -398,13 +398,18 @@
 void peer_hub::onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *,
                         int, void *Argument) {
   auto *Hub = static_cast<peer_hub *>(Argument);
+  caller_memory &Memory = Hub->Core.callerMemory();
+  if (!Memory.admits(/*Internal=*/true, readBootClock())) {
+    evutil_closesocket(Socket);
+    return;
+  }
   std::erase_if(Hub->Accepted, [](const auto &Weak) { return Weak.expired(); });
   Hub->Accepted.push_back(h2_connection::serve(
       Hub->Core.base(), Socket,
       [Hub, HubAlive = Hub->Alive](const h2_request &Request) {
         return *HubAlive ? Hub->onRequest(Request) : h2_response{};
       },
-      [] {}));
+      [] {}, &Memory));
 }
 
 } // namespace ebonyvale
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -8,6 +8,7 @@
 #include "daemon/process/stop_signals.h"
 #include "gateway/process/gateway_task.h"
 #include "gateway/process/settings_watcher.h"
+#include "net/machine_limits.h"
 #include "platform/documents.h"
 #include "platform/messages.h"
 #include "platform/store_client.h"
@@ -133,6 +134,7 @@
 
 int main(int Count, char **Arguments) {
   blockStopSignals();
+  returnFreedBlocks();
   options::options_description Description(
       "ebonyvaled routes language-model traffic.\n\n"
       "  ebonyvaled --settings router.toml\n"
--- a/src/daemon/process/daemon_settings.cpp
+++ b/src/daemon/process/daemon_settings.cpp
@@ -12,6 +12,7 @@
 constexpr std::int64_t MaxHeaderBytes = 60 * 1024;
 constexpr std::int64_t MaxBodyBytes = 256 * 1024 * 1024;
 constexpr std::int64_t MaxMs = 3'600'000;
+constexpr std::int64_t MaxMb = 1'000'000;
 constexpr std::int64_t MaxRetentionMinutes = 90 * 24 * 60;
 
 using setting = field<daemon_settings>;
@@ -123,6 +124,20 @@
              .Min = 1000,
              .Max = MaxMs},
             &daemon_settings::HeaderTimeoutMs},
+    setting{{.Name = "memory.limit_mb",
+             .Description = "Memory that the process may use; connections of "
+                            "clients hold up to a quarter. 0: that of the "
+                            "machine.",
+             .Unit = "MB",
+             .Max = MaxMb},
+            &daemon_settings::MemoryLimitMb},
+    setting{{.Name = "memory.descriptors",
+             .Description = "Descriptors that the process may use; connections "
+                            "of clients take up to three quarters. 0: the "
+                            "system's limit.",
+             .Unit = "descriptors",
+             .Max = 1'000'000},
+            &daemon_settings::MaxDescriptors},
     setting{{.Name = "placement.policy",
              .Description = "Policy that chooses the engine for a request.",
              .Choices = PlacementPolicyNames},
--- a/src/daemon/process/daemon_settings.h
+++ b/src/daemon/process/daemon_settings.h
@@ -45,6 +45,8 @@
   std::int64_t AnswerBytes = 16 * 1024 * 1024;
   std::int64_t StreamBufferBytes = 64 * 1024;
   std::int64_t HeaderTimeoutMs = 10000;
+  std::int64_t MemoryLimitMb = 0;  ///< see `callerMemoryBytes`
+  std::int64_t MaxDescriptors = 0; ///< see `maxCallerConnections`
 
   std::string PlacementPolicy = "prefix";
   std::int64_t IndexEntries = 400'000;
--- a/src/daemon/process/metrics.cpp
+++ b/src/daemon/process/metrics.cpp
@@ -35,6 +35,16 @@
                                   "Requests to borrow tokens sent to peers.")),
       TokensBorrowed(addCounter("ebonyvale_tokens_borrowed_total",
                                 "Tokens borrowed from peers.")),
+      CallerMemoryBytes(addGauge("ebonyvale_caller_memory_bytes",
+                                 "Bytes that connections of clients hold.")),
+      CallerConnections(addGauge("ebonyvale_caller_connections",
+                                 "Open connections of clients.")),
+      MemoryRefusals(addGauge("ebonyvale_memory_refusals",
+                              "Requests and connections refused so far since "
+                              "connections hold too much.")),
+      MemoryReleases(addGauge("ebonyvale_memory_releases",
+                              "Connections without progress that were asked "
+                              "so far to release memory.")),
       OpenRequests(addGauge("ebonyvale_open_requests",
                             "Requests whose response is not complete.")),
       QueuedRequests(addGauge("ebonyvale_queued_requests",
--- a/src/daemon/process/metrics.h
+++ b/src/daemon/process/metrics.h
@@ -23,6 +23,10 @@
   prometheus::Counter &CachedPieces;
   prometheus::Counter &LendRequestsSent;
   prometheus::Counter &TokensBorrowed;
+  prometheus::Gauge &CallerMemoryBytes;
+  prometheus::Gauge &CallerConnections;
+  prometheus::Gauge &MemoryRefusals;
+  prometheus::Gauge &MemoryReleases;
   prometheus::Gauge &OpenRequests;
   prometheus::Gauge &QueuedRequests;
   prometheus::Gauge &ConfigurationVersion;
--- a/src/daemon/process/router_core.cpp
+++ b/src/daemon/process/router_core.cpp
@@ -1,5 +1,7 @@
 #include "daemon/process/router_core.h"
 
+#include "net/machine_limits.h"
+
 #include "daemon/process/logging.h"
 #include "decisions/process/domain_quota.h"
 
@@ -31,6 +33,8 @@
 router_core::router_core(event_base *Base, const daemon_settings &Settings,
                          std::uint64_t BootId)
     : Base(Base), Settings(Settings), BootId(BootId),
+      CallerMemory(callerMemoryBytes(Settings.MemoryLimitMb),
+                   maxCallerConnections(Settings.MaxDescriptors)),
       Tracer(makeTracer(Settings.InstanceName, Settings.TraceFile, BootId)),
       Engines(Settings.Domain, Settings.Region),
       Dispatcher(makeDispatchOptions(Settings), Engines,
--- a/src/daemon/process/router_core.h
+++ b/src/daemon/process/router_core.h
@@ -7,6 +7,7 @@
 #include "daemon/process/daemon_settings.h"
 #include "daemon/process/metrics.h"
 #include "daemon/process/tracing.h"
+#include "decisions/process/caller_memory.h"
 #include "decisions/process/crash_tracker.h"
 #include "decisions/process/dispatcher.h"
 #include "decisions/process/engine_table.h"
@@ -86,6 +87,7 @@
   crash_tracker &crashes() { return Crashes; }
   quota_ledger &shares() { return Shares; }
   std::uint64_t bootId() const { return BootId; }
+  caller_memory &callerMemory() { return CallerMemory; }
 
   /// Returns the current configuration; null before the first version.
   const configuration_ptr &currentConfig() const { return Config; }
@@ -185,6 +187,7 @@
   const daemon_settings &Settings;
   std::uint64_t BootId;
   metrics Metrics;
+  caller_memory CallerMemory;
   std::shared_ptr<opentracing::Tracer> Tracer;
   configuration_ptr Config;
   engine_table Engines;
--- a/src/daemon/request/caller_session.cpp
+++ b/src/daemon/request/caller_session.cpp
@@ -29,6 +29,7 @@
     : Core(Core), Config(std::move(Config)), Grant(Grant), Team(Grant.team()),
       Route(std::move(Route)), Started(readClock()),
       Deadline(Started.Now + Deadline), Reply(Request, *this),
+      ResponseMemory(Core.callerMemory().lease()),
       RequestSpan(startServerSpan(Core.tracer(), this->Route,
                                   inputHeader(Request, "traceparent"))),
       Flow("", response_options{}),
@@ -189,11 +190,18 @@
 
 void caller_session::bufferResponse(std::string_view Bytes,
                                     std::string &Buffer) {
-  Buffer += Bytes;
-  if (Buffer.size() <= static_cast<std::size_t>(Core.settings().AnswerBytes))
+  const std::size_t Size = Buffer.size() + Bytes.size();
+  const bool TooLarge =
+      Size > static_cast<std::size_t>(Core.settings().AnswerBytes);
+  // A string that grows may hold twice its bytes.
+  if (!TooLarge && ResponseMemory.resize(2 * Size)) {
+    Buffer += Bytes;
     return;
+  }
   dropExchange();
-  refuse(error_kind::UpstreamBadAnswer, "the response exceeds the size limit");
+  refuse(error_kind::UpstreamBadAnswer,
+         TooLarge ? "the response exceeds the size limit"
+                  : "connections hold too much memory to buffer the response");
 }
 
 void caller_session::succeed() {
--- a/src/daemon/request/caller_session.h
+++ b/src/daemon/request/caller_session.h
@@ -28,6 +28,12 @@
                  configuration_ptr Config, const caller_grant &Grant,
                  std::string Route, span_ns Deadline);
 
+  /// Keeps the memory of the request, as received and copied, counted until the
+  /// session ends.
+  void holdMemory(buffer_lease Memory) {
+    RequestMemory.emplace(std::move(Memory));
+  }
+
   /// Registers the request with the core and requests its tokens. A request
   /// without a team, on an open route, is dispatched at once.
   void begin(const token_cost &Cost);
@@ -141,6 +147,8 @@
   std::uint64_t Number = 0;
   phase Phase = phase::AwaitingTokens;
   response_writer Reply;
+  std::optional<buffer_lease> RequestMemory;
+  buffer_lease ResponseMemory; ///< of the body that is buffered
   std::optional<reservation> Reserved;
   std::unique_ptr<opentracing::Span> RequestSpan;
   std::unique_ptr<opentracing::Span> AttemptSpan;
--- a/src/decisions/process/buffer_budget.cpp
+++ b/src/decisions/process/buffer_budget.cpp
@@ -21,13 +21,24 @@
 }
 
 bool buffer_lease::resize(std::size_t Bytes) {
-  const std::size_t Others = Account->Used - Held;
-  // Others never exceed the capacity, since each growth leaves bytes free.
-  if (Bytes > Held && Bytes > (Account->Capacity - Others) / 2)
+  if (Bytes > Held && !allows(Bytes))
     return false;
-  Account->Used = Others + Bytes;
+  Account->Used += Bytes - Held;
   Held = Bytes;
   return true;
 }
 
+bool buffer_lease::record(std::size_t Bytes) {
+  const bool Fits = Bytes <= Held || allows(Bytes);
+  Account->Used += Bytes - Held;
+  Held = Bytes;
+  return Fits;
+}
+
+bool buffer_lease::allows(std::size_t Bytes) const {
+  const std::size_t Others = Account->Used - Held;
+  return Others < Account->Capacity &&
+         Bytes <= (Account->Capacity - Others) / 2;
+}
+
 } // namespace ebonyvale
--- a/src/decisions/process/buffer_budget.h
+++ b/src/decisions/process/buffer_budget.h
@@ -49,11 +49,16 @@
   /// allowed.
   bool resize(std::size_t Bytes);
 
+  /// Changes the number of bytes to \p Bytes, which are held already. Returns
+  /// whether the budget allows it.
+  bool record(std::size_t Bytes);
+
   std::size_t size() const { return Held; }
 
 private:
   friend class buffer_budget;
   explicit buffer_lease(std::shared_ptr<buffer_budget::account> Account);
+  bool allows(std::size_t Bytes) const;
 
   std::shared_ptr<buffer_budget::account> Account;
   std::size_t Held = 0;
--- a/src/gateway/connection/operator_handler.cpp
+++ b/src/gateway/connection/operator_handler.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include <spdlog/fmt/fmt.h>
+
 namespace ebonyvale {
 namespace {
 
@@ -47,6 +49,10 @@
   if (Path == "/metrics") {
     Core.counters().BufferedBytes.Set(
         static_cast<double>(Core.responseBuffers().used()));
+    Core.counters().CallerMemoryBytes.Set(
+        static_cast<double>(Core.callerMemory().used()));
+    Core.counters().CallerConnections.Set(
+        static_cast<double>(Core.callerMemory().connections()));
     return Link->writeResponse(StatusOk, Text, Core.counters().text());
   }
   if (Path == "/status")
@@ -60,8 +66,19 @@
   sendFailure(*Link, error_kind::RouteUnknown, std::string(Path));
 }
 
-void operator_handler::onRequestError(server_connection &Link, request_error) {
-  Link.writeResponse(StatusBadRequest, {}, "");
+void operator_handler::onRequestError(server_connection &Link,
+                                      request_error Reason) {
+  if (Reason != request_error::NoMemory)
+    return Link.writeResponse(StatusBadRequest, {}, "");
+  Core.onMemoryRefusal();
+  header_list Headers;
+  Headers.add("Retry-After",
+              fmt::format("{:.0f}", toSeconds(NoMemoryRetryAfter)));
+  Link.writeResponse(StatusUnavailable, Headers, "");
+}
+
+void operator_handler::onConnectionShed(std::string_view Reason) {
+  Core.onConnectionShed(Reason);
 }
 
 json operator_handler::makeStatus(instant Now) {
--- a/src/gateway/connection/operator_handler.h
+++ b/src/gateway/connection/operator_handler.h
@@ -24,6 +24,7 @@
   void onRequest(const std::shared_ptr<server_connection> &Link,
                  http_request Request) override;
   void onRequestError(server_connection &Link, request_error Reason) override;
+  void onConnectionShed(std::string_view Reason) override;
 
 private:
   using rows = std::vector<nlohmann::json>;
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -1,5 +1,7 @@
 #include "gateway/process/gateway_core.h"
 
+#include "net/machine_limits.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -82,6 +84,8 @@
       Links(Base, client_pool_options{}),
       ResponseBuffers(static_cast<std::size_t>(Settings.ResponseBufferMb) *
                       BytesPerMb),
+      CallerMemory(callerMemoryBytes(Settings.MemoryLimitMb),
+                   maxCallerConnections(Settings.MaxDescriptors)),
       Scheduler(schedulerOptions(Settings), Settings.Domain,
                 regionsOf(Settings.Domains)),
       UpstreamLimits(Settings.InstanceName),
@@ -415,6 +419,21 @@
             {"retry_after_ms", RetryAfter}});
 }
 
+void gateway_core::onMemoryRefusal() {
+  Metrics.MemoryRefusals.Increment();
+  Log.info(event_category::Request, "no_memory",
+           {{"held_bytes", CallerMemory.used()},
+            {"connections", CallerMemory.connections()}});
+}
+
+void gateway_core::onConnectionShed(std::string_view Reason) {
+  Metrics.ConnectionsShed.Increment();
+  Log.info(event_category::Request, "connection_shed",
+           {{"reason", Reason},
+            {"held_bytes", CallerMemory.used()},
+            {"connections", CallerMemory.connections()}});
+}
+
 bool gateway_core::ready(instant Now) const {
   return Routing && RosterKnown && !Leaving && !Directory.all().empty() &&
          ConfigFreshness.isFreshForKeys(Now, FreshnessOptions);
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -5,6 +5,7 @@
 #define EBONYVALE_GATEWAY_PROCESS_GATEWAY_CORE_H
 
 #include "decisions/process/buffer_budget.h"
+#include "decisions/process/caller_memory.h"
 #include "decisions/process/crash_tracker.h"
 #include "decisions/process/fleet_retry_budget.h"
 #include "decisions/process/freshness.h"
@@ -192,6 +193,11 @@
   gateway_metrics &counters() { return Metrics; }
   client_connection_pool &links() { return Links; }
   buffer_budget &responseBuffers() { return ResponseBuffers; }
+  caller_memory &callerMemory() { return CallerMemory; }
+  /// Counts a request that was refused unread since memory does not suffice.
+  void onMemoryRefusal();
+  /// Counts a connection that was closed without a response.
+  void onConnectionShed(std::string_view Reason);
   upstream_directory &directory() { return Directory; }
   upstream_scheduler &scheduler() { return Scheduler; }
   upstream_limits &upstreamLimits() { return UpstreamLimits; }
@@ -461,6 +467,7 @@
   gateway_metrics Metrics;
   client_connection_pool Links;
   buffer_budget ResponseBuffers;
+  caller_memory CallerMemory;
   routing_table_ptr Routing;
   routing_history RoutingHistory;
   routing_observer *OnRouting = nullptr;
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -53,6 +53,13 @@
           addCounter("ebonyvale_caller_connections_idle_closed_total",
                      "Connections of callers that were closed between two "
                      "requests.")),
+      MemoryRefusals(addCounter(
+          "ebonyvale_memory_refusals_total",
+          "Requests refused unread since connections hold too much memory.")),
+      ConnectionsShed(addCounter(
+          "ebonyvale_connections_shed_total",
+          "Connections closed without a response for want of memory or "
+          "descriptors.")),
       OpenRequests(addGauge("ebonyvale_open_requests", "Requests in flight.")),
       RoutingVersion(addGauge("ebonyvale_configuration_version",
                               "Configuration version in force.")),
@@ -70,6 +77,10 @@
                              "Streams whose software version is recorded.")),
       BufferedBytes(addGauge("ebonyvale_response_buffer_bytes",
                              "Buffered bytes of responses.")),
+      CallerMemoryBytes(addGauge("ebonyvale_caller_memory_bytes",
+                                 "Bytes that connections of clients hold.")),
+      CallerConnections(addGauge("ebonyvale_caller_connections",
+                                 "Open connections of clients.")),
       FirstChunkSeconds(addHistogram(
           "ebonyvale_first_part_seconds",
           "Time from a request to the first body chunk of its response.",
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -45,6 +45,8 @@
   prometheus::Counter &RelayedForPeers;
   prometheus::Counter &BuffersRefused;
   prometheus::Counter &IdleConnectionsClosed;
+  prometheus::Counter &MemoryRefusals;
+  prometheus::Counter &ConnectionsShed;
   prometheus::Gauge &OpenRequests;
   prometheus::Gauge &RoutingVersion;
   prometheus::Gauge &ConfigurationAgeSeconds;
@@ -53,6 +55,8 @@
   prometheus::Gauge &UnreachableUpstreams;
   prometheus::Gauge &StreamOrigins;
   prometheus::Gauge &BufferedBytes;
+  prometheus::Gauge &CallerMemoryBytes;
+  prometheus::Gauge &CallerConnections;
   prometheus::Histogram &FirstChunkSeconds;
   prometheus::Histogram &ResponseSeconds;
 };
--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -177,6 +177,20 @@
              .Min = 1,
              .Max = MaxCount},
             &gateway_settings::ResponseBufferMb},
+    setting{{.Name = "memory.limit_mb",
+             .Description = "Memory that the process may use; connections of "
+                            "clients hold up to a quarter. 0: that of the "
+                            "machine.",
+             .Unit = "MB",
+             .Max = MaxCount},
+            &gateway_settings::MemoryLimitMb},
+    setting{{.Name = "memory.descriptors",
+             .Description = "Descriptors that the process may use; connections "
+                            "of clients take up to three quarters. 0: the "
+                            "system's limit.",
+             .Unit = "descriptors",
+             .Max = MaxCount},
+            &gateway_settings::MaxDescriptors},
     setting{{.Name = "log.level",
              .Description = "Minimum level of logged lines.",
              .Choices = "trace|debug|info|warning|error|off"},
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -61,6 +61,8 @@
   std::int64_t PeerIntervalMs = 60;
 
   std::int64_t ResponseBufferMb = 24;
+  std::int64_t MemoryLimitMb = 0;  ///< see `callerMemoryBytes`
+  std::int64_t MaxDescriptors = 0; ///< see `maxCallerConnections`
 
   std::string LogLevel = "info";
   std::int64_t LogLinesPerSecond = 200;
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -55,7 +55,11 @@
       Refusals(Core, *Store), Operators(Core, Weights, Refusals), Relays(Core),
       Prober(Core), Callers(Base, *this), RelayLinks(Base, Relays),
       ReadyLinks(Base, Operators), MetricsLinks(Base, Operators),
-      StopTimer(Base, [this] { onStopTick(); }) {}
+      StopTimer(Base, [this] { onStopTick(); }) {
+  Callers.setMemory(Core.callerMemory(), /*Internal=*/false);
+  for (connection_listener *Links : {&RelayLinks, &ReadyLinks, &MetricsLinks})
+    Links->setMemory(Core.callerMemory(), /*Internal=*/true);
+}
 
 gateway_task::~gateway_task() = default;
 
@@ -136,6 +140,11 @@
 
 void gateway_task::onRequestError(server_connection &Link,
                                   request_error Reason) {
+  if (Reason == request_error::NoMemory) {
+    Core.onMemoryRefusal();
+    return refuse(Link, error_kind::QueueFull, NoMemoryRetryAfter,
+                  "connections hold too much memory");
+  }
   error_kind Kind = error_kind::BodyMalformed;
   if (Reason == request_error::HeadTooLarge)
     Kind = error_kind::HeadersTooLarge;
@@ -146,16 +155,21 @@
   refuse(Link, Kind, span_ns(0));
 }
 
+void gateway_task::onConnectionShed(std::string_view Reason) {
+  Core.onConnectionShed(Reason);
+}
+
 void gateway_task::onIdleClosed() {
   Core.counters().IdleConnectionsClosed.Increment();
 }
 
 void gateway_task::refuse(server_connection &Link, error_kind Kind,
-                          span_ns RetryAfter) {
+                          span_ns RetryAfter, std::string Detail) {
   const caller_protocol &Protocol = Core.protocols().Callers;
   const int Status = Protocol.refusalStatus(Kind, false);
   refusal Record;
   Record.Kind = Kind;
+  Record.Detail = std::move(Detail);
   Core.recordRefusal(std::move(Record), "", Status, RetryAfter);
   Link.writeResponse(
       Status, Protocol.refusalHeaders(nullptr, RetryAfter),
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -61,6 +61,7 @@
                  http_request Request) override;
   void onRequestError(server_connection &Link, request_error Reason) override;
   void onIdleClosed() override;
+  void onConnectionShed(std::string_view Reason) override;
 
   // session_observer
   void onUpstreamWeights(std::string_view Upstream, std::string_view Model,
@@ -82,7 +83,8 @@
                                 const std::string &Text);
 
   /// Refuses a request before its head was parsed.
-  void refuse(server_connection &Link, error_kind Kind, span_ns RetryAfter);
+  void refuse(server_connection &Link, error_kind Kind, span_ns RetryAfter,
+              std::string Detail = {});
   void onStopTick();
 
   event_base *Base;
--- a/src/gateway/request/relay_session.cpp
+++ b/src/gateway/request/relay_session.cpp
@@ -291,7 +291,10 @@
   std::make_shared<relay_session>(Core, Link, std::move(Request))->begin();
 }
 
-void relay_handler::onRequestError(server_connection &Link, request_error) {
+void relay_handler::onRequestError(server_connection &Link,
+                                   request_error Reason) {
+  if (Reason == request_error::NoMemory)
+    Core.onMemoryRefusal();
   Link.writeResponse(StatusRelayFailed, outcomeHeaders(relay_outcome::Declined),
                      "");
 }
--- a/src/net/h2_connection.cpp
+++ b/src/net/h2_connection.cpp
@@ -14,6 +14,13 @@
 namespace ebonyvale {
 namespace {
 
+/// Memory of a connection and of a stream, besides what they transfer.
+constexpr std::size_t ConnectionBytes = 16 * 1024;
+constexpr std::size_t StreamBytesAlone = 1024;
+
+/// Streams that a client may have open.
+constexpr std::uint32_t MaxStreams = 1024;
+
 /// Returns a header that refers to \p Name and \p Value.
 nghttp2_nv makeHeader(std::string_view Name, std::string_view Value) {
   // nghttp2 copies both strings and does not write to them.
@@ -58,8 +65,12 @@
 std::shared_ptr<h2_connection> h2_connection::serve(event_base *Base,
                                                     evutil_socket_t Accepted,
                                                     request_handler Handler,
-                                                    close_callback OnClose) {
+                                                    close_callback OnClose,
+                                                    caller_memory *Memory) {
   std::shared_ptr<h2_connection> Connection(new h2_connection(Base));
+  if (Memory)
+    Connection->Memory.emplace(
+        *Memory, static_cast<memory_holder &>(*Connection), readBootClock());
   Connection->Handler = std::move(Handler);
   Connection->OnClose = std::move(OnClose);
   Connection->Socket.reset(
@@ -93,7 +104,10 @@
   else
     nghttp2_session_client_new(&Created, Raw, this);
   Session.reset(Created);
-  nghttp2_submit_settings(Created, NGHTTP2_FLAG_NONE, nullptr, 0);
+  const std::array<nghttp2_settings_entry, 1> Settings{
+      {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, MaxStreams}}};
+  nghttp2_submit_settings(Created, NGHTTP2_FLAG_NONE, Settings.data(),
+                          IsServer ? Settings.size() : 0);
   bufferevent_setcb(Socket.get(), &h2_connection::onReadable, nullptr,
                     &h2_connection::onEvent, this);
   bufferevent_enable(Socket.get(), EV_READ | EV_WRITE);
@@ -130,6 +144,7 @@
   if (!Self)
     return;
   const auto Guard = std::move(Self);
+  Memory.reset();
   const auto Pending = std::exchange(Streams, {});
   // Freed later, since a callback of the session or the socket may be running.
   callLater(Base, [Guard] {
@@ -148,6 +163,28 @@
 void h2_connection::flush() {
   if (Session && nghttp2_session_send(Session.get()) != 0)
     close();
+  countMemory();
+}
+
+bool h2_connection::hold(stream &Stream, std::size_t More) {
+  Stream.HeldBytes += More;
+  StreamBytes += More;
+  return !Memory ||
+         Memory->resize(ConnectionBytes + StreamBytes, readBootClock());
+}
+
+void h2_connection::countMemory() {
+  if (!Memory)
+    return;
+  const std::size_t Unsent =
+      evbuffer_get_length(bufferevent_get_output(Socket.get()));
+  // The link of a peer stays open between its messages.
+  Memory->setUse(Streams.empty() && Unsent == 0 ? memory_use::Working
+                                                : memory_use::Waiting,
+                 readBootClock());
+  if (!Memory->record(ConnectionBytes + StreamBytes + Unsent) && Unsent > 0 &&
+      !Memory->resize(ConnectionBytes + StreamBytes + Unsent, readBootClock()))
+    close();
 }
 
 std::string &h2_connection::incomingBody(stream &Stream) {
@@ -156,6 +193,8 @@
 
 void h2_connection::finishStream(std::int32_t Id) {
   auto Node = Streams.extract(Id);
+  if (!Node.empty())
+    StreamBytes -= Node.mapped().HeldBytes;
   if (Node.empty() || !Node.mapped().Done)
     return;
   stream &Stream = Node.mapped();
@@ -170,6 +209,8 @@
   const h2_response Response = Handler(Stream.Request);
   const std::string Status = fmt::format("{}", Response.Status);
   Stream.Outgoing = Response.Body;
+  Stream.HeldBytes += Stream.Outgoing.size();
+  StreamBytes += Stream.Outgoing.size();
   const std::array<nghttp2_nv, 1> Headers{makeHeader(":status", Status)};
   nghttp2_data_provider Provider{};
   Provider.read_callback = &h2_connection::readBody;
@@ -220,7 +261,11 @@
                             std::size_t ValueLength, std::uint8_t,
                             void *Argument) {
   auto *Connection = static_cast<h2_connection *>(Argument);
-  stream &Stream = Connection->Streams[Frame->hd.stream_id];
+  const auto [Place, IsNew] =
+      Connection->Streams.try_emplace(Frame->hd.stream_id);
+  stream &Stream = Place->second;
+  if (IsNew && !Connection->hold(Stream, StreamBytesAlone))
+    return NGHTTP2_ERR_CALLBACK_FAILURE;
   const std::string_view Name = asText(NameData, NameLength);
   const std::string_view Value = asText(ValueData, ValueLength);
   if (Name == ":path")
@@ -237,8 +282,11 @@
                           const std::uint8_t *Data, std::size_t Length,
                           void *Argument) {
   auto *Connection = static_cast<h2_connection *>(Argument);
-  std::string &Body = Connection->incomingBody(Connection->Streams[Id]);
-  if (Body.size() + Length > MaxBodyBytes)
+  stream &Stream = Connection->Streams[Id];
+  std::string &Body = Connection->incomingBody(Stream);
+  // A string that grows may hold twice its bytes.
+  if (Body.size() + Length > MaxBodyBytes ||
+      !Connection->hold(Stream, 2 * Length))
     return NGHTTP2_ERR_CALLBACK_FAILURE;
   Body += asText(Data, Length);
   return 0;
--- a/src/net/h2_connection.h
+++ b/src/net/h2_connection.h
@@ -3,6 +3,7 @@
 #ifndef EBONYVALE_NET_H2_CONNECTION_H
 #define EBONYVALE_NET_H2_CONNECTION_H
 
+#include "decisions/process/caller_memory.h"
 #include "net/event_handles.h"
 #include "net/upstream_exchange.h"
 
@@ -34,7 +35,8 @@
 
 /// The client or server end of a connection. Keeps itself alive until it is
 /// closed, even if its owner drops it earlier.
-class h2_connection : public std::enable_shared_from_this<h2_connection> {
+class h2_connection : public std::enable_shared_from_this<h2_connection>,
+                      private memory_holder {
 public:
   /// Called with the response, or with nothing if there was none or its stream
   /// ended before it was complete.
@@ -53,13 +55,14 @@
   static std::shared_ptr<h2_connection>
   connect(event_base *Base, const endpoint &Server, close_callback OnClose);
 
-  /// Serves the accepted \p Socket with \p Handler.
-  static std::shared_ptr<h2_connection> serve(event_base *Base,
-                                              evutil_socket_t Socket,
-                                              request_handler Handler,
-                                              close_callback OnClose);
+  /// Serves the accepted \p Socket with \p Handler. What the connection holds
+  /// counts in \p Memory, unless that is null; when it cannot be had, the
+  /// connection is closed.
+  static std::shared_ptr<h2_connection>
+  serve(event_base *Base, evutil_socket_t Socket, request_handler Handler,
+        close_callback OnClose, caller_memory *Memory = nullptr);
 
-  ~h2_connection();
+  ~h2_connection() override;
   h2_connection(const h2_connection &) = delete;
   h2_connection &operator=(const h2_connection &) = delete;
 
@@ -79,9 +82,10 @@
   struct stream {
     h2_request Request;
     h2_response Response;
-    std::string Outgoing; ///< body to send
-    std::size_t Sent = 0; ///< bytes of `Outgoing` given to nghttp2
-    bool Whole = false;   ///< the peer has marked the end of its response
+    std::string Outgoing;      ///< body to send
+    std::size_t Sent = 0;      ///< bytes of `Outgoing` given to nghttp2
+    std::size_t HeldBytes = 0; ///< as counted
+    bool Whole = false;        ///< the peer has marked the end of its response
     response_callback Done;
   };
 
@@ -90,6 +94,10 @@
   void start(bool IsServer);
   void flush();
   void finishStream(std::int32_t Id);
+  /// Counts \p More bytes of \p Stream. Returns false if they cannot be had.
+  bool hold(stream &Stream, std::size_t More);
+  void countMemory();
+  void releaseMemory() override { close(); }
   void respondToStream(std::int32_t Id);
   std::string &incomingBody(stream &Stream);
 
@@ -118,6 +126,8 @@
   std::unique_ptr<bufferevent, releaser<bufferevent_free>> Socket;
   std::unique_ptr<nghttp2_session, releaser<nghttp2_session_del>> Session;
   std::map<std::int32_t, stream> Streams;
+  std::size_t StreamBytes = 0; ///< held by all streams
+  std::optional<memory_share> Memory;
   std::uint64_t BytesOut = 0;
   std::uint64_t BytesIn = 0;
   std::shared_ptr<h2_connection> Self; ///< set until closed
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -14,6 +14,9 @@
 /// of a short one.
 constexpr std::size_t MaxResponseFields = 512;
 
+/// Bytes of the shortest field on the wire: a letter, a colon and a line end.
+constexpr std::size_t ShortestFieldBytes = 4;
+
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 
@@ -99,6 +102,13 @@
   return Fields.back();
 }
 
+std::size_t headMemory(const http_head &Head) {
+  std::size_t Bytes = Head.Target.size();
+  for (const http_header &Field : Head.Headers.all())
+    Bytes += Field.Name.size() + Field.Value.size();
+  return 2 * Bytes + FieldMemoryBytes * Head.Headers.all().size();
+}
+
 std::string_view framingName(const http_head &Response) {
   if (Response.CloseDelimited)
     return "close";
@@ -128,7 +138,9 @@
 
 message_reader::message_reader(side Side, message_sink &Sink,
                                std::size_t MaxHeadBytes)
-    : Side(Side), Sink(Sink), MaxHeadBytes(MaxHeadBytes) {
+    : Side(Side), Sink(Sink), MaxHeadBytes(MaxHeadBytes),
+      MaxFields(Side == side::Responses ? MaxResponseFields
+                                        : MaxHeadBytes / ShortestFieldBytes) {
   reset();
 }
 
@@ -210,8 +222,7 @@
   http_header &Field = Self->Head.Headers.currentField(Self->InHeaderValue);
   Field.Name.append(Data, Length);
   Self->InHeaderValue = false;
-  if (Self->Side == side::Responses &&
-      Self->Head.Headers.all().size() > MaxResponseFields) {
+  if (Self->Head.Headers.all().size() > Self->MaxFields) {
     Self->State = read_state::TooLarge;
     return 1;
   }
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -68,6 +68,12 @@
                                ///< connection
 };
 
+/// Memory of a field besides its bytes, in a vector that may be half empty.
+inline constexpr std::size_t FieldMemoryBytes = 2 * sizeof(http_header);
+
+/// Returns about how much memory \p Head takes.
+std::size_t headMemory(const http_head &Head);
+
 /// Returns how the end of a response's body is marked: "chunks", "length" or
 /// "close", the end of the connection.
 std::string_view framingName(const http_head &Response);
@@ -111,6 +117,8 @@
   enum class side { Requests, Responses };
 
   /// \p MaxHeadBytes limits the request target and the header fields together.
+  /// A head that has them on the wire, with what separates the fields, is never
+  /// over the limit on the number of fields.
   message_reader(side Side, message_sink &Sink, std::size_t MaxHeadBytes);
 
   /// Parses \p Bytes up to the end of the message. Returns the number of bytes
@@ -126,6 +134,13 @@
   /// Returns whether a byte of the current message has been parsed.
   bool begun() const { return Begun; }
 
+  /// Returns the memory that the head of the current message takes.
+  std::size_t headMemory() const {
+    return HeadDone ? 0
+                    : HeadBytesRead * 2 +
+                          Head.Headers.all().size() * FieldMemoryBytes;
+  }
+
   /// Prepares for the next message. \p IsHeadResponse tells that it responds to
   /// a HEAD request and has no body, whatever its headers say.
   void reset(bool IsHeadResponse = false);
@@ -146,6 +161,7 @@
   message_sink &Sink;
   std::size_t MaxHeadBytes;
   std::size_t HeadBytesRead = 0;
+  std::size_t MaxFields;
   http_parser Parser{};
   http_head Head;
   read_state State = read_state::Reading;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -54,7 +54,8 @@
 } // namespace
 
 http_server::http_server(event_base *Base, http_bounds Bounds, handler Handler)
-    : Base(Base), Handler(std::move(Handler)), Server(evhttp_new(Base)) {
+    : Base(Base), Bounds(Bounds), Handler(std::move(Handler)),
+      Server(evhttp_new(Base)) {
   evhttp_set_gencb(Server.get(), &http_server::onRequest, this);
   evhttp_set_max_headers_size(Server.get(),
                               static_cast<ev_ssize_t>(Bounds.HeaderBytes));
@@ -86,19 +87,25 @@
     return failure{error_kind::SettingsInvalid,
                    fmt::format("cannot listen on {}:{}", Address, Port)};
   BoundPort = readBoundPort(Socket);
+  if (ArrivalDeadline)
+    ArrivalDeadline->setListener(Listener);
   return std::nullopt;
 }
 
 void http_server::stopListening() {
+  if (ArrivalDeadline)
+    ArrivalDeadline->setListener(nullptr);
   if (Socket)
     evhttp_del_accept_socket(Server.get(), Socket);
   Socket = nullptr;
 }
 
 void http_server::setArrivalDeadline(
-    span_ns Limit, arrival_deadline::response_factory MakeResponse) {
+    span_ns Limit, arrival_deadline::response_factory MakeResponse,
+    caller_memory *Memory) {
   ArrivalDeadline = std::make_unique<arrival_deadline>(
-      Base, Server.get(), Limit, std::move(MakeResponse));
+      Base, Server.get(), Limit, std::move(MakeResponse), Memory,
+      Bounds.HeaderBytes + Bounds.BodyBytes);
 }
 
 void http_server::onRequest(evhttp_request *Request, void *Self) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -38,9 +38,11 @@
 
   /// Closes connections whose first request takes longer than \p Limit to be
   /// received, after sending the raw HTTP response that \p MakeResponse
-  /// returns.
+  /// returns. What connections hold counts in \p Memory, unless that is null.
+  /// Must be called before `listen`.
   void setArrivalDeadline(span_ns Limit,
-                          arrival_deadline::response_factory MakeResponse);
+                          arrival_deadline::response_factory MakeResponse,
+                          caller_memory *Memory = nullptr);
 
   /// Stops accepting connections. Open connections are not affected.
   void stopListening();
@@ -52,6 +54,7 @@
   static void onRequest(evhttp_request *Request, void *Self);
 
   event_base *Base;
+  http_bounds Bounds;
   handler Handler;
   std::unique_ptr<arrival_deadline> ArrivalDeadline; ///< must outlive `Server`
   evhttp_ptr Server;
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/server_connection.h"
 
 #include "net/http_server.h"
+#include "net/machine_limits.h"
 #include "net/socket_options.h"
 
 #include <arpa/inet.h>
@@ -33,7 +34,17 @@
 
 /// Largest number of bytes buffered from a client that sends requests without
 /// waiting for responses. Reading stops at this size.
-constexpr std::size_t MaxReadAheadBytes = 64 * 1024;
+constexpr std::size_t MaxReadAheadBytes = 16 * 1024;
+
+/// Unsent bytes of responses above which no further request is read.
+constexpr std::size_t MaxUnsentBytes = 64 * 1024;
+
+/// Memory of a connection with its buffers, besides what it reads and writes.
+constexpr std::size_t ConnectionBytes = 4096;
+
+/// Copies of a request while it is handled: the received one and the one that
+/// is sent.
+constexpr std::size_t RequestCopies = 2;
 
 /// Longest time of a body that keeps arriving, in idle timeouts.
 constexpr int MaxBodyIdleTimeouts = 10;
@@ -69,6 +80,10 @@
     return;
   }
   Self = shared_from_this();
+  if (Owner.memory())
+    Memory.emplace(*Owner.memory(), static_cast<memory_holder &>(*this),
+                   readBootClock());
+  recordMemory();
   setNoDelay(Socket.get());
   bufferevent_setcb(Socket.get(), &server_connection::onReadable,
                     &server_connection::onWritable, &server_connection::onEvent,
@@ -102,8 +117,85 @@
   QuietSince = readBootClock();
   if (Incoming.Body.size() + Bytes.size() > Owner.bounds().BodyBytes)
     BodyTooLarge = true;
-  else
-    Incoming.Body += Bytes;
+  else if (!OutOfMemory && !appendBody(Bytes))
+    OutOfMemory = true;
+}
+
+bool server_connection::appendBody(std::string_view Bytes) {
+  std::string &Body = Incoming.Body;
+  const std::size_t Size = Body.size() + Bytes.size();
+  if (Size > Body.capacity()) {
+    // A string would double its allocation.
+    const std::size_t Grown =
+        std::max(Size, std::min(Size + Size / 4, Owner.bounds().BodyBytes));
+    if (Memory &&
+        !Memory->resize(heldBytes() + Grown - Body.capacity(), QuietSince))
+      return false;
+    std::string Larger;
+    Larger.reserve(Grown);
+    Larger += Body;
+    Body.swap(Larger);
+  }
+  Body += Bytes;
+  return true;
+}
+
+std::size_t server_connection::heldBytes() const {
+  const std::size_t Unsent = unsentBytes();
+  return ConnectionBytes +
+         evbuffer_get_length(bufferevent_get_input(Socket.get())) +
+         Reader.headMemory() + headMemory(Incoming.Head) +
+         Incoming.Body.capacity() + RequestBytes + Unsent -
+         std::min(Unsent, OwnedBytes);
+}
+
+void server_connection::recordMemory() {
+  if (!Memory || !Socket)
+    return;
+  const instant Now = readBootClock();
+  const std::size_t Unsent = unsentBytes();
+  memory_use Use = memory_use::Waiting;
+  if (Unsent == 0 && Phase == phase::Responding)
+    Use = memory_use::Working;
+  else if (Unsent == 0 && isIdle())
+    Use = memory_use::Idle;
+  Memory->setUse(Use, Now);
+  if (Unsent < UnsentBefore)
+    Memory->onProgress(Now);
+  UnsentBefore = Unsent;
+  if (!Memory->record(heldBytes()) && Unsent > OwnedBytes)
+    callLater(Owner.base(), [Guard = shared_from_this()] {
+      if (Guard->Memory &&
+          !Guard->Memory->resize(Guard->heldBytes(), readBootClock()))
+        Guard->dropSlowClient();
+    });
+}
+
+void server_connection::releaseMemory() {
+  const auto Guard = shared_from_this();
+  if (unsentBytes() > 0) {
+    if (unsentBytes() < UnsentBefore)
+      return recordMemory();
+    return dropSlowClient();
+  }
+  if (Phase == phase::Reading)
+    return rejectRequest(request_error::NoMemory);
+  if (Phase == phase::Idle)
+    closeBetweenRequests();
+  else if (Phase == phase::Closing)
+    close();
+}
+
+void server_connection::dropSlowClient() {
+  if (!Socket || unsentBytes() == 0)
+    return;
+  Owner.handler().onConnectionShed("client_takes_nothing");
+  resetOnClose(Socket.get());
+  onDisconnect();
+}
+
+bool server_connection::awaitsOutput() const {
+  return Phase == phase::Idle && unsentBytes() > MaxUnsentBytes;
 }
 
 void server_connection::read() {
@@ -113,10 +205,10 @@
     evbuffer_drain(Input, evbuffer_get_length(Input));
     return;
   }
-  while (Phase == phase::Idle || Phase == phase::Reading) {
+  while ((Phase == phase::Idle && !awaitsOutput()) || Phase == phase::Reading) {
     const std::size_t Length = evbuffer_get_contiguous_space(Input);
     if (Length == 0)
-      return;
+      return recordMemory();
     const auto *Data = reinterpret_cast<const char *>(
         evbuffer_pullup(Input, static_cast<ev_ssize_t>(Length)));
     const std::size_t Used = Reader.feed({Data, Length});
@@ -125,13 +217,23 @@
       Phase = phase::Reading;
       armTimer();
     }
+    if (Memory && !OutOfMemory && Phase == phase::Reading)
+      OutOfMemory = !Memory->resize(heldBytes(), readBootClock());
     if (BodyTooLarge)
       return rejectRequest(request_error::BodyTooLarge);
     if (Reader.state() == read_state::TooLarge)
       return rejectRequest(request_error::HeadTooLarge);
     if (Reader.state() == read_state::Invalid)
       return rejectRequest(request_error::Malformed);
-    if (Reader.state() != read_state::Complete)
+    const bool Complete = Reader.state() == read_state::Complete;
+    if (Complete)
+      RequestBytes = (RequestCopies - 1) *
+                     (headMemory(Incoming.Head) + Incoming.Body.capacity());
+    if (Complete && Memory && !OutOfMemory)
+      OutOfMemory = !Memory->resize(heldBytes(), readBootClock());
+    if (OutOfMemory)
+      return rejectRequest(request_error::NoMemory);
+    if (!Complete)
       continue;
     Phase = phase::Responding;
     ReceivingBody = false;
@@ -140,8 +242,10 @@
     IsHttp11 = Incoming.Head.IsHttp11;
     if (!Incoming.Head.KeepAlive || Owner.closing())
       CloseAfterResponse = true;
+    RequestBytes += RequestBytes / (RequestCopies - 1);
     Owner.handler().onRequest(Guard, std::exchange(Incoming, {}));
   }
+  recordMemory();
 }
 
 void server_connection::rejectRequest(request_error Reason) {
@@ -149,7 +253,11 @@
   ReceivingBody = false;
   CloseAfterResponse = true;
   IsHeadRequest = Incoming.Head.Method == "HEAD";
+  Incoming = {};
+  RequestBytes = 0;
+  Reader.reset();
   Owner.handler().onRequestError(*this, Reason);
+  recordMemory();
 }
 
 void server_connection::writeHead(int Status, const header_list &Headers,
@@ -189,6 +297,7 @@
   writeHead(Status, Headers,
             fmt::format("Content-Length: {}\r\n", evbuffer_get_length(&Body)));
   if (!IsHeadRequest) {
+    OwnedBytes += evbuffer_get_length(&Body);
     bufferevent_write_buffer(Socket.get(), &Body);
     BodyOwners.push_back(std::move(BodyOwner));
   }
@@ -220,12 +329,13 @@
   evbuffer *Output = bufferevent_get_output(Socket.get());
   if (StreamFraming != stream_framing::Chunked) {
     evbuffer_add(Output, Bytes.data(), Bytes.size());
-    return;
+    return recordMemory();
   }
   const std::string Size = fmt::format("{:x}\r\n", Bytes.size());
   evbuffer_add(Output, Size.data(), Size.size());
   evbuffer_add(Output, Bytes.data(), Bytes.size());
   evbuffer_add(Output, "\r\n", 2);
+  recordMemory();
 }
 
 void server_connection::endStream(evbuffer &Rest,
@@ -241,6 +351,7 @@
     evbuffer_add_buffer(Output, &Rest);
     if (IsChunked)
       evbuffer_add(Output, "\r\n", 2);
+    OwnedBytes += Size;
     BodyOwners.push_back(std::move(Owner));
   }
   endStream();
@@ -273,10 +384,12 @@
   const auto Guard = shared_from_this();
   Observer.reset();
   Streaming = false;
+  RequestBytes = 0;
   if (CloseAnnounced)
     return closeAfterFlush();
   Phase = phase::Idle;
   Reader.reset();
+  recordMemory();
   armTimer();
   if (CloseAfterResponse || Owner.closesIdle())
     closeBetweenRequests();
@@ -321,6 +434,8 @@
   bufferevent_setwatermark(Socket.get(), EV_READ, 0, 0);
   Flush.emplace(flush_times{Owner.bounds().FlushStall, LingerTimeout, Limit},
                 untakenBytes(), readBootClock());
+  RequestBytes = 0;
+  recordMemory();
   if (unsentBytes() == 0)
     endOutput();
   onFlushCheck(readBootClock());
@@ -366,6 +481,11 @@
   Deadline.stop();
   Socket.reset();
   BodyOwners.clear();
+  Incoming = {};
+  Reader.reset();
+  Memory.reset();
+  if (Owner.memory() && Owner.memory()->takeTrim())
+    returnFreeMemory();
   Owner.remove(this);
   // Released from the loop, since a caller may still be using this object.
   callLater(Owner.base(), [Guard = std::move(Self)] {});
@@ -405,6 +525,8 @@
     return rejectRequest(request_error::TimedOut);
   if (!isIdle())
     return;
+  if (awaitsOutput())
+    return abortResponse();
   armTimer();
   closeBetweenRequests();
 }
@@ -427,6 +549,13 @@
   auto *Connection = static_cast<server_connection *>(Argument);
   const auto Guard = Connection->shared_from_this();
   Connection->BodyOwners.clear();
+  Connection->OwnedBytes = 0;
+  Connection->recordMemory();
+  if (Connection->Phase == phase::Idle &&
+      evbuffer_get_length(bufferevent_get_input(Connection->Socket.get())) > 0)
+    Connection->read();
+  if (!Connection->Socket)
+    return;
   if (Connection->Phase == phase::Closing)
     return Connection->endOutput();
   if (const auto Receiver = Connection->Observer.lock())
@@ -496,6 +625,12 @@
 void connection_listener::onAccept(evconnlistener *, evutil_socket_t Socket,
                                    sockaddr *, int, void *Argument) {
   auto *Owner = static_cast<connection_listener *>(Argument);
+  if (Owner->Memory &&
+      !Owner->Memory->admits(Owner->IsInternal, readBootClock())) {
+    Owner->Handler.onConnectionShed("too_many_connections");
+    evutil_closesocket(Socket);
+    return;
+  }
   const auto Connection = std::make_shared<server_connection>(*Owner, Socket);
   Owner->Connections.insert(Connection.get());
   Connection->start();
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -7,6 +7,7 @@
 
 #include "common/instant.h"
 #include "common/result.h"
+#include "decisions/process/caller_memory.h"
 #include "net/event_handles.h"
 #include "net/flush_progress.h"
 #include "net/http_message.h"
@@ -47,7 +48,17 @@
 };
 
 /// Reason why a request could not be read.
-enum class request_error { Malformed, HeadTooLarge, BodyTooLarge, TimedOut };
+enum class request_error {
+  Malformed,
+  HeadTooLarge,
+  BodyTooLarge,
+  TimedOut,
+  NoMemory, ///< all connections together hold too much
+};
+
+/// Retry-After of a request that could not be read with `NoMemory`: until then
+/// a connection that makes no progress releases memory.
+inline constexpr span_ns NoMemoryRetryAfter = std::chrono::seconds(1);
 
 /// Receives the events of a client that waits for a response.
 class client_observer {
@@ -75,7 +86,8 @@
 /// others hold it.
 class server_connection
     : public std::enable_shared_from_this<server_connection>,
-      private message_sink {
+      private message_sink,
+      private memory_holder {
 public:
   server_connection(connection_listener &Owner, evutil_socket_t Socket);
   ~server_connection() override;
@@ -140,6 +152,17 @@
 private:
   bool onMessageHead(http_head &Head) override;
   void onMessageBody(std::string_view Bytes) override;
+  void releaseMemory() override;
+  /// Returns the memory of this connection that no other budget counts.
+  std::size_t heldBytes() const;
+  /// Appends to the body. Returns false if no memory is left.
+  bool appendBody(std::string_view Bytes);
+  /// Counts the memory that is held now.
+  void recordMemory();
+  /// Resets the connection of a client that does not take its responses.
+  void dropSlowClient();
+  /// Returns whether the next request waits for responses to be taken.
+  bool awaitsOutput() const;
   void read();
   void rejectRequest(request_error Reason);
   void writeHead(int Status, const header_list &Headers,
@@ -177,6 +200,11 @@
   http_request Incoming;
   std::weak_ptr<client_observer> Observer;
   std::vector<std::shared_ptr<const void>> BodyOwners; ///< of unsent bodies
+  std::size_t OwnedBytes = 0;   ///< of those, which their owners count
+  std::size_t RequestBytes = 0; ///< memory of the request that is handled
+  std::size_t UnsentBefore = 0; ///< when the client was last seen to take bytes
+  std::optional<memory_share>
+      Memory; ///< unset without a budget, and at the end
   timer Deadline;
   phase Phase = phase::Idle;
   bool ReceivingBody = false;
@@ -192,6 +220,7 @@
   stream_framing StreamFraming = stream_framing::Chunked;
   bool StreamHasBody = true;
   bool BodyTooLarge = false;
+  bool OutOfMemory = false; ///< while the request is read
   bool IsHeadRequest = false;
   bool IsHttp11 = false;                   ///< the client can read chunks
   std::shared_ptr<server_connection> Self; ///< set until closed
@@ -210,6 +239,9 @@
                               request_error Reason) = 0;
   /// A connection is closed that no response has announced to close.
   virtual void onIdleClosed() {}
+  /// A connection is closed without a response since memory or descriptors do
+  /// not suffice for it.
+  virtual void onConnectionShed(std::string_view /*Reason*/) {}
 };
 
 /// Listens on one address and tracks the accepted connections. Aborts those
@@ -222,6 +254,14 @@
   connection_listener(const connection_listener &) = delete;
   connection_listener &operator=(const connection_listener &) = delete;
 
+  /// Counts the memory of connections in \p Value, which must outlive the
+  /// listener. \p Internal tells that its clients are peers or operators.
+  void setMemory(caller_memory &Value, bool Internal) {
+    Memory = &Value;
+    IsInternal = Internal;
+  }
+  caller_memory *memory() const { return Memory; }
+
   /// Binds the IPv4 address \p Address and \p Port; port 0 selects a free port.
   /// Returns `SettingsInvalid` if it cannot be bound.
   std::optional<failure> listen(const std::string &Address, std::uint16_t Port);
@@ -257,6 +297,8 @@
 
   event_base *Base;
   request_handler &Handler;
+  caller_memory *Memory = nullptr;
+  bool IsInternal = false;
   connection_bounds Bounds;
   idle_limit IdleLimit{Bounds.IdleTimeout};
   std::unique_ptr<evconnlistener, releaser<evconnlistener_free>> Listener;
