A response without a status of 100 to 599 is none; HEAD keeps its length

Cause: message_reader took any status below 200 for an interim response, so that the body of a response with 000 or 099 was passed on and a second response on its connection was taken for the answer; 600 and 999 were passed on as answers, by the daemon's client (evhttp) too. The daemon stated the length of an empty body in its response to HEAD.

Change: such a status makes a response invalid on both paths (RFC 9110, section 15); the request counts as one that may have run. The daemon passes on the length that the upstream states.

--- a/src/daemon/request/plain_session.cpp
+++ b/src/daemon/request/plain_session.cpp
@@ -99,6 +99,10 @@
   ResponseBody.clear();
   ResponseHeaders.clear();
   ResponseHeaders.emplace_back("Content-Type", Head.header("Content-Type"));
+  // It describes the response to GET (RFC 9110, section 8.6).
+  if (Method == "HEAD" && !Head.header("Content-Length").empty())
+    ResponseHeaders.emplace_back("Content-Length",
+                                 Head.header("Content-Length"));
   for (const char *Name : ForwardedResponseHeaders) {
     const std::string_view Value = Head.header(Name);
     if (!Value.empty())
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -126,6 +126,12 @@
     Headers.set("Content-Length", *Length);
 }
 
+bool isStatus(int Status) {
+  constexpr int First = 100;
+  constexpr int Last = 599;
+  return First <= Status && Status <= Last;
+}
+
 std::string_view targetPath(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
@@ -256,7 +262,8 @@
   constexpr int FirstFinalStatus = 200;
   const bool Interim =
       Self->Side == side::Responses && Head.Status < FirstFinalStatus;
-  if (!areValidFields(Head.Headers) ||
+  const bool IsMessage = Self->Side == side::Requests || isStatus(Head.Status);
+  if (!IsMessage || !areValidFields(Head.Headers) ||
       (!Interim && !Self->Sink.onMessageHead(Head))) {
     Self->State = read_state::Invalid;
     return -1;
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -86,6 +86,9 @@
 /// without its body.
 void addStatedLength(const http_head &Response, header_list &Headers);
 
+/// Returns whether \p Status is that of a response (RFC 9110, section 15).
+bool isStatus(int Status);
+
 /// Returns the path of a request target without its query.
 std::string_view targetPath(std::string_view Target);
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -160,11 +160,15 @@
   // that breaks off for a complete one.
   constexpr int NoContent = 204;
   constexpr int NotModified = 304;
-  if (Status != NoContent && Status != NotModified)
+  const bool IsHead = evhttp_request_get_command(Request) == EVHTTP_REQ_HEAD;
+  const bool IsStated =
+      IsHead && evhttp_find_header(evhttp_request_get_output_headers(Request),
+                                   "Content-Length");
+  if (Status != NoContent && Status != NotModified && !IsStated)
     setOutputHeader(Request, "Content-Length", fmt::format("{}", Body.size()));
   const evbuffer_ptr Buffer(evbuffer_new());
   // evhttp would send the body in response to HEAD, too.
-  if (evhttp_request_get_command(Request) != EVHTTP_REQ_HEAD)
+  if (!IsHead)
     evbuffer_add(Buffer.get(), Body.data(), Body.size());
   evhttp_send_reply(Request, Status, reasonPhrase(Status), Buffer.get());
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -82,7 +82,9 @@
 /// Returns the method of \p Request as on the wire, or "OTHER".
 std::string_view methodName(evhttp_request *Request);
 
-/// Sends a complete response.
+/// Sends a complete response. The one to a HEAD request has the header
+/// `Content-Length` of the request's output, if it is set, instead of the
+/// length of \p Body.
 void sendResponse(evhttp_request *Request, int Status,
                   const std::string &ContentType, std::string_view Body);
 
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -1,5 +1,7 @@
 #include "net/upstream_exchange.h"
 
+#include "net/http_message.h"
+
 #include "net/socket_options.h"
 #include "net/timer.h"
 
@@ -206,7 +208,8 @@
   Exchange->Stage = exchange_stage::Responding;
   const bool EndsWithConnection = endWithConnection(Request);
   const evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
-  if (!statesOneLength(Headers) || isTakenForFinal(Request)) {
+  if (!statesOneLength(Headers) || isTakenForFinal(Request) ||
+      !isStatus(evhttp_request_get_response_code(Request))) {
     Exchange->fail();
     return 0;
   }
--- a/tests/net/http_message_test.cpp
+++ b/tests/net/http_message_test.cpp
@@ -140,3 +140,48 @@
   cr_assert(!Headers.number("A"));
   cr_assert(Headers.all().size() == 2);
 }
+
+struct status_row {
+  char Status[4];
+  bool IsResponse;
+};
+
+ParameterizedTestParameters(http_message, a_status_is_of_a_known_class) {
+  static status_row Rows[] = {{"000", false}, {"099", false}, {"200", true},
+                              {"299", true},  {"599", true},  {"600", false},
+                              {"999", false}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(status_row *Row, http_message, a_status_is_of_a_known_class) {
+  for (const char *Framing :
+       {"Content-Length: 2\r\n\r\nok", "\r\nok",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}) {
+    recorder Sink;
+    message_reader Reader(message_reader::side::Responses, Sink, 1000);
+    // A second response must not be taken for that of the first.
+    Reader.feed(std::string("HTTP/1.1 ") + Row->Status + " x\r\n" + Framing +
+                "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+    Reader.finishAtClose();
+    cr_assert((Reader.state() == read_state::Complete) == Row->IsResponse,
+              "%s: %d", Row->Status, static_cast<int>(Reader.state()));
+    cr_assert(Sink.HeadCount == (Row->IsResponse ? 1 : 0), "%s: %d",
+              Row->Status, Sink.HeadCount);
+    if (!Row->IsResponse)
+      cr_assert(Sink.Body.empty(), "%s: '%s'", Row->Status, Sink.Body.c_str());
+  }
+}
+
+Test(http_message, fields_are_limited_by_the_size_of_a_head) {
+  const std::string Begin = "GET / HTTP/1.1\r\n";
+  for (const std::size_t Fields : {20, 21}) {
+    recorder Sink;
+    message_reader Reader(message_reader::side::Requests, Sink, 80);
+    Reader.feed(Begin);
+    for (std::size_t Index = 0; Index < Fields; ++Index)
+      Reader.feed("a:\r\n");
+    Reader.feed("\r\n");
+    cr_assert(Reader.state() ==
+              (Fields == 20 ? read_state::Complete : read_state::TooLarge));
+  }
+}
