--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -64,6 +64,13 @@
       ActiveReleases(addGauge("ebonyvale_releases_active",
                               "1 while an order of a release is in force whose "
                               "release has not ended.")),
+      MemoryRefusals(addCounter(
+          "ebonyvale_memory_refusals_total",
+          "Requests refused unread since connections hold too much memory.")),
+      ConnectionsShed(addCounter(
+          "ebonyvale_connections_shed_total",
+          "Connections closed without a response for want of memory or "
+          "descriptors.")),
       OpenRequests(addGauge("ebonyvale_open_requests", "Requests in flight.")),
       RoutingVersion(addGauge("ebonyvale_configuration_version",
                               "Configuration version in force.")),
@@ -88,6 +95,10 @@
       LearnedCosts(addGauge("ebonyvale_learned_cost_entries",
                             "Services, routes, prompt sizes and teams whose "
                             "costs are learned.")),
+      CallerMemoryBytes(addGauge("ebonyvale_caller_memory_bytes",
+                                 "Bytes that connections of clients hold.")),
+      CallerConnections(addGauge("ebonyvale_caller_connections",
+                                 "Open connections of clients.")),
       FirstChunkSeconds(addHistogram(
           "ebonyvale_first_part_seconds",
           "Time from a request to the first body chunk of its response.",
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -54,6 +54,8 @@
   prometheus::Counter &IdleConnectionsClosed;
   prometheus::Counter &VersionsBarred;
   prometheus::Gauge &ActiveReleases;
+  prometheus::Counter &MemoryRefusals;
+  prometheus::Counter &ConnectionsShed;
   prometheus::Gauge &OpenRequests;
   prometheus::Gauge &RoutingVersion;
   prometheus::Gauge &ConfigurationAgeSeconds;
@@ -65,6 +67,8 @@
   prometheus::Gauge &BufferedBytes;
   prometheus::Gauge &LearnedServices;
   prometheus::Gauge &LearnedCosts;
+  prometheus::Gauge &CallerMemoryBytes;
+  prometheus::Gauge &CallerConnections;
   prometheus::Histogram &FirstChunkSeconds;
   prometheus::Histogram &FirstChunkErrorSeconds;
   prometheus::Histogram &ResponseSeconds;
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -66,6 +66,8 @@
   std::int64_t PeerIntervalMs = 60;
 
   std::int64_t ResponseBufferMb = 24;
+  std::int64_t MemoryLimitMb = 0;  ///< see `callerMemoryBytes`
+  std::int64_t MaxDescriptors = 0; ///< see `maxCallerConnections`
 
   std::vector<std::string> Features; ///< names; unknown ones are ignored
 
