--- a/src/decisions/process/release_evidence.h
+++ b/src/decisions/process/release_evidence.h
@@ -26,7 +26,8 @@
   /// "not run", requests that the caller has left.
   bool Failed = false;
   /// Time to the first byte of the response. Nothing: it says little of the
-  /// version, since the upstream has just started or the caller was slow.
+  /// version, since the upstream has just started, had to read prompt segments
+  /// that it did not cache, or the caller was slow.
   std::optional<span_ns> Latency;
 };
 
