Use learned costs in the gateway

Cause: the scheduler can learn costs and speeds, but the gateway tells it neither routes, teams nor ends of requests, and has no setting for it.

Change: setting costs.learned (off, stated, on; default stated: services whose upstreams state a slowness other than usual). Sessions tell the scheduler route, team and complete responses; nothing is learned through relays, from resumed streams or from callers that do not read. Load messages carry the expected rest, the slowness, service times of routes (t) and rates of services (m); earlier builds ignore them. /costs and /upstreams, two gauges and a histogram of the error of first chunks show what is learned; sent lines have service_ms and slowness.

--- a/src/decisions/process/learned_costs.h
+++ b/src/decisions/process/learned_costs.h
@@ -99,6 +99,8 @@
   /// Return what is known of routes and services, for operators.
   std::vector<cost_summary> summaries() const { return Requests.summaries(); }
   std::vector<service_rates> rates() const;
+  /// Returns the number of entries kept.
+  std::size_t size() const { return Requests.size(); }
 
 private:
   void updateMean(std::string_view Service);
--- a/src/decisions/process/request_cost.h
+++ b/src/decisions/process/request_cost.h
@@ -54,7 +54,7 @@
   /// Sum of weights from which on an entry is used in place of its parent.
   static constexpr double MinWeight = 10;
   /// Entries in one message to peers.
-  static constexpr std::size_t MaxSummaries = 8;
+  static constexpr std::size_t MaxSummaries = 4;
   /// Peers' values count as this many own ones, at most.
   static constexpr double PeerWeight = 20;
 
--- a/src/decisions/process/upstream_costs.cpp
+++ b/src/decisions/process/upstream_costs.cpp
@@ -16,10 +16,10 @@
 
 void upstream_scheduler::recordLoad(upstream_state &State,
                                     const reported_load &Load, instant At) {
-  constexpr std::int64_t AsUsual = 100;
   State.Load = Load;
   State.LoadAt = At;
-  if (Load.SlownessPercent != AsUsual && State.Service)
+  if (Load.SlownessPercent != reported_load::UsualSlownessPercent &&
+      State.Service)
     Costs.onSlownessStated(*State.Service);
   if (usesLearnedCosts(State))
     State.Speed.onStated(Load.SlownessPercent, At);
@@ -139,7 +139,8 @@
     return;
   const learned_estimate &Learned = *Choice.Learned;
   double Ms = toMs(After - FirstChunkAfter);
-  if (isPlain(*State)) {
+  // A response that is not streamed has no first chunk of its own.
+  if (isPlain(*State) || FirstChunkAfter >= After) {
     // The wait is only an estimate: at least this fraction was service.
     constexpr double MinServiceFraction = 0.2;
     Ms = std::max(toMs(After) - Learned.DistanceMs - Learned.WaitMs,
--- a/src/decisions/process/upstream_speed.cpp
+++ b/src/decisions/process/upstream_speed.cpp
@@ -19,12 +19,12 @@
 } // namespace
 
 void upstream_speed::onStated(std::int64_t Percent, instant At) {
-  constexpr double AsUsual = 100;
+  constexpr double UsualPercent = 100;
   constexpr double MaxPercent = 10'000;
   const auto Figure = static_cast<double>(Percent);
   if (Percent <= 0 || Figure > MaxPercent || (Stated && At <= Stated->At))
     return;
-  const double Log = std::log(limited(Figure / AsUsual));
+  const double Log = std::log(limited(Figure / UsualPercent));
   if (!Stated) {
     Stated = {Log, Log, At};
     return;
--- a/src/gateway/connection/operator_handler.cpp
+++ b/src/gateway/connection/operator_handler.cpp
@@ -47,12 +47,18 @@
   if (Path == "/metrics") {
     Core.counters().BufferedBytes.Set(
         static_cast<double>(Core.responseBuffers().used()));
+    const learned_costs &Costs = Core.scheduler().costs();
+    Core.counters().LearnedServices.Set(
+        static_cast<double>(Costs.rates().size()));
+    Core.counters().LearnedCosts.Set(static_cast<double>(Costs.size()));
     return Link->writeResponse(StatusOk, Text, Core.counters().text());
   }
   if (Path == "/status")
     return sendJson(*Link, StatusOk, makeStatus(Now));
   if (Path == "/upstreams")
     return sendJson(*Link, StatusOk, makeUpstreams(Now));
+  if (Path == "/costs")
+    return sendJson(*Link, StatusOk, makeCosts());
   if (Path == "/refusals")
     return sendRefusals(Link, Query);
   if (Path == "/explain")
@@ -115,6 +121,10 @@
          {"in_flight", View.InFlight},
          {"in_flight_of_peers", View.InFlightOfPeers},
          {"backlog_ms", View.BacklogMs},
+         {"uses_learned_costs", View.UsesLearnedCosts},
+         {"slowness", View.Slowness},
+         {"learned_slowness", View.LearnedSlowness},
+         {"rest_ms", View.RestMs},
          {"report_age_ms", View.ReportAge ? toMs(*View.ReportAge) : -1},
          {"pause_ms",
           std::max(0.0, toMs(Core.upstreamPauses().endOf(View.Entry) - Now))},
@@ -124,6 +134,26 @@
   return {{"upstreams", List}};
 }
 
+json operator_handler::makeCosts() {
+  const learned_costs &Costs = Core.scheduler().costs();
+  json Services = json::array();
+  for (const service_rates &Known : Costs.rates())
+    Services.push_back(
+        {{"service", Known.Service},
+         {"prefill_tokens_per_ms", Known.Rates.PrefillTokensPerMs},
+         {"first_token_ms", Known.Rates.FirstTokenMs},
+         {"responses", Known.Count}});
+  json Routes = json::array();
+  for (const cost_summary &Known : Costs.summaries())
+    Routes.push_back({{"service", Known.Service},
+                      {"route", Known.Route},
+                      {"median_ms", Known.Cost.MedianMs},
+                      {"mean_ms", Known.Cost.MeanMs},
+                      {"p90_ms", Known.Cost.HighMs},
+                      {"weight", Known.Cost.Weight}});
+  return {{"services", Services}, {"routes", Routes}};
+}
+
 void operator_handler::findRefusals(const refusal_query &Query,
                                     rows_callback Done) {
   Writer.query(Query, [this, Query, Done = std::move(Done)](
--- a/src/gateway/connection/operator_handler.h
+++ b/src/gateway/connection/operator_handler.h
@@ -32,6 +32,7 @@
 
   nlohmann::json makeStatus(instant Now);
   nlohmann::json makeUpstreams(instant Now);
+  nlohmann::json makeCosts();
 
   /// Passes the matching refusals to \p Done: those in the store, and those of
   /// this process that have not been written yet. `Store` is "reached" or
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t MaxDatagramBytes = 32 * 1024;
 /// Rounds of load messages between two messages of hints to other domains.
 constexpr std::size_t DomainHintsInterval = 4;
+/// Rounds between two messages with learned costs; they change slowly.
+constexpr std::size_t CostsInterval = 64;
 
 } // namespace
 
@@ -226,6 +228,14 @@
     sendBytes(Peers.find(Name)->second, Bytes);
 }
 
+void peer_gossip::addCosts(json &Message) {
+  learned_costs &Costs = Core.scheduler().costs();
+  if (const auto Summaries = Costs.takeSummaries(); !Summaries.empty())
+    Message["t"] = encodeCosts(Summaries);
+  if (const auto Rates = Costs.ownRates(); !Rates.empty())
+    Message["m"] = encodeRates(Rates);
+}
+
 void peer_gossip::sendLoad() {
   const auto &Peers = Core.roster().peers();
   if (Peers.empty())
@@ -238,18 +248,8 @@
       Now -
       std::chrono::milliseconds(Core.settings().PeerIntervalMs) *
           static_cast<std::int64_t>(SendsPerChange * Schedule.rounds(Peers));
-  json Loads = json::array();
-  for (const peer_load &Load : Core.scheduler().ownLoadsSince(Since, Now))
-    Loads.push_back({Load.Upstream, Load.InFlight,
-                     static_cast<std::int64_t>(Load.SentPrefillMs),
-                     static_cast<std::int64_t>(Load.HeldTokens),
-                     static_cast<std::int64_t>(Load.InsertedTokens)});
-  json Reports = json::array();
-  for (const upstream_load_report &Report :
-       Core.scheduler().ownReportsSince(Since))
-    Reports.push_back({Report.Upstream, Report.Load.Running,
-                       Report.Load.Waiting, Report.Load.Slots,
-                       toMillis(Now - Report.At)});
+  json Loads = encodeLoads(Core.scheduler().ownLoadsSince(Since, Now));
+  json Reports = encodeReports(Core.scheduler().ownReportsSince(Since), Now);
   Hints.addOwn(Core.scheduler().takeHints());
   if (++Round % DomainHintsInterval == 0)
     sendDomainHints();
@@ -285,6 +285,8 @@
     Message["i"] = Isolated;
   if (!Leaving.empty())
     Message["d"] = encodeProcesses(Leaving);
+  if (Round % CostsInterval == 0)
+    addCosts(Message);
   const auto SendTo = [&](std::span<const std::string_view> Names) {
     if (Names.empty())
       return;
@@ -424,17 +426,11 @@
   if (handleOrigins(From, Kind, Message))
     return;
   if (Kind == "load") {
-    std::vector<peer_load> Loads;
-    for (const json &Listed : Message.at("l"))
-      Loads.push_back({Listed.at(0), Listed.at(1), Listed.at(2), Listed.at(3),
-                       Listed.at(4)});
-    Core.scheduler().onPeerLoad(From, Loads, Now);
+    Core.scheduler().onPeerLoad(From, decodeLoads(Message.at("l")), Now);
     // Absent in messages of instances that run an earlier release.
-    for (const json &Report : Message.value("r", json::array()))
-      Core.scheduler().onPeerReport(
-          {Report.at(0),
-           {Report.at(1), Report.at(2), Report.at(3)},
-           Now - std::chrono::milliseconds(Report.at(4).get<std::int64_t>())});
+    for (const upstream_load_report &Report :
+         decodeReports(Message.value("r", json::array()), Now))
+      Core.scheduler().onPeerReport(Report);
     // The ages are for earlier releases. A message may have waited while this
     // process was suspended, so only the responses to polls give ages.
     for (const json &Known : Message.at("w"))
@@ -447,6 +443,13 @@
       handleLimits(*Listed, Now);
     if (const auto Listed = Message.find("d"); Listed != Message.end())
       handleLeaving(*Listed, Now);
+    // Absent in most messages, and in those of earlier releases.
+    if (const auto Listed = Message.find("t"); Listed != Message.end())
+      for (const cost_summary &Known : decodeCosts(*Listed))
+        Core.scheduler().costs().onPeerSummary(Known);
+    if (const auto Listed = Message.find("m"); Listed != Message.end())
+      for (const service_rates &Known : decodeRates(*Listed))
+        Core.scheduler().costs().onPeerRates(Known);
     // Absent if the peer reaches an upstream of each service.
     Core.upstreamPaths().onPeerIsolated(
         From, Message.value("i", std::vector<std::string>()), Now);
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -77,6 +77,8 @@
   void handleLeaving(const nlohmann::json &Listed, instant Now);
   void handleQuarantined(const std::string &From, const nlohmann::json &Listed);
   void sendLoad();
+  /// Adds what has been learned of costs.
+  void addCosts(nlohmann::json &Message);
   /// Sends the hints of the failure domain to other domains, if this instance
   /// is the one that does.
   void sendDomainHints();
--- a/src/gateway/connection/peer_messages.cpp
+++ b/src/gateway/connection/peer_messages.cpp
@@ -178,6 +178,101 @@
   return Hints;
 }
 
+json encodeLoads(std::span<const peer_load> Loads) {
+  json Listed = json::array();
+  for (const peer_load &Load : Loads) {
+    json Entry{Load.Upstream, Load.InFlight,
+               static_cast<std::int64_t>(Load.SentPrefillMs),
+               static_cast<std::int64_t>(Load.HeldTokens),
+               static_cast<std::int64_t>(Load.InsertedTokens)};
+    if (Load.RestMs)
+      Entry.push_back(static_cast<std::int64_t>(*Load.RestMs));
+    Listed.push_back(std::move(Entry));
+  }
+  return Listed;
+}
+
+std::vector<peer_load> decodeLoads(const json &Listed) {
+  // Longer rests are no service times.
+  constexpr double MaxRestMs = 1e9;
+  std::vector<peer_load> Loads;
+  for (const json &Entry : Listed) {
+    Loads.push_back({Entry.at(0), Entry.at(1), Entry.at(2), Entry.at(3),
+                     Entry.at(4), std::nullopt});
+    // Absent in messages of instances that run an earlier release.
+    if (Entry.size() > 5)
+      Loads.back().RestMs =
+          std::clamp(Entry.at(5).get<double>(), 0.0, MaxRestMs);
+  }
+  return Loads;
+}
+
+json encodeReports(std::span<const upstream_load_report> Reports, instant Now) {
+  json Listed = json::array();
+  for (const upstream_load_report &Report : Reports) {
+    json Entry{Report.Upstream, Report.Load.Running, Report.Load.Waiting,
+               Report.Load.Slots, toMillis(Now - Report.At)};
+    if (Report.Load.SlownessPercent != reported_load::UsualSlownessPercent)
+      Entry.push_back(Report.Load.SlownessPercent);
+    Listed.push_back(std::move(Entry));
+  }
+  return Listed;
+}
+
+std::vector<upstream_load_report> decodeReports(const json &Listed,
+                                                instant Now) {
+  std::vector<upstream_load_report> Reports;
+  for (const json &Entry : Listed) {
+    upstream_load_report Report;
+    Report.Upstream = Entry.at(0);
+    Report.Load.Running = Entry.at(1);
+    Report.Load.Waiting = Entry.at(2);
+    Report.Load.Slots = Entry.at(3);
+    Report.At =
+        Now - std::chrono::milliseconds(Entry.at(4).get<std::int64_t>());
+    if (Entry.size() > 5)
+      Report.Load.SlownessPercent = Entry.at(5);
+    Reports.push_back(std::move(Report));
+  }
+  return Reports;
+}
+
+json encodeCosts(std::span<const cost_summary> Costs) {
+  json Listed = json::array();
+  for (const cost_summary &Known : Costs)
+    Listed.push_back({Known.Service, Known.Route,
+                      static_cast<float>(Known.Cost.Weight),
+                      static_cast<float>(Known.Cost.MeanMs),
+                      static_cast<float>(Known.Cost.MedianMs),
+                      static_cast<float>(Known.Cost.HighMs)});
+  return Listed;
+}
+
+std::vector<cost_summary> decodeCosts(const json &Listed) {
+  std::vector<cost_summary> Costs;
+  for (const json &Entry : Listed)
+    Costs.push_back({Entry.at(0),
+                     Entry.at(1),
+                     {Entry.at(3), Entry.at(4), Entry.at(5), Entry.at(2)}});
+  return Costs;
+}
+
+json encodeRates(std::span<const service_rates> Rates) {
+  json Listed = json::array();
+  for (const service_rates &Known : Rates)
+    Listed.push_back({Known.Service,
+                      static_cast<float>(Known.Rates.PrefillTokensPerMs),
+                      static_cast<float>(Known.Rates.FirstTokenMs)});
+  return Listed;
+}
+
+std::vector<service_rates> decodeRates(const json &Listed) {
+  std::vector<service_rates> Rates;
+  for (const json &Entry : Listed)
+    Rates.push_back({Entry.at(0), {Entry.at(1), Entry.at(2)}, 0});
+  return Rates;
+}
+
 json encodeDocuments(std::span<const operator_document> Documents) {
   json Listed = json::array();
   for (const operator_document &Document : Documents) {
--- a/src/gateway/connection/peer_messages.h
+++ b/src/gateway/connection/peer_messages.h
@@ -51,6 +51,23 @@
 nlohmann::json encodeHints(std::span<const segment_hint> Hints);
 std::vector<segment_hint> decodeHints(const nlohmann::json &Listed);
 
+/// A load ends with the expected rest where learned costs are used.
+nlohmann::json encodeLoads(std::span<const peer_load> Loads);
+std::vector<peer_load> decodeLoads(const nlohmann::json &Listed);
+
+/// Instants are passed as ages at \p Now. A report ends with the slowness
+/// unless that is as usual.
+nlohmann::json encodeReports(std::span<const upstream_load_report> Reports,
+                             instant Now);
+std::vector<upstream_load_report> decodeReports(const nlohmann::json &Listed,
+                                                instant Now);
+
+nlohmann::json encodeCosts(std::span<const cost_summary> Costs);
+std::vector<cost_summary> decodeCosts(const nlohmann::json &Listed);
+
+nlohmann::json encodeRates(std::span<const service_rates> Rates);
+std::vector<service_rates> decodeRates(const nlohmann::json &Listed);
+
 nlohmann::json encodeDocuments(std::span<const operator_document> Documents);
 std::vector<operator_document> decodeDocuments(const nlohmann::json &Listed);
 
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -48,6 +48,9 @@
       static_cast<std::size_t>(Settings.EnginesPerFirstSegment);
   Options.RegionMs = static_cast<double>(Settings.RegionMs);
   Options.OldWeightsMs = static_cast<double>(Settings.OldWeightsMs);
+  Options.Learning = Settings.LearnedCosts == "off"  ? cost_learning::Off
+                     : Settings.LearnedCosts == "on" ? cost_learning::On
+                                                     : cost_learning::Stated;
   Options.WeightsAge.MaxAge =
       std::chrono::milliseconds(Settings.WeightsBoundMs) - WeightsMargin;
   return Options;
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -70,10 +70,20 @@
                              "Streams whose software version is recorded.")),
       BufferedBytes(addGauge("ebonyvale_response_buffer_bytes",
                              "Buffered bytes of responses.")),
+      LearnedServices(addGauge("ebonyvale_learned_cost_services",
+                               "Services for which learned costs are used.")),
+      LearnedCosts(addGauge("ebonyvale_learned_cost_entries",
+                            "Services, routes, prompt sizes and teams whose "
+                            "costs are learned.")),
       FirstChunkSeconds(addHistogram(
           "ebonyvale_first_part_seconds",
           "Time from a request to the first body chunk of its response.",
           SecondsBuckets)),
+      FirstChunkErrorSeconds(addHistogram(
+          "ebonyvale_first_part_error_seconds",
+          "Difference between the expected and the observed time to the first "
+          "body chunk.",
+          SecondsBuckets)),
       ResponseSeconds(addHistogram(
           "ebonyvale_answer_seconds",
           "Time from a request to the end of its response.", SecondsBuckets)) {}
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -53,7 +53,10 @@
   prometheus::Gauge &UnreachableUpstreams;
   prometheus::Gauge &StreamOrigins;
   prometheus::Gauge &BufferedBytes;
+  prometheus::Gauge &LearnedServices;
+  prometheus::Gauge &LearnedCosts;
   prometheus::Histogram &FirstChunkSeconds;
+  prometheus::Histogram &FirstChunkErrorSeconds;
   prometheus::Histogram &ResponseSeconds;
 };
 
--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -162,6 +162,13 @@
     setting{millis("placement.old_weights_ms",
                    "Cost of an engine whose weights are outdated.", 0),
             &gateway_settings::OldWeightsMs},
+    setting{{.Name = "costs.learned",
+             .Description =
+                 "Services for which learned costs and speeds replace the "
+                 "configured ones; stated: those whose upstreams state a "
+                 "slowness.",
+             .Choices = "off|stated|on"},
+            &gateway_settings::LearnedCosts},
     setting{count("weights.at_once",
                   "Engines that load weights at the same time.", "engines"),
             &gateway_settings::MaxWeightLoads},
--- a/src/gateway/process/gateway_settings.h
+++ b/src/gateway/process/gateway_settings.h
@@ -56,6 +56,7 @@
   std::int64_t EnginesPerFirstSegment = 3;
   std::int64_t RegionMs = 16;
   std::int64_t OldWeightsMs = 200;
+  std::string LearnedCosts = "stated";
   std::int64_t MaxWeightLoads = 3;
   std::int64_t PauseLeadMs = 250;
   std::int64_t PeerIntervalMs = 60;
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -3,6 +3,7 @@
 #include "gateway/request/forward_session.h"
 
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace ebonyvale {
@@ -214,6 +215,7 @@
   Caller->writeChunk(Bytes);
   if (Caller->unsentBytes() > StreamBufferBytes && Exchange) {
     Activity.onPaused();
+    ReadingPaused = true;
     Exchange->pauseReading();
   }
 }
@@ -222,8 +224,11 @@
   if (std::exchange(FirstBytesSeen, true))
     return;
   FirstBytesAt = readBootClock();
-  if (Choice)
+  if (Choice) {
     Core.scheduler().onFirstChunk(*Choice, FirstBytesAt - SentAt, FirstBytesAt);
+    Core.counters().FirstChunkErrorSeconds.Observe(std::abs(
+        toSeconds(FirstBytesAt - SentAt - fromMs(Choice->ExpectedMs))));
+  }
   Core.counters().FirstChunkSeconds.Observe(
       toSeconds(FirstBytesAt - ArrivedAt));
 }
@@ -271,6 +276,7 @@
     return onAttemptEnd(attempt_outcome::Lost, "unproven_end");
   if (Streaming) {
     deliver(Splitter.rest());
+    recordCost(readBootClock());
     endAttempt(readBootClock());
     Caller->endStream();
     Core.counters().CompletedResponses.Increment();
@@ -342,7 +348,21 @@
   onAttemptEnd(attempt_outcome::Lost, Reason);
 }
 
+void forward_session::recordCost(instant Now) {
+  // A relay adds its own time, and a caller that does not read holds up the
+  // response.
+  if (!Choice || isRelayed() || ReadingPaused || Response.Status != StatusOk)
+    return;
+  // The rest of a stream that another upstream began has its first chunk
+  // somewhere in between.
+  if (Streaming && FirstBytesAt < SentAt)
+    return;
+  const span_ns FirstChunkAfter = (Streaming ? FirstBytesAt : Now) - SentAt;
+  Core.scheduler().onServed(*Choice, FirstChunkAfter, Now - SentAt, Now);
+}
+
 void forward_session::forwardResponse() {
+  recordCost(readBootClock());
   endAttempt(readBootClock());
   recordFirstBytes();
   header_list Headers =
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -22,6 +22,8 @@
 constexpr span_ns QuarantineRetryAfter = std::chrono::seconds(30);
 /// Attempts that relays may fail to send before a request is refused.
 constexpr int MaxRelayFailures = 4;
+/// Logged where no cost was learned.
+constexpr double UnknownCost = -1;
 /// Time reserved for a response to reach the caller before its deadline.
 constexpr span_ns ResponseMargin = std::chrono::milliseconds(10);
 
@@ -152,6 +154,9 @@
   schedule_query Query;
   Query.Service = Service;
   Query.Model = ParsedRequest.Model;
+  Query.Route = Route->Name;
+  if (Team)
+    Query.Team = Team->Name;
   Query.Software = StreamSoftware;
   Query.Unconfirmed = &Core.unconfirmedUpstreams();
   Query.ListedAt = Core.upstreamsConfirmedAt();
@@ -271,6 +276,7 @@
   BodyReceived = false;
   ResponseBegun = false;
   ReusedConnection = false;
+  ReadingPaused = false;
   RefusalBodyBytes = 0;
   ResponseBody.clear();
   Splitter = {};
@@ -283,29 +289,33 @@
     Core.counters().Retries.Increment();
   Flow.onSent();
   const auto Age = Core.configFreshness().age(Now);
-  Core.log().info(event_category::Request, "sent",
-                  {{"id", ParsedRequest.Id},
-                   {"route", Route->Name},
-                   {"team", Attempt.Team},
-                   {"upstream", Chosen.Upstream},
-                   {"relay", Chosen.Relay},
-                   {"software", Entry->Software},
-                   {"resumes", ParsedRequest.Resumes},
-                   {"after_event", LastEvent.value_or(0)},
-                   {"attempt", Flow.attempts()},
-                   {"expected_ms", Chosen.ExpectedMs},
-                   {"backlog_ms", Chosen.BacklogMs},
-                   {"prompt_tokens", ParsedRequest.PromptTokens},
-                   {"engine_held_tokens", Chosen.EngineHeldTokens},
-                   {"surplus_ms", Chosen.LatenessMs},
-                   {"missed_tokens", Chosen.MissedTokens},
-                   {"copied_tokens", Chosen.CopiedTokens},
-                   {"fetch_from", Chosen.FetchFrom},
-                   {"weights", Chosen.Weights.value_or(-1)},
-                   {"outdated_ms", Chosen.OutdatedFor.value_or(UnknownAge)},
-                   {"left_ms", Attempt.TimeLeft},
-                   {"version", Routing->Version},
-                   {"evidence_age_ms", Age.value_or(UnknownAge)}});
+  Core.log().info(
+      event_category::Request, "sent",
+      {{"id", ParsedRequest.Id},
+       {"route", Route->Name},
+       {"team", Attempt.Team},
+       {"upstream", Chosen.Upstream},
+       {"relay", Chosen.Relay},
+       {"software", Entry->Software},
+       {"resumes", ParsedRequest.Resumes},
+       {"after_event", LastEvent.value_or(0)},
+       {"attempt", Flow.attempts()},
+       {"expected_ms", Chosen.ExpectedMs},
+       {"backlog_ms", Chosen.BacklogMs},
+       {"service_ms",
+        Chosen.Learned ? Chosen.Learned->ExpectedMs : UnknownCost},
+       {"slowness", Chosen.Learned ? Chosen.Learned->Slowness : UnknownCost},
+       {"prompt_tokens", ParsedRequest.PromptTokens},
+       {"engine_held_tokens", Chosen.EngineHeldTokens},
+       {"surplus_ms", Chosen.LatenessMs},
+       {"missed_tokens", Chosen.MissedTokens},
+       {"copied_tokens", Chosen.CopiedTokens},
+       {"fetch_from", Chosen.FetchFrom},
+       {"weights", Chosen.Weights.value_or(-1)},
+       {"outdated_ms", Chosen.OutdatedFor.value_or(UnknownAge)},
+       {"left_ms", Attempt.TimeLeft},
+       {"version", Routing->Version},
+       {"evidence_age_ms", Age.value_or(UnknownAge)}});
   if (Chosen.StartBy)
     StartTimer.startOnce(*Chosen.StartBy - Now);
   Exchange = Core.links().start(Out, *this);
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -108,6 +108,9 @@
   /// Returns after which time a new request may be served that this one's
   /// upstreams have not.
   span_ns retryAfter(instant Now) const;
+  /// Tells the scheduler how long the current response, which is complete,
+  /// took.
+  void recordCost(instant Now);
   /// Frees the capacity that the current attempt holds at its upstream.
   void endAttempt(instant Now);
   /// Handles the head of an upstream's response, which came directly or through
@@ -216,6 +219,7 @@
   bool HasCallerFraming = true;
   bool AwaitingEnd = false;         ///< until the response's end is judged
   bool ReusedConnection = false;    ///< that was lost in this attempt
+  bool ReadingPaused = false;       ///< since the caller did not read
   std::size_t RefusalBodyBytes = 0; ///< of a response that states "not run"
   timer RefusalTimer;               ///< ends the wait for the rest of it
   timer StartTimer;                 ///< until the request must have begun
--- a/tests/gateway/operator_handler_test.cpp
+++ b/tests/gateway/operator_handler_test.cpp
@@ -82,6 +82,33 @@
       1.8);
 }
 
+/// Costs are learned for a service from the first upstream on that states a
+/// slowness.
+Test(operator_handler, learned_costs_are_shown) {
+  gateway_fixture Gateway;
+  cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 200);
+  cr_assert(read(Gateway, "/costs").at("services").empty());
+  cr_assert(read(Gateway, "/costs").at("routes").empty());
+  for (auto &Upstream : Gateway.Upstreams)
+    Upstream->ExtraHeaders.push_back({"Ebonyvale-Server-Load", "0,0,8,150"});
+  for (int Index = 0; Index < 24; ++Index)
+    cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 200);
+  const json Costs = read(Gateway, "/costs");
+  cr_assert(Costs.at("services").size() == 1, "%s", Costs.dump().c_str());
+  cr_assert(Costs.at("routes").size() == 1 &&
+                Costs.at("routes")[0].at("median_ms") > 0,
+            "%s", Costs.dump().c_str());
+  bool IsSlow = false;
+  const json List = read(Gateway, "/upstreams").at("upstreams");
+  for (const json &Upstream : List) {
+    const double Stated = Upstream.at("slowness").get<double>() /
+                          Upstream.at("learned_slowness").get<double>();
+    IsSlow = IsSlow || (Upstream.at("uses_learned_costs") == true &&
+                        Stated > 1.4 && Stated < 1.6);
+  }
+  cr_assert(IsSlow, "%s", List.dump().c_str());
+}
+
 Test(operator_handler, an_unknown_path_is_named_in_the_error) {
   gateway_fixture Gateway;
   const caller_response Response = Gateway.getAsOperator("/stauts");
--- a/tests/gateway/peer_gossip_test.cpp
+++ b/tests/gateway/peer_gossip_test.cpp
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 using namespace ebonyvale;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -92,6 +93,12 @@
       {"d", "[[1]]"},
       {"d", "[[\"a\"]]"},
       {"d", "7"},
+      {"l", "[[\"u-1\",5,0,0,0,\"a\"]]"},
+      {"r", "[[\"u-1\",1,0,1,5,\"a\"]]"},
+      {"t", "[[\"s\"]]"},
+      {"t", "[[\"s\",\"r\",1,-1,1e300,0]]"},
+      {"m", "[[\"s\",0,-1]]"},
+      {"m", "7"},
       {"k", "\"leaving\""},
   };
   return criterion_test_params(Rows);
@@ -113,6 +120,33 @@
   cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 200);
 }
 
+Test(peer_gossip, loads_and_costs_survive_encoding) {
+  const instant Now(9s);
+  const auto Loads = decodeLoads(encodeLoads(std::vector<peer_load>{
+      {"u-1", 2, 3, 4, 5, 17.0}, {"u-2", 2, 3, 4, 5, std::nullopt}}));
+  cr_assert(Loads.size() == 2 && Loads[0].RestMs == 17.0 && !Loads[1].RestMs);
+  const auto Reports =
+      decodeReports(encodeReports(
+                        std::vector<upstream_load_report>{
+                            {"u-1", {1, 2, 3, 140}, instant(8s)},
+                            {"u-2", {1, 2, 3}, instant(8s)}},
+                        Now),
+                    Now);
+  cr_assert(Reports.size() == 2 && Reports[0].At == instant(8s));
+  cr_assert(Reports[0].Load.SlownessPercent == 140);
+  cr_assert(Reports[1].Load.SlownessPercent == 100);
+  const auto Costs = decodeCosts(encodeCosts(
+      std::vector<cost_summary>{{"s", "r", {20.5, 10.25, 90, 64}}}));
+  cr_assert(Costs.size() == 1 && Costs[0].Service == "s" &&
+            Costs[0].Route == "r");
+  cr_assert(Costs[0].Cost.MeanMs == 20.5 && Costs[0].Cost.MedianMs == 10.25 &&
+            Costs[0].Cost.HighMs == 90 && Costs[0].Cost.Weight == 64);
+  const auto Rates = decodeRates(
+      encodeRates(std::vector<service_rates>{{"s", {44.5, 12}, 100}}));
+  cr_assert(Rates.size() == 1 && Rates[0].Rates.PrefillTokensPerMs == 44.5 &&
+            Rates[0].Rates.FirstTokenMs == 12);
+}
+
 /// The size at which `upstream_departures` counts one.
 Test(peer_gossip, sends_a_departure_in_few_bytes) {
   const std::vector<upstream_process> Processes{
