--- a/src/decisions/process/upstream_costs.cpp
+++ b/src/decisions/process/upstream_costs.cpp
@@ -139,7 +139,8 @@
     return;
   const learned_estimate &Learned = *Choice.Learned;
   double Ms = toMs(After - FirstChunkAfter);
-  if (isPlain(*State)) {
+  // A response that is not streamed has no first chunk of its own.
+  if (isPlain(*State) || FirstChunkAfter >= After) {
     // The wait is only an estimate: at least this fraction was service.
     constexpr double MinServiceFraction = 0.2;
     Ms = std::max(toMs(After) - Learned.DistanceMs - Learned.WaitMs,
