Overload control lets demand in within a second of the queues' end

Below the target it now decays in proportion to the missing delay, with 200 ms where there is none. The least fraction that fits rises from 0.05 to 0.15, what three times the room with returns needs.

--- a/src/decisions/process/overload_control.cpp
+++ b/src/decisions/process/overload_control.cpp
@@ -133,8 +133,11 @@
                          Options.MaxExcess);
   // With room, the demand that was refused is let in within a short time, not
   // at once, or it would fill the queues again.
-  const double Growth = HasRoom ? -1 / toSeconds(Options.ReleaseTime)
-                                : Options.IntegralGain * Excess;
+  // Below the target the factor decays in proportion, or a factor that a long
+  // delay has left would outlast the queues by seconds.
+  const double Growth =
+      Excess < 0 ? Excess / Options.TargetDelay / toSeconds(Options.ReleaseTime)
+                 : Options.IntegralGain * Excess;
   Pressure = std::clamp(Pressure * std::exp(Growth * Elapsed), 1.0,
                         1 / Options.MinFit);
   State.Fit = std::clamp(
--- a/src/decisions/process/overload_control.h
+++ b/src/decisions/process/overload_control.h
@@ -31,12 +31,13 @@
   double MaxExcess = 1;
   /// Queueing delay that a refusal of a full upstream stands for.
   double FullDelay = 1.0 / 2;
-  /// Least fraction that fits; responses to it show when room is back.
-  double MinFit = 0.05;
+  /// Least fraction that fits. Of three times the room, with every refused
+  /// caller returning once, somewhat more than a sixth fits.
+  double MinFit = 0.15;
   /// Fraction of the upstreams that must report waiting or full slots before
   /// delays are taken for a lack of room.
   double BusyFraction = 1.0 / 3;
-  /// Time constant with which everything fits again after that.
+  /// Time constant with which everything fits again without any delay.
   span_ns ReleaseTime = std::chrono::milliseconds(200);
   /// Age up to which responses and reports count.
   span_ns SampleTtl = std::chrono::milliseconds(1000);
--- a/tests/decisions/process/room_control_test.cpp
+++ b/tests/decisions/process/room_control_test.cpp
@@ -232,6 +232,28 @@
   cr_assert(!Control.update(T0 + 5s).isShort(), "%s", Row->Name);
 }
 
+/// Upstreams stay busy after long queues have gone: the demand is let in within
+/// a second.
+Test(overload_control, long_queues_do_not_outlast_themselves) {
+  overload_control Control;
+  const auto Report = [&](std::int64_t Waiting, instant At) {
+    for (std::size_t Index = 0; Index < 10; ++Index)
+      Control.onReport(std::to_string(Index), {6, Waiting, 6, 6}, At);
+  };
+  Control.onSent(1, 60, Aim, T0);
+  instant Now = T0;
+  for (; Now < T0 + 3s; Now += 100ms) {
+    Report(60, Now);
+    Control.update(Now);
+  }
+  cr_assert(Control.state().Fit < 0.2);
+  for (; Now < T0 + 4s; Now += 100ms) {
+    Report(0, Now);
+    Control.update(Now);
+  }
+  cr_assert(!Control.state().isShort(), "fits %.2f", Control.state().Fit);
+}
+
 namespace {
 
 struct sparse_row {
