--- a/src/decisions/process/release_receivers.h
+++ b/src/decisions/process/release_receivers.h
@@ -40,7 +40,8 @@
 
 private:
   std::vector<std::string_view> take(const peer_map &Peers, bool IsOwn,
-                                     std::size_t Count, std::string &Last) const;
+                                     std::size_t Count,
+                                     std::string &Last) const;
 
   std::string Self;
   std::string Domain;
--- a/src/gateway/process/event_log.cpp
+++ b/src/gateway/process/event_log.cpp
@@ -21,8 +21,7 @@
 constexpr std::size_t FlushBytes = 32 * 1024;
 
 constexpr std::array<std::string_view, 7> CategoryNames{
-    "process", "request", "store",   "upstream",
-    "peer",    "weights", "release"};
+    "process", "request", "store", "upstream", "peer", "weights", "release"};
 
 void appendQuoted(fmt::memory_buffer &Out, std::string_view Text) {
   Out.push_back('"');
