--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -442,8 +442,6 @@
       Core.scheduler().onPeerReport(Report);
       Core.onUpstreamLoad(Report.Upstream, Report.Load, Report.At);
     }
-         decodeReports(Message.value("r", json::array()), Now))
-      Core.scheduler().onPeerReport(Report);
     // The ages are for earlier releases. A message may have waited while this
     // process was suspended, so only the responses to polls give ages.
     for (const json &Known : Message.at("w"))
