--- a/src/gateway/process/gateway_settings.cpp
+++ b/src/gateway/process/gateway_settings.cpp
@@ -182,7 +182,6 @@
                  "Services for which learned costs and speeds replace the "
                  "configured ones; stated: those whose upstreams state a "
                  "slowness, and all with the feature \"pressure\".",
-             "slowness.",
              .Choices = "off|stated|on"},
             &gateway_settings::LearnedCosts},
     setting{count("weights.at_once",
