--- a/tests/gateway/release_test.cpp
+++ b/tests/gateway/release_test.cpp
@@ -30,8 +30,9 @@
   return Settings;
 }
 
-/// Instances before two upstreams of the version v1 and two of v2, for which
-/// orders are given.
+/// By name the upstreams of the ordered version come first, so that they would
+/// be chosen at the same cost. Instances before two upstreams of the version v2
+/// and two of v1, for which orders are given.
 class release_fleet {
 public:
   explicit release_fleet(std::size_t Instances,
@@ -41,7 +42,7 @@
       Upstream->EventInterval = span_ns(0);
   }
 
-  void order(double Seconds, std::string_view Software = "v2") {
+  void order(double Seconds, std::string_view Software = "v1") {
     write(fmt::format(R"({{"backend":"s","to":"{}","durationS":{}}})", Software,
                       Seconds));
     OrderedAt = readBootClock();
@@ -56,7 +57,7 @@
   }
   bool hasState(std::string_view State) {
     return valueOf(StatusKey) ==
-           fmt::format(R"({{"state":"{}","to":"v2"}})", State);
+           fmt::format(R"({{"state":"{}","to":"v1"}})", State);
   }
   bool hasEnded() { return hasState("completed") || hasState("rolled_back"); }
 
@@ -87,18 +88,18 @@
       if (Upstream->Software == Software)
         Upstream->Behavior = Behavior;
   }
-  /// Returns whether requests that v1 turns away are all run by v2.
+  /// Returns whether requests that v2 turns away are all run by v1.
   bool allowsAllToNew() {
     constexpr int Requests = 40;
-    setBehavior("v1", upstream_behavior::Full);
-    const int Before = runsOf("v2");
+    setBehavior("v2", upstream_behavior::Full);
+    const int Before = runsOf("v1");
     for (int Request = 0; Request < Requests; ++Request)
       send();
-    setBehavior("v1", upstream_behavior::Respond);
-    return runsOf("v2") - Before == Requests;
+    setBehavior("v2", upstream_behavior::Respond);
+    return runsOf("v1") - Before == Requests;
   }
   bool isWithinShare() const {
-    return runsOf("v2") <= Share * static_cast<double>(Sent) + Slack;
+    return runsOf("v1") <= Share * static_cast<double>(Sent) + Slack;
   }
 
   versions_fleet Fleet;
@@ -169,7 +170,7 @@
   release_fleet Releases(Row->Instances);
   fake_fleet_store &Store = Releases.Fleet.Gateway.Store;
   if (Row->IsBad)
-    Releases.setBehavior("v2", upstream_behavior::Error);
+    Releases.setBehavior("v1", upstream_behavior::Error);
   Releases.order(9);
   cr_assert(
       Releases.sendUntil([&] { return Releases.hasState("running"); }, 3s));
@@ -189,7 +190,7 @@
     if (Row->Trouble == trouble::StoreDown && readBootClock() > TroubleAt + 2s)
       Store.setFault(store_fault::None);
     cr_assert(Releases.isWithinShare() || Releases.hasState("completed"),
-              "%d of %zu requests", Releases.runsOf("v2"), Releases.Sent);
+              "%d of %zu requests", Releases.runsOf("v1"), Releases.Sent);
     return Releases.hasEnded();
   };
   cr_assert(Releases.sendUntil(HasEnded, 12s), "%s: %s", Row->Name,
@@ -199,7 +200,7 @@
   cr_assert(readBootClock() - Releases.OrderedAt < 9s);
   // Each instance learns of it.
   Releases.sendUntil([] { return false; }, 700ms);
-  const std::string_view Other = Row->IsBad ? "v2" : "v1";
+  const std::string_view Other = Row->IsBad ? "v1" : "v2";
   const int Before = Releases.runsOf(Other);
   Releases.sendUntil([] { return false; }, 500ms);
   cr_assert(Releases.runsOf(Other) == Before, "%s: %d requests more", Row->Name,
@@ -209,9 +210,9 @@
 ParameterizedTestParameters(releases, malformed_orders_change_nothing) {
   static odd_order_row Rows[] = {
       {"no version", R"({"backend":"s","durationS":5})"},
-      {"another service", R"({"backend":"t","to":"v2","durationS":5})"},
-      {"no duration", R"({"backend":"s","to":"v2"})"},
-      {"negative", R"({"backend":"s","to":"v2","durationS":-5})"},
+      {"another service", R"({"backend":"t","to":"v1","durationS":5})"},
+      {"no duration", R"({"backend":"s","to":"v1"})"},
+      {"negative", R"({"backend":"s","to":"v1","durationS":-5})"},
       {"no object", "[]"},
       {"no text", "\xff\xfe{"},
   };
@@ -239,10 +240,10 @@
   cr_assert(
       Releases.sendUntil([&] { return Releases.hasState("running"); }, 3s));
   Releases.write("{}");
-  const int Before = Releases.runsOf("v2");
+  const int Before = Releases.runsOf("v1");
   const std::size_t SentBefore = Releases.Sent;
   Releases.sendUntil([] { return false; }, 1s);
-  cr_assert(Releases.runsOf("v2") - Before <=
+  cr_assert(Releases.runsOf("v1") - Before <=
             Share * static_cast<double>(Releases.Sent - SentBefore) + 5);
 }
 
@@ -254,10 +255,10 @@
       Releases.sendUntil([&] { return Releases.hasState("running"); }, 2s));
   Releases.Fleet.Gateway.Store.erase(std::string(OrderKey));
   Releases.sendUntil([] { return false; }, 500ms);
-  const int Before = Releases.runsOf("v2");
+  const int Before = Releases.runsOf("v1");
   Releases.sendUntil([] { return false; }, 3500ms);
   cr_assert(!Releases.hasEnded(), "%s", Releases.valueOf(StatusKey).c_str());
-  cr_assert(Releases.runsOf("v2") == Before);
+  cr_assert(Releases.runsOf("v1") == Before);
   cr_assert(Releases.valueOf(ClaimKey).empty());
 }
 
@@ -313,25 +314,25 @@
   cr_assert(
       Releases.sendUntil([&] { return Releases.hasState("running"); }, 2s));
   Releases.Fleet.restart(1);
-  const int Before = Releases.runsOf("v2");
+  const int Before = Releases.runsOf("v1");
   const std::size_t SentBefore = Releases.Sent;
   // The version is sent requests in a part of each few seconds only.
   Releases.sendUntil([] { return false; }, 2 * release_exposure::ProbePeriod);
-  cr_assert(Releases.runsOf("v2") > Before);
-  cr_assert(Releases.runsOf("v2") - Before <=
+  cr_assert(Releases.runsOf("v1") > Before);
+  cr_assert(Releases.runsOf("v1") - Before <=
             Share * static_cast<double>(Releases.Sent - SentBefore) + 5);
 }
 
-/// With v2 gone from the choice, the retries of requests stay with v1.
+/// With v1 gone from the choice, the retries of requests stay with v2.
 Test(releases, retries_obey_a_roll_back) {
   release_fleet Releases(1);
-  Releases.setBehavior("v2", upstream_behavior::Error);
+  Releases.setBehavior("v1", upstream_behavior::Error);
   Releases.order(9);
   cr_assert(
       Releases.sendUntil([&] { return Releases.hasState("rolled_back"); }, 9s));
-  const int Before = Releases.runsOf("v2");
-  Releases.setBehavior("v1", upstream_behavior::Full);
+  const int Before = Releases.runsOf("v1");
+  Releases.setBehavior("v2", upstream_behavior::Full);
   for (int Request = 0; Request < 20; ++Request)
     Releases.send();
-  cr_assert(Releases.runsOf("v2") == Before);
+  cr_assert(Releases.runsOf("v1") == Before);
 }
