--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -59,9 +59,6 @@
     Options.Learning = cost_learning::On;
   else
     Options.Learning = cost_learning::Stated;
-  Options.Learning = Settings.LearnedCosts == "off"  ? cost_learning::Off
-                     : Settings.LearnedCosts == "on" ? cost_learning::On
-                                                     : cost_learning::Stated;
   Options.WeightsAge.MaxAge =
       std::chrono::milliseconds(Settings.WeightsBoundMs) - WeightsMargin;
   return Options;
