--- a/tests/decisions/version/weights_rollout_test.cpp
+++ b/tests/decisions/version/weights_rollout_test.cpp
@@ -214,7 +214,7 @@
   Rollout.update(Simulation.directory());
   for (std::int64_t Version = 2; Version <= 5; ++Version) {
     Rollout.setTargetVersion("m", Version);
-    Simulation.run(Rollout, 3500ms * (Version - 1), 0);
+    Simulation.run(Rollout, 4s * (Version - 1), 0);
   }
   Simulation.run(Rollout, 24s, 0);
   cr_assert(Simulation.allAt(5));
