Releases: a prefill of shared segments says nothing of a version's speed

Cause: upstreams that have just started have no prompts cached, so that their first chunks come later than those of the former version, by the data sheets up to three times.

--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -319,7 +319,9 @@
   Core.scheduler().onSent(Chosen, makeQuery(Now), Now);
   AttemptSoftware = Entry->Software;
   Core.upstreamLimits().onSent(Chosen.Upstream, Now);
-  CountsLatency = Now >= Entry->WarmAt;
+  // A version that has just started has no prompts cached, so a prefill of
+  // shared segments says nothing of its speed.
+  CountsLatency = Now >= Entry->WarmAt && Chosen.MissedTokens <= 0;
   FirstByteAfter.reset();
   Core.releases().onSent(Service, AttemptSoftware,
                          /*IsFirst=*/Flow.attempts() == 0, Now);
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -249,7 +249,8 @@
   /// may continue the stream.
   std::string StreamSoftware;
   std::string AttemptSoftware; ///< of the current attempt's upstream
-  /// Whether the current attempt's upstream was not slow from its start.
+  /// Whether the current attempt's upstream was not slow from its start, and
+  /// has the shared segments of the prompt cached.
   bool CountsLatency = false;
   std::optional<span_ns> FirstByteAfter; ///< of the current attempt's response
   /// Whether that was certain when the stream began.
