--- a/tests/gateway/silent_upstream_test.cpp
+++ b/tests/gateway/silent_upstream_test.cpp
@@ -155,7 +155,9 @@
     Silent.list();
   cr_assert(Fleet.Gateway.waitFor([&] { return Fleet.Gateway.requestDone(); }));
   const caller_response &Result = Fleet.Gateway.result();
-  cr_expect(Result.Status == 200, "%d", Result.Status);
+  cr_expect(Result.Status == 200, "%s, relayed %d, unlisted %d: %d %s",
+            Row->Path, Row->Relayed, Row->Unlisted, Result.Status,
+            Result.Body.c_str());
   cr_expect(Result.IsComplete);
   if (std::string_view(Row->Path).find("stream") != std::string_view::npos)
     cr_expect(Result.Body == fake_upstream::events(0), "%s",
