--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -160,6 +160,9 @@
       "orders", options::bool_switch(&RunOptions.Orders),
       "order releases, half of them of faulty versions, beside faults of "
       "gateways and the store; needs --seconds 30 or more")(
+      "slow-restarts", options::bool_switch(&RunOptions.SlowRestarts),
+      "upstreams that start again under their ids are away for up to 3 s and "
+      "listed up to 1.2 s later")(
       "folder", options::value(&Folder)->default_value("soak-logs"),
       "folder for settings and logs")(
       "early-stops", options::value(&EarlyStops)->default_value(0),
--- a/tests/soak/soak_environment.h
+++ b/tests/soak/soak_environment.h
@@ -37,6 +37,9 @@
   /// Order releases of software, half of them of faulty versions, beside faults
   /// of gateways and the store only.
   bool Orders = false;
+  /// Upstreams that start again under their ids are away for up to three
+  /// seconds, and the store lists the new process up to 1.2 s after its start.
+  bool SlowRestarts = false;
   /// Whether time bounds are checked too. They can fail on an overloaded
   /// machine.
   bool CheckTimes = false;
@@ -131,6 +134,7 @@
   void releaseInPlace(upstream &Upstream, span_ns After);
   void releaseBeside(upstream &Upstream);
   void restartSameId(upstream &Upstream);
+  void restartSlowly(upstream &Upstream);
   void reportState(instant Now, bool StoreFault = false);
   std::set<std::string> servedSoftware() const;
   /// Lets \p Process name \p PerSecond, or no limit.
--- a/tests/soak/soak_releases.cpp
+++ b/tests/soak/soak_releases.cpp
@@ -105,6 +105,8 @@
       if (Recovering)
         return;
       Upstream.Software = Software;
+      if (Options.SlowRestarts)
+        return restartSameId(Upstream);
       if (Style == 0)
         return releaseInPlace(Upstream, Step / 4);
       return Style == 1 ? releaseBeside(Upstream) : restartSameId(Upstream);
@@ -146,11 +148,35 @@
   fake_upstream &Old = *Upstream.Process;
   if (Old.Limit)
     nameLimit(Old, std::nullopt);
+  if (Options.SlowRestarts && !Recovering)
+    return restartSlowly(Upstream);
   startUpstreamAs(Upstream, Old.id());
   Upstream.Proxy->resetConnections();
   publishUpstream(Upstream, Upstream.Draining);
 }
 
+/// The process ends. Later another one starts under its id, at its address, and
+/// writes its entry some time after that.
+void soak_environment::restartSlowly(upstream &Upstream) {
+  std::uniform_int_distribution<std::int64_t> AwayMs(0, 3000);
+  std::uniform_int_distribution<std::int64_t> UnlistedMs(0, 1200);
+  const auto Away = std::chrono::milliseconds(AwayMs(Random));
+  const auto Unlisted = std::chrono::milliseconds(UnlistedMs(Random));
+  const auto Start = [this, &Upstream, Old = Upstream.Process.get(), Unlisted] {
+    if (Upstream.Process.get() != Old)
+      return;
+    Upstream.Proxy->setFault(proxy_fault::None);
+    startUpstreamAs(Upstream, Old->id());
+    schedule(Unlisted, [this, &Upstream, Process = Upstream.Process.get()] {
+      if (Upstream.Process.get() == Process)
+        publishUpstream(Upstream, Upstream.Draining);
+    });
+  };
+  Upstream.Published = false;
+  Upstream.Proxy->setFault(proxy_fault::Unreachable);
+  schedule(Away, Start);
+}
+
 /// The process says in its responses that it leaves, and ends after the
 /// duration of \p Event; the store does not change before.
 void soak_environment::leave(upstream &Upstream, const soak_event &Event) {
