A stream goes on only on a connection to a process that has stated its start

The first events of a stream came from an upstream of one software version, the rest from one of another.

Cause: an entry counted as that of the running process until this instance or a peer noticed a lost connection. An upstream that starts again under its id with another version is listed later, and instances without a connection to it see nothing: streams began there under the version of the old entry, or went on there. Class: the absence of a sign taken for a proof.

Change: a connection leads to one process, so it remembers the start that its process has stated in a report. A stream goes on only on a connection to the process of the entry; the upstream is asked first if none is idle. A stream that begins on another connection is recorded without a version until its process is known, and no instance continues it. Upstreams that state no start are judged by lost connections and listings as before.

--- a/src/decisions/process/origin_lookup.cpp
+++ b/src/decisions/process/origin_lookup.cpp
@@ -1,5 +1,7 @@
 #include "decisions/process/origin_lookup.h"
 
+#include "decisions/process/stream_origins.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -25,7 +27,9 @@
 void origin_lookup::onAnswer(std::string_view Peer,
                              std::optional<std::string_view> Known) {
   std::erase(Pending, Peer);
-  if (Known && Software.empty())
+  if (Known && isUnknownSoftware(*Known))
+    Begun = true;
+  else if (Known && Software.empty())
     Software = *Known;
 }
 
@@ -33,7 +37,7 @@
   if (!Software.empty())
     return lookup_state::Known;
   if (Now >= EndsAt || (Pending.empty() && Second.empty()))
-    return lookup_state::Unknown;
+    return Begun ? lookup_state::Uncertain : lookup_state::Unknown;
   return lookup_state::Pending;
 }
 
--- a/src/decisions/process/origin_lookup.h
+++ b/src/decisions/process/origin_lookup.h
@@ -15,8 +15,9 @@
 namespace ebonyvale {
 
 /// State of a lookup. `Unknown` is final for the lookup only: the peers that
-/// know may not have answered.
-enum class lookup_state { Pending, Known, Unknown };
+/// know may not have answered. `Uncertain`: the stream has begun at a process
+/// that nobody who answered knows.
+enum class lookup_state { Pending, Known, Uncertain, Unknown };
 
 /// Asks the first peers, then the others too, and those again that have not
 /// answered. The first positive answer counts.
@@ -33,7 +34,8 @@
   /// and at `nextAt`.
   std::vector<std::string> takeToAsk(instant Now);
 
-  /// Records that \p Peer knows the version \p Software, or nothing.
+  /// Records that \p Peer knows the version \p Software, which may be unknown
+  /// (`isUnknownSoftware`), or nothing.
   void onAnswer(std::string_view Peer,
                 std::optional<std::string_view> Software);
 
@@ -51,6 +53,7 @@
   std::vector<std::string> Second;  ///< not asked yet
   std::string Software;
   bool Started = false; ///< the first peers have been asked
+  bool Begun = false;   ///< a record of the stream names no version
   instant RepeatAt;
   instant EndsAt;
 };
--- a/src/decisions/process/stream_origins.cpp
+++ b/src/decisions/process/stream_origins.cpp
@@ -35,6 +35,10 @@
 
 } // namespace
 
+bool isUnknownSoftware(std::string_view Software) {
+  return Software.ends_with(UnknownSoftware);
+}
+
 std::uint64_t streamId(std::string_view Service, std::string_view RequestId) {
   return XXH3_64bits_withSeed(RequestId.data(), RequestId.size(),
                               XXH3_64bits(Service.data(), Service.size())) &
@@ -116,11 +120,19 @@
     return record_result::InvalidName;
   dropExpired(Now);
   if (const auto Found = Records.find(Stream); Found != Records.end()) {
-    if (Names[Found->second.Software].Name != Software)
-      return record_result::Conflict;
-    if (millisOf(Now) - Found->second.AtMs <
-        RenewAfter / std::chrono::milliseconds(1))
+    const std::string_view Recorded = Names[Found->second.Software].Name;
+    const bool IsReplaced =
+        isUnknownSoftware(Recorded) && !isUnknownSoftware(Software);
+    if (Recorded != Software && !IsReplaced)
+      return isUnknownSoftware(Software) ? record_result::Known
+                                         : record_result::Conflict;
+    if (IsReplaced) {
+      --Names[Found->second.Software].Records;
+      Found->second.Software = indexOf(Software);
+    } else if (millisOf(Now) - Found->second.AtMs <
+               RenewAfter / std::chrono::milliseconds(1)) {
       return record_result::Known;
+    }
     Found->second.AtMs = millisOf(Now);
     Order.erase(std::ranges::find(Order, Stream));
     Order.push_back(Stream);
--- a/src/decisions/process/stream_origins.h
+++ b/src/decisions/process/stream_origins.h
@@ -27,6 +27,14 @@
   bool operator==(const stream_origin &) const = default;
 };
 
+/// Version in the record of a stream that began at a process that had not
+/// stated its start. No upstream has it, so no instance continues the stream.
+/// Where the process is known later, another record replaces this one.
+inline constexpr std::string_view UnknownSoftware = "\x1A";
+
+/// Returns whether the record \p Software names no version.
+bool isUnknownSoftware(std::string_view Software);
+
 /// Returns the id of the stream that the request \p RequestId to \p Service
 /// began: 48 bits, the same on all instances.
 std::uint64_t streamId(std::string_view Service, std::string_view RequestId);
@@ -39,7 +47,7 @@
 
 /// What the record on a stream has become.
 enum class record_result {
-  New, ///< or renewed
+  New, ///< renewed, or in the place of `UnknownSoftware`
   Known,
   Conflict,   ///< another version is recorded, and stays
   InvalidName ///< empty, or longer than `MaxNameBytes`; nothing is recorded
--- a/src/decisions/process/unconfirmed_upstreams.cpp
+++ b/src/decisions/process/unconfirmed_upstreams.cpp
@@ -25,32 +25,41 @@
     Doubt->Since = Now;
     return false;
   }
-  Doubts[Process.Id].push_back({Process, Now, {}, {}});
+  Doubts[Process.Id].push_back({Process, Now, {}});
   return true;
 }
 
 start_evidence unconfirmed_upstreams::onStarted(const upstream_process &Listed,
                                                 std::int64_t Born,
-                                                bool KeepsConnection,
                                                 instant SentAt) {
   if (Born == 0 || Listed.Born == 0)
     return start_evidence::None;
   doubt *Doubt = find(Listed);
   if (Born != Listed.Born) {
     if (!Doubt)
-      Doubt = &Doubts[Listed.Id].emplace_back(doubt{Listed, SentAt, {}, {}});
+      Doubt = &Doubts[Listed.Id].emplace_back(doubt{Listed, SentAt, {}});
     Doubt->ReplacedAt = SentAt;
     return start_evidence::OtherProcess;
   }
-  if (!Doubt)
-    return start_evidence::Confirmed;
   // Processes follow each other, so the other statement was not of a later one.
-  if (Doubt->ReplacedAt && SentAt > *Doubt->ReplacedAt)
+  if (Doubt && Doubt->ReplacedAt && SentAt > *Doubt->ReplacedAt)
     Doubt->ReplacedAt.reset();
-  if (Doubt->ReplacedAt || !KeepsConnection || SentAt < Doubt->Since)
-    return start_evidence::SameProcess;
-  Doubt->StatedAt = SentAt;
-  return start_evidence::Confirmed;
+  return start_evidence::SameProcess;
+}
+
+void unconfirmed_upstreams::onStartless(const upstream_process &Process) {
+  Startless.insert_or_assign(Process.Id, Process);
+}
+
+bool unconfirmed_upstreams::statesStart(const upstream_entry &Entry) const {
+  const auto Found = Startless.find(Entry.Id);
+  return Entry.Born != 0 &&
+         (Found == Startless.end() || Found->second != Entry.process());
+}
+
+bool unconfirmed_upstreams::isReplaced(const upstream_entry &Entry) const {
+  const doubt *Doubt = find(Entry.process());
+  return Doubt && Doubt->ReplacedAt;
 }
 
 bool unconfirmed_upstreams::isListed(const upstream_entry &Entry,
@@ -62,31 +71,23 @@
          *ListedAt - Doubt->Since >= ListingTime;
 }
 
-bool unconfirmed_upstreams::isConfirmed(const upstream_entry &Entry,
-                                        std::optional<instant> ListedAt,
-                                        instant Now) const {
-  if (isListed(Entry, ListedAt))
-    return true;
-  const doubt *Doubt = find(Entry.process());
-  return !Doubt->ReplacedAt && Doubt->StatedAt &&
-         *Doubt->StatedAt >= Doubt->Since &&
-         Now - *Doubt->StatedAt < StatementTtl;
-}
-
 void unconfirmed_upstreams::expire(const upstream_directory &Directory,
                                    instant ListedAt) {
-  for (auto &[Id, Known] : Doubts) {
-    const upstream_entry *Entry = Directory.find(Id);
+  const auto IsListedNow = [&](const upstream_process &Process) {
+    const upstream_entry *Entry = Directory.find(Process.Id);
+    return Entry && Entry->process() == Process;
+  };
+  for (auto &[Id, Known] : Doubts)
     std::erase_if(Known, [&](const doubt &Doubt) {
       if (!Doubt.ReplacedAt)
         return ListedAt - Doubt.Since >= ListingTime;
       // An older copy of the store may list it again.
-      const bool IsListed = Entry && Entry->process() == Doubt.Process;
-      return !IsListed &&
+      return !IsListedNow(Doubt.Process) &&
              ListedAt - *Doubt.ReplacedAt >= upstream_directory::GoneMemory;
     });
-  }
   std::erase_if(Doubts, [](const auto &Known) { return Known.second.empty(); });
+  std::erase_if(Startless,
+                [&](const auto &Known) { return !IsListedNow(Known.second); });
 }
 
 } // namespace ebonyvale
--- a/src/decisions/process/unconfirmed_upstreams.h
+++ b/src/decisions/process/unconfirmed_upstreams.h
@@ -17,44 +17,55 @@
 enum class start_evidence {
   None,
   OtherProcess, ///< the entry is that of another process
-  SameProcess,  ///< it was that of the process when that was asked
-  Confirmed     ///< the entry is that of the process
+  SameProcess   ///< it was that of the process when that was asked
 };
 
 /// An upstream may start again under its id and address with other software,
-/// and its responses do not state which. Its connections end at a restart, so
-/// after the loss of one its entry counts only for a moment after the process
-/// has stated that it is the one of the entry, or once the list of upstreams
-/// has been read when a new process would have been listed.
+/// and its responses do not state which. Nothing tells an instance that has no
+/// connection to it, so an entry alone proves nothing: a process is known by
+/// the start that it states on a connection (`client_connection::serverStart`).
+///
+/// Upstreams that state no start are taken for the process of their entry until
+/// a connection is lost, and again once the list of upstreams has been read
+/// when a new process would have been listed.
 class unconfirmed_upstreams {
 public:
   /// Time from the loss of a connection to the entry of a new process.
   static constexpr span_ns ListingTime = std::chrono::milliseconds(1500);
-  /// How long a statement of the process counts: no connection may be open
-  /// that would show its end.
-  static constexpr span_ns StatementTtl = std::chrono::milliseconds(150);
 
   /// Records that \p Process has ended a connection, or refused one. Returns
-  /// whether it was confirmed before.
+  /// whether its entry was confirmed before.
   bool onConnectionLost(const upstream_process &Process, instant Now);
 
   /// Records that the process at the address of \p Listed has stated \p Born,
   /// its start in ms since the Unix epoch (0: it stated none), in response to a
-  /// request sent at \p SentAt. \p KeepsConnection tells whether the connection
-  /// of the response stays open.
+  /// request sent at \p SentAt.
   start_evidence onStarted(const upstream_process &Listed, std::int64_t Born,
-                           bool KeepsConnection, instant SentAt);
+                           instant SentAt);
 
-  /// Returns whether \p Entry describes the process that runs at \p Now.
-  /// \p ListedAt is when the list of upstreams was last read.
-  bool isConfirmed(const upstream_entry &Entry, std::optional<instant> ListedAt,
-                   instant Now) const;
+  /// Records that \p Process does not state its start when it is asked.
+  void onStartless(const upstream_process &Process);
 
-  /// Returns whether \p Entry is confirmed for good, until a connection is
-  /// lost.
+  /// Returns whether the process of \p Entry can be asked for its start.
+  bool statesStart(const upstream_entry &Entry) const;
+
+  /// Returns whether another process has answered in the place of that of
+  /// \p Entry.
+  bool isReplaced(const upstream_entry &Entry) const;
+
+  /// Returns whether no connection has been lost since a new process of
+  /// \p Entry would have been listed. \p ListedAt is when the list of upstreams
+  /// was last read.
   bool isListed(const upstream_entry &Entry,
                 std::optional<instant> ListedAt) const;
 
+  /// Returns whether \p Entry can be that of the running process, as far as
+  /// that can be told without asking it.
+  bool mayBeCurrent(const upstream_entry &Entry,
+                    std::optional<instant> ListedAt) const {
+    return statesStart(Entry) ? !isReplaced(Entry) : isListed(Entry, ListedAt);
+  }
+
   /// Forgets what a list of upstreams read at \p ListedAt, \p Directory, has
   /// confirmed or replaced.
   void expire(const upstream_directory &Directory, instant ListedAt);
@@ -63,16 +74,15 @@
   struct doubt {
     upstream_process Process;
     instant Since;
-    /// When the process was asked that has stated its start since.
-    std::optional<instant> StatedAt;
-    /// When another process was asked that has stated its start.
+    /// When the process was asked that has stated another start.
     std::optional<instant> ReplacedAt;
   };
 
   doubt *find(const upstream_process &Process);
   const doubt *find(const upstream_process &Process) const;
 
-  std::map<std::string, std::vector<doubt>, std::less<>> Doubts; ///< by id
+  std::map<std::string, std::vector<doubt>, std::less<>> Doubts;  ///< by id
+  std::map<std::string, upstream_process, std::less<>> Startless; ///< by id
 };
 
 } // namespace ebonyvale
--- a/src/decisions/process/upstream_scheduler.cpp
+++ b/src/decisions/process/upstream_scheduler.cpp
@@ -189,12 +189,12 @@
 }
 
 bool upstream_scheduler::hasSoftware(const upstream_entry &Entry,
-                                     const schedule_query &Query, instant Now) {
+                                     const schedule_query &Query) {
   if (Query.Software.empty())
     return true;
   return Entry.Software == Query.Software &&
          (!Query.Unconfirmed ||
-          Query.Unconfirmed->isConfirmed(Entry, Query.ListedAt, Now));
+          Query.Unconfirmed->mayBeCurrent(Entry, Query.ListedAt));
 }
 
 upstream_scheduler::candidate_set
@@ -205,7 +205,7 @@
   for (auto &[Id, State] : States) {
     const bool Eligible = State.Entry.Service == Query.Service &&
                           State.Entry.isOpen() &&
-                          hasSoftware(State.Entry, Query, Now) &&
+                          hasSoftware(State.Entry, Query) &&
                           oldWeightsCostMs(State, Query.Model, 0, Now);
     if (!Eligible)
       continue;
--- a/src/decisions/process/upstream_scheduler.h
+++ b/src/decisions/process/upstream_scheduler.h
@@ -52,7 +52,7 @@
   std::string_view Route;    ///< empty if unknown
   std::string_view Team;     ///< empty if unknown
   std::string_view Software; ///< required version; empty: any
-  /// Upstreams whose software is not certain; null: that of each is.
+  /// Upstreams whose entry may be an earlier process's; null: that of none is.
   const unconfirmed_upstreams *Unconfirmed = nullptr;
   std::optional<instant> ListedAt; ///< when the upstreams were last read
   /// Shared prefix segments, followed by the request's own segment.
@@ -508,7 +508,7 @@
   schedule_outcome chooseFrom(const candidate_set &Set,
                               const schedule_query &Query, instant Now);
   static bool hasSoftware(const upstream_entry &Entry,
-                          const schedule_query &Query, instant Now);
+                          const schedule_query &Query);
   /// Adds the upstreams that are reached through a relay: all \p Relayed ones
   /// if no other is usable, else those that peers have recently reached.
   static void addRelayed(const schedule_query &Query,
--- a/src/gateway/connection/end_verifier.cpp
+++ b/src/gateway/connection/end_verifier.cpp
@@ -159,7 +159,8 @@
       Born = Report->Born;
   if (Born == 0)
     return {AskedAt, process_evidence::Unnamed, 0, Call.connectedAt()};
-  Core.onUpstreamStarted(Asked, Born, Call.keepsConnection(), AskedAt);
+  Call.setServerStart(Born);
+  Core.onUpstreamStarted(Asked, Born, AskedAt);
   return {AskedAt, process_evidence::Started, Born, Call.connectedAt()};
 }
 
--- a/src/gateway/connection/upstream_call.cpp
+++ b/src/gateway/connection/upstream_call.cpp
@@ -22,6 +22,7 @@
 
 void upstream_call::start(const client_request &Request, span_ns MaxTime) {
   Link = Core.links().start(Request, *this);
+  Used = Link;
   ConnectedAt = Link->openedAt();
   Deadline.startOnce(MaxTime);
 }
@@ -35,7 +36,6 @@
     return response_action::Skip;
   }
   Status = Head.Status;
-  KeepsConnection = Head.KeepAlive && !Head.CloseDelimited;
   const response_info Stated =
       Core.protocols().Upstreams.readResponse(Head, Target.Id);
   FromOtherProcess = Stated.OtherProcess;
@@ -63,6 +63,11 @@
   finish(0);
 }
 
+void upstream_call::setServerStart(std::int64_t Start) const {
+  if (const auto Connection = Used.lock())
+    Connection->setServerStart(Start);
+}
+
 void upstream_call::finish(int Result) {
   const auto Guard = shared_from_this();
   Deadline.stop();
--- a/src/gateway/connection/upstream_call.h
+++ b/src/gateway/connection/upstream_call.h
@@ -25,8 +25,9 @@
   using callback = std::function<void(const std::shared_ptr<upstream_call> &,
                                       int Status, std::string_view Body)>;
 
-  /// Returns whether the connection stayed open after the response.
-  bool keepsConnection() const { return KeepsConnection; }
+  /// Records that the response states the start \p Start of the process that
+  /// has sent it.
+  void setServerStart(std::int64_t Start) const;
   /// Returns whether another process than the one asked has responded.
   bool isFromOtherProcess() const { return FromOtherProcess; }
   /// Returns whether the connection was refused, see `exchange_loss`.
@@ -56,8 +57,8 @@
   callback Done;
   timer Deadline;
   std::shared_ptr<client_connection> Link;
+  std::weak_ptr<client_connection> Used; ///< also once the call has ended
   int Status = 0;
-  bool KeepsConnection = false;
   bool FromOtherProcess = false;
   bool Refused = false;
   bool Lost = false;
--- a/src/gateway/connection/upstream_verifier.h
+++ b/src/gateway/connection/upstream_verifier.h
@@ -14,8 +14,8 @@
 
 namespace ebonyvale {
 
-/// Requests status reports from upstreams that are not confirmed
-/// (`unconfirmed_upstreams`). A report states when the process has started.
+/// Requests status reports from upstreams (`unconfirmed_upstreams`). A report
+/// states when the process has started.
 class upstream_verifier final : public software_verifier {
 public:
   /// Largest number of upstreams that are asked at the same time.
@@ -28,14 +28,15 @@
 
   // software_verifier
   bool verify(std::string_view Upstream,
-              const std::weak_ptr<verification_waiter> &Waiter,
+              const std::weak_ptr<verification_waiter> &Waiter, instant Since,
               instant Now) override;
 
 private:
   struct question {
     std::shared_ptr<upstream_call> Call;
     std::vector<std::weak_ptr<verification_waiter>> Waiters;
-    bool Again = false; ///< the answer may be older than what it is to confirm
+    instant AskedAt;
+    instant Since = instant::min(); ///< the latest one that was passed
   };
 
   struct failed_question {
@@ -44,8 +45,8 @@
   };
 
   void ask(const upstream_entry &Entry, question &Question, instant Now);
-  void onAnswer(const upstream_process &Asked, instant SentAt, int Status,
-                bool KeepsConnection, std::string_view Body);
+  void onAnswer(const upstream_process &Asked, instant SentAt,
+                const upstream_call &Call, int Status, std::string_view Body);
   bool wasUnanswered(const upstream_entry &Entry) const;
 
   gateway_core &Core;
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -148,12 +148,12 @@
 public:
   virtual ~software_verifier() = default;
   /// Asks \p Upstream, unless it has just failed to answer. Returns whether an
-  /// answer is due; \p Waiter is then called once, from the event loop. Without
-  /// a waiter, an upstream that is being asked is asked again after its answer
-  /// unless that confirms it.
+  /// answer is due; \p Waiter, if there is one, is then called once, from the
+  /// event loop. An upstream that is being asked since before \p Since is asked
+  /// again after its answer.
   virtual bool verify(std::string_view Upstream,
                       const std::weak_ptr<verification_waiter> &Waiter,
-                      instant Now) = 0;
+                      instant Since, instant Now) = 0;
 };
 
 /// Waits for a response to be judged that ended with its connection.
@@ -290,41 +290,39 @@
   const unconfirmed_upstreams &unconfirmedUpstreams() const {
     return Unconfirmed;
   }
-  /// Returns the usable upstreams of \p Service whose entry states \p Software,
-  /// while it is not certain that it is that of their process.
-  std::vector<const upstream_entry *>
-  uncertainUpstreams(std::string_view Service, std::string_view Software,
-                     instant Now) const;
-  /// Asks these upstreams which process they run. Returns whether an answer is
-  /// due, see `software_verifier`.
-  bool verifySoftware(std::string_view Service, std::string_view Software,
-                      const std::weak_ptr<verification_waiter> &Waiter,
-                      instant Now);
   /// Records that \p Upstream may have restarted with other software.
   void onSoftwareUncertain(const upstream_process &Upstream,
                            std::string_view Reason, instant Now);
-  /// Asks \p Upstream which process it runs if its software is uncertain.
-  /// Returns whether an answer is due, see `software_verifier`.
+  /// Asks \p Upstream which process it runs. Returns whether an answer is due,
+  /// see `software_verifier`.
   bool verifyUpstream(std::string_view Upstream,
                       const std::weak_ptr<verification_waiter> &Waiter,
                       instant Now);
-  /// Returns whether \p Upstream certainly has \p Software; any will do if that
-  /// is empty.
-  bool hasSoftware(std::string_view Upstream, std::string_view Software,
-                   instant Now) const;
+  /// Asks \p Upstream to which process the connections lead that were opened by
+  /// \p OpenedAt.
+  void verifyConnections(std::string_view Upstream, instant OpenedAt,
+                         instant Now);
+  /// Returns whether a request can be sent that certainly runs at the process
+  /// of \p Entry: a connection to it is idle.
+  bool isProven(const upstream_entry &Entry) const;
+  /// Returns whether a response to a request that was sent under \p Entry, on a
+  /// connection to the process with the start \p ServerStart (0: not known), is
+  /// certainly of the process of \p Entry.
+  bool isFromProcessOf(const upstream_entry &Entry,
+                       std::int64_t ServerStart) const {
+    return Unconfirmed.statesStart(Entry) ? ServerStart == Entry.Born
+                                          : isListed(Entry);
+  }
   /// Records that the process at the address of \p Listed has stated its start,
   /// see `unconfirmed_upstreams::onStarted`.
   start_evidence onUpstreamStarted(const upstream_process &Listed,
-                                   std::int64_t Born, bool KeepsConnection,
-                                   instant SentAt);
-  /// Returns whether \p Entry is confirmed, see `unconfirmed_upstreams`.
+                                   std::int64_t Born, instant SentAt);
+  /// Records that \p Listed has responded and stated no start.
+  void onUpstreamStartless(const upstream_process &Listed);
+  /// See `unconfirmed_upstreams::isListed`.
   bool isListed(const upstream_entry &Entry) const {
     return Unconfirmed.isListed(Entry, UpstreamsConfirmedAt);
   }
-  /// Returns whether \p Entry states the software of the process that runs.
-  bool isSoftwareCertain(const upstream_entry &Entry) const {
-    return isListed(Entry);
-  }
 
   /// Records that no instance has served before this one.
   void onFirstInstance();
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -34,6 +34,10 @@
                          "Attempts after the first one.")),
       StreamsResumed(addCounter("ebonyvale_streams_resumed_total",
                                 "Streams resumed at another upstream.")),
+      UncertainStreams(
+          addCounter("ebonyvale_uncertain_streams_total",
+                     "Streams that began at a process that had not stated its "
+                     "start.")),
       SegmentsQuarantined(addCounter(
           "ebonyvale_segments_quarantined_total",
           "Prompt segments quarantined since they crash upstreams.")),
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -44,6 +44,7 @@
   prometheus::Counter &CallersGone;
   prometheus::Counter &Retries;
   prometheus::Counter &StreamsResumed;
+  prometheus::Counter &UncertainStreams;
   prometheus::Counter &SegmentsQuarantined;
   prometheus::Counter &OrdersSent;
   prometheus::Counter &PausesAsked;
--- a/src/gateway/process/origin_task.cpp
+++ b/src/gateway/process/origin_task.cpp
@@ -69,22 +69,24 @@
     logConflict(Stream, Software);
 }
 
-std::shared_ptr<const bool>
-origin_task::onBegunUnconfirmed(std::string_view RequestId,
-                                const stream_writer &Writer,
-                                const upstream_process &Process, instant Now) {
+std::shared_ptr<const bool> origin_task::onBegunUnconfirmed(
+    std::string_view RequestId, const stream_writer &Writer,
+    const upstream_process &Process, instant OpenedAt) {
+  record(RequestId, {Writer.Service, std::string(UnknownSoftware)});
+  sendRecords();
   if (Unconfirmed.size() >= MaxUnconfirmed)
     Unconfirmed.erase(Unconfirmed.begin());
-  Unconfirmed.push_back({std::string(RequestId), Writer, Process, Now,
+  Unconfirmed.push_back({std::string(RequestId), Writer, Process,
+                         readBootClock(), OpenedAt,
                          std::make_shared<bool>(false)});
   return Unconfirmed.back().IsConfirmed;
 }
 
-// Processes of an upstream follow each other. A stream that has begun under the
-// entry of a process was begun by it if it is still running later.
+// Processes of an upstream follow each other. A connection that was opened
+// under the entry of a process leads to it if that is still running later.
 void origin_task::recordConfirmed(const upstream_process &Running, instant At) {
   std::erase_if(Unconfirmed, [&](const unconfirmed_stream &Stream) {
-    if (Stream.Process != Running || Stream.BegunAt > At)
+    if (Stream.Process != Running || Stream.OpenedAt > At)
       return false;
     recordOf(Stream);
     return true;
@@ -97,19 +99,23 @@
   *Stream.IsConfirmed = true;
 }
 
-void origin_task::recordListed(instant Now) {
+void origin_task::settleUnconfirmed(instant Now) {
   std::erase_if(Unconfirmed, [&](const unconfirmed_stream &Stream) {
     const upstream_entry *Entry = Core.directory().find(Stream.Process.Id);
     const bool IsSame = Entry && Entry->process() == Stream.Process;
-    if (IsSame && Core.isListed(*Entry))
+    if (IsSame && !Core.unconfirmedUpstreams().statesStart(*Entry) &&
+        Core.isListed(*Entry)) {
       recordOf(Stream);
-    else if (IsSame && Now - Stream.BegunAt < stream_origins::KeepFor)
+      return true;
+    }
+    if (IsSame && Now - Stream.BegunAt < stream_origins::KeepFor) {
+      Core.verifyConnections(Stream.Process.Id, Stream.OpenedAt, Now);
       return false;
-    else
-      Core.log().info(event_category::Request, "origin_unknown",
-                      {{"id", Stream.RequestId},
-                       {"upstream", Stream.Process.Id},
-                       {"software", Stream.Writer.Software}});
+    }
+    Core.log().info(event_category::Request, "origin_unknown",
+                    {{"id", Stream.RequestId},
+                     {"upstream", Stream.Process.Id},
+                     {"software", Stream.Writer.Software}});
     return true;
   });
   sendRecords();
@@ -134,7 +140,8 @@
   const instant Now = readBootClock();
   updateMembers(Now);
   const std::uint64_t Stream = streamOf(RequestId);
-  if (const auto Known = Origins.find(Stream, Now)) {
+  const auto Known = Origins.find(Stream, Now);
+  if (Known && !isUnknownSoftware(*Known)) {
     // The waiter may record a stream, which ends the validity of a view.
     const stream_writer Writer = decodeWriter(*Known);
     if (const auto Target = Waiter.lock())
@@ -148,6 +155,8 @@
                            origin_lookup(Origins.peersToAsk(Stream), Now), {}})
           .first;
   Position->second.Waiters.push_back(Waiter);
+  if (Known)
+    Position->second.Lookup.onAnswer("", *Known);
   advance(Position, Now);
   armLookupTimer(Now);
 }
@@ -170,6 +179,8 @@
   std::optional<stream_writer> Writer;
   if (IsKnown)
     Writer = decodeWriter(Pending.Lookup.software());
+  else if (State == lookup_state::Uncertain)
+    Writer = {"", std::string(UnknownSoftware)};
   const auto Waiters = std::move(Pending.Waiters);
   const auto Next = Lookups.erase(Lookup);
   for (const std::weak_ptr<origin_waiter> &Waiter : Waiters)
@@ -226,7 +237,7 @@
   const instant Now = readBootClock();
   updateMembers(Now);
   askForHistory(Now);
-  recordListed(Now);
+  settleUnconfirmed(Now);
   Origins.expire(Now);
   Core.counters().StreamOrigins.Set(static_cast<double>(Origins.count()));
 }
--- a/src/gateway/process/origin_task.h
+++ b/src/gateway/process/origin_task.h
@@ -32,7 +32,8 @@
 public:
   virtual ~origin_waiter() = default;
   /// \p Known has begun the stream; nothing if neither this instance nor a peer
-  /// that answered knows it.
+  /// that answered knows it. Its version is `UnknownSoftware` if they only know
+  /// that the stream has begun.
   virtual void onOrigin(const std::optional<stream_writer> &Known) = 0;
 };
 
@@ -49,13 +50,13 @@
   void onBegun(std::string_view RequestId, const stream_writer &Writer);
 
   /// As `onBegun`, but \p Process may have been replaced under its entry. The
-  /// record counts once the entry is confirmed; the result is true from then
-  /// on.
+  /// record names no version until the entry is confirmed; the result is true
+  /// from then on.
   std::shared_ptr<const bool>
   onBegunUnconfirmed(std::string_view RequestId, const stream_writer &Writer,
-                     const upstream_process &Process, instant Now);
-  /// Records the streams that have begun at \p Running by \p At, when that
-  /// process was running.
+                     const upstream_process &Process, instant OpenedAt);
+  /// Records the streams of connections to \p Running that were opened by
+  /// \p At, when that process was running.
   void recordConfirmed(const upstream_process &Running, instant At);
 
   /// Finds out what began the stream of \p RequestId. \p Waiter is called once,
@@ -90,6 +91,7 @@
     stream_writer Writer;
     upstream_process Process;
     instant BegunAt;
+    instant OpenedAt; ///< its connection
     std::shared_ptr<bool> IsConfirmed;
   };
   using lookup_map = std::map<std::uint64_t, pending_lookup>;
@@ -103,8 +105,10 @@
   void record(std::string_view RequestId, const stream_writer &Writer);
   /// Records \p Stream, which has been confirmed.
   void recordOf(const unconfirmed_stream &Stream);
-  /// Records the streams whose upstreams the store has confirmed.
-  void recordListed(instant Now);
+  /// Asks the upstreams of streams without a record again. Records the streams
+  /// whose upstreams the store has confirmed, and drops those whose process
+  /// will not become known.
+  void settleUnconfirmed(instant Now);
   void onTick();
   /// Asks some peers what can have begun streams, if this instance does not
   /// know.
--- a/src/gateway/process/upstream_reach.cpp
+++ b/src/gateway/process/upstream_reach.cpp
@@ -66,43 +66,25 @@
               {"reason", Reason}});
 }
 
-std::vector<const upstream_entry *>
-gateway_core::uncertainUpstreams(std::string_view Service,
-                                 std::string_view Software, instant Now) const {
-  std::vector<const upstream_entry *> Usable = Directory.usable(Service);
-  std::erase_if(Usable, [&](const upstream_entry *Entry) {
-    return Entry->Software != Software ||
-           Unconfirmed.isConfirmed(*Entry, UpstreamsConfirmedAt, Now);
-  });
-  return Usable;
-}
-
-bool gateway_core::verifySoftware(
-    std::string_view Service, std::string_view Software,
-    const std::weak_ptr<verification_waiter> &Waiter, instant Now) {
-  bool IsAnswerDue = false;
-  if (Verifier)
-    for (const upstream_entry *Entry :
-         uncertainUpstreams(Service, Software, Now))
-      IsAnswerDue |= Verifier->verify(Entry->Id, Waiter, Now);
-  return IsAnswerDue;
-}
-
 bool gateway_core::verifyUpstream(
     std::string_view Upstream, const std::weak_ptr<verification_waiter> &Waiter,
     instant Now) {
   const upstream_entry *Entry = Directory.find(Upstream);
-  return Verifier && Entry && !isSoftwareCertain(*Entry) &&
-         Verifier->verify(Upstream, Waiter, Now);
+  return Verifier && Entry && Unconfirmed.statesStart(*Entry) &&
+         Verifier->verify(Upstream, Waiter, /*Since=*/instant::min(), Now);
 }
 
-bool gateway_core::hasSoftware(std::string_view Upstream,
-                               std::string_view Software, instant Now) const {
-  if (Software.empty())
-    return true;
+void gateway_core::verifyConnections(std::string_view Upstream,
+                                     instant OpenedAt, instant Now) {
   const upstream_entry *Entry = Directory.find(Upstream);
-  return Entry && Entry->Software == Software &&
-         Unconfirmed.isConfirmed(*Entry, UpstreamsConfirmedAt, Now);
+  if (Verifier && Entry && Unconfirmed.statesStart(*Entry))
+    Verifier->verify(Upstream, {}, OpenedAt, Now);
+}
+
+bool gateway_core::isProven(const upstream_entry &Entry) const {
+  if (!Unconfirmed.statesStart(Entry))
+    return isListed(Entry);
+  return Links.hasIdleTo({Entry.Address, Entry.Port}, Entry.Born);
 }
 
 void gateway_core::onUpstreamEntry(const upstream_entry &Entry, instant Now) {
@@ -112,18 +94,25 @@
 
 start_evidence gateway_core::onUpstreamStarted(const upstream_process &Listed,
                                                std::int64_t Born,
-                                               bool KeepsConnection,
                                                instant SentAt) {
   if (EndVerifier)
     EndVerifier->onStated(Listed, Born, readBootClock());
-  const start_evidence Evidence =
-      Unconfirmed.onStarted(Listed, Born, KeepsConnection, SentAt);
-  if (Origins && (Evidence == start_evidence::SameProcess ||
-                  Evidence == start_evidence::Confirmed))
+  if (Born != 0)
+    Links.onServerStart({Listed.Address, Listed.Port}, Born, SentAt);
+  const start_evidence Evidence = Unconfirmed.onStarted(Listed, Born, SentAt);
+  if (Origins && Evidence == start_evidence::SameProcess)
     Origins->recordConfirmed(Listed, SentAt);
   return Evidence;
 }
 
+void gateway_core::onUpstreamStartless(const upstream_process &Listed) {
+  if (Listed.Born == 0)
+    return;
+  Unconfirmed.onStartless(Listed);
+  Log.info(event_category::Upstream, "start_not_stated",
+           {{"upstream", Listed.Id}, {"born", Listed.Born}});
+}
+
 bool gateway_core::isCutFromEngines(instant Now) const {
   if (UpstreamPaths.lostCount() == 0)
     return false;
--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -12,9 +12,11 @@
 
 /// Retry-After where no upstream may continue a stream: peers may answer later.
 constexpr span_ns OriginRetryAfter = std::chrono::milliseconds(250);
-/// Longest wait for upstreams to state which process they run; above a round
-/// trip between regions.
-constexpr span_ns MaxVerification = std::chrono::milliseconds(150);
+/// Longest wait for an upstream to state which process it runs; above a round
+/// trip between regions. Then the next one is asked.
+constexpr span_ns MaxAnswerTime = std::chrono::milliseconds(100);
+/// Longest wait for upstreams to do so.
+constexpr span_ns MaxVerification = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -32,6 +34,12 @@
   const auto Guard = shared_from_this();
   if (Ended)
     return;
+  if (Known && Known->Software == UnknownSoftware)
+    return refuse({error_kind::NoUpstream,
+                   fmt::format("stream '{}' began at a process that has not "
+                               "stated its start",
+                               ParsedRequest.Resumes),
+                   OriginRetryAfter});
   if (Known && Known->Service != Service)
     return refuse({error_kind::NoUpstream,
                    fmt::format("stream '{}' began at service {}, the route "
@@ -73,52 +81,77 @@
   return true;
 }
 
-std::string forward_session::scheduleDetail(instant Now) const {
+std::string forward_session::scheduleDetail() const {
   if (StreamSoftware.empty())
     return fmt::format("service {}", Service);
-  return fmt::format(
-      "service {}, software {}, {} upstreams with it not confirmed", Service,
-      StreamSoftware,
-      Core.uncertainUpstreams(Service, StreamSoftware, Now).size());
+  return fmt::format("service {}, software {}, {} upstreams not reached or of "
+                     "unknown process",
+                     Service, StreamSoftware, Unreached.size());
 }
 
-bool forward_session::awaitVerification(instant Now) {
-  if (StreamSoftware.empty())
+bool forward_session::lacksProof(const schedule_choice &Chosen) const {
+  // A relay asks for the process by itself.
+  if (StreamSoftware.empty() || !Chosen.Relay.empty())
     return false;
+  const upstream_entry *Entry = Core.directory().find(Chosen.Upstream);
+  return !Entry || !Core.isProven(*Entry);
+}
+
+bool forward_session::askForProof(const schedule_choice &Chosen, instant Now) {
   if (!VerifyUntil)
     VerifyUntil = Now + std::min(MaxVerification, timeLeft(Now));
   if (Now >= *VerifyUntil ||
-      !Core.verifySoftware(Service, StreamSoftware, weak_from_this(), Now))
+      !Core.verifyUpstream(Chosen.Upstream, weak_from_this(), Now))
     return false;
-  VerifyTimer.startOnce(*VerifyUntil - Now);
+  AskedUpstream = Chosen.Upstream;
+  VerifyTimer.startOnce(std::min<span_ns>(MaxAnswerTime, *VerifyUntil - Now));
   return true;
 }
 
 void forward_session::onVerified() {
   const auto Guard = shared_from_this();
-  if (Ended || Exchange || !VerifyUntil)
+  if (Ended || AskedUpstream.empty())
     return;
   VerifyTimer.stop();
+  const upstream_entry *Asked = Core.directory().find(AskedUpstream);
+  if (!Asked || !Core.isProven(*Asked))
+    Unreached.push_back(AskedUpstream);
+  AskedUpstream.clear();
   schedule();
 }
 
 void forward_session::recordOrigin(instant Now) {
   const upstream_entry *Entry = Core.directory().find(Choice->Upstream);
   const stream_writer Writer{Service, StreamSoftware};
-  OriginCertain = Entry && Core.isSoftwareCertain(*Entry);
-  if (!OriginCertain)
+  // A relay has asked for the process before it sent the request.
+  OriginCertain =
+      Entry && Entry->process() == Target &&
+      (isRelayed() ||
+       Core.isFromProcessOf(*Entry, Exchange ? Exchange->serverStart() : 0));
+  if (!OriginCertain) {
+    Core.counters().UncertainStreams.Increment();
     Core.log().info(event_category::Request, "origin_uncertain",
                     {{"id", ParsedRequest.Id},
                      {"upstream", Choice->Upstream},
                      {"software", StreamSoftware}});
+  }
   // Without an id a stream cannot be resumed.
   if (!Core.origins() || ParsedRequest.Id.empty())
     return;
   if (OriginCertain)
     return Core.origins()->onBegun(ParsedRequest.Id, Writer);
-  OriginConfirmed =
-      Core.origins()->onBegunUnconfirmed(ParsedRequest.Id, Writer, Target, Now);
-  Core.verifyUpstream(Choice->Upstream, {}, Now);
+  const instant OpenedAt = Exchange ? Exchange->openedAt().value_or(Now) : Now;
+  OriginConfirmed = Core.origins()->onBegunUnconfirmed(ParsedRequest.Id, Writer,
+                                                       Target, OpenedAt);
+  Core.verifyConnections(Choice->Upstream, OpenedAt, Now);
+}
+
+void forward_session::onConnectionOpened() {
+  // Asked while the upstream works on the request, so that the process is known
+  // when the stream begins.
+  if (Route->Resumable && !isRelayed() && Exchange->serverStart() == 0)
+    Core.verifyConnections(Choice->Upstream, *Exchange->openedAt(),
+                           readBootClock());
 }
 
 bool forward_session::isSoftwareReplaced() const {
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -72,6 +72,7 @@
   void onClientDrained() override;
 
   // response_observer
+  void onConnectionOpened() override;
   response_action onResponseHead(const http_head &Head,
                                  bool FirstOnConnection) override;
   void onResponseBody(std::string_view Bytes) override;
@@ -89,9 +90,12 @@
   /// the route has led to lately. Refuses the request and returns false if that
   /// leaves several.
   bool assumeOrigin(instant Now);
-  /// Waits for upstreams that may continue the stream, but are not confirmed.
-  /// Returns false if there are none to wait for, or it has waited enough.
-  bool awaitVerification(instant Now);
+  /// Asks the upstream of \p Chosen, which is to continue the stream, for the
+  /// process that it runs. Returns whether an answer is due.
+  bool askForProof(const schedule_choice &Chosen, instant Now);
+  /// Returns whether the stream would go on at \p Chosen without it being known
+  /// which process runs there.
+  bool lacksProof(const schedule_choice &Chosen) const;
   /// Records which software version has begun the stream.
   void recordOrigin(instant Now);
   /// Returns whether `StreamSoftware` certainly began the stream, as it was
@@ -112,7 +116,7 @@
   void send(const schedule_choice &Choice, instant Now);
   schedule_query makeQuery(instant Now) const;
   /// Returns what a request for which no upstream was chosen has asked for.
-  std::string scheduleDetail(instant Now) const;
+  std::string scheduleDetail() const;
   /// Returns after which time a new request may be served that this one's
   /// upstreams have not.
   span_ns retryAfter(instant Now) const;
@@ -213,8 +217,9 @@
   std::optional<reservation> Reserved;
   forward_flow Flow{forward_options{}};
   std::vector<std::string> Tried;
-  std::vector<std::string> Unreached; ///< could not be connected to
-  int RelayFailures = 0;              ///< attempts that relays did not send
+  /// Could not be connected to, or did not state their process.
+  std::vector<std::string> Unreached;
+  int RelayFailures = 0; ///< attempts that relays did not send
 
   // The current attempt.
   std::shared_ptr<client_connection> Exchange;
@@ -257,8 +262,10 @@
   bool OriginCertain = true;
   /// Whether it has become so since; null if that is not awaited.
   std::shared_ptr<const bool> OriginConfirmed;
-  /// End of the wait for upstreams to be confirmed, while there is one.
+  /// End of the wait for upstreams to state their process, since the last
+  /// attempt.
   std::optional<instant> VerifyUntil;
+  std::string AskedUpstream; ///< while it is asked for its process
   timer VerifyTimer;
   /// Last event that was delivered, or that the caller already had.
   std::optional<std::int64_t> LastEvent;
--- a/src/gateway/request/relay_session.cpp
+++ b/src/gateway/request/relay_session.cpp
@@ -93,9 +93,12 @@
       ParsedRequest.Deadline.value_or(span_ns(MaxDuration)) + DeadlineSlack);
   if (!Software.empty())
     Core.links().noticeEnded();
-  if (Core.hasSoftware(Upstream, Software, Now))
+  const upstream_entry *Entry = Core.directory().find(Upstream);
+  if (Software.empty() ||
+      (Entry->Software == Software && Core.isProven(*Entry)))
     return send(Now);
-  if (!Core.verifyUpstream(Upstream, weak_from_this(), Now))
+  if (Entry->Software != Software ||
+      !Core.verifyUpstream(Upstream, weak_from_this(), Now))
     fail(relay_outcome::Declined);
 }
 
@@ -106,7 +109,8 @@
   const instant Now = readBootClock();
   if (const auto Refusal = checkUpstream(Now))
     return fail(*Refusal);
-  if (!Core.hasSoftware(Upstream, Software, Now))
+  const upstream_entry *Entry = Core.directory().find(Upstream);
+  if (Entry->Software != Software || !Core.isProven(*Entry))
     return fail(relay_outcome::Declined);
   send(Now);
 }
@@ -135,6 +139,8 @@
     Out.Headers.erase(Name);
   Out.Body = Request.Body;
   Out.NewConnection = ParsedRequest.Id.empty();
+  if (!Software.empty() && Core.unconfirmedUpstreams().statesStart(*Entry))
+    Out.ServerStart = Entry->Born;
   Target = Entry->process();
   SentAt = Now;
   Activity.onSent(Now);
--- a/src/gateway/version/weights_task.cpp
+++ b/src/gateway/version/weights_task.cpp
@@ -211,8 +211,8 @@
         rollout_report Summary;
         if (Report) {
           Core.onUnknownFields("upstream_report", Report->UnknownFields);
-          Core.onUpstreamStarted(Asked, Report->Born, Done->keepsConnection(),
-                                 SentAt);
+          Done->setServerStart(Report->Born);
+          Core.onUpstreamStarted(Asked, Report->Born, SentAt);
           Summary = {Report->Busy, Report->AcceptedOrders, Report->Models};
           Core.log().info(event_category::Weights, "report",
                           {{"upstream", Upstream},
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -147,6 +147,15 @@
   bufferevent_enable(Socket.get(), EV_READ | EV_WRITE);
 }
 
+void client_connection::refuse(response_observer &NewObserver) {
+  Self = shared_from_this();
+  Observer = &NewObserver;
+  callLater(Pool.base(), [Guard = shared_from_this()] {
+    if (Guard->Observer)
+      Guard->fail(loss_reason::Closed);
+  });
+}
+
 void client_connection::cancel() {
   const auto Guard = shared_from_this();
   Observer = nullptr;
@@ -290,6 +299,8 @@
     if (const auto Probed = std::exchange(Connection->OnProbed, nullptr)) {
       Connection->Pool.returnConnection(Connection->shared_from_this());
       Probed(std::nullopt);
+    } else if (Connection->Observer) {
+      Connection->Observer->onConnectionOpened();
     }
     return;
   }
@@ -326,10 +337,14 @@
   if (Request.OldestConnection)
     Connection = takeOldest(Request.Server);
   else if (!Request.NewConnection)
-    Connection = takeIdle(Request.Server);
+    Connection = takeIdle(Request.Server, Request.ServerStart);
+  const bool IsMissing = !Connection && Request.ServerStart != 0;
   if (!Connection)
     Connection = make(Request.Server);
-  Connection->send(Request, Observer);
+  if (IsMissing)
+    Connection->refuse(Observer);
+  else
+    Connection->send(Request, Observer);
   return Connection;
 }
 
@@ -339,7 +354,7 @@
 }
 
 std::shared_ptr<client_connection>
-client_connection_pool::takeIdle(const endpoint &Server) {
+client_connection_pool::takeIdle(const endpoint &Server, std::int64_t Start) {
   const auto Found = Idle.find(Server);
   if (Found == Idle.end())
     return nullptr;
@@ -352,9 +367,8 @@
       Next = Connections.erase(Next);
       Connection->Socket.reset();
       Connection->releaseSelf();
-    } else if (!hasUnreadInput(Connection->Socket.get())) {
-      // Otherwise it has ended, or what has arrived belongs to no request; the
-      // event loop is about to close it.
+    } else if ((Start == 0 || Connection->ServerStart == Start) &&
+               isUsable(*Connection, Now)) {
       Next = Connections.erase(Next);
       Taken = Connection;
     }
@@ -364,6 +378,37 @@
   return Taken;
 }
 
+bool client_connection_pool::isUsable(const client_connection &Connection,
+                                      instant Now) const {
+  // With unread input it has ended, or what has arrived belongs to no request;
+  // the event loop is about to close it.
+  return Now - Connection.IdleSince < idleTimeout(Connection) &&
+         !hasUnreadInput(Connection.Socket.get());
+}
+
+bool client_connection_pool::hasIdleTo(const endpoint &Server,
+                                       std::int64_t Start) const {
+  const auto Found = Idle.find(Server);
+  if (Found == Idle.end())
+    return false;
+  const instant Now = readBootClock();
+  return std::ranges::any_of(Found->second, [&](const auto &Connection) {
+    return Connection->ServerStart == Start && isUsable(*Connection, Now);
+  });
+}
+
+void client_connection_pool::onServerStart(const endpoint &Server,
+                                           std::int64_t Start,
+                                           instant AskedAt) {
+  for (const auto &Weak : Made) {
+    const auto Connection = Weak.lock();
+    if (Connection && Connection->Server == Server &&
+        Connection->ServerStart == 0 && Connection->OpenedAt &&
+        *Connection->OpenedAt <= AskedAt)
+      Connection->ServerStart = Start;
+  }
+}
+
 std::shared_ptr<client_connection>
 client_connection_pool::takeOldest(const endpoint &Server) {
   const auto Found = Idle.find(Server);
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -58,6 +58,8 @@
 class response_observer {
 public:
   virtual ~response_observer() = default;
+  /// Called when a connection has been opened for the exchange.
+  virtual void onConnectionOpened() {}
   /// Called with the head of each response. \p FirstOnConnection tells whether
   /// the connection has not delivered a response before.
   virtual response_action onResponseHead(const http_head &Head,
@@ -81,6 +83,10 @@
   /// Reuse the pooled connection that was opened first, also if it has been
   /// idle for long; see `client_connection_pool::idleBefore`.
   bool OldestConnection = false;
+  /// Unless 0, reuse a connection to the process with this start, see
+  /// `client_connection::serverStart`. The request is not sent if there is none
+  /// (`client_connection_pool::hasIdleTo`).
+  std::int64_t ServerStart = 0;
 };
 
 class client_connection_pool;
@@ -111,12 +117,20 @@
   /// Returns when the connection was opened; nothing before.
   std::optional<instant> openedAt() const { return OpenedAt; }
 
+  /// Records that the server process has stated its start \p Start, in ms since
+  /// the Unix epoch, on this connection. A connection leads to one process.
+  void setServerStart(std::int64_t Start) { ServerStart = Start; }
+  /// Returns the start of the server process; 0 if that is not known.
+  std::int64_t serverStart() const { return ServerStart; }
+
 private:
   friend class client_connection_pool;
 
   bool connect();
   void probe(probe_callback Done);
   void send(const client_request &Request, response_observer &NewObserver);
+  /// Reports a request that is not sent to \p NewObserver.
+  void refuse(response_observer &NewObserver);
   bool onMessageHead(http_head &Head) override;
   void onMessageBody(std::string_view Bytes) override;
   void read();
@@ -141,6 +155,7 @@
   timer ConnectDeadline;
   exchange_stage Stage = exchange_stage::NotSent;
   std::optional<instant> OpenedAt;
+  std::int64_t ServerStart = 0;
   bool Refused = false;          ///< see `exchange_loss`
   bool SkippingResponse = false; ///< the current response is being skipped
   bool Reusable = false; ///< the current response keeps the connection open
@@ -206,6 +221,17 @@
   /// \p At or before, and that the server has not ended.
   std::size_t idleBefore(const endpoint &Server, instant At) const;
 
+  /// Records that a process at \p Server has stated its start \p Start, in
+  /// response to a request sent at \p AskedAt. Processes follow each other at
+  /// an address, so the connections that had been opened by then, and have not
+  /// ended, lead to it.
+  void onServerStart(const endpoint &Server, std::int64_t Start,
+                     instant AskedAt);
+
+  /// Returns whether an idle connection to the process at \p Server with the
+  /// start \p Start can be reused.
+  bool hasIdleTo(const endpoint &Server, std::int64_t Start) const;
+
   /// Closes all idle connections to \p Server.
   void closeIdleConnections(const endpoint &Server);
 
@@ -222,7 +248,11 @@
   std::shared_ptr<client_connection> make(const endpoint &Server);
   /// Returns an idle connection to \p Server that the server has not ended, and
   /// closes those that are past their timeout; null if there is none.
-  std::shared_ptr<client_connection> takeIdle(const endpoint &Server);
+  /// With \p Start, only one to the process with that start.
+  std::shared_ptr<client_connection> takeIdle(const endpoint &Server,
+                                              std::int64_t Start);
+  /// Returns whether \p Connection can be reused at \p Now.
+  bool isUsable(const client_connection &Connection, instant Now) const;
   /// Returns the idle connection to \p Server that was opened first and that
   /// the server has not ended; null if there is none.
   std::shared_ptr<client_connection> takeOldest(const endpoint &Server);
--- a/tests/decisions/process/origin_lookup_test.cpp
+++ b/tests/decisions/process/origin_lookup_test.cpp
@@ -1,4 +1,5 @@
 #include "decisions/process/origin_lookup.h"
+#include "decisions/process/stream_origins.h"
 
 #include <criterion/criterion.h>
 
@@ -50,3 +51,20 @@
   const origin_lookup Lookup({}, instant(1s));
   cr_assert(Lookup.state(instant(1s)) == lookup_state::Unknown);
 }
+
+Test(origin_lookup, a_record_without_a_version_does_not_end_it) {
+  const std::string Unknown = "s\n" + std::string(UnknownSoftware);
+  origin_lookup Lookup({{"a", "b", "c"}, {}}, instant(1s));
+  Lookup.takeToAsk(instant(1s));
+  Lookup.onAnswer("a", Unknown);
+  cr_assert(Lookup.state(instant(1s)) == lookup_state::Pending);
+  Lookup.onAnswer("b", std::nullopt);
+  origin_lookup Answered = Lookup;
+  Lookup.onAnswer("c", std::nullopt);
+  cr_assert(Lookup.state(instant(1s)) == lookup_state::Uncertain);
+  cr_assert(Answered.state(instant(1s) + origin_lookup::Timeout) ==
+            lookup_state::Uncertain);
+  Answered.onAnswer("c", "s\nv-1");
+  cr_assert(Answered.state(instant(1s)) == lookup_state::Known);
+  cr_assert(Answered.software() == "s\nv-1");
+}
--- a/tests/decisions/process/stream_origins_test.cpp
+++ b/tests/decisions/process/stream_origins_test.cpp
@@ -247,6 +247,44 @@
   cr_assert(Origins.find(2, instant(3s)) == "b");
 }
 
+struct unknown_row {
+  char First[16];
+  char Second[16];
+  record_result Result;
+  char Kept[16];
+};
+
+#define UNKNOWN "s\n\x1A"
+ParameterizedTestParameters(stream_origins, a_known_version_replaces_none) {
+  using enum record_result;
+  static unknown_row Rows[] = {
+      {UNKNOWN, "s\nv1", New, "s\nv1"},
+      {UNKNOWN, UNKNOWN, Known, UNKNOWN},
+      {"s\nv1", UNKNOWN, Known, "s\nv1"},
+      {"s\nv1", "s\nv2", Conflict, "s\nv1"},
+  };
+  return criterion_test_params(Rows);
+}
+#undef UNKNOWN
+
+/// A stream may begin at a process that states its start later.
+ParameterizedTest(unknown_row *Row, stream_origins,
+                  a_known_version_replaces_none) {
+  stream_origins Begun("i-0", "d-0");
+  Begun.setMembers({{"i-0", "d-0"}, {"i-1", "d-0"}}, instant(1s));
+  stream_origins Told("i-1", "d-0");
+  const auto Tell = [&] {
+    for (const auto &[Peer, Records] : Begun.takeForKeepers(instant(2s)))
+      Told.onPeerRecords("i-0", Records, instant(2s));
+  };
+  cr_assert(Begun.onBegun(1, Row->First, instant(1s)) == record_result::New);
+  Tell();
+  cr_assert(Begun.onBegun(1, Row->Second, instant(2s)) == Row->Result);
+  Tell();
+  cr_assert(Begun.find(1, instant(2s)) == Row->Kept);
+  cr_assert(Told.find(1, instant(2s)) == Row->Kept);
+}
+
 Test(stream_origins, expire_after_a_minute) {
   stream_origins Origins("i-0", "d-0");
   Origins.onBegun(1, "a", instant(1s));
