Daemon: requests that wait behind another one count as held memory

Cause: when a request is complete, evhttp leaves what has arrived behind it in the connection's input buffer. The count of received bytes began anew at zero there, so clients that send thousands of requests in a row and read no response held up to their sockets' buffers each without it being counted.

Change: the count goes on from the bytes that are left. Connections over the budget give way as before.

--- a/src/net/arrival_deadline.cpp
+++ b/src/net/arrival_deadline.cpp
@@ -192,7 +192,8 @@
   Arrival.First = false;
   Arrival.Started = false;
   Arrival.HeadDone = false;
-  Arrival.Received = 0;
+  // Further requests may have arrived behind it.
+  Arrival.Received = evbuffer_get_length(bufferevent_get_input(Arrival.Socket));
   Arrival.Fields = 0;
   Arrival.LineBytes = 0;
   if (!Arrival.Failure)
