A pause that an unlisted process asks for holds once it is listed

Its process had started again under its id and was not listed when it asked.

The pause ended when the next entry was read.

Change: an upstream that asks for a pause on an instance's request is asked for its start at once. If that is not the one of the entry, the pause holds for both processes, since either may have asked.

Evidence: unlisted_process/a_pause_that_it_asks_for_is_kept fails on (one request in the pause).

--- a/src/decisions/process/upstream_pauses.cpp
+++ b/src/decisions/process/upstream_pauses.cpp
@@ -18,12 +18,18 @@
   return Pause.End;
 }
 
-instant upstream_pauses::endOf(const upstream_entry &Entry) const {
-  const auto OfId = Pauses.find(Entry.Id);
+void upstream_pauses::onReplaced(const upstream_process &Process,
+                                 const upstream_process &Next, instant Now) {
+  const instant End = endOf(Process);
+  if (End > Now)
+    onAsked(Next, End - Now, Now);
+}
+
+instant upstream_pauses::endOf(const upstream_process &Process) const {
+  const auto OfId = Pauses.find(Process.Id);
   if (OfId == Pauses.end())
     return instant();
-  const auto Found =
-      std::ranges::find(OfId->second, Entry.process(), &pause::Process);
+  const auto Found = std::ranges::find(OfId->second, Process, &pause::Process);
   return Found == OfId->second.end() ? instant() : Found->End;
 }
 
--- a/src/decisions/process/upstream_pauses.h
+++ b/src/decisions/process/upstream_pauses.h
@@ -29,9 +29,16 @@
   /// several pauses the one that ends last holds. Returns its end.
   instant onAsked(const upstream_process &Process, span_ns For, instant Now);
 
+  /// Records that \p Next runs in the place of \p Process. Which of them has
+  /// asked for a pause is not known, so it holds for both.
+  void onReplaced(const upstream_process &Process, const upstream_process &Next,
+                  instant Now);
+
   /// Returns the end of the pause of \p Entry's process; one in the past if
   /// there is none.
-  instant endOf(const upstream_entry &Entry) const;
+  instant endOf(const upstream_entry &Entry) const {
+    return endOf(Entry.process());
+  }
 
   /// Forgets pauses that have ended.
   void expire(instant Now);
@@ -40,6 +47,8 @@
   std::size_t size() const;
 
 private:
+  instant endOf(const upstream_process &Process) const;
+
   struct pause {
     upstream_process Process;
     instant End;
--- a/src/gateway/process/upstream_reach.cpp
+++ b/src/gateway/process/upstream_reach.cpp
@@ -100,6 +100,10 @@
   if (Born != 0)
     Links.onServerStart({Listed.Address, Listed.Port}, Born, SentAt);
   const start_evidence Evidence = Unconfirmed.onStarted(Listed, Born, SentAt);
+  if (Evidence == start_evidence::OtherProcess)
+    UpstreamPauses.onReplaced(Listed,
+                              {Listed.Id, Born, Listed.Address, Listed.Port},
+                              readBootClock());
   if (Origins && Evidence == start_evidence::SameProcess)
     Origins->recordConfirmed(Listed, SentAt);
   return Evidence;
--- a/src/gateway/process/upstream_statements.cpp
+++ b/src/gateway/process/upstream_statements.cpp
@@ -119,6 +119,8 @@
               {"asked_ms", *Response.Pause},
               {"used_ms", span_ns(upstream_pauses::MaxPause)}});
   const instant End = UpstreamPauses.onAsked(Upstream, *Response.Pause, Now);
+  // The process of a later entry may have asked.
+  verifyConnections(Upstream.Id, Now, Now);
   Metrics.PausesAsked.Increment();
   Log.info(event_category::Upstream, "pause_asked",
            {{"upstream", Upstream.Id},
--- a/tests/decisions/process/upstream_pauses_test.cpp
+++ b/tests/decisions/process/upstream_pauses_test.cpp
@@ -310,6 +310,34 @@
 }
 
 /// Responses may overtake each other: a shorter pause ends no longer one.
+struct replaced_row {
+  char Name[32];
+  int ReplacedMs; ///< after the pause of a second was asked for
+  bool SamePort;
+  bool Holds; ///< for the next process
+};
+
+ParameterizedTestParameters(upstream_pauses, follow_an_unlisted_process) {
+  static replaced_row Rows[] = {{"within it", 400, true, true},
+                                {"after it", 1000, true, false},
+                                {"at another address", 400, false, false}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(replaced_row *Row, upstream_pauses,
+                  follow_an_unlisted_process) {
+  const upstream_entry Listed = entryOf(0, 1);
+  upstream_entry Next = entryOf(0, 2);
+  upstream_pauses Pauses;
+  const instant End = Pauses.onAsked(Listed.process(), 1s, instant(1s));
+  Pauses.onReplaced(Listed.process(), Next.process(),
+                    instant(1s) + std::chrono::milliseconds(Row->ReplacedMs));
+  Next.Port += Row->SamePort ? 0 : 1;
+  cr_assert(Pauses.endOf(Listed) == End);
+  cr_assert(Pauses.endOf(Next) == (Row->Holds ? End : instant()), "%s",
+            Row->Name);
+}
+
 Test(upstream_pauses, are_not_shortened) {
   upstream_pauses Pauses;
   const upstream_entry Entry = entryOf(0, 1);
--- a/tests/gateway/unlisted_process_test.cpp
+++ b/tests/gateway/unlisted_process_test.cpp
@@ -153,3 +153,24 @@
   cr_assert(Gateway.result().IsComplete == !Row->Restarts, "%s: %s", Row->Name,
             Gateway.result().Body.c_str());
 }
+
+/// Its entry is read within the pause.
+Test(unlisted_process, a_pause_that_it_asks_for_is_kept) {
+  unlisted_fleet Fleet;
+  gateway_fixture &Gateway = Fleet.Gateway;
+  Fleet.use(true, false);
+  Fleet.restartFirst();
+  Fleet.first().Behavior = upstream_behavior::Full;
+  Fleet.first().RetryAfter = {"2"};
+  cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 503);
+  runLoopFor(Gateway.Base.get(), 600ms);
+  Gateway.Store.put(Fleet.first().key(), Fleet.first().entry("s"));
+  cr_assert(Gateway.waitFor([&] {
+    return Gateway.core().directory().find("u-1")->Born == Fleet.first().Born;
+  }));
+  int Arrivals = 0;
+  Fleet.first().OnArrival = [&](const http_request &) { ++Arrivals; };
+  for (int Request = 0; Request < 4; ++Request)
+    cr_assert(Gateway.sendRequest({.Path = "/read/1"}).Status == 503);
+  cr_assert(Arrivals == 0, "%d requests", Arrivals);
+}
