A late answer of one upstream does not exclude the one that is asked after it

A stream that goes on waits 100 ms for the process of an upstream and then asks the next one. The answer of the first, if it came then, counted as that of the second, which was left out although its own answer was still due. Found on reading; callers would have seen a refused stream where upstreams are slow to answer. The waiter is told now which upstream has answered. It has no test of its own: the fake upstreams answer reports at once.

--- a/src/gateway/connection/upstream_verifier.cpp
+++ b/src/gateway/connection/upstream_verifier.cpp
@@ -95,7 +95,8 @@
     return;
   for (const auto &Waiter : Question.mapped().Waiters)
     if (const auto Target = Waiter.lock())
-      callLater(Core.base(), [Target] { Target->onVerified(); });
+      callLater(Core.base(),
+                [Target, Id = Asked.Id] { Target->onVerified(Id); });
   if (IsSame && Question.mapped().AskedAt < Question.mapped().Since)
     verify(Asked.Id, {}, Question.mapped().Since, Now);
 }
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -139,8 +139,8 @@
 class verification_waiter {
 public:
   virtual ~verification_waiter() = default;
-  /// The upstream has answered, or has failed to.
-  virtual void onVerified() = 0;
+  /// \p Upstream has answered, or has failed to.
+  virtual void onVerified(std::string_view Upstream) = 0;
 };
 
 /// Asks upstreams which process they run.
--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -108,9 +108,10 @@
   return true;
 }
 
-void forward_session::onVerified() {
+void forward_session::onVerified(std::string_view Upstream) {
   const auto Guard = shared_from_this();
-  if (Ended || AskedUpstream.empty())
+  // An upstream may answer after another one has been asked.
+  if (Ended || AskedUpstream.empty() || Upstream != AskedUpstream)
     return;
   VerifyTimer.stop();
   const upstream_entry *Asked = Core.directory().find(AskedUpstream);
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -56,7 +56,7 @@
       StartTimer(Core.base(), [this] { onStartDeadline(); }),
       ResponseBody(Core.responseBuffers()),
       PartialEvent(Core.responseBuffers().lease()),
-      VerifyTimer(Core.base(), [this] { onVerified(); }),
+      VerifyTimer(Core.base(), [this] { onVerified(AskedUpstream); }),
       DeadlineTimer(Core.base(), [this] { onDeadline(); }) {
   Core.requestStarted(this);
 }
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -62,7 +62,7 @@
   void onOrigin(const std::optional<stream_writer> &Known) override;
 
   // verification_waiter
-  void onVerified() override;
+  void onVerified(std::string_view Upstream) override;
 
   // end_waiter
   void onEndJudged(end_verdict Verdict, end_proof Proof) override;
--- a/src/gateway/request/relay_session.cpp
+++ b/src/gateway/request/relay_session.cpp
@@ -102,7 +102,7 @@
     fail(relay_outcome::Declined);
 }
 
-void relay_session::onVerified() {
+void relay_session::onVerified(std::string_view) {
   const auto Guard = shared_from_this();
   if (Ended)
     return;
--- a/src/gateway/request/relay_session.h
+++ b/src/gateway/request/relay_session.h
@@ -32,7 +32,7 @@
   void onEndJudged(end_verdict Verdict, end_proof Proof) override;
 
   // verification_waiter
-  void onVerified() override;
+  void onVerified(std::string_view Upstream) override;
 
   // client_observer
   void onClientDisconnected() override;
