--- a/tests/platform/fake_upstream.cpp
+++ b/tests/platform/fake_upstream.cpp
@@ -78,9 +78,11 @@
 }
 
 std::string fake_upstream::ownEvents(int After, int Last) const {
-  const std::string &Writer = EventsNameProcess ? Id : Software;
-  return events(After, Last,
-                EventsNameProcess || EventsNameSoftware ? Writer : "");
+  std::string Writer = EventsNameProcess ? Id : "";
+  if (EventsNameSoftware)
+    Writer +=
+        (Writer.empty() ? "" : std::string(1, WriterSeparator)) + Software;
+  return events(After, Last, Writer);
 }
 
 void fake_upstream::endRun(const server_connection &Link, bool Complete) {
--- a/tests/platform/fake_upstream.h
+++ b/tests/platform/fake_upstream.h
@@ -145,6 +145,8 @@
   /// Returns the number of held requests whose connection is still open.
   std::size_t openHeldRequests() const;
 
+  /// Between the id and the version in events that state both.
+  static constexpr char WriterSeparator = '@';
   /// Begins the value of the header that only upstreams add; the id follows.
   static constexpr std::string_view Seal = "seal-";
   static constexpr int Events = 6; ///< of a complete stream
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -57,7 +57,8 @@
               : "")
       << std::flush;
   if (Result.Violations.empty()) {
-    std::filesystem::remove_all(Options.Folder);
+    if (!Options.KeepLogs)
+      std::filesystem::remove_all(Options.Folder);
     return true;
   }
   constexpr std::size_t Shown = 40;
@@ -98,6 +99,10 @@
                         "{} gateways frozen\n",
                         Result.UpstreamKills, Result.UpstreamStops,
                         Counts.WholeCut, Result.ShiftedStarts, Result.Freezes);
+  if (Options.UpstreamVersions > 0)
+    Text += fmt::format("  software: {} of {} resumed requests went on, {} "
+                        "streams mixed\n",
+                        Counts.WentOn, Counts.Resumed, Counts.Mixed);
   if (Options.CloseDelimitedEvery > 0)
     Text += fmt::format("  {} streams broken off after all events, whose end "
                         "nothing has proven\n",
@@ -138,6 +143,7 @@
   silence_options Silences;
   bool WithSilences = false;
   bool WithoutFaults = false;
+  bool UnnamedStreams = false;
   options::options_description Description(
       "ebonyvale-soak --daemon build/ebonyvaled --seed 1 --seeds "
       "50\n\nOptions");
@@ -182,8 +188,8 @@
       "with --silences, no faults of gateways and their links")(
       "kill-upstreams", options::bool_switch(&Silences.UpstreamKills),
       "with --silences, kill and restart upstream processes, too")(
-      "keep-logs", options::bool_switch(&Silences.KeepLogs),
-      "with --silences, keep the logs of seeds without violations")(
+      "keep-logs", options::bool_switch(&RunOptions.KeepLogs),
+      "keep the logs of seeds without violations")(
       "close-delimited-every", options::value(&Silences.CloseDelimitedEvery),
       "with --silences, one response of an upstream in so many is delimited by "
       "the close of its connection; 0: none")(
@@ -192,6 +198,14 @@
       "upstream-clock-ms", options::value(&Silences.UpstreamClockMs),
       "with --silences, upstreams state starts by clocks that are so many ms "
       "early, right or late, anew at each start")(
+      "upstream-versions", options::value(&Silences.UpstreamVersions),
+      "with --kill-upstreams, restarted upstreams have one of so many software "
+      "versions; 0: events state none")(
+      "listing-ms", options::value(&Silences.ListingMs),
+      "with --kill-upstreams, the entry of a restarted upstream is written up "
+      "to so many ms later")("unnamed-streams",
+                             options::bool_switch(&UnnamedStreams),
+                             "callers do not name the stream that they resume")(
       "freeze-gateways", options::bool_switch(&Silences.FreezeGateways),
       "with --kill-upstreams, stop one gateway in turn for 400 ms at each "
       "kill")(
@@ -240,6 +254,7 @@
   if (Values.count("restart-ms") != 0)
     Silences.RestartTime =
         std::chrono::milliseconds(Values["restart-ms"].as<int>());
+  RunOptions.NameStreams = !UnnamedStreams;
   const auto Size = chooseSize(Request);
   if (!Size)
     return Refuse("--gateways and --callers must be at least 1");
@@ -284,6 +299,8 @@
     Silences.Callers = RunOptions.Size.Callers;
     Silences.Length = RunOptions.Size.Length;
     Silences.Faults = !WithoutFaults;
+    Silences.NameStreams = RunOptions.NameStreams;
+    Silences.KeepLogs = RunOptions.KeepLogs;
     for (std::uint32_t Index = 0; Index < Seeds; ++Index, ++Silences.Seed)
       Failed +=
           runSilences(Silences, std::filesystem::absolute(Folder)) ? 0 : 1;
--- a/tests/soak/silence_caller.cpp
+++ b/tests/soak/silence_caller.cpp
@@ -97,7 +97,8 @@
   Out.Headers.add("Authorization", "Bearer " + Request.Key);
   if (!Request.Resumes.empty()) {
     Out.Headers.add("Last-Event-Id", std::to_string(Request.After));
-    Out.Headers.add("Resumes", Request.Resumes);
+    if (Environment.Options.NameStreams)
+      Out.Headers.add("Resumes", Request.Resumes);
   }
   Out.Body = "the body";
   GiveUpTimer.startOnce(silence_checker::Deadline + Grace);
--- a/tests/soak/silence_checker.cpp
+++ b/tests/soak/silence_checker.cpp
@@ -286,6 +286,9 @@
     addViolation(Ended, "ORDER", "complete within an event");
   if (!Resumable && Read.Writers.size() > 1)
     addViolation(Ended, "ORDER", "events of several runs");
+  StreamSoftware[streamOf(Request)].insert(Read.Software.begin(),
+                                           Read.Software.end());
+  Counts.WentOn += !Request.Resumes.empty() && !Read.Writers.empty() ? 1U : 0U;
   std::set<std::string> &Services = StreamServices[streamOf(Request)];
   const std::size_t Before = Services.size();
   for (const upstream_run &Run : runsOf(Request.Id))
@@ -408,6 +411,19 @@
   return Lines;
 }
 
+void silence_checker::checkSoftware() {
+  std::string Examples;
+  for (const auto &[Stream, Software] : StreamSoftware)
+    if (Software.size() > 1) {
+      ++Counts.Mixed;
+      Examples += fmt::format(" {} ({})", Stream, fmt::join(Software, ", "));
+    }
+  if (Counts.Mixed > MaxMixed)
+    Violations.push_back(fmt::format("ORDER: {} streams hold events of several "
+                                     "software versions, {} are allowed:{}",
+                                     Counts.Mixed, MaxMixed, Examples));
+}
+
 std::vector<std::string> silence_checker::finish() {
   Counts.Requests = Requests.size();
   for (const ended_request &Ended : Requests) {
@@ -418,6 +434,7 @@
     Counts.Resumed += Ended.Request.Resumes.empty() ? 0U : 1U;
   }
   checkOverlaps();
+  checkSoftware();
   return Violations;
 }
 
--- a/tests/soak/silence_checker.h
+++ b/tests/soak/silence_checker.h
@@ -7,6 +7,7 @@
 #include "common/instant.h"
 #include "platform/routing_document.h"
 #include "soak/guarantee_checker.h"
+#include "soak/version_checker.h"
 
 #include <map>
 #include <set>
@@ -68,6 +69,8 @@
                              ///< and nothing allows it
   std::size_t Early = 0;     ///< 502 and 504 before the time was used
   std::size_t Resumed = 0;   ///< requests that resume a stream
+  std::size_t WentOn = 0;    ///< of them, with an event
+  std::size_t Mixed = 0;     ///< streams with events of several versions
   std::size_t OldServices = 0; ///< of them, run by the service that began the
                                ///< stream, though the route has moved
 };
@@ -79,6 +82,8 @@
   static constexpr span_ns Deadline = std::chrono::seconds(8);
   /// Longest time until each gateway follows a configuration.
   static constexpr span_ns Apply = std::chrono::milliseconds(800);
+  /// Streams that may hold events of two software versions.
+  static constexpr std::size_t MaxMixed = version_checker::MaxMixed;
   /// Longest time for which a request may go on at two upstreams.
   static constexpr span_ns Overlap = std::chrono::milliseconds(400);
   /// A request that was sent longer ago did not cross the end of an idle
@@ -139,6 +144,8 @@
   bool isExcused(const ended_request &Ended);
   bool isLateInStop(const ended_request &Ended) const;
   void checkEvents(const ended_request &Ended);
+  /// Checks that streams hold events of one software version.
+  void checkSoftware();
   void checkRuns(const ended_request &Ended);
   void checkOverlaps();
   /// Returns the configurations that may apply to a request that \p Gateway
@@ -184,6 +191,8 @@
   std::map<std::string, std::vector<fault_time>, std::less<>> Silences;
   std::map<std::string, std::vector<instant>, std::less<>> UpstreamKills;
   std::map<std::string, std::vector<instant>, std::less<>> UpstreamStops;
+  /// Software versions of the events of each stream, likewise.
+  std::map<std::string, std::set<std::string>, std::less<>> StreamSoftware;
   /// Services that ran each stream, by the id of its first attempt.
   std::map<std::string, std::set<std::string>, std::less<>> StreamServices;
   std::vector<std::string> Violations;
--- a/tests/soak/silence_environment.cpp
+++ b/tests/soak/silence_environment.cpp
@@ -77,7 +77,8 @@
                              Options.SplitEvents ? SplitMs : 0,
                              Options.ResetResponses,
                              Options.TruncateResponses,
-                             Options.ExtraResponses};
+                             Options.ExtraResponses,
+                             Options.UpstreamVersions};
       Upstreams.push_back(std::make_unique<upstream_process>(
           Options.Upstream, std::move(Values), Options.Folder));
       if (!Upstreams.back()->start())
@@ -255,15 +256,21 @@
   if (Upstream.running() || !Upstream.start(SamePort))
     Violations.push_back(Upstream.values().Id + " cannot be restarted");
   else
-    registerUpstream(Upstream);
+    registerUpstream(Upstream,
+                     readBootClock() + std::chrono::milliseconds(
+                                           Options.ListingMs > 0
+                                               ? anyNumber(0, Options.ListingMs)
+                                               : 0));
 }
 
-void silence_environment::registerUpstream(upstream_process &Upstream) {
-  if (const std::string Entry = Upstream.entry(); !Entry.empty())
+void silence_environment::registerUpstream(upstream_process &Upstream,
+                                           instant From) {
+  const std::string Entry = Upstream.entry();
+  if (!Entry.empty() && readBootClock() >= From)
     Store.put("servers/" + Upstream.values().Id, Entry);
   else
     callAfter(Base.get(), TickInterval,
-              [this, &Upstream] { registerUpstream(Upstream); });
+              [this, &Upstream, From] { registerUpstream(Upstream, From); });
 }
 
 void silence_environment::applyToGateway(const silence_event &Event) {
--- a/tests/soak/silence_environment.h
+++ b/tests/soak/silence_environment.h
@@ -42,6 +42,9 @@
   unsigned TruncateResponses = 0; ///< see `fake_upstream::TruncateEvery`
   unsigned ExtraResponses = 0;    ///< see `fake_upstream::ExtraEvery`
   int UpstreamClockMs = 0;        ///< see `upstream_values::ClockMs`
+  int UpstreamVersions = 0;       ///< see `upstream_values::Versions`
+  int ListingMs = 0; ///< longest time from an upstream's restart to its entry
+  bool NameStreams = true; ///< callers name the stream that they resume
   /// Every second kill of upstreams is a stop that finishes their responses.
   bool StopUpstreams = false;
   bool FreezeGateways = false; ///< one in turn at each kill of upstreams
@@ -86,8 +89,9 @@
   /// at \p Until.
   void stop(upstream_process &Upstream);
   void restart(upstream_process &Upstream, bool SamePort, instant Until);
-  /// Puts the entry of \p Upstream into the store as soon as it listens.
-  void registerUpstream(upstream_process &Upstream);
+  /// Puts the entry of \p Upstream into the store as soon as it listens, but
+  /// not before \p From.
+  void registerUpstream(upstream_process &Upstream, instant From);
   void applyToGateway(const silence_event &Event);
   void pause(soak_gateway &Gateway, span_ns Duration);
   bool waitFor(const std::function<bool()> &Done, span_ns Timeout);
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -147,7 +147,8 @@
   Request.Headers.add("Authorization", "Bearer " + Sent.Key);
   if (!Sent.Resumes.empty()) {
     Request.Headers.add("Last-Event-Id", std::to_string(Sent.After));
-    Request.Headers.add("Resumes", Sent.Resumes);
+    if (Options.NameStreams)
+      Request.Headers.add("Resumes", Sent.Resumes);
   }
   Request.Body = "the body";
   return Request;
--- a/tests/soak/soak_environment.h
+++ b/tests/soak/soak_environment.h
@@ -40,6 +40,8 @@
   /// Upstreams that start again under their ids are away for up to three
   /// seconds, and the store lists the new process up to 1.2 s after its start.
   bool SlowRestarts = false;
+  bool NameStreams = true; ///< callers name the stream that they resume
+  bool KeepLogs = false;   ///< of runs without violations, too
   /// Most routes that a configuration has beside the usual ones.
   int MoreRoutes = 0;
   /// Rate at which each gateway receives from the store; 0: unlimited.
--- a/tests/soak/stream_events.cpp
+++ b/tests/soak/stream_events.cpp
@@ -10,6 +10,14 @@
 constexpr std::string_view End = "\n\n";
 constexpr std::string_view Of = " of ";
 
+/// Adds \p Writer, a process with its version or either of them.
+void addWriter(stream_events &Read, std::string_view Writer) {
+  const std::size_t At = Writer.find(fake_upstream::WriterSeparator);
+  Read.Writers.emplace(Writer.substr(0, At));
+  if (At != std::string_view::npos)
+    Read.Software.emplace(Writer.substr(At + 1));
+}
+
 } // namespace
 
 stream_events readEvents(std::string_view Body, int After) {
@@ -39,7 +47,7 @@
       return Read;
     ++Read.Last;
     if (!Rest.empty())
-      Read.Writers.emplace(Rest.substr(Of.size()));
+      addWriter(Read, Rest.substr(Of.size()));
     Body.remove_prefix(Length + End.size());
   }
   return Read;
--- a/tests/soak/stream_events.h
+++ b/tests/soak/stream_events.h
@@ -14,8 +14,10 @@
   int Last = 0;          ///< number of the last whole event
   bool InOrder = true;   ///< none missing, repeated or altered
   bool EndsWhole = true; ///< does not end within an event
-  /// Versions of the software that wrote the whole events.
+  /// What wrote the whole events: a version of the software, or a process.
   std::set<std::string> Writers;
+  /// Versions of the software of these processes, as far as events state them.
+  std::set<std::string> Software;
 };
 
 /// Reads \p Body, a stream that begins after the event \p After.
--- a/tests/soak/upstream_process.cpp
+++ b/tests/soak/upstream_process.cpp
@@ -17,7 +17,16 @@
     : Program(Program), Values(std::move(Wanted)),
       PortsFile((Folder / (Values.Id + ".ports")).string()),
       LogFile((Folder / (Values.Id + ".log")).string()),
-      TakenFile((Folder / "taken_ports.txt").string()), Clocks(Values.Seed) {}
+      TakenFile((Folder / "taken_ports.txt").string()), Clocks(Values.Seed),
+      Releases(~Values.Seed) {}
+
+std::string upstream_process::nextSoftware() {
+  if (Values.Versions == 0)
+    return "";
+  const bool IsFirst = !std::exchange(Started, true);
+  std::uniform_int_distribution<int> Any(1, Values.Versions);
+  return "v" + std::to_string(IsFirst ? 1 : Any(Releases));
+}
 
 bool upstream_process::start(bool SamePort) {
   const auto Before = static_cast<std::uint16_t>(std::stoi(Port));
@@ -56,7 +65,9 @@
                                "--truncate-every",
                                std::to_string(Values.TruncateEvery),
                                "--extra-every",
-                               std::to_string(Values.ExtraEvery)},
+                               std::to_string(Values.ExtraEvery),
+                               "--software",
+                               nextSoftware()},
       LogFile);
   return Process->start();
 }
--- a/tests/soak/upstream_process.h
+++ b/tests/soak/upstream_process.h
@@ -32,6 +32,9 @@
   unsigned TruncateEvery = 0;
   /// See `fake_upstream::ExtraEvery`.
   unsigned ExtraEvery = 0;
+  /// Software versions that starts after the first one choose from, by \c Seed;
+  /// 0: events state none.
+  int Versions = 0;
 };
 
 /// Starts, silences and kills one upstream process and reads what it printed.
@@ -75,6 +78,8 @@
 private:
   /// Keeps the port for the next start.
   void beginEnd();
+  /// Returns the software version of the next start; empty for none.
+  std::string nextSoftware();
 
   std::string Program;
   upstream_values Values;
@@ -86,6 +91,8 @@
   bool Ending = false;
   unsigned Silences = 0;
   std::mt19937 Clocks;
+  std::mt19937 Releases;
+  bool Started = false;
   std::size_t ShiftedStarts = 0;
   std::vector<instant> Kills;
 };
--- a/tests/soak_checks/silence_checker_test.cpp
+++ b/tests/soak_checks/silence_checker_test.cpp
@@ -549,6 +549,41 @@
   }
 }
 
+struct mixed_row {
+  int Streams;      ///< that begin at v1 and are resumed at the other version
+  char Software[4]; ///< of the rest
+  bool Violation;
+};
+
+ParameterizedTestParameters(silence_checker, streams_stay_at_their_version) {
+  static mixed_row Rows[] = {
+      {2, "v2", false}, {3, "v2", true}, {5, "v1", false}};
+  return criterion_test_params(Rows);
+}
+
+ParameterizedTest(mixed_row *Row, silence_checker,
+                  streams_stay_at_their_version) {
+  silence_checker Checker;
+  configure(Checker, 10s);
+  for (int Stream = 0; Stream < Row->Streams; ++Stream) {
+    const std::string Id = "r-" + std::to_string(Stream);
+    ended_request First = request(Id.c_str(), "/stream-on/", 200ms);
+    First.GaveUp = true;
+    First.Response = {200, false, false, true,
+                      fake_upstream::events(0, 2, "s-0@v1")};
+    ended_request Rest = request(("rest-" + Id).c_str(), "/stream-on/", 2s);
+    Rest.Request.Resumes = Id;
+    Rest.Request.After = 2;
+    Rest.Response = {
+        200, true, false, true,
+        fake_upstream::events(2, fake_upstream::Events,
+                              std::string("s-1@") + Row->Software)};
+    Checker.onEnded(First);
+    Checker.onEnded(Rest);
+  }
+  cr_assert(reports(Checker, "ORDER") == Row->Violation, "%d", Row->Streams);
+}
+
 Test(silence_checker, refusals_promise_that_nothing_runs) {
   silence_checker Checker;
   configure(Checker, 10s);
--- a/tests/soak_upstream/main.cpp
+++ b/tests/soak_upstream/main.cpp
@@ -63,6 +63,7 @@
   std::string Id;
   std::string Service;
   std::string PortsFile;
+  std::string Software;
   int DelayMs = 0;
   int IntervalMs = 0;
   unsigned CloseDelimitedEvery = 0;
@@ -96,7 +97,9 @@
       "truncate-every", options::value(&TruncateEvery),
       "one response in so many is ended early in order; 0: none")(
       "extra-every", options::value(&ExtraEvery),
-      "after one whole response in so many more bytes follow; 0: none");
+      "after one whole response in so many more bytes follow; 0: none")(
+      "software", options::value(&Software),
+      "version of its software, which its events state");
   try {
     options::variables_map Values;
     options::store(options::parse_command_line(Count, Arguments, Description),
@@ -117,6 +120,10 @@
   Upstream.TruncateEvery = TruncateEvery;
   Upstream.ExtraEvery = ExtraEvery;
   Upstream.EventsNameProcess = true;
+  if (!Software.empty()) {
+    Upstream.Software = Software;
+    Upstream.EventsNameSoftware = true;
+  }
   Upstream.Born = std::chrono::duration_cast<std::chrono::milliseconds>(
                       std::chrono::system_clock::now().time_since_epoch())
                       .count() +
