--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -72,11 +72,15 @@
             OriginRetryAfter});
     return false;
   }
+  const auto ListedAt = Core.upstreamsConfirmedAt();
   Core.log().info(event_category::Request, "origin_assumed",
                   {{"id", ParsedRequest.Id},
                    {"resumes", ParsedRequest.Resumes},
                    {"service", Service},
-                   {"software", *Only}});
+                   {"software", *Only},
+                   {"listed_age_ms", ListedAt ? Now - *ListedAt : UnknownAge},
+                   {"evidence_age_ms",
+                    Core.configFreshness().age(Now).value_or(UnknownAge)}});
   StreamSoftware = std::move(*Only);
   return true;
 }
