A stream of unknown origin goes on only after a read of the store

Callers got a stream that began at one software version and went on at another, or at two services: events 1 and 2 of v2, then 3 to 6 of v1.

Cause: an instance without a record of a stream took the only version that it lists, and the service of its configuration, by a list that may be bounds.apply_ms old, while others follow a newer release or route already. The kit's callers name no stream when they resume it, so this decides there on each such request. Class: a bound on the age of a state taken for a proof that it is current.

Change: before such a stream goes on, store_barrier lists the upstreams and confirms by a transaction without writes that the configuration is unchanged, both sent after the request has arrived. An upstream is used only after it was listed, so the read shows all that can have begun the stream.

--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -136,6 +136,24 @@
                            const release_message &Message) = 0;
 };
 
+/// Waits for a read of the store.
+class read_waiter {
+public:
+  virtual ~read_waiter() = default;
+  /// A read that was sent after the request for it has been applied to the
+  /// software history and shows the configuration in force; or there is no such
+  /// read in time.
+  virtual void onStoreRead(bool IsCurrent) = 0;
+};
+
+/// Reads the store for requests that need what it holds now.
+class read_barrier {
+public:
+  virtual ~read_barrier() = default;
+  /// Calls \p Waiter once, unless it has been destroyed.
+  virtual void awaitRead(const std::weak_ptr<read_waiter> &Waiter) = 0;
+};
+
 /// Waits for an upstream to state which process it runs.
 class verification_waiter {
 public:
@@ -270,6 +288,12 @@
 
   void setVerifier(software_verifier *Target) { Verifier = Target; }
 
+  void setBarrier(read_barrier *Target) { Barrier = Target; }
+  /// See `read_barrier::awaitRead`.
+  void awaitRead(const std::weak_ptr<read_waiter> &Waiter) {
+    Barrier->awaitRead(Waiter);
+  }
+
   void setEndVerifier(response_end_verifier *Target) { EndVerifier = Target; }
   response_end_verifier &endVerifier() { return *EndVerifier; }
 
@@ -526,6 +550,7 @@
   std::size_t OpenRelays = 0;
   peer_messenger *Messenger = nullptr;
   software_verifier *Verifier = nullptr;
+  read_barrier *Barrier = nullptr;
   response_end_verifier *EndVerifier = nullptr;
   origin_task *Origins = nullptr;
   change_exchange *Changes = nullptr;
--- a/src/gateway/process/gateway_metrics.cpp
+++ b/src/gateway/process/gateway_metrics.cpp
@@ -20,6 +20,9 @@
       OriginLookups(
           addFamily("ebonyvale_origin_lookups_total",
                     "Questions to peers for the version that began a stream.")),
+      Barriers(addFamily("ebonyvale_read_barriers_total",
+                         "Streams of unknown origin that waited for a read of "
+                         "the store, by result.")),
       JudgedEnds(addFamily("ebonyvale_response_ends_total",
                            "Responses without length or chunks by verdict.")),
       ReleaseStates(addFamily("ebonyvale_release_states_total",
@@ -142,6 +145,10 @@
   OriginLookups.Add({{"result", IsKnown ? "known" : "unknown"}}).Increment();
 }
 
+void gateway_metrics::onBarrier(bool IsCurrent) {
+  Barriers.Add({{"result", IsCurrent ? "current" : "unknown"}}).Increment();
+}
+
 void gateway_metrics::onEndJudged(end_verdict Verdict) {
   JudgedEnds.Add({{"verdict", std::string(endVerdictName(Verdict))}})
       .Increment();
--- a/src/gateway/process/gateway_metrics.h
+++ b/src/gateway/process/gateway_metrics.h
@@ -26,6 +26,8 @@
   void onUpstreamLoss(std::string_view Reason);
   /// Counts a question to peers for the origin of a stream.
   void onOriginLookup(bool IsKnown);
+  /// Counts a request that has waited for a read of the store.
+  void onBarrier(bool IsCurrent);
   /// Counts a response that ended with its connection.
   void onEndJudged(end_verdict Verdict);
   /// Counts a state of a release that this instance has written to the store.
@@ -39,6 +41,7 @@
   counter_family &StoreBytes;
   counter_family &UpstreamLosses;
   counter_family &OriginLookups;
+  counter_family &Barriers;
   counter_family &JudgedEnds;
   counter_family &ReleaseStates;
   counter_family &RoomRefusals;
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -51,9 +51,10 @@
                       std::chrono::milliseconds(Settings.StoreCallTimeoutMs))),
       Membership(Core, *Store), Weights(Core, *Store), Releases(Core, *Store),
       Follower(Core, *Store, std::string(FleetItemsPrefix), *this),
-      Origins(Core), Verifier(Core), Ends(Core), Gossip(Core),
-      Refusals(Core, *Store), Operators(Core, Weights, Refusals), Relays(Core),
-      Prober(Core), Callers(Base, *this), RelayLinks(Base, Relays),
+      Barrier(Core, *Store, Follower), Origins(Core), Verifier(Core),
+      Ends(Core), Gossip(Core), Refusals(Core, *Store),
+      Operators(Core, Weights, Refusals), Relays(Core), Prober(Core),
+      Callers(Base, *this), RelayLinks(Base, Relays),
       ReadyLinks(Base, Operators), MetricsLinks(Base, Operators),
       StopTimer(Base, [this] { onStopTick(); }) {
   Callers.setMemory(Core.callerMemory(), /*Internal=*/false);
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -11,6 +11,7 @@
 #include "gateway/process/gateway_core.h"
 #include "gateway/process/membership_task.h"
 #include "gateway/process/origin_task.h"
+#include "gateway/process/store_barrier.h"
 #include "gateway/process/store_follower.h"
 #include "gateway/request/forward_session.h"
 #include "gateway/request/relay_session.h"
@@ -98,6 +99,7 @@
   weights_task Weights;
   release_task Releases;
   store_follower Follower;
+  store_barrier Barrier;
   origin_task Origins;
   upstream_verifier Verifier;
   end_verifier Ends;
--- a/src/gateway/process/store_follower.cpp
+++ b/src/gateway/process/store_follower.cpp
@@ -336,6 +336,14 @@
   Observer.onUpstreamsChanged();
 }
 
+std::optional<std::int64_t> store_follower::routingRevision() const {
+  const auto Known =
+      OperatorStates.find(Core.protocols().Documents.routingKey());
+  if (Known == OperatorStates.end())
+    return std::nullopt;
+  return Known->second.Revision;
+}
+
 std::vector<operator_document> store_follower::operatorRevisions() const {
   std::vector<operator_document> Documents;
   for (const auto &[Key, State] : OperatorStates)
--- a/src/gateway/process/store_follower.h
+++ b/src/gateway/process/store_follower.h
@@ -9,6 +9,7 @@
 #include "gateway/process/change_relay.h"
 #include "gateway/process/fleet_store.h"
 #include "gateway/process/gateway_core.h"
+#include "gateway/process/store_barrier.h"
 
 #include <map>
 #include <optional>
@@ -49,7 +50,9 @@
 /// changes, and reads of the operators' documents. Only reads refresh the
 /// freshness of the configuration, since a watch may miss changes silently.
 /// While a peer can be followed, polls of that peer replace both loops.
-class store_follower final : public change_receiver, public document_provider {
+class store_follower final : public change_receiver,
+                             public document_provider,
+                             public routing_source {
 public:
   store_follower(gateway_core &Core, fleet_store &Store,
                  std::string FleetPrefix, follower_observer &Observer);
@@ -69,6 +72,9 @@
                  instant ReadAt) override;
   void onPollFailed() override;
 
+  // routing_source
+  std::optional<std::int64_t> routingRevision() const override;
+
   // document_provider
   std::optional<encoded_document> documentFor(std::string_view Key,
                                               std::int64_t Known) override;
--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -47,42 +47,58 @@
                                ParsedRequest.Resumes, Known->Service, Service),
                    OriginRetryAfter});
   if (Known)
-    StreamSoftware = Known->Software;
-  else if (!assumeOrigin(readBootClock()))
+    return continueStream(Known->Software);
+  // Other instances may already follow changes that this one has not read.
+  if (onlyOrigin(readBootClock()))
+    Core.awaitRead(weak_from_this());
+}
+
+void forward_session::onStoreRead(bool IsCurrent) {
+  const auto Guard = shared_from_this();
+  if (Ended)
+    return;
+  const instant Now = readBootClock();
+  if (!IsCurrent)
+    return refuse({error_kind::NoUpstream,
+                   fmt::format("what can have begun stream '{}' is not known: "
+                               "the store has not confirmed it",
+                               ParsedRequest.Resumes),
+                   OriginRetryAfter});
+  auto Only = onlyOrigin(Now);
+  if (!Only)
     return;
+  Core.log().info(event_category::Request, "origin_assumed",
+                  {{"id", ParsedRequest.Id},
+                   {"resumes", ParsedRequest.Resumes},
+                   {"service", Service},
+                   {"software", *Only},
+                   {"waited_ms", Now - ArrivedAt}});
+  continueStream(std::move(*Only));
+}
+
+void forward_session::continueStream(std::string Software) {
+  StreamSoftware = std::move(Software);
   if (Core.origins() && !ParsedRequest.Resumes.empty())
     Core.origins()->onResumed(ParsedRequest.Resumes, {Service, StreamSoftware});
   schedule();
 }
 
-bool forward_session::assumeOrigin(instant Now) {
+std::optional<std::string> forward_session::onlyOrigin(instant Now) {
   if (!Core.ledOnlyTo(Service, ParsedRequest.Host, ParsedRequest.Path, Now)) {
     refuse({error_kind::NoUpstream,
             fmt::format("the service that began stream '{}' is not known",
                         ParsedRequest.Resumes),
             OriginRetryAfter});
-    return false;
+    return std::nullopt;
   }
   std::optional<std::string> Only = Core.onlySoftware(Service, Now);
-  if (!Only) {
+  if (!Only)
     refuse({error_kind::NoUpstream,
             fmt::format("the software version that began stream '{}' is not "
                         "known",
                         ParsedRequest.Resumes),
             OriginRetryAfter});
-    return false;
-  }
-  const auto ListedAt = Core.upstreamsConfirmedAt();
-  Core.log().info(event_category::Request, "origin_assumed",
-                  {{"id", ParsedRequest.Id},
-                   {"resumes", ParsedRequest.Resumes},
-                   {"service", Service},
-                   {"software", *Only},
-                   {"listed_age_ms", ListedAt ? Now - *ListedAt : UnknownAge},
-                   {"evidence_age_ms",
-                    Core.configFreshness().age(Now).value_or(UnknownAge)}});
-  StreamSoftware = std::move(*Only);
-  return true;
+  return Only;
 }
 
 std::string forward_session::scheduleDetail() const {
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -37,6 +37,7 @@
     : public open_request,
       public token_waiter,
       public origin_waiter,
+      public read_waiter,
       public verification_waiter,
       public end_waiter,
       public client_observer,
@@ -61,6 +62,9 @@
   // origin_waiter
   void onOrigin(const std::optional<stream_writer> &Known) override;
 
+  // read_waiter
+  void onStoreRead(bool IsCurrent) override;
+
   // verification_waiter
   void onVerified(std::string_view Upstream) override;
 
@@ -87,9 +91,11 @@
   /// resumes, if it resumes one, and schedules the request.
   void findOrigin();
   /// Takes the origin of the stream, which no instance has recorded, from what
-  /// the route has led to lately. Refuses the request and returns false if that
-  /// leaves several.
-  bool assumeOrigin(instant Now);
+  /// the route has led to lately. Refuses the request and returns nothing if
+  /// that leaves several.
+  std::optional<std::string> onlyOrigin(instant Now);
+  /// Goes on with the stream that \p Software began.
+  void continueStream(std::string Software);
   /// Asks the upstream of \p Chosen, which is to continue the stream, for the
   /// process that it runs. Returns whether an answer is due.
   bool askForProof(const schedule_choice &Chosen, instant Now);
