Records of streams at unknown processes are found without the stream's name

A stream that began at a process which no entry states (an upstream that has started again under its id as another version) has a record that names no version, so that no instance continues it. The record is found by the id of the request that began the stream. Callers that resume a stream without naming it, as those of the kit do, were not protected: the stream went on at the only version that is listed, and its events were of two versions.

Change: such a stream has a second record under the fingerprint of its request (team, target, body), which callers repeat, and a request that names no stream is looked up by it. It counts only as long as it names no version: other streams may have begun with the same request.

--- a/src/gateway/process/origin_task.cpp
+++ b/src/gateway/process/origin_task.cpp
@@ -26,6 +26,12 @@
   return streamId("", RequestId);
 }
 
+/// Returns an id for a stream that is known by the request that began it. The
+/// prefix keeps it apart from the ids of callers.
+std::string unnamedId(request_fingerprint Request) {
+  return fmt::format("\n{:016x}", Request);
+}
+
 std::string encodeWriter(const stream_writer &Writer) {
   return Writer.Service + WriterSeparator + Writer.Software;
 }
@@ -70,13 +76,16 @@
 }
 
 std::shared_ptr<const bool> origin_task::onBegunUnconfirmed(
-    std::string_view RequestId, const stream_writer &Writer,
-    const upstream_process &Process, instant OpenedAt) {
-  record(RequestId, {Writer.Service, std::string(UnknownSoftware)});
+    std::string_view RequestId, request_fingerprint Request,
+    const stream_writer &Writer, const upstream_process &Process,
+    instant OpenedAt) {
+  const std::string UnnamedId = unnamedId(Request);
+  for (const std::string_view Id : {RequestId, std::string_view(UnnamedId)})
+    record(Id, {Writer.Service, std::string(UnknownSoftware)});
   sendRecords();
   if (Unconfirmed.size() >= MaxUnconfirmed)
     Unconfirmed.erase(Unconfirmed.begin());
-  Unconfirmed.push_back({std::string(RequestId), Writer, Process,
+  Unconfirmed.push_back({std::string(RequestId), UnnamedId, Writer, Process,
                          readBootClock(), OpenedAt,
                          std::make_shared<bool>(false)});
   return Unconfirmed.back().IsConfirmed;
@@ -96,6 +105,7 @@
 
 void origin_task::recordOf(const unconfirmed_stream &Stream) {
   record(Stream.RequestId, Stream.Writer);
+  record(Stream.UnnamedId, Stream.Writer);
   *Stream.IsConfirmed = true;
 }
 
@@ -161,6 +171,11 @@
   armLookupTimer(Now);
 }
 
+void origin_task::findUnnamed(request_fingerprint Request,
+                              const std::weak_ptr<origin_waiter> &Waiter) {
+  find(unnamedId(Request), Waiter);
+}
+
 origin_task::lookup_map::iterator
 origin_task::advance(lookup_map::iterator Lookup, instant Now) {
   auto &[Stream, Pending] = *Lookup;
--- a/src/gateway/process/origin_task.h
+++ b/src/gateway/process/origin_task.h
@@ -3,6 +3,7 @@
 #ifndef EBONYVALE_GATEWAY_PROCESS_ORIGIN_TASK_H
 #define EBONYVALE_GATEWAY_PROCESS_ORIGIN_TASK_H
 
+#include "decisions/process/crash_tracker.h"
 #include "decisions/process/origin_lookup.h"
 #include "decisions/process/stream_origins.h"
 #include "decisions/process/upstream_directory.h"
@@ -51,9 +52,11 @@
 
   /// As `onBegun`, but \p Process may have been replaced under its entry. The
   /// record names no version until the entry is confirmed; the result is true
-  /// from then on.
+  /// from then on. A second record is found by \p Request, which callers repeat
+  /// that resume a stream without naming it.
   std::shared_ptr<const bool>
-  onBegunUnconfirmed(std::string_view RequestId, const stream_writer &Writer,
+  onBegunUnconfirmed(std::string_view RequestId, request_fingerprint Request,
+                     const stream_writer &Writer,
                      const upstream_process &Process, instant OpenedAt);
   /// Records the streams of connections to \p Running that were opened by
   /// \p At, when that process was running.
@@ -64,6 +67,12 @@
   void find(std::string_view RequestId,
             const std::weak_ptr<origin_waiter> &Waiter);
 
+  /// As `find`, for a stream that \p Request began and its caller does not
+  /// name. Of such streams only those are known that began at an unconfirmed
+  /// process.
+  void findUnnamed(request_fingerprint Request,
+                   const std::weak_ptr<origin_waiter> &Waiter);
+
   /// Records that the stream of \p RequestId, which \p Writer began, goes on.
   void onResumed(std::string_view RequestId, const stream_writer &Writer) {
     onBegun(RequestId, Writer);
@@ -88,6 +97,7 @@
   };
   struct unconfirmed_stream {
     std::string RequestId;
+    std::string UnnamedId; ///< see `unnamedId`
     stream_writer Writer;
     upstream_process Process;
     instant BegunAt;
--- a/src/gateway/request/forward_origin.cpp
+++ b/src/gateway/request/forward_origin.cpp
@@ -25,8 +25,10 @@
                        !ParsedRequest.Resumes.empty();
   if (!Route->Resumable || !Resumes)
     return schedule();
-  if (ParsedRequest.Resumes.empty() || !Core.origins())
+  if (!Core.origins())
     return onOrigin(std::nullopt);
+  if (ParsedRequest.Resumes.empty())
+    return Core.origins()->findUnnamed(Fingerprint, weak_from_this());
   Core.origins()->find(ParsedRequest.Resumes, weak_from_this());
 }
 
@@ -40,13 +42,15 @@
                                "stated its start",
                                ParsedRequest.Resumes),
                    OriginRetryAfter});
-  if (Known && Known->Service != Service)
+  // Other streams may have begun with the same request at another version.
+  const bool IsOrigin = Known && !ParsedRequest.Resumes.empty();
+  if (IsOrigin && Known->Service != Service)
     return refuse({error_kind::NoUpstream,
                    fmt::format("stream '{}' began at service {}, the route "
                                "leads to {}",
                                ParsedRequest.Resumes, Known->Service, Service),
                    OriginRetryAfter});
-  if (Known)
+  if (IsOrigin)
     return continueStream(Known->Software);
   // Other instances may already follow changes that this one has not read.
   if (onlyOrigin(readBootClock()))
@@ -162,8 +166,8 @@
   if (OriginCertain)
     return Core.origins()->onBegun(ParsedRequest.Id, Writer);
   const instant OpenedAt = Exchange ? Exchange->openedAt().value_or(Now) : Now;
-  OriginConfirmed = Core.origins()->onBegunUnconfirmed(ParsedRequest.Id, Writer,
-                                                       Target, OpenedAt);
+  OriginConfirmed = Core.origins()->onBegunUnconfirmed(
+      ParsedRequest.Id, Fingerprint, Writer, Target, OpenedAt);
   Core.verifyConnections(Choice->Upstream, OpenedAt, Now);
 }
 
--- a/tests/gateway/unlisted_process_test.cpp
+++ b/tests/gateway/unlisted_process_test.cpp
@@ -118,6 +118,56 @@
   cr_assert(Rest.Status == Row->Status, "%s: %d", Row->Name, Rest.Status);
 }
 
+struct unnamed_row {
+  char Name[32];
+  bool Restarts; ///< the upstream that begins the stream
+  bool AtOther;  ///< resumed at the other instance
+  int Status;
+};
+
+ParameterizedTestParameters(unlisted_process,
+                            a_stream_without_a_name_is_not_joined) {
+  static unnamed_row Rows[] = {
+      {"resumed at the same", true, false, 503},
+      {"resumed elsewhere", true, true, 503},
+      {"not restarted", false, false, 200},
+      {"not restarted, elsewhere", false, true, 200},
+  };
+  return criterion_test_params(Rows);
+}
+
+/// The caller does not name the stream that it resumes.
+ParameterizedTest(unnamed_row *Row, unlisted_process,
+                  a_stream_without_a_name_is_not_joined) {
+  unlisted_fleet Fleet;
+  gateway_fixture &Gateway = Fleet.Gateway;
+  const auto KnowsOrigins = [](gateway_core &Core) {
+    const instant Now = readBootClock();
+    return Core.onlySoftware("s", Now) &&
+           Core.ledOnlyTo("s", "h.example", "/stream-on/1", Now);
+  };
+  cr_assert(Gateway.waitFor([&] {
+    return KnowsOrigins(Gateway.core()) && KnowsOrigins(Fleet.Other->core());
+  }));
+  Fleet.use(true, false);
+  if (Row->Restarts)
+    Fleet.restartFirst();
+  Gateway.startRequest({.Path = "/stream-on/1", .Id = "s-1"});
+  cr_assert(Gateway.waitFor([&] {
+    return Gateway.result().Body.find("piece 2") != std::string::npos;
+  }));
+  Gateway.disconnect();
+  const std::string Begun = Gateway.result().Body;
+  Fleet.use(false, true);
+  if (Row->AtOther)
+    Gateway.setCallerTarget(*Fleet.Other);
+  const caller_response Rest = Gateway.sendRequest(
+      {.Path = "/stream-on/1", .Id = "rest-1", .ResumeAfter = "2"});
+  cr_assert(isOfOneVersion(Begun + Rest.Body), "%s: %s and %s", Row->Name,
+            Begun.c_str(), Rest.Body.c_str());
+  cr_assert(Rest.Status == Row->Status, "%s: %d", Row->Name, Rest.Status);
+}
+
 struct continued_row {
   char Name[16];
   bool Restarts; ///< the upstream that may continue the stream
