--- a/tests/soak/silence_checker.h
+++ b/tests/soak/silence_checker.h
@@ -191,10 +191,10 @@
   std::map<std::string, std::vector<fault_time>, std::less<>> Silences;
   std::map<std::string, std::vector<instant>, std::less<>> UpstreamKills;
   std::map<std::string, std::vector<instant>, std::less<>> UpstreamStops;
-  /// Software versions of the events of each stream, likewise.
-  std::map<std::string, std::set<std::string>, std::less<>> StreamSoftware;
   /// Services that ran each stream, by the id of its first attempt.
   std::map<std::string, std::set<std::string>, std::less<>> StreamServices;
+  /// Software versions of the events of each stream, likewise.
+  std::map<std::string, std::set<std::string>, std::less<>> StreamSoftware;
   std::vector<std::string> Violations;
   silence_counts Counts;
 };
