--- a/tests/gateway/unlisted_process_test.cpp
+++ b/tests/gateway/unlisted_process_test.cpp
@@ -59,6 +59,17 @@
         [&] { return Knows(Gateway.core()) && Knows(Other->core()); }));
   }
 
+  /// Begins the stream "s-1" at the first instance and leaves after its second
+  /// event. Returns what has arrived.
+  std::string begin() {
+    Gateway.startRequest({.Path = "/stream-on/1", .Id = "s-1"});
+    cr_assert(Gateway.waitFor([&] {
+      return Gateway.result().Body.find("piece 2") != std::string::npos;
+    }));
+    Gateway.disconnect();
+    return Gateway.result().Body;
+  }
+
   gateway_fixture Gateway;
   std::unique_ptr<gateway_task> Other;
 
@@ -98,12 +109,7 @@
   Fleet.use(Row->BeginsThere, !Row->BeginsThere);
   if (Row->Restarts)
     Fleet.restartFirst();
-  Gateway.startRequest({.Path = "/stream-on/1", .Id = "s-1"});
-  cr_assert(Gateway.waitFor([&] {
-    return Gateway.result().Body.find("piece 2") != std::string::npos;
-  }));
-  Gateway.disconnect();
-  const std::string Begun = Gateway.result().Body;
+  const std::string Begun = Fleet.begin();
   Fleet.use(!Row->BeginsThere, Row->BeginsThere);
   if (Row->BeginnerIsLost)
     Gateway.kill();
@@ -152,12 +158,7 @@
   Fleet.use(true, false);
   if (Row->Restarts)
     Fleet.restartFirst();
-  Gateway.startRequest({.Path = "/stream-on/1", .Id = "s-1"});
-  cr_assert(Gateway.waitFor([&] {
-    return Gateway.result().Body.find("piece 2") != std::string::npos;
-  }));
-  Gateway.disconnect();
-  const std::string Begun = Gateway.result().Body;
+  const std::string Begun = Fleet.begin();
   Fleet.use(false, true);
   if (Row->AtOther)
     Gateway.setCallerTarget(*Fleet.Other);
