--- a/src/gateway/process/fleet_store.cpp
+++ b/src/gateway/process/fleet_store.cpp
@@ -1,5 +1,7 @@
 #include "gateway/process/fleet_store.h"
 
+#include <utility>
+
 namespace ebonyvale {
 
 std::string_view storeStatusName(store_status Status) {
@@ -20,4 +22,14 @@
   return "no_answer";
 }
 
+void fleet_store::listAfter(const std::string &Prefix, const std::string &After,
+                            items_callback Done) {
+  list(Prefix, [After, Done = std::move(Done)](const store_items &All) {
+    store_items Later = All;
+    std::erase_if(Later.Items,
+                  [&](const store_item &Item) { return Item.Key <= After; });
+    Done(Later);
+  });
+}
+
 } // namespace ebonyvale
--- a/src/gateway/process/fleet_store.h
+++ b/src/gateway/process/fleet_store.h
@@ -89,9 +89,10 @@
   /// Reads all items under \p Prefix; the read is linearizable.
   virtual void list(const std::string &Prefix, items_callback Done) = 0;
 
-  /// As `list`, without the items up to the key \p After.
+  /// As `list`, without the items up to the key \p After. Unless overridden,
+  /// all items are read and those up to \p After are left out.
   virtual void listAfter(const std::string &Prefix, const std::string &After,
-                         items_callback Done) = 0;
+                         items_callback Done);
 
   /// Returns the changes under \p Prefix after \p Revision as soon as there are
   /// any, and an empty result after \p Wait. An empty result does not prove
