A request that crashes its upstream on a used connection is quarantined

Cause: a used connection that is lost within 100 ms of the request counted as one that the upstream had closed because it was idle. Such a loss was dropped, so the request was suspected only where it met a new connection twice within a minute. The relay had the same test.

Now such a loss is unexplained: the caller is answered as before, and the process is asked on another connection whether it runs, as after responses that end with their connection. A relay asks for the instance whose request it passed on. Losses that count for that reason only, at several processes within 100 ms, count once.

--- a/src/decisions/process/crash_tracker.cpp
+++ b/src/decisions/process/crash_tracker.cpp
@@ -22,8 +22,9 @@
   return XXH3_64bits_withSeed(Body.data(), Body.size(), TeamHash);
 }
 
-bool crash_tracker::addLoss(entry &Entry, lost_process Process) {
-  for (lost_process &Known : Entry.Lost) {
+bool crash_tracker::addLoss(entry &Entry, lost_process Process,
+                            instant Now) const {
+  for (auto &[Known, At] : Entry.Lost) {
     if (Known.Upstream != Process.Upstream)
       continue;
     if (Known.Born == 0)
@@ -31,9 +32,14 @@
     if (Process.Born == 0 || Known.Born == Process.Born)
       return false;
   }
+  if (Process.Inferred &&
+      std::ranges::any_of(Entry.Lost, [&](const counted_loss &Known) {
+        return Now - Known.At < Options.OutageDuration;
+      }))
+    return false;
   if (Entry.Lost.size() >= QuarantineLosses)
     Entry.Lost.erase(Entry.Lost.begin());
-  Entry.Lost.push_back(Process);
+  Entry.Lost.push_back({Process, Now});
   return true;
 }
 
@@ -53,7 +59,7 @@
   entry &Entry = Entries[Request];
   if (Entry.ExpiresAt <= Now)
     Entry = {};
-  const bool Counts = addLoss(Entry, Process);
+  const bool Counts = addLoss(Entry, Process, Now);
   Entry.ExpiresAt = std::max(Entry.ExpiresAt, Now + Options.SuspicionDuration);
   if (Counts && Entry.QuarantinedUntil <= Now &&
       Entry.Lost.size() + Entry.Quarantines >= QuarantineLosses)
--- a/src/decisions/process/crash_tracker.h
+++ b/src/decisions/process/crash_tracker.h
@@ -34,6 +34,10 @@
   /// Start in ms since the Unix epoch; 0 if unknown. Losses of one upstream of
   /// which one has an unknown start count as losses of one process.
   std::int64_t Born = 0;
+  /// Whether the request is suspected only since the process ended right after
+  /// it was sent. Such losses at several processes within `OutageDuration` may
+  /// have a common cause that is not the request, and count once.
+  bool Inferred = false;
 };
 
 /// Options of `crash_tracker`.
@@ -43,6 +47,8 @@
   /// Duration of the first quarantine; each further one takes twice as long.
   span_ns QuarantineDuration = std::chrono::minutes(1);
   span_ns MaxQuarantineDuration = std::chrono::minutes(10);
+  /// See `lost_process::Inferred`.
+  span_ns OutageDuration = std::chrono::milliseconds(100);
   /// Largest number of requests that are remembered.
   std::size_t MaxEntries = 10000;
 };
@@ -78,16 +84,20 @@
   std::size_t size() const { return Entries.size(); }
 
 private:
+  struct counted_loss {
+    lost_process Process;
+    instant At;
+  };
   struct entry {
     /// The first two, or the last one if there has been a quarantine.
-    std::vector<lost_process> Lost;
+    std::vector<counted_loss> Lost;
     unsigned Quarantines = 0;
     instant QuarantinedUntil;
     instant ExpiresAt;
   };
 
   /// Returns whether the loss of \p Process counts.
-  static bool addLoss(entry &Entry, lost_process Process);
+  bool addLoss(entry &Entry, lost_process Process, instant Now) const;
   void quarantine(entry &Entry, instant Now) const;
 
   /// Drops expired entries if there are `MaxEntries` or more, and if that is
--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -115,11 +115,17 @@
   json Message{{"k", "loss"}, {"q", Request}, {"u", Upstream.Upstream}};
   if (Upstream.Born != 0)
     Message["b"] = Upstream.Born;
+  if (Upstream.Inferred)
+    Message["i"] = true;
   if (!Losses.empty())
     Message["s"] = encodeLosses(Losses);
   sendToAll(Message);
 }
 
+void peer_gossip::sendEnded(const lost_process &Upstream) {
+  sendToAll({{"k", "ended"}, {"u", Upstream.Upstream}, {"b", Upstream.Born}});
+}
+
 void peer_gossip::sendSound(std::optional<request_fingerprint> Request,
                             std::span<const segment_id> Segments) {
   json Message{{"k", "sound"}, {"s", Segments}};
@@ -495,8 +501,10 @@
         Now);
   } else if (Kind == "loss") {
     // Absent in messages of earlier releases.
-    const std::int64_t Born = Message.value("b", std::int64_t{0});
-    Core.crashes().onLost(Message.at("q"), {Message.at("u"), Born}, Now);
+    const lost_process Lost{Message.at("u"),
+                            Message.value("b", std::int64_t{0}),
+                            Message.value("i", false)};
+    Core.crashes().onLost(Message.at("q"), Lost, Now);
     Core.onPeerLoss(Message.at("u"), Now);
     // Absent in messages of earlier releases and if the response had begun.
     if (const auto Losses = Message.find("s"); Losses != Message.end()) {
@@ -504,6 +512,8 @@
                                           Message.at("u"), Now);
       Core.logQuarantinedSegments();
     }
+  } else if (Kind == "ended") {
+    Core.lossInquiries().onPeerEnded({Message.at("u"), Message.at("b")}, Now);
   } else if (Kind == "sound") {
     Core.segmentQuarantine().onPeerCompleted(
         Message.at("s").get<std::vector<segment_id>>(), Now);
--- a/src/gateway/connection/peer_gossip.h
+++ b/src/gateway/connection/peer_gossip.h
@@ -40,6 +40,7 @@
                       const lend_return &Return) override;
   void sendLoss(request_fingerprint Request, lost_process Upstream,
                 std::span<const segment_loss> Losses) override;
+  void sendEnded(const lost_process &Upstream) override;
   void sendSound(std::optional<request_fingerprint> Request,
                  std::span<const segment_id> Segments) override;
   void sendPause(const std::string &Upstream, span_ns For) override;
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -327,47 +327,6 @@
       Now, RetryOptions, Roster.quotaShareCount(Now, Started));
 }
 
-void gateway_core::reportLoss(request_fingerprint Request,
-                              const upstream_process &Upstream,
-                              std::span<const segment_id> Segments,
-                              std::optional<loss_stage> Stage, instant Now) {
-  const lost_process Lost{upstreamHash(Upstream.Id), Upstream.Born};
-  if (Crashes.onLost(Request, Lost, Now) == suspicion::Quarantined)
-    Log.warn(event_category::Request, "request_quarantined",
-             {{"fingerprint", fmt::format("{:016x}", Request)},
-              {"upstream", Upstream.Id}});
-  std::vector<segment_loss> Losses;
-  if (Stage && !Segments.empty())
-    Losses = SegmentQuarantine.onLost(Segments, Lost.Upstream, *Stage, Now);
-  logQuarantinedSegments();
-  if (Messenger)
-    Messenger->sendLoss(Request, Lost, Losses);
-}
-
-void gateway_core::onPeerLoss(engine_id Upstream, instant Now) {
-  for (const auto &[Id, Entry] : Directory.all())
-    if (upstreamHash(Id) == Upstream)
-      onSoftwareUncertain(Entry.process(), "lost_by_peer", Now);
-}
-
-void gateway_core::reportCompletion(request_fingerprint Request,
-                                    std::span<const segment_id> Segments,
-                                    instant Now) {
-  const bool WasSuspected = Crashes.onCompleted(Request);
-  const auto Suspected = SegmentQuarantine.onCompleted(Segments, Now);
-  if (Messenger && (WasSuspected || !Suspected.empty()))
-    Messenger->sendSound(WasSuspected ? std::optional(Request) : std::nullopt,
-                         Suspected);
-}
-
-void gateway_core::logQuarantinedSegments() {
-  for (const segment_id Segment : SegmentQuarantine.takeNew()) {
-    Metrics.SegmentsQuarantined.Increment();
-    Log.warn(event_category::Request, "segment_quarantined",
-             {{"segment", fmt::format("{:016x}", Segment)}});
-  }
-}
-
 void gateway_core::onUpstreamLimit(std::string_view Upstream,
                                    const response_info &Response,
                                    instant SentAt, instant Now) {
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -29,6 +29,7 @@
 #include "gateway/process/fleet_protocol.h"
 #include "gateway/process/gateway_metrics.h"
 #include "gateway/process/gateway_settings.h"
+#include "gateway/process/loss_inquiries.h"
 #include "gateway/process/release_exchange.h"
 #include "net/client_connection.h"
 #include "net/timer.h"
@@ -90,6 +91,9 @@
   /// begun.
   virtual void sendLoss(request_fingerprint Request, lost_process Upstream,
                         std::span<const segment_loss> Losses) = 0;
+  /// Reports to all peers that \p Upstream has ended right after a request
+  /// that was passed on for one of them.
+  virtual void sendEnded(const lost_process &Upstream) = 0;
   /// Reports to all peers that a request with \p Segments was run completely;
   /// \p Request is given if losses of it were remembered.
   virtual void sendSound(std::optional<request_fingerprint> Request,
@@ -405,10 +409,15 @@
 
   /// Records that \p Upstream was lost while it may have run \p Request, and
   /// reports it to the peers. \p Segments are those of its prompt, and \p Stage
-  /// is given if the response had not begun.
+  /// is given if the response had not begun. For \p IsInferred see
+  /// `lost_process`.
   void reportLoss(request_fingerprint Request, const upstream_process &Upstream,
                   std::span<const segment_id> Segments,
-                  std::optional<loss_stage> Stage, instant Now);
+                  std::optional<loss_stage> Stage, bool IsInferred,
+                  instant Now);
+
+  /// Losses of which it is being found out whether they are crashes.
+  loss_inquiries &lossInquiries() { return LossInquiries; }
 
   /// Records that a peer has lost the upstream with the hash \p Upstream while
   /// it ran a request.
@@ -537,6 +546,7 @@
   quota_ledger Shares;
   crash_tracker Crashes;
   segment_quarantine SegmentQuarantine;
+  loss_inquiries LossInquiries{*this};
   refusal_log Refusals;
   refusal_aggregator UnwrittenRefusals;
   retry_options RetryOptions;
--- a/src/gateway/request/forward_relay.cpp
+++ b/src/gateway/request/forward_relay.cpp
@@ -13,13 +13,15 @@
   case relay_outcome::Busy:
     return onRelayFailed(relay_failure::Busy, Reason);
   case relay_outcome::Lost:
-    return loseAttempt(Reason, /*MayBeCrash=*/false);
+    return loseAttempt(Reason, crash_evidence::None);
+  case relay_outcome::LostReused:
+    return loseAttempt(Reason, crash_evidence::Unexplained);
   case relay_outcome::LostWaiting:
-    return loseAttempt(Reason, /*MayBeCrash=*/true);
+    return loseAttempt(Reason, crash_evidence::Lost);
   case relay_outcome::LostBegun:
     HeadReceived = true;
     Response = {};
-    return loseAttempt(Reason, /*MayBeCrash=*/true);
+    return loseAttempt(Reason, crash_evidence::Lost);
   }
 }
 
@@ -28,7 +30,7 @@
     return onRelayFailed(relay_failure::Lost, lossName(Loss.Reason));
   // A relay closes the connection if the upstream breaks off its response.
   if (HeadReceived)
-    return loseAttempt("broken_off_at_relay", /*MayBeCrash=*/false);
+    return loseAttempt("broken_off_at_relay", crash_evidence::None);
   if (const upstream_entry *Entry = Core.directory().find(Choice->Upstream))
     Core.upstreamPaths().onRelayFailed(Choice->Relay, *Entry,
                                        relay_failure::Lost, readBootClock());
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -17,9 +17,6 @@
 /// the request was not run. Reading it to its end keeps the connection.
 constexpr std::size_t MaxRefusalBodyBytes = 64 * 1024;
 constexpr span_ns MaxRefusalBodyTime = std::chrono::milliseconds(100);
-/// Longest time after which the close of an idle connection arrives that the
-/// upstream had sent before it received the request; above a round trip.
-constexpr span_ns IdleCloseTime = std::chrono::milliseconds(100);
 constexpr int FirstServerError = 500;
 constexpr int StatusOk = 200;
 
@@ -245,7 +242,7 @@
   if (ResponseInfo.NotRun)
     return onNotRun();
   if (isBrokenStream())
-    return loseAttempt("incomplete_stream", /*MayBeCrash=*/true);
+    return loseAttempt("incomplete_stream", crash_evidence::Lost);
   // A relay judges the end by itself.
   if (isRelayed() || !endsWithConnection(Response, Request.Head.Method))
     return completeResponse();
@@ -267,7 +264,9 @@
     return completeResponse();
   // An upstream that leaves may end by itself.
   const upstream_entry *Entry = Core.directory().find(Choice->Upstream);
-  loseAttempt("ended_with_upstream", /*MayBeCrash=*/Entry && Entry->isOpen());
+  loseAttempt("ended_with_upstream", Entry && Entry->isOpen()
+                                         ? crash_evidence::Lost
+                                         : crash_evidence::None);
 }
 
 void forward_session::recordOutcome(bool Failed, std::optional<span_ns> Latency,
@@ -340,7 +339,8 @@
   return HeadReceived ? loss_stage::Begun : loss_stage::Waiting;
 }
 
-void forward_session::loseAttempt(std::string_view Reason, bool MayBeCrash) {
+void forward_session::loseAttempt(std::string_view Reason,
+                                  crash_evidence Evidence) {
   const instant Now = readBootClock();
   Core.counters().onUpstreamLoss(Reason);
   // Connections of a lost path say nothing about the upstream.
@@ -354,11 +354,22 @@
       Core.releases().useOf(Service, AttemptSoftware, Target.Id,
                             /*Continues=*/false,
                             Now) == software_use::LastResort;
-  if (MayBeCrash && !IsPlanned)
-    Core.reportLoss(Fingerprint, Target, Segments, lossStage(), Now);
+  if (Evidence == crash_evidence::Lost && !IsPlanned)
+    Core.reportLoss(Fingerprint, Target, Segments, lossStage(),
+                    /*IsInferred=*/false, Now);
+  else if (Evidence == crash_evidence::Unexplained && !IsPlanned)
+    inquireLoss(Now);
   onAttemptEnd(attempt_outcome::Lost, Reason);
 }
 
+void forward_session::inquireLoss(instant Now) {
+  unexplained_loss Loss{Fingerprint, Target, Segments, Now, /*Lost=*/{}};
+  if (isRelayed())
+    Core.lossInquiries().awaitPeer(std::move(Loss));
+  else
+    Core.lossInquiries().ask(std::move(Loss));
+}
+
 void forward_session::onNotRun() {
   const auto Guard = shared_from_this();
   RefusalTimer.stop();
@@ -444,13 +455,13 @@
     Core.onConnectFailed(Target, Loss.Reason, readBootClock());
     return onAttemptEnd(attempt_outcome::NotSent, lossName(Loss.Reason));
   }
-  // A reused connection that closes at once may have been idle too long; that
-  // does not suggest that the request crashed the upstream.
-  const bool MayHaveBeenIdle = Loss.ReusedConnection && !HeadReceived &&
-                               readBootClock() - SentAt < IdleCloseTime;
-  const bool MayBeCrash =
-      Loss.Reason != loss_reason::InvalidResponse && !MayHaveBeenIdle;
-  loseAttempt(lossName(Loss.Reason), MayBeCrash);
+  crash_evidence Evidence = crash_evidence::Lost;
+  if (Loss.Reason == loss_reason::InvalidResponse)
+    Evidence = crash_evidence::None;
+  else if (mayBeIdleClose(Loss.ReusedConnection, HeadReceived,
+                          readBootClock() - SentAt))
+    Evidence = crash_evidence::Unexplained;
+  loseAttempt(lossName(Loss.Reason), Evidence);
 }
 
 } // namespace ebonyvale
--- a/src/gateway/request/forward_session.h
+++ b/src/gateway/request/forward_session.h
@@ -30,6 +30,14 @@
                                  std::int64_t Version) = 0;
 };
 
+/// Whether the loss of a response suggests that the request crashed its
+/// upstream.
+enum class crash_evidence {
+  None,
+  Unexplained, ///< the connection may have been idle for too long
+  Lost,        ///< the upstream was lost while it may have run the request
+};
+
 /// Forwards one request to an upstream, retries it at others where that is
 /// allowed, and responds to the caller. Keeps itself alive until the response
 /// has ended.
@@ -149,9 +157,10 @@
   void completeResponse();
   /// Cancels the current attempt, if there is one. Returns whether there was.
   bool cancelAttempt();
-  /// Handles a response that was lost after the request was sent. \p MayBeCrash
-  /// tells whether the request may have crashed the upstream.
-  void loseAttempt(std::string_view Reason, bool MayBeCrash);
+  /// Handles a response that was lost after the request was sent.
+  void loseAttempt(std::string_view Reason, crash_evidence Evidence);
+  /// Has it found out whether the upstream has ended with the current attempt.
+  void inquireLoss(instant Now);
   /// Returns how far the lost attempt had come, or nothing if a part of the
   /// response had arrived.
   std::optional<loss_stage> lossStage() const;
--- a/src/gateway/request/relay_protocol.h
+++ b/src/gateway/request/relay_protocol.h
@@ -32,6 +32,9 @@
   Lost,        ///< sent, no response; not for a crash of the upstream
   LostWaiting, ///< sent, the connection was lost before the response
   LostBegun,   ///< sent, the connection was lost after the response's head
+  /// Sent, the connection was lost as `mayBeIdleClose` says. The relay tells
+  /// its peers if the upstream has ended. Earlier builds take it for `Lost`.
+  LostReused,
 };
 
 std::string_view relayOutcomeName(relay_outcome Outcome);
--- a/src/gateway/request/relay_session.cpp
+++ b/src/gateway/request/relay_session.cpp
@@ -20,9 +20,6 @@
 constexpr span_ns MaxDuration = std::chrono::seconds(60);
 /// Added to the deadline, which the peer keeps to by itself.
 constexpr span_ns DeadlineSlack = std::chrono::seconds(1);
-/// Longest time after which the close of an idle connection arrives that the
-/// upstream had sent before it received the request.
-constexpr span_ns IdleCloseTime = std::chrono::milliseconds(100);
 /// Below the idle timeout of the listener.
 constexpr std::string_view KeepAlive = "timeout=20";
 
@@ -37,7 +34,8 @@
     outcome_row{relay_outcome::Busy, "busy"},
     outcome_row{relay_outcome::Lost, "lost"},
     outcome_row{relay_outcome::LostWaiting, "lost_waiting"},
-    outcome_row{relay_outcome::LostBegun, "lost_begun"}};
+    outcome_row{relay_outcome::LostBegun, "lost_begun"},
+    outcome_row{relay_outcome::LostReused, "lost_reused"}};
 
 header_list outcomeHeaders(relay_outcome Outcome) {
   header_list Headers;
@@ -248,10 +246,13 @@
     return fail(relay_outcome::Unreachable);
   }
   Core.onConnectionLost(Target, Now);
-  const bool MayHaveBeenIdle =
-      Loss.ReusedConnection && !HeadReceived && Now - SentAt < IdleCloseTime;
-  if (Loss.Reason == loss_reason::InvalidResponse || MayHaveBeenIdle)
+  if (Loss.Reason == loss_reason::InvalidResponse)
     return fail(relay_outcome::Lost);
+  if (mayBeIdleClose(Loss.ReusedConnection, HeadReceived, Now - SentAt)) {
+    Core.lossInquiries().ask(
+        {std::nullopt, Target, /*Segments=*/{}, Now, /*Lost=*/{}});
+    return fail(relay_outcome::LostReused);
+  }
   fail(HeadReceived ? relay_outcome::LostBegun : relay_outcome::LostWaiting);
 }
 
--- a/tests/decisions/process/crash_tracker_test.cpp
+++ b/tests/decisions/process/crash_tracker_test.cpp
@@ -75,3 +75,31 @@
   cr_assert(!Tracker.onCompleted(1));
   cr_assert(Tracker.check(1, Now) == suspicion::None);
 }
+
+struct inferred_row {
+  bool First; ///< whether the loss is inferred
+  bool Second;
+  span_ns Apart;
+  suspicion Result;
+};
+
+ParameterizedTestParameters(crash_tracker, an_outage_counts_once) {
+  static inferred_row Rows[] = {
+      {true, true, 10ms, suspicion::Suspected},
+      {false, true, 10ms, suspicion::Suspected},
+      {true, false, 10ms, suspicion::Quarantined},
+      {false, false, 10ms, suspicion::Quarantined},
+      {true, true, 100ms, suspicion::Quarantined},
+      {true, true, 5s, suspicion::Quarantined},
+  };
+  return criterion_test_params(Rows);
+}
+
+/// A popular request is under way everywhere when several upstreams end at the
+/// same time.
+ParameterizedTest(inferred_row *Row, crash_tracker, an_outage_counts_once) {
+  crash_tracker Tracker({});
+  Tracker.onLost(1, {10, 1, Row->First}, instant(1s));
+  cr_assert(Tracker.onLost(1, {11, 1, Row->Second}, instant(1s) + Row->Apart) ==
+            Row->Result);
+}
--- a/tests/gateway/upstream_restart_test.cpp
+++ b/tests/gateway/upstream_restart_test.cpp
@@ -1,5 +1,6 @@
 // Lost connections to upstreams, some of which have started again with another
 // software version under their id.
+#include "gateway/direct_caller.h"
 #include "gateway/proxied_documents.h"
 #include "gateway/versions_fleet.h"
 
@@ -10,10 +11,6 @@
 #include <memory>
 #include <string>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <spdlog/fmt/fmt.h>
 
 using namespace ebonyvale;
@@ -45,46 +42,6 @@
       [&] { return Gateway.core().directory().all().size() == 1; }));
 }
 
-/// A connection of a caller whose bytes reach the gateway's system at once.
-class direct_caller {
-public:
-  explicit direct_caller(const endpoint &Server)
-      : Socket(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_port = htons(Server.Port);
-    inet_pton(AF_INET, Server.Address.c_str(), &Address.sin_addr);
-    cr_assert(connect(Socket, reinterpret_cast<sockaddr *>(&Address),
-                      sizeof(Address)) == 0);
-  }
-  ~direct_caller() { close(Socket); }
-  direct_caller(const direct_caller &) = delete;
-  direct_caller &operator=(const direct_caller &) = delete;
-
-  void send(const client_request &Request) const {
-    std::string Text =
-        fmt::format("{} {} HTTP/1.1\r\n", Request.Method, Request.Target);
-    for (const http_header &Field : Request.Headers.all())
-      Text += fmt::format("{}: {}\r\n", Field.Name, Field.Value);
-    Text += fmt::format("Content-Length: {}\r\n\r\n{}", Request.Body.size(),
-                        Request.Body);
-    cr_assert(::send(Socket, Text.data(), Text.size(), 0) ==
-              static_cast<ssize_t>(Text.size()));
-  }
-  /// Returns what has arrived.
-  std::string receive() {
-    char Bytes[4096];
-    for (ssize_t Length = 0;
-         (Length = recv(Socket, Bytes, sizeof(Bytes), MSG_DONTWAIT)) > 0;)
-      Received.append(Bytes, static_cast<std::size_t>(Length));
-    return Received;
-  }
-
-private:
-  int Socket;
-  std::string Received;
-};
-
 /// Leaves u-1 as the only upstream of its version, which states its start and
 /// breaks streams off. The first instance has lost a connection to it.
 void breakOffAtFirst(versions_fleet &Fleet) {
