A request does not go again on a connection on which it was refused

Cause: a response was recognized by its id alone, and after a refusal the connection went back to the pool, which hands out the newest one. Where the request came to the same process again, a copy of the refusal counted as the response to the run under way: "not run" was believed, and the request went on elsewhere or its caller got 503.

A session leaves out upstreams that have refused it, by name. The ways that remain: the process has another id at the same address (a 421, then the other entry), a caller that sends its request again with its id, and both through a relay. The daemon's engines are not concerned: each attempt there has an id of its own.

Now a connection remembers the ids that were refused on it and carries none of them again; the request gets another connection. After 32 refusals it is closed, so that what it remembers is bounded. Cost: one connection more for each repetition, which is rare, and one for 32 refusals where an upstream refuses everything.

--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -82,9 +82,11 @@
     Observer.onUpstreamWeights(Choice->Upstream, ParsedRequest.Model,
                                *ResponseInfo.Weights);
   }
-  if (ResponseInfo.NotRun)
+  if (ResponseInfo.NotRun) {
+    if (!isRelayed())
+      Exchange->setRefused();
     RefusalTimer.startOnce(MaxRefusalBodyTime);
-  else if (Streaming && (Head.Status != StatusOk || !hasEvents(Head)))
+  } else if (Streaming && (Head.Status != StatusOk || !hasEvents(Head)))
     // The caller has received the beginning of another upstream's stream, which
     // this response does not continue.
     abortAttempt("not_a_stream");
--- a/src/gateway/request/forward_session.cpp
+++ b/src/gateway/request/forward_session.cpp
@@ -301,6 +301,7 @@
   // Without an id, only a new connection tells which request a response
   // answers.
   Out.NewConnection = ParsedRequest.Id.empty();
+  Out.Id = ParsedRequest.Id;
   if (!StreamSoftware.empty() &&
       Core.unconfirmedUpstreams().statesStart(*Entry))
     Out.ServerStart = Entry->Born;
--- a/src/gateway/request/relay_session.cpp
+++ b/src/gateway/request/relay_session.cpp
@@ -138,6 +138,7 @@
     Out.Headers.erase(Name);
   Out.Body = Request.Body;
   Out.NewConnection = ParsedRequest.Id.empty();
+  Out.Id = ParsedRequest.Id;
   if (!Software.empty() && Core.unconfirmedUpstreams().statesStart(*Entry))
     Out.ServerStart = Entry->Born;
   Target = Entry->process();
@@ -168,6 +169,8 @@
   Core.onUpstreamStatement(Target, Info, Now);
   if (Info.OtherProcess)
     Core.scheduler().onReplaced(Upstream);
+  if (Info.NotRun)
+    Exchange->setRefused();
   return response_action::Take;
 }
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -12,6 +12,9 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace ebonyvale {
 namespace {
 
@@ -21,6 +24,15 @@
 /// heads, interim and skipped responses, framing of chunks and trailers. A
 /// server could send these without end.
 constexpr std::size_t MaxOverheadBytes = 256 * 1024;
+/// Refusals after which a connection is closed, since it remembers each.
+constexpr std::size_t MaxRefused = 32;
+
+/// Returns a hash of a request's id; 0 without an id.
+std::uint64_t hashOf(std::string_view Id) {
+  return Id.empty()
+             ? 0
+             : std::max<std::uint64_t>(1, XXH3_64bits(Id.data(), Id.size()));
+}
 
 /// Returns the `timeout` parameter of the Keep-Alive header in seconds, or
 /// nothing if there is none.
@@ -85,7 +97,7 @@
                            Socket.get(), reinterpret_cast<sockaddr *>(&Address),
                            sizeof(Address)) == 0;
   // A refusal that arrives at once is reported later, without its reason.
-  Refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+  ConnectRefused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
   if (!Started)
     return false;
   setNoDelay(Socket.get());
@@ -123,6 +135,7 @@
   SkippedResponse = false;
   ReadBytes = 0;
   BodyBytes = 0;
+  RequestHash = hashOf(Request.Id);
   ++Exchanges;
   Reader.reset(Request.Method == "HEAD");
   if (!Socket && !connect()) {
@@ -156,6 +169,11 @@
   });
 }
 
+void client_connection::setRefused() {
+  if (RequestHash != 0)
+    Refused.push_back(RequestHash);
+}
+
 void client_connection::cancel() {
   const auto Guard = shared_from_this();
   Observer = nullptr;
@@ -241,7 +259,7 @@
   }
   response_observer *Receiver = std::exchange(Observer, nullptr);
   const bool CanBePooled =
-      Reusable && !SkippedResponse &&
+      Reusable && !SkippedResponse && Refused.size() < MaxRefused &&
       evbuffer_get_length(bufferevent_get_input(Socket.get())) == 0 &&
       evbuffer_get_length(bufferevent_get_output(Socket.get())) == 0;
   if (CanBePooled) {
@@ -279,7 +297,7 @@
   if (Probed)
     Probed(Reason);
   if (Receiver)
-    Receiver->onResponseLost({Stage, Reason, Exchanges > 1, Refused});
+    Receiver->onResponseLost({Stage, Reason, Exchanges > 1, ConnectRefused});
 }
 
 void client_connection::releaseSelf() {
@@ -305,8 +323,8 @@
     return;
   }
   if (!Connection->OpenedAt) {
-    Connection->Refused =
-        Connection->Refused || EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+    Connection->ConnectRefused =
+        Connection->ConnectRefused || EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
     return Connection->fail(loss_reason::ConnectFailed);
   }
   const bool Orderly = (Events & BEV_EVENT_EOF) != 0;
@@ -337,7 +355,8 @@
   if (Request.OldestConnection)
     Connection = takeOldest(Request.Server);
   else if (!Request.NewConnection)
-    Connection = takeIdle(Request.Server, Request.ServerStart);
+    Connection =
+        takeIdle(Request.Server, Request.ServerStart, hashOf(Request.Id));
   const bool IsMissing = !Connection && Request.ServerStart != 0;
   if (!Connection)
     Connection = make(Request.Server);
@@ -354,7 +373,8 @@
 }
 
 std::shared_ptr<client_connection>
-client_connection_pool::takeIdle(const endpoint &Server, std::int64_t Start) {
+client_connection_pool::takeIdle(const endpoint &Server, std::int64_t Start,
+                                 std::uint64_t RequestHash) {
   const auto Found = Idle.find(Server);
   if (Found == Idle.end())
     return nullptr;
@@ -368,6 +388,7 @@
       Connection->Socket.reset();
       Connection->releaseSelf();
     } else if ((Start == 0 || Connection->ServerStart == Start) &&
+               !Connection->hasRefused(RequestHash) &&
                isUsable(*Connection, Now)) {
       Next = Connections.erase(Next);
       Taken = Connection;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -12,6 +12,7 @@
 #include "net/timer.h"
 #include "net/upstream_exchange.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -78,7 +79,10 @@
   std::string Method = "GET";
   std::string Target = "/";
   header_list Headers;
-  std::string_view Body;      ///< copied by `client_connection_pool::start`
+  std::string_view Body; ///< copied by `client_connection_pool::start`
+  /// Id of the request, if responses state it. No connection is used on which
+  /// the server has refused this request, see `client_connection::setRefused`.
+  std::string_view Id;
   bool NewConnection = false; ///< do not reuse a pooled connection
   /// Reuse the pooled connection that was opened first, also if it has been
   /// idle for long; see `client_connection_pool::idleBefore`.
@@ -117,6 +121,11 @@
   /// Returns when the connection was opened; nothing before.
   std::optional<instant> openedAt() const { return OpenedAt; }
 
+  /// Records that the response to the current request is a refusal. A copy of
+  /// it may follow, which could not be told from a response to the same request
+  /// on this connection.
+  void setRefused();
+
   /// Records that the server process has stated its start \p Start, in ms since
   /// the Unix epoch, on this connection. A connection leads to one process.
   void setServerStart(std::int64_t Start) { ServerStart = Start; }
@@ -142,6 +151,11 @@
   void abandon();
   /// Drops the self-reference from the loop, since a callback may be running.
   void releaseSelf();
+  /// Returns whether the request with the id's hash \p Hash was refused on this
+  /// connection.
+  bool hasRefused(std::uint64_t Hash) const {
+    return std::ranges::find(Refused, Hash) != Refused.end();
+  }
   static void onReadable(bufferevent *, void *Self);
   static void onEvent(bufferevent *, short Events, void *Self);
   static void onOutput(evbuffer *, const evbuffer_cb_info *Info, void *Self);
@@ -156,7 +170,7 @@
   exchange_stage Stage = exchange_stage::NotSent;
   std::optional<instant> OpenedAt;
   std::int64_t ServerStart = 0;
-  bool Refused = false;          ///< see `exchange_loss`
+  bool ConnectRefused = false;   ///< see `exchange_loss::Refused`
   bool SkippingResponse = false; ///< the current response is being skipped
   bool Reusable = false; ///< the current response keeps the connection open
   bool SkippedResponse = false; ///< a response was skipped in this exchange
@@ -165,6 +179,8 @@
   unsigned Responses = 0;       ///< response heads read on this connection
   unsigned Exchanges = 0;       ///< requests sent on this connection
   std::optional<std::int64_t> KeepAliveSeconds;
+  std::uint64_t RequestHash = 0;      ///< of the current request's id; 0: none
+  std::vector<std::uint64_t> Refused; ///< hashes of ids, see `setRefused`
   instant IdleSince;
   std::shared_ptr<client_connection> Self; ///< set while open
 };
@@ -248,9 +264,11 @@
   std::shared_ptr<client_connection> make(const endpoint &Server);
   /// Returns an idle connection to \p Server that the server has not ended, and
   /// closes those that are past their timeout; null if there is none.
-  /// With \p Start, only one to the process with that start.
+  /// With \p Start, only one to the process with that start. \p RequestHash is
+  /// that of the request's id.
   std::shared_ptr<client_connection> takeIdle(const endpoint &Server,
-                                              std::int64_t Start);
+                                              std::int64_t Start,
+                                              std::uint64_t RequestHash);
   /// Returns whether \p Connection can be reused at \p Now.
   bool isUsable(const client_connection &Connection, instant Now) const;
   /// Returns the idle connection to \p Server that was opened first and that
--- a/tests/net/client_connection_test.cpp
+++ b/tests/net/client_connection_test.cpp
@@ -454,3 +454,46 @@
     cr_assert(!Observer.Ended, "passed as complete after %zu bytes", Length);
   }
 }
+
+struct refused_row {
+  char Name[24];
+  char NextId[8]; ///< of the request that follows the refused one
+  int Refusals;   ///< before it
+  bool Reused;
+};
+
+ParameterizedTestParameters(client_connection, a_refusal_bars_its_repetition) {
+  static refused_row Rows[] = {
+      {"same", "r-0", 1, false},         {"another", "next", 1, true},
+      {"without id", "", 1, true},       {"an earlier one", "r-0", 5, false},
+      {"after many", "next", 32, false},
+  };
+  return criterion_test_params(Rows);
+}
+
+/// A late copy of the refusal could not be told from a response to the same
+/// request on that connection.
+ParameterizedTest(refused_row *Row, client_connection,
+                  a_refusal_bars_its_repetition) {
+  const event_base_ptr Base(event_base_new());
+  scripted_server Server(Base.get(), [](scripted_server::peer &Peer) {
+    Peer.send("HTTP/1.1 503 x\r\nId: 1\r\nKeep-Alive: timeout=5\r\n"
+              "Content-Length: 0\r\n\r\n");
+  });
+  client_connection_pool Pool(Base.get(), {});
+  const auto Send = [&](const std::string &Id, bool IsRefused) {
+    recording_observer Observer;
+    client_request Request = requestTo(Server);
+    Request.Id = Id;
+    const auto Exchange = Pool.start(Request, Observer);
+    if (IsRefused)
+      Exchange->setRefused();
+    cr_assert(runLoopUntil(Base.get(), [&] { return Observer.over(); }));
+    cr_assert(Observer.Ended);
+  };
+  for (int Index = 0; Index < Row->Refusals; ++Index)
+    Send("r-" + std::to_string(Index), true);
+  cr_assert(Pool.opened() == 1, "%s", Row->Name);
+  Send(Row->NextId, false);
+  cr_assert((Pool.opened() == 1) == Row->Reused, "%s", Row->Name);
+}
