A crash within a response through a relay counts, too

The relay has no way but to close its connection, which the instance took for a fault of the relay.

Now the relay asks the process as after a loss on a used connection, or knows already from the judgement of a response that ended with its connection, and tells its peers if it has ended; the instance keeps the loss until then. The message may come first, so ended processes are remembered for as long.

Test: crashing_request/reaches_few_processes "relayed, after the head": 8 of 8 processes crashed before, at most 3 now. earlier_build sends the new message.

--- a/src/decisions/process/unexplained_losses.h
+++ b/src/decisions/process/unexplained_losses.h
@@ -1,6 +1,6 @@
 /// \file
-/// Connections lost right after a request was sent on them, which an upstream
-/// may have closed because they were idle, or lost in a crash.
+/// Lost responses of which it is not known at once whether their upstreams have
+/// ended with them.
 #ifndef EBONYVALE_DECISIONS_PROCESS_UNEXPLAINED_LOSSES_H
 #define EBONYVALE_DECISIONS_PROCESS_UNEXPLAINED_LOSSES_H
 
@@ -28,12 +28,15 @@
   return Reused && !HeadReceived && After < IdleCloseTime;
 }
 
-/// A loss for which `mayBeIdleClose` holds.
+/// A loss for which `mayBeIdleClose` holds, or of a request that a peer has
+/// passed on.
 struct unexplained_loss {
   /// Nothing if the request was passed on for a peer, which knows it.
   std::optional<request_fingerprint> Request;
   upstream_process Process;
   std::vector<segment_id> Segments; ///< of the request's prompt
+  /// Nothing if a part of the response had arrived.
+  std::optional<loss_stage> Stage;
   instant At;
   lost_process Lost; ///< `Process` as the crash tracker has it
 };
--- a/src/gateway/process/loss_inquiries.cpp
+++ b/src/gateway/process/loss_inquiries.cpp
@@ -8,6 +8,12 @@
 #include <spdlog/fmt/fmt.h>
 
 namespace ebonyvale {
+namespace {
+
+/// Largest number of ended processes that are remembered.
+constexpr std::size_t MaxEnded = 64;
+
+} // namespace
 
 class loss_inquiries::inquiry final : public end_waiter {
 public:
@@ -62,7 +68,13 @@
   Core.endVerifier().verifyEnd(Process, At, Inquiry, At);
 }
 
-void loss_inquiries::awaitPeer(unexplained_loss Loss) { add(std::move(Loss)); }
+void loss_inquiries::awaitPeer(unexplained_loss Loss) {
+  const instant Now = Loss.At;
+  add(std::move(Loss));
+  for (const auto &[Process, At] : Ended)
+    if (Now - At < unexplained_losses::KeepFor)
+      reportAll(Process, Now);
+}
 
 void loss_inquiries::onJudged(std::uint64_t Number, bool HasEnded) {
   const auto Inquiry = Open.extract(Number);
@@ -71,18 +83,30 @@
     return;
   if (Loss->Request)
     report(*Loss, readBootClock());
-  else if (peer_messenger *Messenger = Core.messenger())
-    Messenger->sendEnded(Loss->Lost);
+  else
+    tellPeers(Loss->Process);
+}
+
+void loss_inquiries::tellPeers(const upstream_process &Process) {
+  if (peer_messenger *Messenger = Core.messenger())
+    Messenger->sendEnded({upstreamHash(Process.Id), Process.Born});
 }
 
 void loss_inquiries::onPeerEnded(const lost_process &Process, instant Now) {
+  Ended.push_back({Process, Now});
+  if (Ended.size() > MaxEnded)
+    Ended.pop_front();
+  reportAll(Process, Now);
+}
+
+void loss_inquiries::reportAll(const lost_process &Process, instant Now) {
   for (const unexplained_loss &Loss : Losses.takeOf(Process))
     report(Loss, Now);
 }
 
 void loss_inquiries::report(const unexplained_loss &Loss, instant Now) {
-  Core.reportLoss(*Loss.Request, Loss.Process, Loss.Segments,
-                  loss_stage::Waiting, /*IsInferred=*/true, Now);
+  Core.reportLoss(*Loss.Request, Loss.Process, Loss.Segments, Loss.Stage,
+                  /*IsInferred=*/true, Now);
 }
 
 void loss_inquiries::expire() {
--- a/src/gateway/process/loss_inquiries.h
+++ b/src/gateway/process/loss_inquiries.h
@@ -8,6 +8,7 @@
 #include "net/timer.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 
@@ -32,6 +33,10 @@
   /// tells that the process has ended.
   void awaitPeer(unexplained_loss Loss);
 
+  /// Tells the peers that \p Process has ended within the response to a request
+  /// of one of them.
+  void tellPeers(const upstream_process &Process);
+
   /// A peer has found out that \p Process has ended.
   void onPeerEnded(const lost_process &Process, instant Now);
 
@@ -40,15 +45,24 @@
 
 private:
   class inquiry;
+  struct ended_process {
+    lost_process Process;
+    instant At; ///< when the peer told
+  };
 
   std::uint64_t add(unexplained_loss Loss);
   void onJudged(std::uint64_t Number, bool HasEnded);
   void report(const unexplained_loss &Loss, instant Now);
+  /// Reports the losses of own requests at \p Process.
+  void reportAll(const lost_process &Process, instant Now);
   void expire();
 
   gateway_core &Core;
   unexplained_losses Losses;
   std::map<std::uint64_t, std::shared_ptr<inquiry>> Open; ///< by loss
+  /// Processes of which peers have told lately: a message may arrive before the
+  /// loss is noticed.
+  std::deque<ended_process> Ended;
   timer ExpiryTimer;
 };
 
--- a/src/gateway/request/forward_relay.cpp
+++ b/src/gateway/request/forward_relay.cpp
@@ -28,9 +28,10 @@
 void forward_session::onRelayLost(const exchange_loss &Loss) {
   if (Loss.Stage == exchange_stage::NotSent)
     return onRelayFailed(relay_failure::Lost, lossName(Loss.Reason));
-  // A relay closes the connection if the upstream breaks off its response.
+  // A relay closes the connection if the upstream breaks off its response. It
+  // tells if the upstream has ended with it.
   if (HeadReceived)
-    return loseAttempt("broken_off_at_relay", crash_evidence::None);
+    return loseAttempt("broken_off_at_relay", crash_evidence::Unexplained);
   if (const upstream_entry *Entry = Core.directory().find(Choice->Upstream))
     Core.upstreamPaths().onRelayFailed(Choice->Relay, *Entry,
                                        relay_failure::Lost, readBootClock());
--- a/src/gateway/request/forward_response.cpp
+++ b/src/gateway/request/forward_response.cpp
@@ -365,7 +365,8 @@
 }
 
 void forward_session::inquireLoss(instant Now) {
-  unexplained_loss Loss{Fingerprint, Target, Segments, Now, /*Lost=*/{}};
+  unexplained_loss Loss{Fingerprint, Target, Segments,
+                        lossStage(), Now,    /*Lost=*/{}};
   if (isRelayed())
     Core.lossInquiries().awaitPeer(std::move(Loss));
   else
--- a/src/gateway/request/relay_session.cpp
+++ b/src/gateway/request/relay_session.cpp
@@ -220,6 +220,8 @@
   if (Verdict == end_verdict::Plausible)
     return completeResponse();
   Core.onConnectionLost(Target, readBootClock());
+  if (Forwarding)
+    Core.lossInquiries().tellPeers(Target);
   fail(relay_outcome::LostBegun);
 }
 
@@ -251,11 +253,13 @@
   Core.onConnectionLost(Target, Now);
   if (Loss.Reason == loss_reason::InvalidResponse)
     return fail(relay_outcome::Lost);
-  if (mayBeIdleClose(Loss.ReusedConnection, HeadReceived, Now - SentAt)) {
-    Core.lossInquiries().ask(
-        {std::nullopt, Target, /*Segments=*/{}, Now, /*Lost=*/{}});
+  const bool MayBeIdle =
+      mayBeIdleClose(Loss.ReusedConnection, HeadReceived, Now - SentAt);
+  if (MayBeIdle || Forwarding)
+    Core.lossInquiries().ask({std::nullopt, Target, /*Segments=*/{},
+                              /*Stage=*/{}, Now, /*Lost=*/{}});
+  if (MayBeIdle)
     return fail(relay_outcome::LostReused);
-  }
   fail(HeadReceived ? relay_outcome::LostBegun : relay_outcome::LostWaiting);
 }
 
--- a/tests/decisions/process/unexplained_losses_test.cpp
+++ b/tests/decisions/process/unexplained_losses_test.cpp
@@ -12,7 +12,7 @@
 unexplained_loss lossOf(std::optional<request_fingerprint> Request,
                         engine_id Upstream, std::int64_t Born,
                         instant At = instant(1s)) {
-  unexplained_loss Loss{Request, {}, {}, At, {}};
+  unexplained_loss Loss{Request, {}, {}, {}, At, {}};
   Loss.Lost = {Upstream, Born};
   return Loss;
 }
--- a/tests/gateway/crashing_request_test.cpp
+++ b/tests/gateway/crashing_request_test.cpp
@@ -121,6 +121,7 @@
       {"relayed, after 50 ms", Crash, 50, true, false},
       {"relayed, after 150 ms", Crash, 150, true, false},
       {"relayed, back at once", CrashAndReturn, 5, true, false},
+      {"relayed, after the head", CrashAfterHead, 5, true, false},
       {"closes", CloseConnections, 0, false, false},
       {"closes, after 5 ms", CloseConnections, 5, false, false},
       {"closes, beside others", CloseConnections, 5, false, true},
--- a/tests/gateway/earlier_build_test.cpp
+++ b/tests/gateway/earlier_build_test.cpp
@@ -300,6 +300,7 @@
   Messenger.sendLendRequest(Peer, {3, "t", 5.5, lend_purpose::Need, 1, 2});
   Messenger.sendLendReturn(Peer, {3, "t", 1.5, true});
   Messenger.sendLoss(7, {5, 1770000000000}, {});
+  Messenger.sendEnded({5, 1770000000000});
   Messenger.sendSound(7, {});
   Messenger.sendPause("u-1", span_ns(0));
   Messenger.sendChangePoll(Peer, {4, 9, {{"op/config", 8, std::nullopt}}});
