--- a/tests/platform/fake_upstream.cpp
+++ b/tests/platform/fake_upstream.cpp
@@ -114,6 +114,7 @@
   const std::string RequestId(
       Request.Head.Headers.find("Ebonyvale-Request-Id").value_or(""));
   ReceivedRequests.push_back(Request);
+  sendCopies(*Link);
   if (OnArrival)
     OnArrival(Request);
   header_list Headers;
@@ -154,6 +155,8 @@
       Headers.add("Retry-After", Value);
     return Link->writeResponse(503, Headers, "");
   }
+  if (refusesInTurn(Link, RequestId))
+    return;
   if (QueueTime == span_ns(0))
     return run(Link, std::move(Request), std::move(Headers));
   callAfter(Links.base(), QueueTime,
@@ -388,6 +391,47 @@
   callAfter(Links.base(), ExtraDelay, Send);
 }
 
+bool fake_upstream::refusesInTurn(
+    const std::shared_ptr<server_connection> &Link, const std::string &Id) {
+  if (RefuseEvery == 0 || ++Arrivals % RefuseEvery != 0)
+    return false;
+  constexpr int Unavailable = 503;
+  header_list Headers;
+  Headers.add("Ebonyvale-Request-Id", Id);
+  Headers.add("Ebonyvale-Not-Executed", "1");
+  Link->writeResponse(Unavailable, Headers, "");
+  constexpr unsigned Kinds = 3;
+  const unsigned Kind = Arrivals / RefuseEvery % Kinds;
+  if (Kind != 0)
+    DueCopies.emplace_back(Link, Id);
+  if (Kind != 1)
+    callAfter(Links.base(), ExtraDelay, [this, Link, Id] {
+      if (!Link->open() || Links.closesIdle() ||
+          ActiveRuns.contains(Link.get()))
+        return;
+      DueCopies.emplace_back(Link, Id);
+      sendCopies(*Link);
+    });
+  return true;
+}
+
+void fake_upstream::sendCopies(server_connection &Link) {
+  std::erase_if(DueCopies, [&](const auto &Due) {
+    const auto &[Weak, Id] = Due;
+    const auto Known = Weak.lock();
+    if (Known.get() != &Link)
+      return !Known;
+    const std::string Copy =
+        fmt::format("HTTP/1.1 503 x\r\nEbonyvale-Request-Id: {}\r\n"
+                    "Ebonyvale-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                    Id);
+    if (OnCopy)
+      OnCopy(Id);
+    bufferevent_write(socketOf(Link), Copy.data(), Copy.size());
+    return true;
+  });
+}
+
 void fake_upstream::handleOrder(server_connection &Link,
                                 const http_request &Request) {
   if (Request.Head.Method == "POST") {
--- a/tests/platform/fake_upstream.h
+++ b/tests/platform/fake_upstream.h
@@ -8,8 +8,10 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ebonyvale {
@@ -96,6 +98,10 @@
   /// follow on its connection: in turn text, another response, or that 30 ms
   /// later unless the next request runs; 0: none.
   unsigned ExtraEvery = 0;
+  /// One request in so many is refused as with `Full`, and a copy of the
+  /// refusal follows on its connection: in turn when the next request arrives,
+  /// 30 ms later if none runs then, or both; 0: none.
+  unsigned RefuseEvery = 0;
   /// Requests per second that it takes from all instances together, as stated
   /// in its responses; nothing: it names no limit.
   std::optional<double> Limit;
@@ -131,6 +137,8 @@
   std::function<void(std::string_view Id)> OnTruncate;
   /// Called with the id of each request after whose response it sends more.
   std::function<void(std::string_view Id)> OnExtra;
+  /// Called with the id of each refusal of which it sends a copy.
+  std::function<void(std::string_view Id)> OnCopy;
 
   /// Returns the number of executions.
   int runs() const;
@@ -186,6 +194,11 @@
   /// turn.
   void followWithExtra(const std::shared_ptr<server_connection> &Link,
                        const std::string &Request);
+  /// Refuses the request \p Id if it is its turn, see `RefuseEvery`.
+  bool refusesInTurn(const std::shared_ptr<server_connection> &Link,
+                     const std::string &Id);
+  /// Sends the copies that are due on \p Link.
+  void sendCopies(server_connection &Link);
   void respondInHalves(const std::shared_ptr<server_connection> &Link,
                        header_list Headers, const std::string &Body,
                        end_mark Mark);
@@ -202,7 +215,11 @@
   connection_listener Links;
   std::int64_t Orders = 0; ///< accepted so far
   unsigned Bodies = 0;     ///< responses with a body so far
-  unsigned Framed = 0;     ///< whole responses with chunks or a length so far
+  unsigned Arrivals = 0;   ///< requests so far
+  /// Refusals to copy when the next request arrives on their connections.
+  std::vector<std::pair<std::weak_ptr<server_connection>, std::string>>
+      DueCopies;
+  unsigned Framed = 0; ///< whole responses with chunks or a length so far
   std::map<const server_connection *, std::shared_ptr<active_run>> ActiveRuns;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -115,6 +115,8 @@
         "cut; {} responses followed by more bytes\n",
         Result.Truncated, Result.TruncatedCloseDelimited, Counts.Truncated,
         Counts.Unproven, Counts.WholeCut, Result.Extras);
+  if (Options.CopiedRefusals > 0)
+    Text += fmt::format("  {} copies of refusals\n", Result.Copies);
   for (const std::string &Violation : Result.Violations)
     Text += "  " + Violation + "\n";
   if (Result.Violations.empty() && !Options.KeepLogs) {
@@ -223,6 +225,9 @@
       "extra-responses", options::value(&Silences.ExtraResponses),
       "with --silences, after one whole response with chunks or a length in so "
       "many more bytes follow; 0: none")(
+      "copied-refusals", options::value(&Silences.CopiedRefusals),
+      "with --silences, an upstream refuses one request in so many, and sends "
+      "a copy of the refusal on its connection; 0: none")(
       "http10-every", options::value(&Silences.Http10Every),
       "with --silences, one caller in so many speaks HTTP/1.0; 0: none")(
       "response-faults", options::value<std::string>()->implicit_value(""),
--- a/tests/soak/silence_environment.cpp
+++ b/tests/soak/silence_environment.cpp
@@ -78,6 +78,7 @@
                              Options.ResetResponses,
                              Options.TruncateResponses,
                              Options.ExtraResponses,
+                             Options.CopiedRefusals,
                              Options.UpstreamVersions};
       Upstreams.push_back(std::make_unique<upstream_process>(
           Options.Upstream, std::move(Values), Options.Folder));
@@ -371,6 +372,7 @@
                                        Upstream->exitStatus()));
     Result.UpstreamKills += Upstream->kills().size();
     Result.ShiftedStarts += Upstream->shiftedStarts();
+    Result.Copies += Upstream->copies();
     for (const upstream_run &Run : Upstream->runs()) {
       Checker.onRun(Run);
       ++Result.Runs;
--- a/tests/soak/silence_environment.h
+++ b/tests/soak/silence_environment.h
@@ -41,6 +41,7 @@
   unsigned ResetResponses = 0;    ///< see `fake_upstream::ResetEvery`
   unsigned TruncateResponses = 0; ///< see `fake_upstream::TruncateEvery`
   unsigned ExtraResponses = 0;    ///< see `fake_upstream::ExtraEvery`
+  unsigned CopiedRefusals = 0;    ///< see `fake_upstream::RefuseEvery`
   int UpstreamClockMs = 0;        ///< see `upstream_values::ClockMs`
   int UpstreamVersions = 0;       ///< see `upstream_values::Versions`
   int ListingMs = 0; ///< longest time from an upstream's restart to its entry
@@ -61,6 +62,7 @@
   std::size_t Runs = 0;                    ///< at all upstreams
   std::size_t Truncated = 0;               ///< runs
   std::size_t TruncatedCloseDelimited = 0; ///< of them
+  std::size_t Copies = 0;                  ///< of refusals
   std::size_t Extras = 0;                  ///< runs, see `upstream_run::Extra`
   std::size_t UpstreamKills = 0;
   std::size_t UpstreamStops = 0;
--- a/tests/soak/upstream_process.cpp
+++ b/tests/soak/upstream_process.cpp
@@ -66,6 +66,8 @@
                                std::to_string(Values.TruncateEvery),
                                "--extra-every",
                                std::to_string(Values.ExtraEvery),
+                               "--refuse-every",
+                               std::to_string(Values.RefuseEvery),
                                "--software",
                                nextSoftware()},
       LogFile);
@@ -114,6 +116,14 @@
     Process->signal(SIGCONT);
 }
 
+std::size_t upstream_process::copies() const {
+  std::size_t Count = 0;
+  std::ifstream File(LogFile);
+  for (std::string Time, What, Id; File >> Time >> What >> Id;)
+    Count += What == "copied" ? 1 : 0;
+  return Count;
+}
+
 std::vector<upstream_run> upstream_process::runs() const {
   std::vector<upstream_run> Runs;
   std::map<std::string, std::size_t> Open; // index by request
@@ -126,7 +136,8 @@
     if (What == "run") {
       Open[Id] = Runs.size();
       Runs.push_back({Id, Values.Id, Values.Service, At});
-    } else if (const auto Found = Open.find(Id); Found == Open.end()) {
+    } else if (const auto Found = Open.find(Id);
+               Found == Open.end() || What == "copied") {
       continue;
     } else if (What == "close-delimited") {
       Runs[Found->second].CloseDelimited = true;
--- a/tests/soak/upstream_process.h
+++ b/tests/soak/upstream_process.h
@@ -32,6 +32,8 @@
   unsigned TruncateEvery = 0;
   /// See `fake_upstream::ExtraEvery`.
   unsigned ExtraEvery = 0;
+  /// See `fake_upstream::RefuseEvery`.
+  unsigned RefuseEvery = 0;
   /// Software versions that starts after the first one choose from, by \c Seed;
   /// 0: events state none.
   int Versions = 0;
@@ -74,6 +76,8 @@
 
   /// Returns the runs that the process has printed.
   std::vector<upstream_run> runs() const;
+  /// Returns the number of refusals of which it has sent a copy.
+  std::size_t copies() const;
 
 private:
   /// Keeps the port for the next start.
--- a/tests/soak_upstream/main.cpp
+++ b/tests/soak_upstream/main.cpp
@@ -71,6 +71,7 @@
   unsigned ResetEvery = 0;
   unsigned TruncateEvery = 0;
   unsigned ExtraEvery = 0;
+  unsigned RefuseEvery = 0;
   std::int64_t ClockMs = 0;
   std::uint16_t Port = 0;
   options::options_description Description(
@@ -98,6 +99,8 @@
       "one response in so many is ended early in order; 0: none")(
       "extra-every", options::value(&ExtraEvery),
       "after one whole response in so many more bytes follow; 0: none")(
+      "refuse-every", options::value(&RefuseEvery),
+      "one request in so many is refused, and the refusal copied; 0: none")(
       "software", options::value(&Software),
       "version of its software, which its events state");
   try {
@@ -119,6 +122,7 @@
   Upstream.ResetEvery = ResetEvery;
   Upstream.TruncateEvery = TruncateEvery;
   Upstream.ExtraEvery = ExtraEvery;
+  Upstream.RefuseEvery = RefuseEvery;
   Upstream.EventsNameProcess = true;
   if (!Software.empty()) {
     Upstream.Software = Software;
@@ -143,6 +147,7 @@
     report("truncated", Request);
   };
   Upstream.OnExtra = [](std::string_view Request) { report("extra", Request); };
+  Upstream.OnCopy = [](std::string_view Id) { report("copied", Id); };
   const std::string Unfinished = PortsFile + ".new";
   std::ofstream(Unfinished) << fmt::format("callers {}\n{}\n", Upstream.port(),
                                            Upstream.entry(Service));
