--- a/src/decisions/process/crash_tracker.h
+++ b/src/decisions/process/crash_tracker.h
@@ -34,9 +34,9 @@
   /// Start in ms since the Unix epoch; 0 if unknown. Losses of one upstream of
   /// which one has an unknown start count as losses of one process.
   std::int64_t Born = 0;
-  /// Whether the request is suspected only since the process ended right after
-  /// it was sent. Such losses at several processes within `OutageDuration` may
-  /// have a common cause that is not the request, and count once.
+  /// Whether only the end of the process, found out after the loss, suggests a
+  /// crash. Such losses at several processes within `OutageDuration` may have a
+  /// common cause that is not the request, and count once.
   bool Inferred = false;
 };
 
--- a/src/gateway/process/loss_inquiries.h
+++ b/src/gateway/process/loss_inquiries.h
@@ -1,6 +1,5 @@
 /// \file
-/// Finds out which of the losses that an idle connection may explain were
-/// crashes of their upstreams.
+/// Finds out which unexplained losses were crashes of their upstreams.
 #ifndef EBONYVALE_GATEWAY_PROCESS_LOSS_INQUIRIES_H
 #define EBONYVALE_GATEWAY_PROCESS_LOSS_INQUIRIES_H
 
