--- a/tests/gateway/cache_scope_test.cpp
+++ b/tests/gateway/cache_scope_test.cpp
@@ -28,14 +28,6 @@
   return Document;
 }
 
-std::string headerIn(const std::string &Request, std::string_view Name) {
-  const std::size_t Found = Request.find(Name);
-  if (Found == std::string::npos)
-    return "";
-  const std::size_t At = Found + Name.size();
-  return Request.substr(At, Request.find('\r', At) - At);
-}
-
 struct change_row {
   char Name[32];
   char Path[16];
--- a/tests/gateway/copied_refusal_test.cpp
+++ b/tests/gateway/copied_refusal_test.cpp
@@ -40,14 +40,6 @@
   copy_time Time;
 };
 
-std::string headerIn(const std::string &Request, std::string_view Name) {
-  const std::size_t Found = Request.find(Name);
-  if (Found == std::string::npos)
-    return "";
-  const std::size_t At = Found + Name.size();
-  return Request.substr(At, Request.find('\r', At) - At);
-}
-
 std::string refusalOf(const copy_row &Row, const std::string &Id) {
   return fmt::format(
       "HTTP/1.1 {} x\r\nKeep-Alive: timeout=5\r\n"
--- a/tests/net/scripted_server.cpp
+++ b/tests/net/scripted_server.cpp
@@ -59,4 +59,12 @@
   Server->Peers.push_back(std::make_unique<peer>(*Server, Socket));
 }
 
+std::string headerIn(const std::string &Request, std::string_view Name) {
+  const std::size_t Found = Request.find(Name);
+  if (Found == std::string::npos)
+    return "";
+  const std::size_t At = Found + Name.size();
+  return Request.substr(At, Request.find('\r', At) - At);
+}
+
 } // namespace ebonyvale
--- a/tests/net/scripted_server.h
+++ b/tests/net/scripted_server.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <event2/bufferevent.h>
@@ -62,6 +63,10 @@
   std::uint16_t Port = 0;
 };
 
+/// Returns the value of a header of \p Request, whose name with ": " is
+/// \p Name; empty if there is none.
+std::string headerIn(const std::string &Request, std::string_view Name);
+
 } // namespace ebonyvale
 
 #endif
