Tests: a child process ends with the program that started it

Cause: only the destructor of daemon_process ended the child.

Now the child asks the system for SIGKILL when its parent ends (PR_SET_PDEATHSIG), and checks that the parent still is the one that started it. posix_spawn cannot do this, so the child is forked; an error up to the start of the program comes back through a pipe.

--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -1,15 +1,58 @@
 #include "soak/daemon_process.h"
 
+#include <cerrno>
 #include <csignal>
+#include <cstdlib>
 #include <utility>
 
 #include <fcntl.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 extern char **environ; // NOLINT: name set by POSIX
 
 namespace ebonyvale {
+namespace {
+
+/// Ends a child that cannot run its program; writes the error to \p Out.
+[[noreturn]] void failToRun(int Out) {
+  const int Error = errno;
+  [[maybe_unused]] const ssize_t Written = write(Out, &Error, sizeof(Error));
+  _exit(EXIT_FAILURE);
+}
+
+/// Runs the program \p Argv in a child process that \p Parent has just forked.
+/// Makes only calls that are safe there. Writes an error to \p Failure, which
+/// is closed when the program starts.
+[[noreturn]] void runProgram(char *const *Argv, const char *LogFile,
+                             pid_t Parent, int Failure) {
+  // Below the descriptors that are closed, above those that are replaced.
+  constexpr int KeptFailure = STDERR_FILENO + 1;
+  if (Failure != KeptFailure && dup3(Failure, KeptFailure, O_CLOEXEC) < 0)
+    failToRun(Failure);
+  // The parent may be ended before its destructors run. Its end before this
+  // call causes no signal.
+  if (prctl(PR_SET_PDEATHSIG, SIGKILL) != 0)
+    failToRun(KeptFailure);
+  if (getppid() != Parent)
+    _exit(EXIT_FAILURE);
+  constexpr int Mode = 0644;
+  const int Log = open(LogFile, O_WRONLY | O_CREAT | O_APPEND, Mode);
+  if (Log < 0 || dup2(Log, STDOUT_FILENO) < 0 || dup2(Log, STDERR_FILENO) < 0)
+    failToRun(KeptFailure);
+  // A socket that the child inherits would stay open after its parent closes
+  // it.
+  closefrom(KeptFailure + 1);
+  sigset_t StopSignals;
+  sigemptyset(&StopSignals);
+  sigaddset(&StopSignals, SIGTERM);
+  sigprocmask(SIG_SETMASK, &StopSignals, nullptr);
+  execve(Argv[0], Argv, environ);
+  failToRun(KeptFailure);
+}
+
+} // namespace
 
 daemon_process::daemon_process(std::string Program,
                                std::vector<std::string> Arguments,
@@ -25,33 +68,38 @@
 }
 
 bool daemon_process::start() {
-  posix_spawn_file_actions_t Actions;
-  posix_spawn_file_actions_init(&Actions);
-  constexpr int Mode = 0644;
-  posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, LogFile.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, Mode);
-  posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
-  // A socket that the child inherits would stay open after this process closes
-  // it.
-  posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
-  // A stop signal between the fork and the start of the program stays pending.
-  sigset_t StopSignals;
-  sigemptyset(&StopSignals);
-  sigaddset(&StopSignals, SIGTERM);
-  posix_spawnattr_t Attributes;
-  posix_spawnattr_init(&Attributes);
-  posix_spawnattr_setsigmask(&Attributes, &StopSignals);
-  posix_spawnattr_setflags(&Attributes, POSIX_SPAWN_SETSIGMASK);
   std::vector<char *> Argv{Program.data()};
   for (std::string &Argument : Arguments)
     Argv.push_back(Argument.data());
   Argv.push_back(nullptr);
-  const int Error = posix_spawn(&Pid, Program.c_str(), &Actions, &Attributes,
-                                Argv.data(), environ);
-  posix_spawn_file_actions_destroy(&Actions);
-  posix_spawnattr_destroy(&Attributes);
-  if (Error != 0)
-    Pid = 0;
+  int Failure[2];
+  if (pipe2(Failure, O_CLOEXEC) != 0)
+    return false;
+  // A stop signal between the fork and the start of the program stays pending.
+  sigset_t StopSignals;
+  sigset_t Before;
+  sigemptyset(&StopSignals);
+  sigaddset(&StopSignals, SIGTERM);
+  sigprocmask(SIG_BLOCK, &StopSignals, &Before);
+  const pid_t Parent = getpid();
+  const pid_t Child = fork();
+  int Error = errno;
+  if (Child == 0)
+    runProgram(Argv.data(), LogFile.c_str(), Parent, Failure[1]);
+  sigprocmask(SIG_SETMASK, &Before, nullptr);
+  close(Failure[1]);
+  if (Child > 0) {
+    ssize_t Size = 0;
+    do
+      Size = read(Failure[0], &Error, sizeof(Error));
+    while (Size < 0 && errno == EINTR);
+    if (Size == 0)
+      Error = 0; // the program runs
+    else
+      waitpid(Child, nullptr, 0);
+  }
+  close(Failure[0]);
+  Pid = Error == 0 ? Child : 0;
   return Error == 0;
 }
 
--- a/tests/soak/daemon_process.h
+++ b/tests/soak/daemon_process.h
@@ -13,7 +13,8 @@
 namespace ebonyvale {
 
 /// Starts, signals and reaps one child process. It signals no other process.
-/// The destructor kills the child.
+/// The destructor kills the child, and the system does if this process ends
+/// without it.
 class daemon_process {
 public:
   /// The output of the process is appended to \p LogFile.
@@ -25,7 +26,8 @@
 
   /// Sets the program of the next start.
   void setProgram(std::string Next) { Program = std::move(Next); }
-  /// Starts the process; returns false if the program cannot be started.
+  /// Starts the process; returns false if the program cannot be started. To be
+  /// called by a thread that lives as long as the process, which ends with it.
   bool start();
   void signal(int Number) const;
   /// Returns whether the process is running. Reaps it if it has ended.
