Tests: a child process that ends says why, at once

The gateway's reason stands in its log, which the case removes.

Cause: daemon_process told its end to nobody but who asked whether it runs.

Now a thread waits for the end of each child. An end that nobody asked for, by an exit code or a signal, is written to standard error with the last ten lines of the child's output; a program that cannot be started is named with the reason. Ends that were asked for, and exit code 0, write nothing.

--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -1,8 +1,14 @@
 #include "soak/daemon_process.h"
 
+#include <atomic>
 #include <cerrno>
 #include <csignal>
+#include <cstdint>
 #include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <optional>
+#include <sstream>
 #include <utility>
 
 #include <fcntl.h>
@@ -52,8 +58,70 @@
   failToRun(KeptFailure);
 }
 
+void writeError(const std::string &Text) {
+  // One call, so that reports of several processes do not mix.
+  [[maybe_unused]] const ssize_t Written =
+      write(STDERR_FILENO, Text.data(), Text.size());
+}
+
+/// Returns the result of a wait that \p Info describes.
+int statusOf(const siginfo_t &Info) {
+  constexpr int CodeShift = 8;
+  return Info.si_code == CLD_EXITED ? Info.si_status << CodeShift
+                                    : Info.si_status;
+}
+
 } // namespace
 
+/// What the thread that waits for a process knows of it.
+struct daemon_process::watch {
+  std::string Name; ///< of the program, with the process id
+  std::string LogFile;
+  std::atomic<std::uint64_t> Sent = 0; ///< signals, by number
+  std::atomic<bool> Reported = false;
+
+  /// Reports the end of the process once, unless that was asked for.
+  void report(int Status) {
+    if (Reported.exchange(true))
+      return;
+    const bool Expected =
+        WIFSIGNALED(Status)
+            ? ((Sent.load() >> unsigned(WTERMSIG(Status))) & 1U) != 0
+            : WEXITSTATUS(Status) == 0;
+    if (Expected)
+      return;
+    std::ostringstream Log;
+    Log << std::ifstream(LogFile).rdbuf();
+    writeError(Name + " " + describeEnd(Status) + "; the end of " + LogFile +
+               ":\n" + lastLines(Log.str()));
+  }
+};
+
+std::string describeEnd(int Status) {
+  if (!WIFSIGNALED(Status))
+    return "ended with exit code " + std::to_string(WEXITSTATUS(Status));
+  const int Signal = WTERMSIG(Status);
+  return "was ended by signal " + std::to_string(Signal) + " (" +
+         strsignal(Signal) + ")";
+}
+
+std::string lastLines(std::string_view Text) {
+  constexpr int MaxLines = 10;
+  constexpr std::size_t MaxWidth = 300;
+  if (Text.empty())
+    return "  (empty)\n";
+  if (Text.ends_with('\n'))
+    Text.remove_suffix(1);
+  std::string Lines;
+  for (int Count = 0; Count < MaxLines && !Text.empty(); ++Count) {
+    const std::size_t Break = Text.rfind('\n');
+    const std::size_t Begin = Break == std::string_view::npos ? 0 : Break + 1;
+    Lines.insert(0, "  " + std::string(Text.substr(Begin, MaxWidth)) + "\n");
+    Text = Text.substr(0, Begin == 0 ? 0 : Break);
+  }
+  return Lines;
+}
+
 daemon_process::daemon_process(std::string Program,
                                std::vector<std::string> Arguments,
                                std::string LogFile)
@@ -64,10 +132,17 @@
   if (!running())
     return;
   signal(SIGKILL);
-  waitpid(Pid, nullptr, 0);
+  int Status = 0;
+  waitpid(Pid, &Status, 0);
+  onEnded(Status);
 }
 
 bool daemon_process::start() {
+  if (running()) {
+    writeError(Program + " runs already, as process " + std::to_string(Pid) +
+               "\n");
+    return false;
+  }
   std::vector<char *> Argv{Program.data()};
   for (std::string &Argument : Arguments)
     Argv.push_back(Argument.data());
@@ -99,13 +174,29 @@
       waitpid(Child, nullptr, 0);
   }
   close(Failure[0]);
-  Pid = Error == 0 ? Child : 0;
-  return Error == 0;
+  if (Error != 0) {
+    writeError("cannot start " + Program + " with the log " + LogFile + ": " +
+               strerror(Error) + "\n");
+    return false;
+  }
+  Pid = Child;
+  Watch = std::make_shared<watch>();
+  Watch->Name = Program + ", process " + std::to_string(Child) + ",";
+  Watch->LogFile = LogFile;
+  Watcher = std::thread([Watch = Watch, Child] {
+    siginfo_t Info{};
+    // The process stays for `running` to reap.
+    if (waitid(P_PID, static_cast<id_t>(Child), &Info, WEXITED | WNOWAIT) == 0)
+      Watch->report(statusOf(Info));
+  });
+  return true;
 }
 
 void daemon_process::signal(int Number) const {
-  if (Pid > 0)
-    kill(Pid, Number);
+  if (Pid <= 0)
+    return;
+  Watch->Sent |= std::uint64_t{1} << unsigned(Number);
+  kill(Pid, Number);
 }
 
 bool daemon_process::running() {
@@ -114,9 +205,16 @@
   int Status = 0;
   if (waitpid(Pid, &Status, WNOHANG) == 0)
     return true;
+  onEnded(Status);
+  return false;
+}
+
+void daemon_process::onEnded(int Status) {
+  // The thread has seen the end, or finds that the process has been reaped.
+  Watcher.join();
+  Watch->report(Status);
   ExitStatus = WIFSIGNALED(Status) ? -WTERMSIG(Status) : WEXITSTATUS(Status);
   Pid = 0;
-  return false;
 }
 
 } // namespace ebonyvale
--- a/tests/soak/daemon_process.h
+++ b/tests/soak/daemon_process.h
@@ -3,8 +3,10 @@
 #ifndef EBONYVALE_TESTS_SOAK_DAEMON_PROCESS_H
 #define EBONYVALE_TESTS_SOAK_DAEMON_PROCESS_H
 
-#include <cstdint>
+#include <memory>
 #include <string>
+#include <string_view>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -14,7 +16,8 @@
 
 /// Starts, signals and reaps one child process. It signals no other process.
 /// The destructor kills the child, and the system does if this process ends
-/// without it.
+/// without it. What ended a child that was not told to end is written to
+/// standard error at once, with the last lines of its output.
 class daemon_process {
 public:
   /// The output of the process is appended to \p LogFile.
@@ -26,8 +29,9 @@
 
   /// Sets the program of the next start.
   void setProgram(std::string Next) { Program = std::move(Next); }
-  /// Starts the process; returns false if the program cannot be started. To be
-  /// called by a thread that lives as long as the process, which ends with it.
+  /// Starts the process; returns false, and writes the reason to standard
+  /// error, if the program cannot be started. To be called by a thread that
+  /// lives as long as the process, which ends with it.
   bool start();
   void signal(int Number) const;
   /// Returns whether the process is running. Reaps it if it has ended.
@@ -39,13 +43,27 @@
   int exitStatus() const { return ExitStatus; }
 
 private:
+  struct watch;
+
+  /// Takes the end of the process, with the result \p Status of its wait.
+  void onEnded(int Status);
+
   std::string Program;
   std::vector<std::string> Arguments;
   std::string LogFile;
   pid_t Pid = 0;
   int ExitStatus = 0;
+  std::shared_ptr<watch> Watch; ///< shared with the thread
+  std::thread Watcher;          ///< waits for the end of the process
 };
 
+/// Returns what ended a process with the result \p Status, as in "ended with
+/// exit code 1".
+std::string describeEnd(int Status);
+
+/// Returns the last lines of \p Text, each cut to the width of a report.
+std::string lastLines(std::string_view Text);
+
 } // namespace ebonyvale
 
 #endif
--- a/tests/soak_checks/daemon_process_test.cpp
+++ b/tests/soak_checks/daemon_process_test.cpp
@@ -1,4 +1,5 @@
-// Child processes: they end with their parent.
+// Child processes: they end with their parent, and an end that nobody asked for
+// is reported with its reason.
 #include "soak/daemon_process.h"
 
 #include <criterion/criterion.h>
@@ -6,10 +7,16 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdio>
 #include <filesystem>
+#include <fstream>
 #include <optional>
+#include <sstream>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -99,3 +106,98 @@
   cr_assert(waitForSignal(Child) == SIGKILL, "%s: the child goes on",
             Row->Name);
 }
+
+namespace {
+
+struct report_row {
+  char Name[32];
+  char Program[16];
+  char Script[64]; ///< for /bin/sh
+  int Signal;      ///< sent to the process; 0: none
+  char Report[64]; ///< a part of it; empty: none is expected
+};
+
+/// Redirects standard error to a file while it exists.
+class captured_error {
+public:
+  explicit captured_error(std::string File)
+      : File(std::move(File)), Before(dup(STDERR_FILENO)) {
+    cr_assert(std::freopen(this->File.c_str(), "w", stderr));
+  }
+  ~captured_error() {
+    dup2(Before, STDERR_FILENO);
+    close(Before);
+  }
+  captured_error(const captured_error &) = delete;
+  captured_error &operator=(const captured_error &) = delete;
+
+  std::string text() const {
+    std::ostringstream Text;
+    Text << std::ifstream(File).rdbuf();
+    return Text.str();
+  }
+
+private:
+  std::string File;
+  int Before;
+};
+
+} // namespace
+
+ParameterizedTestParameters(daemon_process, reports_an_unexpected_end) {
+  static report_row Rows[] = {
+      {"exit code", "/bin/sh", "echo no address; exit 3", 0,
+       "ended with exit code 3"},
+      {"its output", "/bin/sh", "echo no address; exit 3", 0,
+       ":\n  no address\n"},
+      {"no output", "/bin/sh", "exit 3", 0, ":\n  (empty)\n"},
+      {"error output", "/bin/sh", "echo no address >&2; exit 1", 0,
+       ":\n  no address\n"},
+      {"signal of its own", "/bin/sh", "kill -ABRT $$", 0,
+       "was ended by signal 6 (Aborted)"},
+      {"missing program", "/none/daemon", "", 0, "cannot start /none/daemon"},
+      {"reason", "/none/daemon", "", 0, "No such file or directory"},
+      {"exit code after a stop", "/bin/sh",
+       "trap 'exit 4' INT; while sleep 0.01; do :; done", SIGINT,
+       "ended with exit code 4"},
+      {"done", "/bin/sh", "exit 0", 0, ""},
+      {"killed", "/bin/sleep", "9", SIGKILL, ""},
+      {"stopped", "/bin/sleep", "9", SIGINT, ""}};
+  return criterion_test_params(Rows);
+}
+
+/// A gateway that ended at its start left no trace: its log was removed with
+/// the folder, and nothing was printed.
+ParameterizedTest(report_row *Row, daemon_process, reports_an_unexpected_end) {
+  const test_folder Folder;
+  const captured_error Error(Folder.file("error"));
+  const bool IsShell = std::string_view(Row->Program) == "/bin/sh";
+  daemon_process Child(Row->Program,
+                       IsShell ? std::vector<std::string>{"-c", Row->Script}
+                               : std::vector<std::string>{Row->Script},
+                       Folder.file("log"));
+  Child.start();
+  if (Row->Signal != 0) {
+    std::this_thread::sleep_for(50ms);
+    Child.signal(Row->Signal);
+  }
+  // Not by asking whether it runs: a program that waits for something else does
+  // not.
+  std::this_thread::sleep_for(500ms);
+  const std::string Text = Error.text();
+  if (Row->Report[0] == 0)
+    cr_assert(Text.empty(), "%s: %s", Row->Name, Text.c_str());
+  else
+    cr_assert(Text.find(Row->Report) != std::string::npos, "%s: %s", Row->Name,
+              Text.c_str());
+}
+
+Test(daemon_process, reports_the_last_lines) {
+  std::string Text;
+  for (int Line = 0; Line < 30; ++Line)
+    Text += "line " + std::to_string(Line) + "\n";
+  const std::string Last = lastLines(Text);
+  cr_assert(Last.starts_with("  line 20\n") && Last.ends_with("  line 29\n"),
+            "%s", Last.c_str());
+  cr_assert(lastLines(std::string(5000, 'x')).size() < 400);
+}
