Settings: a file that is empty or cannot be read is an error that names it

A missing file gave no reason of the system.

Cause: a folder and an empty file parse as a document without fields.

--- a/src/common/settings_loader.h
+++ b/src/common/settings_loader.h
@@ -15,7 +15,8 @@
 
 /// Reads the file at \p Path, unless \p Path is empty, and then \p Overrides,
 /// each "name=value", into \p Fields. Returns `SettingsInvalid` with a list of
-/// all errors if any value is invalid.
+/// all errors if any value is invalid, or if the file cannot be read or holds
+/// no settings.
 std::optional<failure> loadSettings(const std::string &Path,
                                     const std::vector<std::string> &Overrides,
                                     std::span<const bound_field> Fields);
