--- a/src/gateway/connection/peer_gossip.cpp
+++ b/src/gateway/connection/peer_gossip.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/connection/peer_messages.h"
 #include "gateway/process/origin_task.h"
+#include "net/socket_options.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -53,8 +54,7 @@
       bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) ==
           0;
   if (!Bound)
-    return failure{error_kind::SettingsInvalid,
-                   "cannot listen for peers on " + Text};
+    return listenFailure(Text, Parsed ? EVUTIL_SOCKET_ERROR() : 0);
   socklen_t Length = sizeof(Address);
   getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
   Core.setPeerPort(ntohs(Address.sin_port));
--- a/src/gateway/process/gateway_task.cpp
+++ b/src/gateway/process/gateway_task.cpp
@@ -36,6 +36,14 @@
                      randomNumber(), randomNumber(), randomNumber());
 }
 
+/// Returns \p Problem, if there is one, as that of the setting \p Name.
+std::optional<failure> named(std::string_view Name,
+                             std::optional<failure> Problem) {
+  if (Problem)
+    Problem->Detail = fmt::format("{}: {}", Name, Problem->Detail);
+  return Problem;
+}
+
 endpoint endpointOf(const std::string &Text) {
   return parseEndpoint(Text).value_or(endpoint{});
 }
@@ -65,12 +73,14 @@
 gateway_task::~gateway_task() = default;
 
 std::optional<failure> gateway_task::listen(connection_listener &Links,
+                                            std::string_view Setting,
                                             const std::string &Text) {
   const auto Endpoint = parseEndpoint(Text);
   if (!Endpoint)
-    return failure{error_kind::SettingsInvalid,
-                   fmt::format("'{}' is not of the form IP:PORT", Text)};
-  return Links.listen(Endpoint->Address, Endpoint->Port);
+    return failure{
+        error_kind::SettingsInvalid,
+        fmt::format("{}: '{}' is not of the form IP:PORT", Setting, Text)};
+  return named(Setting, Links.listen(Endpoint->Address, Endpoint->Port));
 }
 
 std::optional<failure> gateway_task::start() {
@@ -78,16 +88,17 @@
   if (!parseEndpoint(Settings.StoreEndpoint))
     return failure{error_kind::SettingsInvalid,
                    "store.endpoint must have the form IP:PORT"};
-  if (auto Problem = listen(Callers, Settings.CallerEndpoint))
+  if (auto Problem = listen(Callers, "listen.callers", Settings.CallerEndpoint))
     return Problem;
-  if (auto Problem = listen(ReadyLinks, Settings.ReadyEndpoint))
+  if (auto Problem = listen(ReadyLinks, "listen.ready", Settings.ReadyEndpoint))
     return Problem;
   if (!Settings.MetricsEndpoint.empty())
-    if (auto Problem = listen(MetricsLinks, Settings.MetricsEndpoint))
+    if (auto Problem =
+            listen(MetricsLinks, "listen.metrics", Settings.MetricsEndpoint))
       return Problem;
-  if (auto Problem = Gossip.listen())
+  if (auto Problem = named("listen.peers", Gossip.listen()))
     return Problem;
-  if (auto Problem = listen(RelayLinks, Settings.PeerEndpoint))
+  if (auto Problem = listen(RelayLinks, "listen.peers", Settings.PeerEndpoint))
     return Problem;
   Core.setRelayPort(RelayLinks.port());
   Core.setRoutingObserver(this);
--- a/src/gateway/process/gateway_task.h
+++ b/src/gateway/process/gateway_task.h
@@ -84,7 +84,9 @@
   void onUpstreamsChanged() override;
 
 private:
+  /// Listens on the endpoint \p Text of the setting \p Setting.
   std::optional<failure> listen(connection_listener &Links,
+                                std::string_view Setting,
                                 const std::string &Text);
 
   /// Refuses a request before its head was parsed.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -74,9 +74,11 @@
   sockaddr_storage SocketAddress{};
   int Length = sizeof(SocketAddress);
   evconnlistener *Listener = nullptr;
-  if (evutil_parse_sockaddr_port(Address.c_str(),
+  const bool IsAddress =
+      evutil_parse_sockaddr_port(Address.c_str(),
                                  reinterpret_cast<sockaddr *>(&SocketAddress),
-                                 &Length) == 0) {
+                                 &Length) == 0;
+  if (IsAddress) {
     setPort(SocketAddress, Port);
     Listener = evconnlistener_new_bind(
         Base, nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
@@ -84,8 +86,8 @@
   }
   Socket = Listener ? evhttp_bind_listener(Server.get(), Listener) : nullptr;
   if (!Socket)
-    return failure{error_kind::SettingsInvalid,
-                   fmt::format("cannot listen on {}:{}", Address, Port)};
+    return listenFailure(fmt::format("{}:{}", Address, Port),
+                         IsAddress ? EVUTIL_SOCKET_ERROR() : 0);
   BoundPort = readBoundPort(Socket);
   if (ArrivalDeadline)
     ArrivalDeadline->setListener(Listener);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -584,14 +584,16 @@
   sockaddr_in SocketAddress{};
   SocketAddress.sin_family = AF_INET;
   SocketAddress.sin_port = htons(Port);
-  if (inet_pton(AF_INET, Address.c_str(), &SocketAddress.sin_addr) == 1)
+  const bool IsAddress =
+      inet_pton(AF_INET, Address.c_str(), &SocketAddress.sin_addr) == 1;
+  if (IsAddress)
     Listener.reset(evconnlistener_new_bind(
         Base, &connection_listener::onAccept, this,
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, ListenBacklog,
         reinterpret_cast<sockaddr *>(&SocketAddress), sizeof(SocketAddress)));
   if (!Listener)
-    return failure{error_kind::SettingsInvalid,
-                   fmt::format("cannot listen on {}:{}", Address, Port)};
+    return listenFailure(fmt::format("{}:{}", Address, Port),
+                         IsAddress ? EVUTIL_SOCKET_ERROR() : 0);
   socklen_t Length = sizeof(SocketAddress);
   getsockname(evconnlistener_get_fd(Listener.get()),
               reinterpret_cast<sockaddr *>(&SocketAddress), &Length);
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -13,6 +13,8 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 
+#include <spdlog/fmt/fmt.h>
+
 namespace ebonyvale {
 namespace {
 
@@ -82,4 +84,11 @@
   return static_cast<std::size_t>(std::max(Bytes, 0));
 }
 
+failure listenFailure(std::string_view Address, int Error) {
+  return {error_kind::SettingsInvalid,
+          fmt::format("cannot listen on {}: {}", Address,
+                      Error == 0 ? "not an address"
+                                 : evutil_socket_error_to_string(Error))};
+}
+
 } // namespace ebonyvale
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -4,8 +4,10 @@
 #define EBONYVALE_NET_SOCKET_OPTIONS_H
 
 #include "common/instant.h"
+#include "common/result.h"
 
 #include <cstddef>
+#include <string_view>
 
 struct bufferevent;
 struct evhttp_connection;
@@ -48,6 +50,10 @@
 /// has not acknowledged; 0 if it is not known.
 std::size_t unacknowledgedBytes(bufferevent *Socket);
 
+/// Returns the failure to listen on \p Address for the reason \p Error, a value
+/// of `errno`; 0: \p Address is none.
+failure listenFailure(std::string_view Address, int Error);
+
 } // namespace ebonyvale
 
 #endif
