A gateway that is not ready says why

Now the readiness probe answers with the reason, a line "ready" or "not_ready" is written whenever that changes (looked at with each probe and twice a second), and status has it. What decides readiness is unchanged.

--- a/src/gateway/connection/operator_handler.cpp
+++ b/src/gateway/connection/operator_handler.cpp
@@ -42,9 +42,12 @@
   header_list Text;
   Text.add("Content-Type", "text/plain; version=0.0.4");
   if (Path == Core.protocols().Callers.readinessPath()) {
-    const bool Ready = Core.ready(Now);
-    return Link->writeResponse(Ready ? StatusOk : StatusUnavailable, Text,
-                               Ready ? "ready\n" : "not ready\n");
+    Core.recordReadiness(Now);
+    const std::string_view Reason = Core.unreadyReason(Now);
+    if (Reason.empty())
+      return Link->writeResponse(StatusOk, Text, "ready\n");
+    return Link->writeResponse(StatusUnavailable, Text,
+                               fmt::format("not ready: {}\n", Reason));
   }
   if (Path == "/metrics") {
     Core.counters().BufferedBytes.Set(
@@ -110,6 +113,7 @@
       {"instance", Core.settings().InstanceName},
       {"domain", Core.settings().Domain},
       {"ready", Core.ready(Now)},
+      {"unready_reason", Core.unreadyReason(Now)},
       {"version", Core.routing() ? Core.routing()->Version : 0},
       {"evidence_age_ms", Age ? toMs(*Age) : -1},
       {"open_requests", Core.openRequests()},
--- a/src/gateway/process/gateway_core.cpp
+++ b/src/gateway/process/gateway_core.cpp
@@ -421,10 +421,4 @@
             {"connections", CallerMemory.connections()}});
 }
 
-bool gateway_core::ready(instant Now) const {
-  return Routing && RosterKnown && !Leaving && !Directory.all().empty() &&
-         ConfigFreshness.isFreshForKeys(Now, FreshnessOptions) &&
-         !ConfigFreshness.isReplaced(Now, FreshnessOptions);
-}
-
 } // namespace ebonyvale
--- a/src/gateway/process/gateway_core.h
+++ b/src/gateway/process/gateway_core.h
@@ -37,6 +37,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -487,7 +488,11 @@
   /// Returns whether the instance can serve requests: it has a configuration
   /// fresh enough to accept keys, knows its peers and some upstream, and is not
   /// stopping.
-  bool ready(instant Now) const;
+  bool ready(instant Now) const { return unreadyReason(Now).empty(); }
+  /// Returns why the instance is not ready; empty if it is.
+  std::string_view unreadyReason(instant Now) const;
+  /// Logs whether the instance is ready, if that has changed.
+  void recordReadiness(instant Now);
   void setLeaving() { Leaving = true; }
   bool leaving() const { return Leaving; }
 
@@ -557,6 +562,8 @@
   /// Number of instances that the limits are divided by; 0: not divided yet.
   std::size_t DividedBy = 0;
   bool RosterKnown = false;
+  /// See `recordReadiness`; nothing was recorded at first.
+  std::optional<std::string_view> RecordedReason;
   std::uint64_t LastNumber = 0;
   std::unordered_set<open_request *> OpenRequests;
   std::size_t OpenRelays = 0;
--- a/src/gateway/process/membership_task.cpp
+++ b/src/gateway/process/membership_task.cpp
@@ -173,6 +173,7 @@
 
 void membership_task::onTick() {
   const instant Now = readBootClock();
+  Core.recordReadiness(Now);
   Core.updateShares(Now);
   Core.updateUpstreamLimits(Now);
   std::vector<std::string> Peers;
