Tests: a gateway that never became ready is reported with the end of its log

Now daemon_process, when it ends such a gateway, writes the last lines of its log to standard error, which have the reason (not_ready). It does not where the gateway has been ready, is stopping, or the program is another one.

Test: daemon_process/reports_a_gateway_without_readiness, 8 rows, of which the three without readiness failed before.

--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -90,10 +90,26 @@
             : WEXITSTATUS(Status) == 0;
     if (Expected)
       return;
+    writeReport(describeEnd(Status), readLog());
+  }
+
+  /// Reports a gateway that has not become ready, of which nothing else would
+  /// be left.
+  void reportUnready() const {
+    if (const std::string Log = readLog(); isUnready(Log))
+      writeReport("had not become ready when it was ended", Log);
+  }
+
+private:
+  std::string readLog() const {
     std::ostringstream Log;
     Log << std::ifstream(LogFile).rdbuf();
-    writeError(Name + " " + describeEnd(Status) + "; the end of " + LogFile +
-               ":\n" + lastLines(Log.str()));
+    return Log.str();
+  }
+
+  void writeReport(const std::string &Event, const std::string &Log) const {
+    writeError(Name + " " + Event + "; the end of " + LogFile + ":\n" +
+               lastLines(Log));
   }
 };
 
@@ -105,6 +121,17 @@
          strsignal(Signal) + ")";
 }
 
+bool isUnready(std::string_view Log) {
+  const std::size_t Start = Log.rfind("\"event\":\"started\"");
+  if (Start == std::string_view::npos)
+    return false;
+  const std::string_view Latest = Log.substr(Start);
+  const auto Has = [Latest](std::string_view Text) {
+    return Latest.find(Text) != std::string_view::npos;
+  };
+  return !Has("\"event\":\"ready\"") && !Has("\"event\":\"stopping\"");
+}
+
 std::string lastLines(std::string_view Text) {
   constexpr int MaxLines = 10;
   constexpr std::size_t MaxWidth = 300;
@@ -131,6 +158,7 @@
 daemon_process::~daemon_process() {
   if (!running())
     return;
+  Watch->reportUnready();
   signal(SIGKILL);
   int Status = 0;
   waitpid(Pid, &Status, 0);
--- a/tests/soak/daemon_process.h
+++ b/tests/soak/daemon_process.h
@@ -17,7 +17,8 @@
 /// Starts, signals and reaps one child process. It signals no other process.
 /// The destructor kills the child, and the system does if this process ends
 /// without it. What ended a child that was not told to end is written to
-/// standard error at once, with the last lines of its output.
+/// standard error at once, with the last lines of its output, and so is a
+/// gateway that is destroyed before it was ready.
 class daemon_process {
 public:
   /// The output of the process is appended to \p LogFile.
@@ -61,6 +62,10 @@
 /// exit code 1".
 std::string describeEnd(int Status);
 
+/// Returns whether the gateway that wrote \p Log has not been ready since its
+/// last start, and is not stopping. False for other programs.
+bool isUnready(std::string_view Log);
+
 /// Returns the last lines of \p Text, each cut to the width of a report.
 std::string lastLines(std::string_view Text);
 
--- a/tests/soak_checks/daemon_process_test.cpp
+++ b/tests/soak_checks/daemon_process_test.cpp
@@ -201,3 +201,65 @@
             "%s", Last.c_str());
   cr_assert(lastLines(std::string(5000, 'x')).size() < 400);
 }
+
+namespace {
+
+struct log_row {
+  char Name[32];
+  char Log[160];
+  bool IsUnready;
+};
+
+} // namespace
+
+ParameterizedTestParameters(daemon_process,
+                            reports_a_gateway_without_readiness) {
+  static log_row Rows[] = {{"not ready", R"({"event":"started"}
+{"event":"not_ready","reason":"no_upstream"}
+)",
+                            true},
+                           {"hangs", R"({"event":"started"}
+)",
+                            true},
+                           {"ready", R"({"event":"started"}
+{"event":"not_ready"}
+{"event":"ready"}
+)",
+                            false},
+                           {"ready once", R"({"event":"started"}
+{"event":"ready"}
+{"event":"not_ready"}
+)",
+                            false},
+                           {"the one before was", R"({"event":"ready"}
+{"event":"started"}
+{"event":"not_ready"}
+)",
+                            true},
+                           {"stopping", R"({"event":"started"}
+{"event":"stopping"}
+)",
+                            false},
+                           {"another program", "listening\n", false},
+                           {"no output", "", false}};
+  return criterion_test_params(Rows);
+}
+
+/// A program that gave up waiting for a gateway removed its log and printed
+/// nothing.
+ParameterizedTest(log_row *Row, daemon_process,
+                  reports_a_gateway_without_readiness) {
+  const test_folder Folder;
+  const std::string Log = Folder.file("log");
+  const captured_error Error(Folder.file("error"));
+  std::ofstream(Log) << Row->Log;
+  {
+    daemon_process Child("/bin/sleep", {"9"}, Log);
+    cr_assert(Child.start());
+  }
+  const std::string Text = Error.text();
+  const bool Reported =
+      Text.find("had not become ready when it was ended; the end of " + Log) !=
+      std::string::npos;
+  cr_assert(Reported == Row->IsUnready, "%s: %s", Row->Name, Text.c_str());
+}
