Tests: the settings template is that of the tree that holds the program

Cause: the cases, like the tests of the gateway, read the settings template at the path of the build. Elsewhere they read nothing, without an error, wrote empty settings, and the gateway ended at once. A copy beside the original used the original's template.

Now the template is looked for above the running program, then at the path of the build, then above the working folder; none, or an empty one, is an error that names these places.

--- a/tests/gateway/settings_template.cpp
+++ b/tests/gateway/settings_template.cpp
@@ -3,6 +3,9 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <system_error>
+
+#include <spdlog/fmt/fmt.h>
 
 namespace ebonyvale {
 namespace {
@@ -85,15 +88,60 @@
   }
 }
 
+constexpr const char *TemplateName = "deploy/gateway.toml.template";
+
+bool isFile(const std::filesystem::path &Path) {
+  std::error_code Ignored;
+  return std::filesystem::is_regular_file(Path, Ignored);
+}
+
+/// Returns the template in the innermost of \p Folder and the folders around
+/// it that has one; empty if none has.
+std::filesystem::path templateAbove(std::filesystem::path Folder) {
+  while (!Folder.empty()) {
+    if (isFile(Folder / TemplateName))
+      return Folder / TemplateName;
+    if (Folder == Folder.parent_path())
+      break;
+    Folder = Folder.parent_path();
+  }
+  return {};
+}
+
 } // namespace
 
-std::string readSettingsTemplate() {
-  const std::ifstream File(EBONYVALE_SETTINGS_TEMPLATE);
+std::filesystem::path findSettingsTemplate(const template_places &Places) {
+  if (auto Found = templateAbove(Places.Program.parent_path()); !Found.empty())
+    return Found;
+  if (isFile(Places.Built))
+    return Places.Built;
+  if (auto Found = templateAbove(Places.Working); !Found.empty())
+    return Found;
+  throw std::runtime_error(
+      fmt::format("no settings template: there is no {} above the program {} "
+                  "or the working folder {}, and no {}, where it was built",
+                  TemplateName, Places.Program.string(),
+                  Places.Working.string(), Places.Built.string()));
+}
+
+std::string readSettingsTemplate(const std::filesystem::path &File) {
   std::ostringstream Text;
-  Text << File.rdbuf();
+  Text << std::ifstream(File).rdbuf();
+  if (Text.view().empty())
+    throw std::runtime_error(fmt::format(
+        "the settings template {} is empty or cannot be read", File.string()));
   return Text.str();
 }
 
+std::string readSettingsTemplate() {
+  std::error_code Ignored;
+  template_places Places;
+  Places.Program = std::filesystem::read_symlink("/proc/self/exe", Ignored);
+  Places.Built = EBONYVALE_SETTINGS_TEMPLATE;
+  Places.Working = std::filesystem::current_path(Ignored);
+  return readSettingsTemplate(findSettingsTemplate(Places));
+}
+
 std::string renderTemplate(std::string_view Template,
                            const nlohmann::json &Fields) {
   return render(Template, Fields, nullptr);
