--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -7,7 +7,6 @@
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
-#include <optional>
 #include <sstream>
 #include <utility>
 
@@ -175,9 +174,14 @@
   for (std::string &Argument : Arguments)
     Argv.push_back(Argument.data());
   Argv.push_back(nullptr);
+  const auto Fail = [this](int Error) {
+    writeError("cannot start " + Program + " with the log " + LogFile + ": " +
+               strerror(Error) + "\n");
+    return false;
+  };
   int Failure[2];
   if (pipe2(Failure, O_CLOEXEC) != 0)
-    return false;
+    return Fail(errno);
   // A stop signal between the fork and the start of the program stays pending.
   sigset_t StopSignals;
   sigset_t Before;
@@ -202,11 +206,8 @@
       waitpid(Child, nullptr, 0);
   }
   close(Failure[0]);
-  if (Error != 0) {
-    writeError("cannot start " + Program + " with the log " + LogFile + ": " +
-               strerror(Error) + "\n");
-    return false;
-  }
+  if (Error != 0)
+    return Fail(Error);
   Pid = Child;
   Watch = std::make_shared<watch>();
   Watch->Name = Program + ", process " + std::to_string(Child) + ",";
