--- a/tests/gateway/captured_output.h
+++ b/tests/gateway/captured_output.h
@@ -1,5 +1,5 @@
 /// \file
-/// What a test writes to standard output.
+/// What a test writes to standard output or standard error.
 #ifndef EBONYVALE_TESTS_GATEWAY_CAPTURED_OUTPUT_H
 #define EBONYVALE_TESTS_GATEWAY_CAPTURED_OUTPUT_H
 
@@ -13,16 +13,17 @@
 
 namespace ebonyvale {
 
-/// Keeps what is written to standard output meanwhile.
+/// Keeps what is written to standard output, or to \c Descriptor, meanwhile.
 class captured_output {
 public:
-  captured_output() : Output(dup(STDOUT_FILENO)) {
+  explicit captured_output(int Descriptor = STDOUT_FILENO)
+      : Descriptor(Descriptor), Output(dup(Descriptor)) {
     cr_assert(pipe(Pipe) == 0);
     fcntl(Pipe[0], F_SETFL, O_NONBLOCK);
-    dup2(Pipe[1], STDOUT_FILENO);
+    dup2(Pipe[1], Descriptor);
   }
   ~captured_output() {
-    dup2(Output, STDOUT_FILENO);
+    dup2(Output, Descriptor);
     close(Output);
     close(Pipe[0]);
     close(Pipe[1]);
@@ -42,6 +43,7 @@
   }
 
 private:
+  int Descriptor;
   int Output;
   int Pipe[2];
   std::string Text;
--- a/tests/platform/store_server.cpp
+++ b/tests/platform/store_server.cpp
@@ -4,6 +4,7 @@
 #include "net/query_parameters.h"
 
 #include <charconv>
+#include <iostream>
 
 #include <nlohmann/json.hpp>
 
@@ -59,7 +60,8 @@
 store_server::store_server(event_base *Base, fleet_store &Store,
                            std::function<std::int64_t()> Era)
     : Store(Store), Era(std::move(Era)), Links(Base, *this) {
-  Links.listen("127.0.0.1", 0);
+  if (const auto Problem = Links.listen("127.0.0.1", 0))
+    std::cerr << "store server: " << Problem->Detail << "\n";
 }
 
 std::int64_t store_server::revisionOf(std::int64_t Counter) const {
--- a/tests/platform/store_server.h
+++ b/tests/platform/store_server.h
@@ -16,7 +16,8 @@
 class store_server final : public request_handler {
 public:
   /// \p Store must outlive the server. \p Era returns its era; without it the
-  /// server states none.
+  /// server states none. If it cannot listen, it writes why to standard error
+  /// and its port is 0.
   store_server(event_base *Base, fleet_store &Store,
                std::function<std::int64_t()> Era = nullptr);
 
