--- a/tests/soak/daemon_process.h
+++ b/tests/soak/daemon_process.h
@@ -15,10 +15,13 @@
 namespace ebonyvale {
 
 /// Starts, signals and reaps one child process. It signals no other process.
-/// The destructor kills the child, and the system does if this process ends
-/// without it. What ended a child that was not told to end is written to
-/// standard error at once, with the last lines of its output, and so is a
-/// gateway that is destroyed before it was ready.
+/// The destructor kills the child. If this process ends without running the
+/// destructor, the system kills the child.
+///
+/// Writes to standard error, with the last lines of the child's output: that
+/// the child has failed or was ended by a signal that this object did not send,
+/// as soon as that happens; and that a gateway never became ready, when it is
+/// destroyed.
 class daemon_process {
 public:
   /// The output of the process is appended to \p LogFile.
@@ -31,8 +34,8 @@
   /// Sets the program of the next start.
   void setProgram(std::string Next) { Program = std::move(Next); }
   /// Starts the process; returns false, and writes the reason to standard
-  /// error, if the program cannot be started. To be called by a thread that
-  /// lives as long as the process, which ends with it.
+  /// error, if the program cannot be started. The system ends the child with
+  /// the thread that calls this.
   bool start();
   void signal(int Number) const;
   /// Returns whether the process is running. Reaps it if it has ended.
