Test: upstreams that report a queue take time for what is in it

Cause, in the test: its upstreams reported a queue of four and answered at once. The gateway assumes 41 ms for a request of which it knows nothing, so four are a wait of 164 ms, a third of the target of 500 ms, and room was short; it has learned that a request takes less when it next looks at the reports, 40 ms later: a wait of 42 ms, and room is enough, as /rooms rightly tells (seen in a trial that printed the refusals and /rooms). The 200 requests take 50 ms on a fast machine and longer on a slower one, so which of the two was told depended on the machine.

The upstreams now take 30 ms for each request, so that the queue they report stands for the time that it takes; no check is changed.

--- a/tests/gateway/short_room_test.cpp
+++ b/tests/gateway/short_room_test.cpp
@@ -19,6 +19,10 @@
   bool IsShort;
 };
 
+/// Four requests that wait take a quarter of the target of 500 ms, however fast
+/// the machine is.
+constexpr span_ns WorkTime = 30ms;
+
 std::string withPriority(std::string Document, const std::string &Route,
                          int Priority) {
   const std::string Name = R"("name":")" + Route + "\"";
@@ -49,8 +53,10 @@
           "order", 2));
   cr_assert(
       Gateway.waitFor([&] { return Gateway.core().routing()->Version == 2; }));
-  for (const auto &Upstream : Gateway.Upstreams)
+  for (const auto &Upstream : Gateway.Upstreams) {
+    Upstream->Delay = WorkTime;
     Upstream->ExtraHeaders.push_back({"Ebonyvale-Server-Load", Row->Load});
+  }
   int Urgent = 0;
   int Others = 0;
   int Refused = 0;
