Test: upstreams are unlisted only once the watched request has been sent

Cause, in the test: it removed the entries from the store in the same turn of the event loop in which it wrote the request. On a slow machine the gateway reads the empty list first, and refuses the request at once, without having sent it, as it should. A log of such a row has both upstreams gone at 38.152 and 38.154 s, the refusal at 38.164 s, attempts 0.

The test now waits until the request is in flight before the entries go; no check is changed.

--- a/tests/gateway/silent_upstream_test.cpp
+++ b/tests/gateway/silent_upstream_test.cpp
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <algorithm>
 #include <string>
 
 #include <spdlog/fmt/fmt.h>
@@ -36,6 +37,13 @@
     runLoopFor(Base, Silence / 4);
   }
 
+  /// Returns whether the first instance has sent a request that it waits for.
+  bool isRequestSent() {
+    const auto Views = Fleet.core(0).scheduler().views(readBootClock());
+    return std::ranges::any_of(
+        Views, [](const auto &View) { return View.InFlight > 0; });
+  }
+
   /// Waits until all instances use the last configuration.
   void awaitConfiguration() {
     cr_assert(Fleet.Gateway.waitFor([&] {
@@ -147,8 +155,11 @@
     Silent.useRelay();
   Fleet.Gateway.targetFirst();
   sendAndStop(Silent, *Row);
-  if (Row->Unlisted)
+  if (Row->Unlisted) {
+    // Without a listed upstream a request that has not been sent is refused.
+    cr_assert(Fleet.Gateway.waitFor([&] { return Silent.isRequestSent(); }));
     Silent.unlist();
+  }
   Silent.changeConfiguration();
   Silent.resumeAll();
   if (Row->Unlisted)
